--- a/include/cornelhead/config/manifest.h
+++ b/include/cornelhead/config/manifest.h
@@ -23,6 +23,8 @@
 constexpr const char *historyPrefix = "cornelhead/history/";
 /// Moves live at this prefix followed by the service.
 constexpr const char *movePrefix = "cornelhead/move/";
+/// Refusals of a revision by nodes live at this prefix followed by the revision.
+constexpr const char *nackPrefix = "cornelhead/nack/";
 /// Relays live at this prefix followed by the data centre and a slot number.
 constexpr const char *relayPrefix = "cornelhead/relay/";
 
