--- /dev/null
+++ b/src/config/chunks.cc
@@ -0,0 +1,90 @@
+// Splits canonical declarations into content-addressed chunks and joins them again.
+#include <xxhash.h>
+
+#include <unordered_map>
+
+#include "cornelhead/base/digest.h"
+#include "cornelhead/config/manifest.h"
+
+namespace cornelhead {
+namespace detail {
+
+// Keeps tiny chunks, and so long manifests, from arising by chance.
+constexpr std::size_t leastChunkBytes = 4 * 1024;
+// A boundary is expected this many bytes after the least size.
+constexpr std::uint64_t meanBoundaryBytes = 12 * 1024;
+
+// Depends on the record alone, so that boundaries stay where they are when others change.
+bool endsChunk(std::string_view line)
+{
+    return XXH3_64bits(line.data(), line.size()) % meanBoundaryBytes < line.size();
+}
+
+Chunk makeChunk(std::string_view bytes)
+{
+    return Chunk{digestOf(bytes), std::string(bytes)};
+}
+
+std::size_t lineLength(std::string_view text)
+{
+    const std::size_t end = text.find('\n');
+    return end == std::string_view::npos ? text.size() : end + 1;
+}
+
+// Returns how many bytes of `text` make up the next chunk.
+std::size_t chunkLength(std::string_view text)
+{
+    std::size_t length = 0;
+    while (length < text.size()) {
+        const std::string_view rest = text.substr(length);
+        const std::string_view line = rest.substr(0, lineLength(rest));
+        if (length > 0 && length + line.size() > maxChunkBytes)
+            return length;
+        length += line.size();
+        if (length >= leastChunkBytes && endsChunk(line))
+            return length;
+    }
+    return length;
+}
+
+} // namespace detail
+
+std::vector<Chunk> splitChunks(std::string_view encoded)
+{
+    std::vector<Chunk> chunks;
+    while (!encoded.empty()) {
+        const std::size_t length = detail::chunkLength(encoded);
+        chunks.push_back(detail::makeChunk(encoded.substr(0, length)));
+        encoded.remove_prefix(length);
+    }
+    return chunks;
+}
+
+Result<std::string> joinChunks(const Manifest &manifest, const std::vector<Chunk> &chunks)
+{
+    std::unordered_map<Digest, const std::string *> byDigest;
+    for (const Chunk &chunk : chunks)
+        byDigest.emplace(chunk.digest, &chunk.bytes);
+    std::string joined;
+    for (const Digest &digest : manifest.chunks) {
+        const auto found = byDigest.find(digest);
+        if (found == byDigest.end()) {
+            return fail(ErrorKind::InvalidMessage, "chunk " + digest.value() + " is missing",
+                        "read the chunk again, or apply the declarations again");
+        }
+        if (digestOf(*found->second) != digest) {
+            return fail(ErrorKind::InvalidMessage,
+                        "chunk " + digest.value() + " has other bytes than its digest says",
+                        "read the chunk again, or apply the declarations again");
+        }
+        joined += *found->second;
+    }
+    if (digestOf(joined) != manifest.digest) {
+        return fail(ErrorKind::InvalidMessage,
+                    "the chunks do not join to digest " + manifest.digest.value(),
+                    "read the manifest again, or apply the declarations again");
+    }
+    return joined;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/config/records.cc
@@ -0,0 +1,254 @@
+// Encodes and decodes single records and whole declarations as lines of JSON.
+#include "cornelhead/config/records.h"
+
+#include <array>
+#include <exception>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+#include "cornelhead/config/manifest.h"
+
+namespace cornelhead {
+namespace detail {
+
+using Json = nlohmann::json;
+
+// The first line, so that a later format can be told apart.
+constexpr std::string_view formatLine = R"({"format":1})";
+
+constexpr std::array<std::string_view, 3> priorityNames = {"high", "normal", "low"};
+constexpr std::array<std::string_view, 2> idempotencyNames = {"idempotent", "keyed"};
+
+template <std::size_t Size>
+std::size_t indexOf(const std::array<std::string_view, Size> &names, const std::string &name)
+{
+    for (std::size_t i = 0; i < Size; ++i) {
+        if (names[i] == name)
+            return i;
+    }
+    throw std::out_of_range("'" + name + "' is not known");
+}
+
+template <typename IdType>
+Json namesOf(const std::vector<IdType> &ids)
+{
+    Json names = Json::array();
+    for (const IdType &id : ids)
+        names.push_back(id.value());
+    return names;
+}
+
+template <typename IdType>
+std::vector<IdType> idsOf(const Json &names)
+{
+    std::vector<IdType> ids;
+    for (const Json &name : names)
+        ids.emplace_back(name.get<std::string>());
+    return ids;
+}
+
+// Validation refuses names that are not UTF-8; until then they must not end the process.
+std::string dump(const Json &json)
+{
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::uint32_t smallNumber(const Json &json)
+{
+    if (!json.is_number_unsigned() || json.get<std::uint64_t>() > UINT32_MAX)
+        throw std::out_of_range("a number is out of range");
+    return json.get<std::uint32_t>();
+}
+
+Milliseconds durationOf(const Json &json)
+{
+    return Milliseconds(smallNumber(json));
+}
+
+Service readService(const Json &json)
+{
+    return Service{ServiceId(json.at("service").get<std::string>()),
+                   VersionId(json.at("initialVersion").get<std::string>())};
+}
+
+Route readRoute(const Json &json)
+{
+    Route route;
+    route.id = RouteId(json.at("route").get<std::string>());
+    route.service = ServiceId(json.at("of").get<std::string>());
+    route.pathPrefix = json.at("pathPrefix").get<std::string>();
+    route.priority = static_cast<CallPriority>(
+            indexOf(priorityNames, json.at("priority").get<std::string>()));
+    route.idempotency = static_cast<Idempotency>(
+            indexOf(idempotencyNames, json.at("idempotency").get<std::string>()));
+    route.timeout = durationOf(json.at("timeoutMs"));
+    return route;
+}
+
+Plan readPlan(const Json &json)
+{
+    Plan plan;
+    plan.id = PlanId(json.at("plan").get<std::string>());
+    plan.services = idsOf<ServiceId>(json.at("services"));
+    plan.routes = idsOf<RouteId>(json.at("routes"));
+    plan.ratePerSecond = smallNumber(json.at("rate"));
+    plan.burst = smallNumber(json.at("burst"));
+    plan.concurrency = smallNumber(json.at("concurrency"));
+    return plan;
+}
+
+Customer readCustomer(const Json &json)
+{
+    return Customer{CustomerId(json.at("customer").get<std::string>()),
+                    PlanId(json.at("on").get<std::string>())};
+}
+
+template <typename Record>
+RecordKey append(std::vector<Record> &records, Record record, RecordKind kind)
+{
+    RecordKey key{kind, record.id.value()};
+    records.push_back(std::move(record));
+    return key;
+}
+
+// Throws what the JSON library throws.
+RecordKey readRecord(const Json &json, Declarations &into)
+{
+    if (json.contains("customer"))
+        return append(into.customers, readCustomer(json), RecordKind::Customer);
+    if (json.contains("plan"))
+        return append(into.plans, readPlan(json), RecordKind::Plan);
+    if (json.contains("route"))
+        return append(into.routes, readRoute(json), RecordKind::Route);
+    if (json.contains("service"))
+        return append(into.services, readService(json), RecordKind::Service);
+    throw std::out_of_range("the kind of record is not known");
+}
+
+std::string encodeAppended(const Declarations &declarations, RecordKind kind)
+{
+    switch (kind) {
+    case RecordKind::Service:
+        return encodeRecord(declarations.services.back());
+    case RecordKind::Route:
+        return encodeRecord(declarations.routes.back());
+    case RecordKind::Plan:
+        return encodeRecord(declarations.plans.back());
+    case RecordKind::Customer:
+        return encodeRecord(declarations.customers.back());
+    }
+    return {};
+}
+
+tl::unexpected<Error> badRecord(const std::string &why)
+{
+    return fail(ErrorKind::InvalidMessage, "a configuration record cannot be read: " + why,
+                "apply the declarations again with a cornelheadctl of the nodes' release");
+}
+
+template <typename Record>
+void appendLines(std::string &text, const std::vector<Record> &records)
+{
+    for (const Record &record : records) {
+        text += encodeRecord(record);
+        text += '\n';
+    }
+}
+
+} // namespace detail
+
+std::string encodeRecord(const Service &service)
+{
+    return detail::dump(
+            {{"service", service.id.value()}, {"initialVersion", service.initialVersion.value()}});
+}
+
+std::string encodeRecord(const Route &route)
+{
+    return detail::dump(
+            {{"route", route.id.value()},
+             {"of", route.service.value()},
+             {"pathPrefix", route.pathPrefix},
+             {"priority", detail::priorityNames.at(static_cast<std::size_t>(route.priority))},
+             {"idempotency",
+              detail::idempotencyNames.at(static_cast<std::size_t>(route.idempotency))},
+             {"timeoutMs", route.timeout.count()}});
+}
+
+std::string encodeRecord(const Plan &plan)
+{
+    return detail::dump({{"plan", plan.id.value()},
+                         {"services", detail::namesOf(plan.services)},
+                         {"routes", detail::namesOf(plan.routes)},
+                         {"rate", plan.ratePerSecond},
+                         {"burst", plan.burst},
+                         {"concurrency", plan.concurrency}});
+}
+
+std::string encodeRecord(const Customer &customer)
+{
+    return detail::dump({{"customer", customer.id.value()}, {"on", customer.plan.value()}});
+}
+
+Result<RecordKey> appendRecord(std::string_view line, Declarations &declarations)
+{
+    Declarations read;
+    try {
+        const RecordKey key = detail::readRecord(detail::Json::parse(line), read);
+        // Only the canonical form is accepted, so that one digest stands for one content.
+        if (detail::encodeAppended(read, key.kind) != line)
+            return detail::badRecord("it is not in canonical form");
+        std::move(read.services.begin(), read.services.end(),
+                  std::back_inserter(declarations.services));
+        std::move(read.routes.begin(), read.routes.end(), std::back_inserter(declarations.routes));
+        std::move(read.plans.begin(), read.plans.end(), std::back_inserter(declarations.plans));
+        std::move(read.customers.begin(), read.customers.end(),
+                  std::back_inserter(declarations.customers));
+        return key;
+    } catch (const std::exception &error) {
+        return detail::badRecord(error.what());
+    }
+}
+
+std::string encodeDeclarations(const Declarations &declarations)
+{
+    const Declarations ordered = canonicalOrder(declarations);
+    std::string text(detail::formatLine);
+    text += '\n';
+    detail::appendLines(text, ordered.services);
+    detail::appendLines(text, ordered.routes);
+    detail::appendLines(text, ordered.plans);
+    detail::appendLines(text, ordered.customers);
+    return text;
+}
+
+Result<Declarations> decodeDeclarations(std::string_view bytes)
+{
+    Declarations declarations;
+    std::optional<RecordKey> last;
+    bool isFirst = true;
+    while (!bytes.empty()) {
+        const std::size_t end = bytes.find('\n');
+        if (end == std::string_view::npos)
+            return detail::badRecord("the last line is cut off");
+        const std::string_view line = bytes.substr(0, end);
+        bytes.remove_prefix(end + 1);
+        if (std::exchange(isFirst, false)) {
+            if (line != detail::formatLine)
+                return detail::badRecord("the format is not known");
+            continue;
+        }
+        Result<RecordKey> key = appendRecord(line, declarations);
+        if (!key)
+            return tl::unexpected<Error>(key.error());
+        if (last && *key <= *last)
+            return detail::badRecord("records are not in order");
+        last = std::move(*key);
+    }
+    if (isFirst)
+        return detail::badRecord("it is empty");
+    return declarations;
+}
+
+} // namespace cornelhead
