--- a/support/parts.cmake
+++ b/support/parts.cmake
@@ -6,14 +6,14 @@
 function(cornelhead_part name)
     cmake_parse_arguments(PART "" "" "DEPENDS;LIBRARIES" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/${name}/*.cc)
-    list(TRANSFORM PART_DEPENDS PREPEND cornelhead-)
+    list(TRANSFORM PART_DEPENDS PREPEND part-)
     if(sources)
-        add_library(cornelhead-${name} STATIC ${sources})
-        target_link_libraries(cornelhead-${name}
+        add_library(part-${name} STATIC ${sources})
+        target_link_libraries(part-${name}
             PUBLIC cornelhead-options ${PART_DEPENDS} ${PART_LIBRARIES})
     else()
-        add_library(cornelhead-${name} INTERFACE)
-        target_link_libraries(cornelhead-${name}
+        add_library(part-${name} INTERFACE)
+        target_link_libraries(part-${name}
             INTERFACE cornelhead-options ${PART_DEPENDS} ${PART_LIBRARIES})
     endif()
     cornelhead_part_tests(${name})
@@ -28,7 +28,7 @@
     target_include_directories(${name}-test PRIVATE ${CMAKE_SOURCE_DIR}/test)
     target_compile_definitions(${name}-test PRIVATE
         BOOST_TEST_DYN_LINK CORNELHEAD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-    target_link_libraries(${name}-test PRIVATE cornelhead-${name} Boost::unit_test_framework)
+    target_link_libraries(${name}-test PRIVATE part-${name} Boost::unit_test_framework)
     add_test(NAME ${name} COMMAND ${name}-test)
 endfunction()
 
@@ -37,7 +37,7 @@
         return()
     endif()
     add_executable(${name} ${CMAKE_SOURCE_DIR}/src/bin/${name}.cc)
-    list(TRANSFORM ARGN PREPEND cornelhead-)
+    list(TRANSFORM ARGN PREPEND part-)
     target_link_libraries(${name} PRIVATE ${ARGN})
 endfunction()
 
@@ -65,9 +65,9 @@
 cornelhead_program(cornelhead-measure-calls standin)
 
 # Generated code is compiled without our warnings.
-if(TARGET cornelhead-protocol)
-    get_target_property(protocol_kind cornelhead-protocol TYPE)
+if(TARGET part-protocol)
+    get_target_property(protocol_kind part-protocol TYPE)
     if(protocol_kind STREQUAL "STATIC_LIBRARY")
-        target_compile_options(cornelhead-protocol PRIVATE -Wno-all -Wno-extra -Wno-pedantic)
+        target_compile_options(part-protocol PRIVATE -Wno-all -Wno-extra -Wno-pedantic)
     endif()
 endif()
