--- a/include/cornelhead/platform/client.h
+++ b/include/cornelhead/platform/client.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cornelhead/base/address.h"
+#include "cornelhead/base/ids.h"
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/net/http.h"
 
