--- /dev/null
+++ b/include/cornelhead/node/admin-server.h
@@ -0,0 +1,41 @@
+// The node's admin listener: metrics, status, and announcements of backend servers on this host.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "cornelhead/base/metrics.h"
+#include "cornelhead/membership/endpoint.h"
+#include "cornelhead/net/http.h"
+
+namespace cornelhead {
+
+struct AdminHandlers
+{
+    std::function<void(const Endpoint &)> onAnnounce;
+    std::function<void(const ServerId &)> onWithdraw;
+    /// Returns the JSON of `/status`.
+    std::function<std::string()> status;
+};
+
+/// Serves `/metrics`, `/status`, `/v1/announce` and `/v1/withdraw`.
+class AdminServer
+{
+public:
+    AdminServer(EventLoop &loop, Metrics &metrics, AdminHandlers handlers);
+
+    Result<void> listen(const Address &address);
+
+private:
+    HttpResponse answer(const HttpRequest &request);
+    HttpResponse announce(const std::string &body);
+    HttpResponse withdraw(const std::string &body);
+    HttpResponse refuse(int status, const Error &error);
+
+    HttpServer server_;
+    Metrics *metrics_;
+    AdminHandlers handlers_;
+    Counter &badRequests_;
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,247 @@
+// Joins the tasks of one node.
+#include "cornelhead/node/node.h"
+
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+#include "cornelhead/base/log.h"
+#include "cornelhead/distribution/distribution.h"
+#include "cornelhead/node/admin-server.h"
+#include "cornelhead/node/local-servers.h"
+#include "cornelhead/node/rollout-task.h"
+#include "cornelhead/node/view-builder.h"
+#include "cornelhead/proxy/proxy.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr const char *nodePart = "node";
+constexpr Milliseconds serverSilenceLimit = Milliseconds(2000);
+constexpr Milliseconds sweepPeriod = Milliseconds(250);
+constexpr Milliseconds outcomePeriod = Milliseconds(200);
+
+NodeInfo selfOf(const NodeSettings &settings)
+{
+    NodeInfo self;
+    self.startedAtMs = wallClockMs();
+    self.id = NodeId(settings.inner.toString() + "@" + std::to_string(self.startedAtMs));
+    self.dataCentre = settings.dataCentre;
+    self.proxy = settings.listen;
+    self.inner = settings.inner;
+    return self;
+}
+
+DistributionSettings distributionOf(const NodeSettings &settings, const NodeInfo &self)
+{
+    DistributionSettings distribution;
+    distribution.self = self;
+    distribution.seeds = settings.seeds;
+    distribution.relaysPerDataCentre = settings.relays;
+    distribution.relayLease = settings.relayLease;
+    distribution.seed = settings.seed;
+    return distribution;
+}
+
+ProxySettings proxyOf(const NodeSettings &settings, const NodeInfo &self)
+{
+    ProxySettings proxy;
+    proxy.self = self;
+    proxy.listen = settings.listen;
+    proxy.workers = settings.workers;
+    proxy.seed = settings.seed + 1;
+    return proxy;
+}
+
+} // namespace detail
+
+struct Node::Impl
+{
+    EventLoop &loop;
+    NodeSettings settings;
+    NodeInfo self;
+    Metrics metrics;
+    PlatformClient platform;
+    Distribution distribution;
+    Proxy proxy;
+    RolloutTask rollout;
+    AdminServer admin;
+    LocalServers servers;
+    ViewBuilder views;
+    LocalBrake brake;
+    std::set<ServiceId> brakedServices;
+    Timer sweepTimer;
+    Timer outcomeTimer;
+    Timer drainTimer;
+    bool isDraining = false;
+
+    Impl(EventLoop &loop_, const NodeSettings &settings_)
+        : loop(loop_), settings(settings_), self(detail::selfOf(settings_)),
+          platform(loop_, settings_.platform, settings_.platformTimeout, metrics),
+          distribution(loop_, platform, metrics, detail::distributionOf(settings_, self),
+                       distributionHandlers()),
+          proxy(detail::proxyOf(settings_, self), metrics),
+          rollout(loop_, platform, metrics, self.id, settings_.seed + 2),
+          admin(loop_, metrics, adminHandlers()),
+          servers(SteadyClock(), detail::serverSilenceLimit, self)
+    { }
+
+    DistributionHandlers distributionHandlers()
+    {
+        DistributionHandlers handlers;
+        handlers.onConfig = [this](std::shared_ptr<const Snapshot> config) {
+            views.setConfig(std::move(config));
+            publish();
+        };
+        handlers.onMoves
+                = [this](const std::shared_ptr<const MoveTable> &moves) { takeMoves(moves); };
+        handlers.onEndpoints = [this](std::shared_ptr<const EndpointTable> endpoints) {
+            views.setEndpoints(std::move(endpoints));
+            publish();
+        };
+        handlers.onEvidence
+                = [this](const OutcomeBatch &outcomes) { rollout.addEvidence(outcomes); };
+        return handlers;
+    }
+
+    AdminHandlers adminHandlers()
+    {
+        AdminHandlers handlers;
+        handlers.onAnnounce = [this](const Endpoint &endpoint) { takeAnnouncement(endpoint); };
+        handlers.onWithdraw = [this](const ServerId &server) {
+            if (servers.withdraw(server))
+                distribution.withdraw(server);
+        };
+        handlers.status = [this] { return renderStatus(); };
+        return handlers;
+    }
+
+    void takeMoves(const std::shared_ptr<const MoveTable> &moves)
+    {
+        views.setMoves(moves);
+        rollout.setMoves(*moves);
+        for (const auto &[service, move] : moves->moves)
+            brake.observe(move);
+        refreshBrakes();
+        publish();
+    }
+
+    void takeAnnouncement(const Endpoint &announced)
+    {
+        const std::optional<Endpoint> changed = servers.heartbeat(announced);
+        if (changed)
+            distribution.announce(*changed);
+    }
+
+    void removeSilentServers()
+    {
+        for (const ServerId &server : servers.removeSilent()) {
+            CORNELHEAD_LOG(WARNING, detail::nodePart)
+                    << "Backend server " << server.value() << " fell silent.";
+            distribution.withdraw(server);
+        }
+    }
+
+    // Returns whether a brake changed.
+    bool refreshBrakes()
+    {
+        std::set<ServiceId> braked;
+        for (const auto &[service, move] : views.moves().moves) {
+            if (brake.isBraked(service))
+                braked.insert(service);
+        }
+        if (braked == brakedServices)
+            return false;
+        brakedServices = braked;
+        views.setBrakes(std::move(braked));
+        CORNELHEAD_LOG(WARNING, detail::nodePart)
+                << "This node brakes " << brakedServices.size() << " moves.";
+        return true;
+    }
+
+    void collectOutcomes()
+    {
+        const OutcomeBatch outcomes = proxy.takeOutcomes();
+        rollout.setEligible(distribution.status().isRelay && !isDraining);
+        if (outcomes.empty())
+            return;
+        brake.addEvidence(outcomes, wallClockMs());
+        distribution.report(outcomes);
+        if (refreshBrakes())
+            publish();
+    }
+
+    void publish()
+    {
+        std::shared_ptr<const RoutingView> view = views.build();
+        if (view)
+            proxy.setView(std::move(view));
+    }
+
+    std::string renderStatus() const
+    {
+        const DistributionStatus state = distribution.status();
+        const nlohmann::json json = {{"node", self.id.value()},
+                                     {"data_centre", self.dataCentre.value()},
+                                     {"revision", state.revision.value()},
+                                     {"digest", state.digest.value()},
+                                     {"relay", state.isRelay},
+                                     {"has_relay", state.hasRelay},
+                                     {"subscribers", state.subscribers},
+                                     {"platform_reachable", state.platformReachable},
+                                     {"controller", rollout.isController()},
+                                     {"local_servers", servers.size()},
+                                     {"braked_moves", brakedServices.size()},
+                                     {"draining", isDraining}};
+        return json.dump();
+    }
+
+    void startTimers()
+    {
+        sweepTimer = loop.every(detail::sweepPeriod, [this] { removeSilentServers(); });
+        outcomeTimer = loop.every(detail::outcomePeriod, [this] { collectOutcomes(); });
+    }
+
+    void drainDistribution(const std::function<void()> &done)
+    {
+        collectOutcomes();
+        distribution.drain(done);
+    }
+};
+
+Node::Node(EventLoop &loop, const NodeSettings &settings)
+    : impl_(std::make_unique<Impl>(loop, settings))
+{ }
+
+Node::~Node() = default;
+
+Result<void> Node::start()
+{
+    Result<void> started = impl_->admin.listen(impl_->settings.admin);
+    if (started)
+        started = impl_->distribution.start();
+    if (started)
+        started = impl_->proxy.start();
+    if (!started)
+        return started;
+    impl_->rollout.start();
+    impl_->startTimers();
+    CORNELHEAD_LOG(INFO, detail::nodePart)
+            << "Node of " << impl_->self.dataCentre.value() << " listens on "
+            << impl_->settings.listen.toString() << ".";
+    return {};
+}
+
+void Node::drain(std::function<void()> done)
+{
+    if (std::exchange(impl_->isDraining, true))
+        return;
+    CORNELHEAD_LOG(INFO, detail::nodePart) << "Node drains.";
+    impl_->rollout.stop();
+    impl_->drainTimer = impl_->loop.after(impl_->settings.drainTimeout, done);
+    impl_->proxy.drain([impl = impl_.get(), done = std::move(done)] {
+        impl->loop.post([impl, done] { impl->drainDistribution(done); });
+    });
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/node/rollout-task.cc
@@ -0,0 +1,172 @@
+// Drives moves from the node that holds the controller's lease.
+#include "cornelhead/node/rollout-task.h"
+
+#include <algorithm>
+
+#include "cornelhead/base/log.h"
+#include "cornelhead/config/manifest.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr const char *rolloutPart = "rollout";
+constexpr Milliseconds stepPeriod = Milliseconds(200);
+constexpr Milliseconds controllerLease = Milliseconds(3000);
+constexpr Milliseconds renewPeriod = Milliseconds(1000);
+constexpr Milliseconds attemptPeriod = Milliseconds(1000);
+
+bool isOpen(const Move &move)
+{
+    return move.state != MoveState::Done && move.state != MoveState::TakenBack;
+}
+
+} // namespace detail
+
+RolloutTask::RolloutTask(EventLoop &loop, PlatformClient &platform, Metrics &metrics, NodeId self,
+                         std::uint64_t seed)
+    : platform_(&platform), loop_(&loop), self_(std::move(self)), random_(seed),
+      steps_(metrics.counter("cornelhead_move_steps_total")),
+      conflicts_(metrics.counter("cornelhead_move_conflicts_total")),
+      unknownWrites_(metrics.counter("cornelhead_move_unknown_writes_total"))
+{ }
+
+void RolloutTask::start()
+{
+    tickTimer_ = loop_->every(detail::stepPeriod, [this] { tick(); });
+    renewTimer_ = loop_->every(detail::renewPeriod, [this] { renew(); });
+}
+
+void RolloutTask::setMoves(const MoveTable &moves)
+{
+    moves_ = moves;
+    for (const auto &[service, move] : moves_.moves)
+        controller_.observe(move);
+}
+
+void RolloutTask::addEvidence(const OutcomeBatch &outcomes)
+{
+    controller_.addEvidence(outcomes, wallClockMs());
+}
+
+void RolloutTask::setEligible(bool eligible)
+{
+    isEligible_ = eligible;
+}
+
+void RolloutTask::stop()
+{
+    tickTimer_ = Timer();
+    renewTimer_ = Timer();
+    release();
+}
+
+void RolloutTask::tick()
+{
+    if (!isEligible_ || !hasOpenMove()) {
+        release();
+        return;
+    }
+    if (lease_)
+        stepAll();
+    else
+        tryAcquire();
+}
+
+bool RolloutTask::hasOpenMove() const
+{
+    return std::any_of(moves_.moves.begin(), moves_.moves.end(),
+                       [](const auto &entry) { return detail::isOpen(entry.second); });
+}
+
+void RolloutTask::tryAcquire()
+{
+    const TimePoint time = now(SteadyClock());
+    if (isAcquiring_ || time < nextAttempt_)
+        return;
+    isAcquiring_ = true;
+    nextAttempt_ = time + detail::attemptPeriod + random_.jitter(detail::attemptPeriod);
+    platform_->get(controllerKey, [this](Result<std::optional<KeyValue>> holder) {
+        if (!holder || holder->has_value()) {
+            isAcquiring_ = false;
+            return;
+        }
+        platform_->grantLease(detail::controllerLease, [this](Result<LeaseId> lease) {
+            if (lease)
+                claim(*lease);
+            else
+                isAcquiring_ = false;
+        });
+    });
+}
+
+void RolloutTask::claim(const LeaseId &lease)
+{
+    platform_->put(controllerKey, self_.value(), Expected{ModRevision(0)}, lease,
+                   [this, lease](const Result<ModRevision> &written) {
+                       isAcquiring_ = false;
+                       if (!written) {
+                           platform_->revoke(lease, [](const Result<void> &) {});
+                           return;
+                       }
+                       lease_ = lease;
+                       CORNELHEAD_LOG(INFO, detail::rolloutPart) << "This node steps moves now.";
+                   });
+}
+
+void RolloutTask::renew()
+{
+    if (!lease_)
+        return;
+    platform_->keepAlive(*lease_, [this, lease = *lease_](const Result<void> &renewed) {
+        const bool isLost = !renewed && renewed.error().kind == ErrorKind::NotFound;
+        if (!isLost || lease_ != lease)
+            return;
+        lease_.reset();
+        CORNELHEAD_LOG(WARNING, detail::rolloutPart)
+                << "The lease lapsed; another node steps moves.";
+    });
+}
+
+void RolloutTask::release()
+{
+    if (!lease_)
+        return;
+    platform_->revoke(*lease_, [](const Result<void> &) {});
+    lease_.reset();
+}
+
+void RolloutTask::stepAll()
+{
+    for (const auto &[service, move] : moves_.moves) {
+        if (detail::isOpen(move) && writing_.count(service) == 0)
+            step(service);
+    }
+}
+
+void RolloutTask::step(const ServiceId &service)
+{
+    const std::optional<Move> next = controller_.next(service, wallClockMs());
+    if (!next)
+        return;
+    writing_.insert(service);
+    const std::string key = movePrefix + service.value();
+    platform_->put(key, encodeMove(*next), Expected{next->modRevision}, std::nullopt,
+                   [this, next](const Result<ModRevision> &written) {
+                       writing_.erase(next->service);
+                       if (!written) {
+                           const bool isConflict = written.error().kind == ErrorKind::Conflict;
+                           (isConflict ? conflicts_ : unknownWrites_).add();
+                           return;
+                       }
+                       steps_.add();
+                       Move stored = *next;
+                       stored.modRevision = *written;
+                       controller_.observe(stored);
+                       CORNELHEAD_LOG(INFO, detail::rolloutPart)
+                               << "Move of " << stored.service.value() << " to "
+                               << stored.newVersion.value() << " is " << moveStateName(stored.state)
+                               << " at share " << stored.share.value() << "/1000.";
+                   });
+}
+
+} // namespace cornelhead
