--- a/include/cornelhead/rollout/move.h
+++ b/include/cornelhead/rollout/move.h
@@ -32,8 +32,15 @@
     std::int64_t atMs = 0;
     PerMille share;
     std::string text;
+    /// The operator's edit behind it; empty for a step of the controller.
+    EditId edit;
 };
 
+/// The share of a move that has every call.
+constexpr PerMille fullShare = PerMille(1000);
+/// Events kept in a record; the first one always stays.
+constexpr std::size_t maxMoveEvents = 120;
+
 /// One move, as stored under `movePrefix`.  Every write is a compare-and-swap on the revision read.
 struct Move
 {
@@ -57,6 +64,16 @@
     ModRevision modRevision;
 };
 
+/// Tells whether the move is over, so that nothing may change it but a later move.
+bool isFinal(MoveState state);
+/// Returns the version that the service has when nothing moves: the new one only after `Done`.
+const VersionId &versionInForce(const Move &move);
+/// Adds an event at the current share and drops the oldest but the first beyond `maxMoveEvents`.
+void addMoveEvent(Move &move, std::int64_t atMs, std::string text, EditId edit = {});
+/// Tells whether `edit` is among the edits that made this record, so that a write whose answer was
+/// lost is not made twice.
+bool holdsEdit(const Move &move, const EditId &edit);
+
 /// Renders a move as JSON.
 std::string encodeMove(const Move &move);
 /// Reads a move.  Fails with `InvalidMessage`.
--- /dev/null
+++ b/test/rollout/move-actions-test.cc
@@ -0,0 +1,113 @@
+// Tests what operators may do to moves.
+#include "cornelhead/rollout/move-actions.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cornelhead {
+namespace {
+
+const StartRequest request{ServiceId("bookings"), VersionId("v1"), VersionId("v2"), 60000};
+
+OperatorEdit edit(const std::string &id, std::int64_t nowMs = 1000)
+{
+    return {EditId(id), nowMs};
+}
+
+Move started()
+{
+    return startMove(std::nullopt, request, edit("start")).value();
+}
+
+bool isConflict(const Result<Move> &result)
+{
+    return !result && result.error().kind == ErrorKind::Conflict;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(moveActions)
+
+BOOST_AUTO_TEST_CASE(startsWithNoShare)
+{
+    const Move move = started();
+    BOOST_TEST(move.share.value() == 0);
+    BOOST_TEST((move.state == MoveState::Running));
+    BOOST_TEST(move.events.size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(neverStartsAVersionTakenBack)
+{
+    const Move back = takeBackMove(started(), "wrong prices", edit("back")).value();
+    BOOST_TEST(back.share.value() == 0);
+    BOOST_TEST(isConflict(startMove(back, request, edit("again"))));
+    StartRequest third = request;
+    third.newVersion = VersionId("v3");
+    Move done = startMove(back, third, edit("third")).value();
+    done.state = MoveState::Done;
+    const StartRequest again{ServiceId("bookings"), {}, VersionId("v2"), 60000};
+    BOOST_TEST(isConflict(startMove(done, again, edit("much later"))));
+}
+
+BOOST_AUTO_TEST_CASE(refusesASecondMoveOfTheService)
+{
+    StartRequest other = request;
+    other.newVersion = VersionId("v3");
+    Move move = started();
+    BOOST_TEST(isConflict(startMove(move, other, edit("other"))));
+    move.state = MoveState::Watching;
+    BOOST_TEST(isConflict(startMove(move, other, edit("other"))));
+}
+
+BOOST_AUTO_TEST_CASE(startsOnlyFromTheVersionInForce)
+{
+    Move done = started();
+    done.state = MoveState::Done;
+    const StartRequest stale{ServiceId("bookings"), VersionId("v1"), VersionId("v3"), 60000};
+    BOOST_TEST(isConflict(startMove(done, stale, edit("stale"))));
+    const StartRequest open{ServiceId("bookings"), {}, VersionId("v3"), 60000};
+    BOOST_TEST(startMove(done, open, edit("open")).value().oldVersion.value() == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(repeatsAnEditWithoutEffect)
+{
+    const Move move = started();
+    const Move paused = pauseMove(move, edit("pause")).value();
+    const Move resumed = resumeMove(paused, edit("resume")).value();
+    // The answer to the pause was lost, and it is sent again after the resume.
+    BOOST_TEST((pauseMove(resumed, edit("pause")).value().state == MoveState::Running));
+    BOOST_TEST(startMove(resumed, request, edit("start")).value().events.size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(keepsFinalStatesFinal)
+{
+    for (const MoveState state : {MoveState::Done, MoveState::TakenBack}) {
+        Move move = started();
+        move.state = state;
+        BOOST_TEST(isConflict(takeBackMove(move, "", edit("a"))));
+        BOOST_TEST(isConflict(pauseMove(move, edit("b"))));
+        BOOST_TEST(isConflict(resumeMove(move, edit("c"))));
+        BOOST_TEST(isConflict(hastenMove(move, 30000, edit("d"))));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(takesBackWhileWatching)
+{
+    Move move = started();
+    move.state = MoveState::Watching;
+    move.share = fullShare;
+    const Move back = takeBackMove(move, "", edit("back")).value();
+    BOOST_TEST((back.state == MoveState::TakenBack));
+    BOOST_TEST(versionInForce(back).value() == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(hastensOnlyForward)
+{
+    const Move move = started();
+    BOOST_TEST(hastenMove(move, 30000, edit("sooner")).value().deadlineMs == 30000);
+    BOOST_TEST(!hastenMove(move, 70000, edit("later")).has_value());
+    BOOST_TEST(!hastenMove(move, 900, edit("past")).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
