Add the platform's client

Every call ends in a typed result: a write whose answer is lost is Unknown, a read is Unavailable since it may be repeated. A watcher that fell behind gets the whole prefix, marked by the new WatchAnswer::isWhole.

Adds Responder::drop to net, for stand-ins that lose answers on purpose.

--- a/include/cornelhead/net/http.h
+++ b/include/cornelhead/net/http.h
@@ -57,6 +57,8 @@
     explicit Responder(std::shared_ptr<State> state);
 
     void send(const HttpResponse &response) const;
+    /// Closes the connection without an answer; for stand-ins that lose answers on purpose.
+    void drop() const;
     /// Tells whether the caller has closed its connection.
     bool isAbandoned() const;
 
--- a/include/cornelhead/platform/client.h
+++ b/include/cornelhead/platform/client.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "cornelhead/base/address.h"
+#include "cornelhead/base/ids.h"
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/net/http.h"
 
@@ -38,6 +40,9 @@
     std::vector<KeyValue> changed;
     std::vector<std::string> removed;
     ModRevision storeRevision;
+    /// True when the store no longer knows single changes since then: `changed` is the whole
+    /// prefix, `removed` is empty, and every key that `changed` lacks is gone.
+    bool isWhole = false;
 };
 
 /// What a write expects to replace.
@@ -51,7 +56,7 @@
 ///
 /// Errors: `Conflict` when a compare-and-swap lost, `RateLimited`, `TooLarge`, `NotFound` for a
 /// lapsed lease, `Unavailable` when the call was certainly not run, `Unknown` when a write may have
-/// taken effect.
+/// taken effect.  Values are UTF-8 text; others fail with `InvalidMessage` and are not sent.
 class PlatformClient
 {
 public:
@@ -62,6 +67,9 @@
     PlatformClient(EventLoop &loop, std::vector<Address> addresses, Milliseconds timeout,
                    Metrics &metrics);
 
+    /// Names the caller's data centre in each call, so that tests can cut it off.
+    void setDataCentre(const DataCentreId &dataCentre) { dataCentre_ = dataCentre; }
+
     void get(const std::string &key, Callback<std::optional<KeyValue>> callback);
     void list(const std::string &prefix, Callback<Listing> callback);
     /// Writes only over `expected`; a lease removes the key when it lapses.
@@ -77,14 +85,20 @@
 
 private:
     using ReadAnswer = std::function<void(Result<HttpResponse>)>;
+    struct Call;
 
-    void call(const HttpRequest &request, Milliseconds timeout, ReadAnswer callback);
+    void start(const std::shared_ptr<Call> &call);
+    void send(const std::shared_ptr<Call> &call, std::size_t attempts);
+    void finish(const Call &call, Result<HttpResponse> answer);
 
+    EventLoop *loop_;
     HttpClient http_;
+    // Never empty.
     std::vector<Address> addresses_;
     std::size_t current_ = 0;
     Milliseconds timeout_;
     Metrics *metrics_;
+    DataCentreId dataCentre_;
 };
 
 } // namespace cornelhead
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/net/http.h"
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
@@ -158,6 +159,18 @@
     state_->answer(response);
 }
 
+void Responder::drop() const
+{
+    evhttp_connection *connection
+            = state_->raw ? evhttp_request_get_connection(state_->raw) : nullptr;
+    if (connection) {
+        // evhttp frees the connection once writing to the closed socket fails.
+        bufferevent *events = evhttp_connection_get_bufferevent(connection);
+        ::shutdown(bufferevent_getfd(events), SHUT_RDWR);
+    }
+    send(HttpResponse{503, {}, {}});
+}
+
 bool Responder::isAbandoned() const
 {
     evhttp_connection *connection
--- /dev/null
+++ b/src/platform/wire.cc
@@ -0,0 +1,122 @@
+// Reads and writes the platform's JSON messages.
+#include "cornelhead/platform/wire.h"
+
+#include <array>
+
+namespace cornelhead::detail {
+
+using nlohmann::json;
+
+struct KindStatus
+{
+    ErrorKind kind;
+    int status;
+};
+
+constexpr std::array<KindStatus, 7> kindStatuses = {{
+        {ErrorKind::InvalidMessage, 400},
+        {ErrorKind::NotFound, 404},
+        {ErrorKind::Conflict, 409},
+        {ErrorKind::Stale, 410},
+        {ErrorKind::TooLarge, 413},
+        {ErrorKind::RateLimited, 429},
+        {ErrorKind::Unavailable, 503},
+}};
+
+int statusOf(ErrorKind kind)
+{
+    for (const KindStatus &entry : kindStatuses) {
+        if (entry.kind == kind)
+            return entry.status;
+    }
+    return 500;
+}
+
+HttpResponse errorResponse(const Error &error)
+{
+    const json body = {{"error",
+                        {{"kind", errorKindName(error.kind)},
+                         {"message", error.message},
+                         {"remedy", error.remedy}}}};
+    return jsonResponse(statusOf(error.kind),
+                        body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+ErrorKind kindOf(std::string_view name)
+{
+    for (const KindStatus &entry : kindStatuses) {
+        if (errorKindName(entry.kind) == name)
+            return entry.kind;
+    }
+    return ErrorKind::Unknown;
+}
+
+Error readError(const HttpResponse &response)
+{
+    const json body = json::parse(response.body, nullptr, false);
+    if (body.is_object() && body.contains("error") && body["error"].is_object()) {
+        const json &error = body["error"];
+        if (error.contains("kind") && error["kind"].is_string()) {
+            return Error{kindOf(error["kind"].get<std::string>()), error.value("message", ""),
+                         error.value("remedy", "")};
+        }
+    }
+    return Error{ErrorKind::Unknown,
+                 "the platform answered with status " + std::to_string(response.status),
+                 "read the state before sending again"};
+}
+
+json toJson(const KeyValue &entry)
+{
+    return {{"key", entry.key}, {"value", entry.value}, {"modRevision", entry.modRevision.value()}};
+}
+
+json entriesToJson(const std::vector<KeyValue> &entries)
+{
+    json list = json::array();
+    for (const KeyValue &entry : entries)
+        list.push_back(toJson(entry));
+    return list;
+}
+
+json toJson(const Listing &listing)
+{
+    return {{"entries", entriesToJson(listing.entries)},
+            {"storeRevision", listing.storeRevision.value()}};
+}
+
+json toJson(const WatchAnswer &answer)
+{
+    return {{"changed", entriesToJson(answer.changed)},
+            {"removed", answer.removed},
+            {"storeRevision", answer.storeRevision.value()}};
+}
+
+KeyValue readKeyValue(const json &json)
+{
+    return KeyValue{json.at("key").get<std::string>(), json.at("value").get<std::string>(),
+                    ModRevision(json.at("modRevision").get<std::uint64_t>())};
+}
+
+std::vector<KeyValue> readEntries(const json &list)
+{
+    std::vector<KeyValue> entries;
+    for (const json &entry : list)
+        entries.push_back(readKeyValue(entry));
+    return entries;
+}
+
+Listing readListing(const json &json)
+{
+    return Listing{readEntries(json.at("entries")),
+                   ModRevision(json.at("storeRevision").get<std::uint64_t>())};
+}
+
+WatchAnswer readWatchAnswer(const json &json)
+{
+    return WatchAnswer{readEntries(json.at("changed")),
+                       json.at("removed").get<std::vector<std::string>>(),
+                       ModRevision(json.at("storeRevision").get<std::uint64_t>()), false};
+}
+
+} // namespace cornelhead::detail
