--- /dev/null
+++ b/src/config/declarations-reader.cc
@@ -0,0 +1,203 @@
+// Turns the operators' YAML files into declarations, and places each fault at its line.
+#include "cornelhead/config/declarations-reader.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+#include "config/read-file.h"
+#include "config/yaml-record.h"
+#include "config/yaml-tree.h"
+#include "cornelhead/config/validation.h"
+
+namespace cornelhead {
+namespace detail {
+
+// The sources of the fields of one record.
+struct RecordSource
+{
+    std::size_t line = 1;
+    std::map<std::string, FieldSource> fields;
+};
+
+class DeclarationsReader
+{
+public:
+    ReadDeclarations run(const DeclarationFiles &files)
+    {
+        const bool hasPlans = readPlansFile(files.plans);
+        const bool hasCustomers = readCustomersFile(files.customers);
+        // References across files mean nothing where one of them cannot be read.
+        if (hasPlans && hasCustomers)
+            addRuleFaults();
+        std::stable_sort(result_.faults.begin(), result_.faults.end(),
+                         [](const SourceFault &left, const SourceFault &right) {
+                             return std::tie(left.file, left.line)
+                                     < std::tie(right.file, right.line);
+                         });
+        return std::move(result_);
+    }
+
+private:
+    bool readPlansFile(const std::string &text)
+    {
+        const std::optional<YamlNode> root = parse(text, plans_);
+        if (!root)
+            return false;
+        RecordReader reader(*root, "file", plans_);
+        reader.items("services", [&](const YamlNode &node) { readService(node); });
+        reader.items("plans", [&](const YamlNode &node) { readPlan(node); });
+        reader.finish();
+        if (result_.declarations.services.empty())
+            plans_.add(root->line, "no service is declared", "declare at least one service");
+        return true;
+    }
+
+    bool readCustomersFile(const std::string &text)
+    {
+        const std::optional<YamlNode> root = parse(text, customers_);
+        if (!root)
+            return false;
+        RecordReader reader(*root, "file", customers_);
+        reader.items("customers", [&](const YamlNode &node) { readCustomer(node); });
+        reader.finish();
+        if (result_.declarations.customers.empty())
+            customers_.add(root->line, "no customer is declared", "declare at least one customer");
+        return true;
+    }
+
+    static std::optional<YamlNode> parse(const std::string &text, FaultSink &faults)
+    {
+        tl::expected<YamlNode, SourceFault> root = parseYaml(text);
+        if (!root) {
+            faults.add(std::move(root.error()));
+            return std::nullopt;
+        }
+        if (!std::holds_alternative<YamlNull>(root->content))
+            return std::move(*root);
+        faults.add(1, "the file is empty", "declare at least one record; see the examples");
+        return std::nullopt;
+    }
+
+    void remember(RecordKind kind, std::size_t count, RecordReader &reader)
+    {
+        sources_.emplace(RecordPosition{kind, count - 1},
+                         RecordSource{reader.line(), reader.finish()});
+    }
+
+    void readService(const YamlNode &node)
+    {
+        RecordReader reader(node, "service", plans_);
+        Service service;
+        service.id = ServiceId(reader.text("name"));
+        service.initialVersion = VersionId(reader.text("initial-version"));
+        std::size_t routes = 0;
+        reader.items("routes", [&](const YamlNode &route) {
+            readRoute(route, service.id);
+            ++routes;
+        });
+        if (routes == 0)
+            plans_.add(reader.line(), "service '" + service.id.value() + "' has no routes",
+                       "add at least one route, such as one with path-prefix /");
+        result_.declarations.services.push_back(std::move(service));
+        remember(RecordKind::Service, result_.declarations.services.size(), reader);
+    }
+
+    void readRoute(const YamlNode &node, const ServiceId &service)
+    {
+        RecordReader reader(node, "route", plans_);
+        Route route;
+        route.id = RouteId(service.value() + "/" + reader.text("name"));
+        route.service = service;
+        route.pathPrefix = reader.text("path-prefix");
+        route.priority = static_cast<CallPriority>(
+                reader.choice("priority", {"high", "normal", "low"},
+                              static_cast<std::size_t>(CallPriority::Normal)));
+        route.idempotency = static_cast<Idempotency>(
+                reader.choice("idempotency", {"idempotent", "keyed"}, std::nullopt));
+        route.timeout = reader.duration("timeout", Route().timeout);
+        result_.declarations.routes.push_back(std::move(route));
+        remember(RecordKind::Route, result_.declarations.routes.size(), reader);
+    }
+
+    void readPlan(const YamlNode &node)
+    {
+        RecordReader reader(node, "plan", plans_);
+        Plan plan;
+        plan.id = PlanId(reader.text("name"));
+        for (std::string &name : reader.names("services"))
+            plan.services.emplace_back(std::move(name));
+        for (std::string &name : reader.names("routes"))
+            plan.routes.emplace_back(std::move(name));
+        plan.ratePerSecond = reader.number("rate");
+        plan.burst = reader.number("burst");
+        plan.concurrency = reader.number("concurrency");
+        result_.declarations.plans.push_back(std::move(plan));
+        remember(RecordKind::Plan, result_.declarations.plans.size(), reader);
+    }
+
+    void readCustomer(const YamlNode &node)
+    {
+        RecordReader reader(node, "customer", customers_);
+        Customer customer;
+        customer.id = CustomerId(reader.text("name"));
+        customer.plan = PlanId(reader.text("plan"));
+        result_.declarations.customers.push_back(std::move(customer));
+        remember(RecordKind::Customer, result_.declarations.customers.size(), reader);
+    }
+
+    void addRuleFaults()
+    {
+        for (DeclarationFault &fault : findFaults(result_.declarations))
+            place(std::move(fault));
+    }
+
+    void place(DeclarationFault fault)
+    {
+        FaultSink &file = fault.record.kind == RecordKind::Customer ? customers_ : plans_;
+        std::size_t line = 1;
+        if (const auto record = sources_.find(fault.record); record != sources_.end()) {
+            line = record->second.line;
+            const auto field = record->second.fields.find(fault.field);
+            if (field != record->second.fields.end()) {
+                if (field->second.isFaulty)
+                    return;
+                const std::vector<std::size_t> &items = field->second.itemLines;
+                line = fault.item < items.size() ? items[fault.item] : field->second.line;
+            }
+        }
+        file.add(line, std::move(fault.message), std::move(fault.remedy));
+    }
+
+    ReadDeclarations result_;
+    FaultSink plans_{plansFileName, result_.faults};
+    FaultSink customers_{customersFileName, result_.faults};
+    std::map<RecordPosition, RecordSource> sources_;
+};
+
+} // namespace detail
+
+std::string SourceFault::describe() const
+{
+    return file + ":" + std::to_string(line) + ": " + message + "; " + remedy;
+}
+
+ReadDeclarations readDeclarations(const DeclarationFiles &files)
+{
+    return detail::DeclarationsReader().run(files);
+}
+
+Result<DeclarationFiles> loadDeclarationFiles(const std::string &folder)
+{
+    Result<std::string> plans = detail::readWhole(folder + "/" + plansFileName);
+    if (!plans)
+        return tl::unexpected<Error>(plans.error());
+    Result<std::string> customers = detail::readWhole(folder + "/" + customersFileName);
+    if (!customers)
+        return tl::unexpected<Error>(customers.error());
+    return DeclarationFiles{std::move(*plans), std::move(*customers)};
+}
+
+} // namespace cornelhead
--- a/src/config/validation.cc
+++ b/src/config/validation.cc
@@ -203,23 +203,36 @@
     void checkReferences(RecordPosition record, const std::string &field, const std::string &what,
                          const std::vector<IdType> &names, const std::set<IdType> &declared)
     {
-        const std::string &plan = declarations_.plans[record.index].id.value();
         if (names.size() > DeclarationLimits::namesOfPlan)
-            add(record, field, "plan '" + plan + "' names too many " + field,
+            add(record, field, "the plan names too many " + field,
                 "name at most " + std::to_string(DeclarationLimits::namesOfPlan));
         std::unordered_set<IdType> seen;
         for (std::size_t i = 0; i < names.size(); ++i) {
             const std::string &name = names[i].value();
             if (!declared.contains(names[i]))
-                add(record, field,
-                    "plan '" + plan + "' names " + what + " '" + name + "', which is not declared",
-                    "declare the " + what + " or correct its name", i);
+                addPlanFault(record, field, {what, name}, "which is not declared",
+                             "declare the " + what + " or correct its name", i);
             if (!seen.insert(names[i]).second)
-                add(record, field, "plan '" + plan + "' names " + what + " '" + name + "' twice",
-                    "remove one of them", i);
+                addPlanFault(record, field, {what, name}, "twice", "remove one of them", i);
         }
     }
 
+    struct Named
+    {
+        std::string what;
+        std::string name;
+    };
+
+    void addPlanFault(RecordPosition record, const std::string &field, const Named &named,
+                      const std::string &problem, std::string remedy, std::size_t item)
+    {
+        std::string message = "plan '" + declarations_.plans[record.index].id.value();
+        message += "' names " + named.what;
+        message += " '" + named.name;
+        message += "', " + problem;
+        add(record, field, std::move(message), std::move(remedy), item);
+    }
+
     void checkCustomers()
     {
         std::unordered_set<CustomerId> seen;
--- /dev/null
+++ b/src/config/yaml-record.h
@@ -0,0 +1,84 @@
+// Typed reading of the records in a YAML tree, with all faults collected.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/yaml-tree.h"
+#include "cornelhead/base/clock.h"
+#include "cornelhead/config/declarations-reader.h"
+
+namespace cornelhead::detail {
+
+/// Collects the faults of one file.
+class FaultSink
+{
+public:
+    FaultSink(std::string file, std::vector<SourceFault> &faults)
+        : file_(std::move(file)), faults_(&faults)
+    { }
+
+    void add(std::size_t line, std::string message, std::string remedy);
+    void add(SourceFault fault);
+
+private:
+    std::string file_;
+    std::vector<SourceFault> *faults_;
+};
+
+/// Where a field stands in its file.
+struct FieldSource
+{
+    std::size_t line = 1;
+    /// The lines of the items, where the field is a list.
+    std::vector<std::size_t> itemLines;
+    /// A fault of the field was reported; further ones would only repeat it.
+    bool isFaulty = false;
+};
+
+/// Reads the fields of one map.  Each field may be read once; `finish` reports those left over.
+class RecordReader
+{
+public:
+    /// Reads nothing, with a fault, where `node` is no map.
+    RecordReader(const YamlNode &node, std::string what, FaultSink &faults);
+
+    std::string text(const std::string &field);
+    std::uint32_t number(const std::string &field);
+    Milliseconds duration(const std::string &field, Milliseconds otherwise);
+    /// Returns the position in `allowed`; a field that must be given has no `otherwise`.
+    std::size_t choice(const std::string &field, const std::vector<std::string> &allowed,
+                       std::optional<std::size_t> otherwise);
+    std::vector<std::string> names(const std::string &field);
+    /// Calls `visit` for each item of a list.
+    void items(const std::string &field, const std::function<void(const YamlNode &)> &visit);
+    /// Calls `visit` for each entry of a map.
+    void entries(const std::string &field, const std::function<void(const YamlEntry &)> &visit);
+
+    /// Reports unknown and doubled fields; gives where the known ones stand.
+    std::map<std::string, FieldSource> finish();
+    std::size_t line() const { return line_; }
+
+private:
+    const YamlNode *find(const std::string &field, bool isRequired);
+    const YamlScalar *scalar(const std::string &field, bool isRequired, const char *expected);
+    void addFault(const std::string &field, std::size_t line, std::string message,
+                  std::string remedy);
+
+    std::string what_;
+    FaultSink *faults_;
+    std::size_t line_;
+    // Null where the node is no map.
+    const YamlMap *map_;
+    std::map<std::string, FieldSource> known_;
+};
+
+/// Reads a whole number without sign, or nothing.
+std::optional<std::uint32_t> parseNumber(const YamlNode &node);
+
+} // namespace cornelhead::detail
