Add the platform stand-in

A key-value store as a state machine over an injected clock, and a server that shows outages, slowness, lost answers and partitions on demand.

--- /dev/null
+++ b/include/cornelhead/standin/platform-server.h
@@ -0,0 +1,46 @@
+// Serves the stand-in of the platform's key-value service over HTTP, with faults on demand.
+#pragma once
+
+#include <memory>
+
+#include "cornelhead/base/address.h"
+#include "cornelhead/base/metrics.h"
+#include "cornelhead/net/http.h"
+#include "cornelhead/standin/key-value-store.h"
+
+namespace cornelhead {
+
+struct PlatformServerSettings
+{
+    StoreLimits limits;
+    double readsPerSecond = 2000;
+    double writesPerSecond = 400;
+    std::uint64_t seed = 0;
+};
+
+/// Owns the store and its listeners.
+///
+///     PlatformServer server(loop, {}, metrics);
+///     Result<void> listening = server.listen(address);
+///     loop.run();
+class PlatformServer
+{
+public:
+    PlatformServer(EventLoop &loop, PlatformServerSettings settings, Metrics &metrics);
+    ~PlatformServer();
+    PlatformServer(const PlatformServer &) = delete;
+    PlatformServer &operator=(const PlatformServer &) = delete;
+
+    /// Serves calls, and /control, /metrics and /status beside them.
+    Result<void> listen(const Address &address);
+    /// Serves /control, /metrics and /status alone; stays up during an outage.
+    Result<void> listenControl(const Address &address);
+    /// Stops accepting, answers waiting watches, and calls `done` once no call is in flight.
+    void drain(std::function<void()> done);
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/include/cornelhead/standin/rate-limit.h
@@ -0,0 +1,45 @@
+// A token bucket over an injected clock.
+#pragma once
+
+#include <algorithm>
+
+#include "cornelhead/base/clock.h"
+
+namespace cornelhead {
+
+/// Admits a steady rate of calls and short bursts above it.
+class RateLimit
+{
+public:
+    RateLimit(double perSecond, Clock clock)
+        : perSecond_(perSecond), tokens_(capacity()), clock_(std::move(clock)),
+          filledAt_(now(clock_))
+    { }
+
+    /// Takes a token; false when there is none.
+    bool admit()
+    {
+        const TimePoint time = now(clock_);
+        const std::chrono::duration<double> elapsed = time - filledAt_;
+        filledAt_ = time;
+        tokens_ = std::min(capacity(), tokens_ + elapsed.count() * perSecond_);
+        if (tokens_ < 1)
+            return false;
+        tokens_ -= 1;
+        return true;
+    }
+
+private:
+    /// The burst is what the rate gives in this time.
+    static constexpr double burstSeconds = 0.25;
+
+    double capacity() const { return std::max(1.0, perSecond_ * burstSeconds); }
+
+    double perSecond_;
+    // From 0 to capacity().
+    double tokens_;
+    Clock clock_;
+    TimePoint filledAt_;
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/standin/platform-faults.cc
@@ -0,0 +1,58 @@
+// Decides which calls to the platform stand-in fail, and how.
+#include "cornelhead/standin/platform-faults.h"
+
+namespace cornelhead {
+namespace detail {
+
+CallFate failing(OutageMode mode)
+{
+    if (mode == OutageMode::Hang)
+        return HangCall();
+    return DropCall();
+}
+
+} // namespace detail
+
+void PlatformFaults::startOutage(OutageMode mode, std::optional<Milliseconds> duration)
+{
+    outage_ = Outage{mode, std::nullopt};
+    if (duration)
+        outage_->end = now(clock_) + *duration;
+}
+
+void PlatformFaults::loseAnswers(double probability, std::uint64_t seed)
+{
+    lossProbability_ = probability;
+    random_ = Random(seed);
+}
+
+void PlatformFaults::cutOff(std::set<DataCentreId> dataCentres, OutageMode mode)
+{
+    cutOff_ = std::move(dataCentres);
+    cutOffMode_ = mode;
+}
+
+std::optional<OutageMode> PlatformFaults::outage() const
+{
+    if (!outage_ || (outage_->end && *outage_->end <= now(clock_)))
+        return std::nullopt;
+    return outage_->mode;
+}
+
+CallFate PlatformFaults::decide(const DataCentreId &caller, bool isWrite)
+{
+    if (const auto mode = outage())
+        return detail::failing(*mode);
+    if (cutOff_.contains(caller))
+        return detail::failing(cutOffMode_);
+    ServeCall serve{delay_, false};
+    if (isWrite && answersToLose_ > 0) {
+        --answersToLose_;
+        serve.losesAnswer = true;
+    } else if (isWrite && lossProbability_ > 0) {
+        serve.losesAnswer = random_.chance(lossProbability_);
+    }
+    return serve;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/standin/platform-server.cc
@@ -0,0 +1,435 @@
+// Connects the store and the faults to HTTP.
+#include "cornelhead/standin/platform-server.h"
+
+#include <array>
+#include <list>
+
+#include "cornelhead/base/log.h"
+#include "cornelhead/platform/wire.h"
+#include "cornelhead/standin/control.h"
+#include "cornelhead/standin/platform-faults.h"
+#include "cornelhead/standin/rate-limit.h"
+
+namespace cornelhead {
+namespace detail {
+
+using nlohmann::json;
+
+/// Leases lapse and outages end at most this much late.
+constexpr Milliseconds tickPeriod(10);
+constexpr Milliseconds longestWatch(60'000);
+constexpr Milliseconds longestDelay(60'000);
+constexpr double mostCallsPerSecond = 1e6;
+
+enum class Operation { Get, List, Watch, Put, Remove, Grant, KeepAlive, Revoke };
+
+struct OperationEntry
+{
+    Operation operation;
+    const char *path;
+    const char *name;
+    bool isWrite;
+};
+
+constexpr std::array<OperationEntry, 8> operations = {{
+        {Operation::Get, "/v1/get", "get", false},
+        {Operation::List, "/v1/list", "list", false},
+        {Operation::Watch, "/v1/watch", "watch", false},
+        {Operation::Put, "/v1/put", "put", true},
+        {Operation::Remove, "/v1/remove", "remove", true},
+        {Operation::Grant, "/v1/lease/grant", "grant", true},
+        {Operation::KeepAlive, "/v1/lease/keep-alive", "keep-alive", true},
+        {Operation::Revoke, "/v1/lease/revoke", "revoke", true},
+}};
+
+const OperationEntry *findOperation(const HttpRequest &request)
+{
+    for (const OperationEntry &entry : operations) {
+        const HttpMethod method = entry.isWrite ? HttpMethod::Post : HttpMethod::Get;
+        if (request.path == entry.path && request.method == method)
+            return &entry;
+    }
+    return nullptr;
+}
+
+DataCentreId callerOf(const HttpRequest &request)
+{
+    const auto header = request.headers.find(dataCentreHeader);
+    return DataCentreId(header == request.headers.end() ? "" : header->second);
+}
+
+HttpResponse doneResponse(const Result<void> &result)
+{
+    return result ? jsonResponse(200, "{}") : errorResponse(result.error());
+}
+
+/// Runs a write whose parameters are in the body; throws json::exception for a bad body.
+HttpResponse runWrite(KeyValueStore &store, Operation operation, const json &body)
+{
+    const auto lease = [&] { return LeaseId(body.at("lease").get<std::string>()); };
+    const auto expected
+            = [&] { return Expected{ModRevision(body.at("expected").get<std::uint64_t>())}; };
+    const auto key = [&] { return body.at("key").get<std::string>(); };
+    if (operation == Operation::Remove)
+        return doneResponse(store.remove(key(), expected()));
+    if (operation == Operation::KeepAlive)
+        return doneResponse(store.keepAlive(lease()));
+    if (operation == Operation::Revoke)
+        return doneResponse(store.revoke(lease()));
+    if (operation == Operation::Grant) {
+        const auto granted = store.grant(Milliseconds(body.at("ttlMs").get<std::int64_t>()));
+        return granted ? jsonResponse(200, json{{"lease", granted->value()}}.dump())
+                       : errorResponse(granted.error());
+    }
+    const std::optional<LeaseId> holder
+            = body.contains("lease") ? std::optional(lease()) : std::nullopt;
+    const auto written = store.put(key(), body.at("value").get<std::string>(), expected(), holder);
+    return written ? jsonResponse(200, json{{"modRevision", written->value()}}.dump())
+                   : errorResponse(written.error());
+}
+
+HttpResponse runRead(KeyValueStore &store, Operation operation, ControlParameters &parameters)
+{
+    if (operation == Operation::List)
+        return jsonResponse(200, toJson(store.list(parameters.text("prefix"))).dump());
+    const std::optional<KeyValue> found = store.get(parameters.text("key"));
+    json body = found ? toJson(*found) : json::object();
+    body["found"] = found.has_value();
+    return jsonResponse(200, body.dump());
+}
+
+HttpResponse runCall(KeyValueStore &store, const OperationEntry &entry, const HttpRequest &request)
+{
+    if (!entry.isWrite) {
+        ControlParameters parameters(request.query);
+        HttpResponse response = runRead(store, entry.operation, parameters);
+        return parameters.fault() ? errorResponse(*parameters.fault()) : response;
+    }
+    try {
+        return runWrite(store, entry.operation, json::parse(request.body));
+    } catch (const json::exception &error) {
+        return errorResponse(Error{ErrorKind::InvalidMessage, "the body cannot be read",
+                                   std::string("send the JSON of the call: ") + error.what()});
+    }
+}
+
+} // namespace detail
+
+struct PlatformServer::Impl
+{
+    // A watch that has nothing to answer yet.
+    struct Waiting
+    {
+        DataCentreId caller;
+        std::string prefix;
+        ModRevision after;
+        TimePoint end;
+        Responder responder;
+    };
+    // A call that the added delay holds back.
+    struct Delayed
+    {
+        Timer timer;
+        bool isDone = false;
+    };
+
+    EventLoop *loop;
+    Metrics *metrics;
+    Clock clock = SteadyClock();
+    KeyValueStore store;
+    RateLimit reads;
+    RateLimit writes;
+    PlatformFaults faults;
+    ControlTable control;
+    HttpServer calls;
+    HttpServer controls;
+    Address address;
+    std::list<Waiting> waiting;
+    std::list<Delayed> delayed;
+    std::vector<Responder> hanging;
+    bool isListening = false;
+    std::function<void()> drained;
+    std::map<std::string, std::uint64_t> callCounts;
+    Timer tick;
+
+    Impl(EventLoop &eventLoop, const PlatformServerSettings &settings, Metrics &registry)
+        : loop(&eventLoop), metrics(&registry), store(settings.limits, clock, settings.seed),
+          reads(settings.readsPerSecond, clock), writes(settings.writesPerSecond, clock),
+          faults(clock, settings.seed), calls(eventLoop, {}), controls(eventLoop, {})
+    {
+        const auto handler = [this](const HttpRequest &request, const Responder &responder) {
+            serve(request, responder);
+        };
+        calls.setHandler(handler);
+        controls.setHandler([this](const HttpRequest &request, const Responder &responder) {
+            responder.send(serveControl(request));
+        });
+        addCommands();
+        tick = loop->every(detail::tickPeriod, [this] { onTick(); });
+    }
+
+    void serve(const HttpRequest &request, const Responder &responder)
+    {
+        const detail::OperationEntry *operation = detail::findOperation(request);
+        if (!operation) {
+            responder.send(serveControl(request));
+            return;
+        }
+        const CallFate fate = faults.decide(detail::callerOf(request), operation->isWrite);
+        if (const auto *serveCall = std::get_if<ServeCall>(&fate))
+            admit(*operation, *serveCall, request, responder);
+        else
+            fail(fate, responder);
+    }
+
+    void fail(const CallFate &fate, const Responder &responder)
+    {
+        const bool isHanging = std::holds_alternative<HangCall>(fate);
+        metrics->counter("cornelhead_platform_faults_total",
+                         {{"fault", isHanging ? "hang" : "drop"}})
+                .add();
+        if (isHanging)
+            hanging.push_back(responder);
+        else
+            responder.drop();
+    }
+
+    void count(const std::string &operation, const std::string &result)
+    {
+        metrics->counter("cornelhead_platform_served_total",
+                         {{"operation", operation}, {"result", result}})
+                .add();
+        ++callCounts[operation];
+        if (result == "rate-limited")
+            ++callCounts["rate-limited"];
+    }
+
+    void admit(const detail::OperationEntry &operation, const ServeCall &fate,
+               const HttpRequest &request, const Responder &responder)
+    {
+        RateLimit &limit = operation.isWrite ? writes : reads;
+        if (!limit.admit()) {
+            count(operation.name, "rate-limited");
+            responder.send(detail::errorResponse(Error{ErrorKind::RateLimited,
+                                                       "the platform counts too many calls",
+                                                       "call less often, with back-off"}));
+            return;
+        }
+        count(operation.name, "admitted");
+        if (fate.delay == Milliseconds()) {
+            run(operation, fate, request, responder);
+            return;
+        }
+        Delayed &call = delayed.emplace_back();
+        call.timer = loop->after(fate.delay, [this, &call, &operation, fate, request, responder] {
+            call.isDone = true;
+            run(operation, fate, request, responder);
+        });
+    }
+
+    void run(const detail::OperationEntry &operation, const ServeCall &fate,
+             const HttpRequest &request, const Responder &responder)
+    {
+        if (operation.operation == detail::Operation::Watch) {
+            watch(request, responder);
+            return;
+        }
+        const HttpResponse response = detail::runCall(store, operation, request);
+        if (fate.losesAnswer) {
+            metrics->counter("cornelhead_platform_faults_total", {{"fault", "lost-answer"}}).add();
+            responder.drop();
+        } else {
+            responder.send(response);
+        }
+        announce();
+    }
+
+    void watch(const HttpRequest &request, const Responder &responder)
+    {
+        ControlParameters parameters(request.query);
+        const std::string prefix = parameters.text("prefix");
+        const ModRevision after(parameters.integer("after", UINT64_MAX));
+        const Milliseconds wait(parameters.integer(
+                "wait", static_cast<std::uint64_t>(detail::longestWatch.count())));
+        if (parameters.fault()) {
+            responder.send(detail::errorResponse(*parameters.fault()));
+            return;
+        }
+        const Waiting entry{detail::callerOf(request), prefix, after, now(clock) + wait, responder};
+        if (!isWaitOver(entry))
+            waiting.push_back(entry);
+    }
+
+    /// Answers a watch that has something to tell, whose time is over or whose caller is cut off.
+    bool isWaitOver(const Waiting &watch)
+    {
+        const CallFate fate = faults.decide(watch.caller, false);
+        if (!std::holds_alternative<ServeCall>(fate)) {
+            fail(fate, watch.responder);
+            return true;
+        }
+        const Result<WatchAnswer> answer = store.changes(watch.prefix, watch.after);
+        if (!answer) {
+            watch.responder.send(detail::errorResponse(answer.error()));
+            return true;
+        }
+        const bool isEmpty = answer->changed.empty() && answer->removed.empty();
+        if (isEmpty && now(clock) < watch.end && !drained)
+            return false;
+        watch.responder.send(jsonResponse(200, detail::toJson(*answer).dump()));
+        return true;
+    }
+
+    void announce()
+    {
+        waiting.remove_if([this](const Waiting &watch) { return isWaitOver(watch); });
+    }
+
+    void onTick()
+    {
+        store.lapseLeases();
+        delayed.remove_if([](const Delayed &call) { return call.isDone; });
+        followOutage();
+        waiting.remove_if([this](const Waiting &watch) {
+            return watch.responder.isAbandoned() || isWaitOver(watch);
+        });
+        metrics->gauge("cornelhead_platform_keys").set(static_cast<std::int64_t>(store.size()));
+        metrics->gauge("cornelhead_platform_leases")
+                .set(static_cast<std::int64_t>(store.leaseCount()));
+        metrics->gauge("cornelhead_platform_waiting_watches")
+                .set(static_cast<std::int64_t>(waiting.size()));
+        if (drained && calls.pending() == 0 && delayed.empty())
+            std::exchange(drained, nullptr)();
+    }
+
+    /// Opens and closes the listener as the outage asks, and lets go of calls that hung.
+    void followOutage()
+    {
+        const std::optional<OutageMode> outage = faults.outage();
+        const bool wantsListener = outage != OutageMode::Refuse && !drained;
+        if (isListening && !wantsListener) {
+            calls.stopListening();
+            isListening = false;
+        } else if (!isListening && wantsListener) {
+            isListening = calls.listen(address).has_value();
+        }
+        if (!outage) {
+            for (const Responder &responder : hanging)
+                responder.drop();
+            hanging.clear();
+        }
+    }
+
+    HttpResponse serveControl(const HttpRequest &request)
+    {
+        if (isControlPath(request.path) && request.method == HttpMethod::Post)
+            return control.run(request);
+        if (request.path == "/metrics")
+            return HttpResponse{200, {{"Content-Type", "text/plain"}}, metrics->render()};
+        if (request.path == "/status")
+            return jsonResponse(200, status().dump());
+        return detail::errorResponse(Error{ErrorKind::NotFound, "there is no such path",
+                                           "see docs/operators/stand-ins.md"});
+    }
+
+    detail::json status() const
+    {
+        detail::json counts = detail::json::object();
+        for (const auto &[operation, count] : callCounts)
+            counts[operation] = count;
+        return {{"revision", store.revision().value()}, {"keys", store.size()},
+                {"leases", store.leaseCount()},         {"waitingWatches", waiting.size()},
+                {"isOut", faults.outage().has_value()}, {"calls", counts}};
+    }
+
+    static OutageMode readMode(ControlParameters &parameters)
+    {
+        const std::string mode = parameters.has("mode") ? parameters.text("mode") : "refuse";
+        if (mode == "hang")
+            return OutageMode::Hang;
+        if (mode != "refuse")
+            parameters.addFault("mode", "give refuse or hang");
+        return OutageMode::Refuse;
+    }
+
+    std::function<void()> readOutage(ControlParameters &parameters)
+    {
+        if (parameters.has("mode") && parameters.text("mode") == "off")
+            return [this] { faults.endOutage(); };
+        const OutageMode mode = readMode(parameters);
+        std::optional<Milliseconds> duration;
+        if (parameters.has("for"))
+            duration = parameters.duration("for");
+        return [this, mode, duration] { faults.startOutage(mode, duration); };
+    }
+
+    std::function<void()> readLostAnswers(ControlParameters &parameters)
+    {
+        if (parameters.has("next")) {
+            const std::uint64_t count = parameters.integer("next", 1'000'000);
+            return [this, count] { faults.loseNextAnswers(count); };
+        }
+        const double probability = parameters.real("probability", 1);
+        const std::uint64_t seed
+                = parameters.has("seed") ? parameters.integer("seed", UINT64_MAX) : 1;
+        return [this, probability, seed] { faults.loseAnswers(probability, seed); };
+    }
+
+    std::function<void()> readPartition(ControlParameters &parameters)
+    {
+        std::set<DataCentreId> dataCentres;
+        for (const std::string &name : parameters.list("data-centres"))
+            dataCentres.insert(DataCentreId(name));
+        const OutageMode mode = readMode(parameters);
+        return [this, dataCentres, mode] { faults.cutOff(dataCentres, mode); };
+    }
+
+    void addCommands()
+    {
+        control.add("outage", [this](ControlParameters &p) { return readOutage(p); });
+        control.add("lost-answers", [this](ControlParameters &p) { return readLostAnswers(p); });
+        control.add("partition", [this](ControlParameters &p) { return readPartition(p); });
+        control.add("slowness", [this](ControlParameters &p) {
+            const Milliseconds added = p.duration("added");
+            if (added > detail::longestDelay)
+                p.addFault("added", "give at most a minute");
+            return [this, added] { faults.setDelay(added); };
+        });
+        control.add("limits", [this](ControlParameters &p) {
+            const double readRate = p.real("reads", detail::mostCallsPerSecond);
+            const double writeRate = p.real("writes", detail::mostCallsPerSecond);
+            return [this, readRate, writeRate] {
+                reads = RateLimit(readRate, clock);
+                writes = RateLimit(writeRate, clock);
+            };
+        });
+        control.add("reset-counters",
+                    [this](ControlParameters &) { return [this] { callCounts.clear(); }; });
+    }
+};
+
+PlatformServer::PlatformServer(EventLoop &loop, PlatformServerSettings settings, Metrics &metrics)
+    : impl_(std::make_unique<Impl>(loop, settings, metrics))
+{ }
+
+PlatformServer::~PlatformServer() = default;
+
+Result<void> PlatformServer::listen(const Address &address)
+{
+    impl_->address = address;
+    Result<void> listening = impl_->calls.listen(address);
+    impl_->isListening = listening.has_value();
+    return listening;
+}
+
+Result<void> PlatformServer::listenControl(const Address &address)
+{
+    return impl_->controls.listen(address);
+}
+
+void PlatformServer::drain(std::function<void()> done)
+{
+    impl_->drained = std::move(done);
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/test/standin/platform-server-test.cc
@@ -0,0 +1,220 @@
+// Tests the platform's client against the stand-in server over loopback, one error kind at a time.
+#include "cornelhead/standin/platform-server.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace cornelhead {
+
+struct PlatformFixture
+{
+    EventLoop loop;
+    Metrics metrics;
+    PlatformServerSettings settings{{1024 * 1024, 1024, 20}, 5000, 5000, 1};
+    std::unique_ptr<PlatformServer> server;
+    Address address{"127.0.0.1", 0};
+    Address control{"127.0.0.1", 0};
+    std::unique_ptr<PlatformClient> client;
+
+    PlatformFixture() { restart(); }
+
+    void restart()
+    {
+        server = std::make_unique<PlatformServer>(loop, settings, metrics);
+        address.port = freePort([&](const Address &a) { return server->listen(a); });
+        control.port = freePort([&](const Address &a) { return server->listenControl(a); });
+        client = std::make_unique<PlatformClient>(loop, std::vector<Address>{address},
+                                                  Milliseconds(300), metrics);
+    }
+
+    template <typename Listen>
+    static std::uint16_t freePort(Listen listen)
+    {
+        for (std::uint16_t port = 42300; port < 42500; ++port) {
+            if (listen(Address{"127.0.0.1", port}))
+                return port;
+        }
+        BOOST_FAIL("no free port");
+        return 0;
+    }
+
+    // Runs the loop until `start` has called back.
+    template <typename T, typename Start>
+    Result<T> await(Start start)
+    {
+        std::optional<Result<T>> result;
+        start([&](Result<T> answer) {
+            result = std::move(answer);
+            loop.stop();
+        });
+        while (!result)
+            loop.run();
+        return *result;
+    }
+
+    Result<ModRevision> put(const std::string &key, const std::string &value,
+                            std::uint64_t expected, std::optional<LeaseId> lease = std::nullopt)
+    {
+        return await<ModRevision>([&](auto callback) {
+            client->put(key, value, Expected{ModRevision(expected)}, lease, callback);
+        });
+    }
+
+    std::optional<KeyValue> get(const std::string &key)
+    {
+        return await<std::optional<KeyValue>>([&](auto callback) { client->get(key, callback); })
+                .value();
+    }
+
+    Result<WatchAnswer> watch(ModRevision after, Milliseconds wait)
+    {
+        return await<WatchAnswer>(
+                [&](auto callback) { client->watch("a/", after, wait, callback); });
+    }
+
+    int command(const std::string &pathAndQuery)
+    {
+        HttpClient http(loop);
+        const HttpRequest request{HttpMethod::Post, "/control/" + pathAndQuery, {}, {}, {}};
+        const int status = await<HttpResponse>([&](auto callback) {
+                               http.send(control, request, Milliseconds(2000), callback);
+                           })
+                                   .value()
+                                   .status;
+        // Lets the server's next tick take the command into account.
+        loop.runFor(Milliseconds(30));
+        return status;
+    }
+};
+
+ErrorKind kindOf(const Result<ModRevision> &result)
+{
+    BOOST_REQUIRE(!result.has_value());
+    BOOST_TEST(!result.error().remedy.empty());
+    return result.error().kind;
+}
+
+BOOST_FIXTURE_TEST_SUITE(platformServer, PlatformFixture)
+
+BOOST_AUTO_TEST_CASE(writesReadsAndListsOverTheWire)
+{
+    const std::string value = "caf\xc3\xa9 \"+&%\n";
+    const ModRevision first = put("a/1 +&", value, 0).value();
+    BOOST_TEST(get("a/1 +&")->value == value);
+    BOOST_TEST(put("a/2", "", 0).value().value() == first.value() + 1);
+    BOOST_TEST(!get("b").has_value());
+    const auto listing = await<Listing>([&](auto callback) { client->list("a/", callback); });
+    BOOST_TEST(listing.value().entries.size() == 2U);
+    BOOST_TEST(listing.value().storeRevision.value() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(refusesWithTypedErrors)
+{
+    put("a/1", "x", 0).value();
+    BOOST_TEST((kindOf(put("a/1", "y", 0)) == ErrorKind::Conflict));
+    BOOST_TEST((kindOf(put("a/2", std::string(1024 * 1024 + 1, 'x'), 0)) == ErrorKind::TooLarge));
+    BOOST_TEST((kindOf(put("a/2", "\xff", 0)) == ErrorKind::InvalidMessage));
+    BOOST_TEST((kindOf(put("a/2", "x", 0, LeaseId("lease-0-9"))) == ErrorKind::NotFound));
+    BOOST_TEST(!get("a/2").has_value());
+    BOOST_TEST(put("a/3", std::string(1024 * 1024, 'x'), 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(limitsRates)
+{
+    BOOST_TEST(command("limits?reads=1000&writes=4") == 200);
+    put("a/1", "x", 0).value();
+    BOOST_TEST((kindOf(put("a/2", "x", 0)) == ErrorKind::RateLimited));
+    BOOST_TEST(!get("a/2").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(aLostAnswerIsUnknownAndTheWriteTookEffect)
+{
+    BOOST_TEST(command("lost-answers?next=1") == 200);
+    BOOST_TEST((kindOf(put("a/1", "x", 0)) == ErrorKind::Unknown));
+    BOOST_TEST(get("a/1")->value == "x");
+    BOOST_TEST(put("a/2", "x", 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(anOutageThatRefusesIsUnavailable)
+{
+    BOOST_TEST(command("outage?mode=refuse") == 200);
+    client = std::make_unique<PlatformClient>(loop, std::vector<Address>{address},
+                                              Milliseconds(300), metrics);
+    BOOST_TEST((kindOf(put("a/1", "x", 0)) == ErrorKind::Unavailable));
+    BOOST_TEST(command("outage?mode=off") == 200);
+    BOOST_TEST(put("a/1", "x", 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(anOutageThatHangsIsUnknownForWritesAndUnavailableForReads)
+{
+    BOOST_TEST(command("outage?mode=hang&for=200ms") == 200);
+    BOOST_TEST((kindOf(put("a/1", "x", 0)) == ErrorKind::Unknown));
+    BOOST_TEST(!get("a/1").has_value());
+    BOOST_TEST(command("outage?mode=hang") == 200);
+    const auto read
+            = await<std::optional<KeyValue>>([&](auto callback) { client->get("a/1", callback); });
+    BOOST_TEST((read.error().kind == ErrorKind::Unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(aPartitionCutsOffOneDataCentreAndItsWatches)
+{
+    client->setDataCentre(DataCentreId("akl-a"));
+    std::optional<Result<WatchAnswer>> watched;
+    client->watch("a/", ModRevision(), Milliseconds(10'000),
+                  [&](Result<WatchAnswer> answer) { watched = std::move(answer); });
+    loop.runFor(Milliseconds(30));
+    BOOST_TEST(command("partition?data-centres=akl-a,akl-b") == 200);
+    BOOST_REQUIRE(watched.has_value());
+    BOOST_TEST((watched->error().kind == ErrorKind::Unavailable));
+    BOOST_TEST(!put("a/1", "x", 0).has_value());
+    client->setDataCentre(DataCentreId("hlz-a"));
+    BOOST_TEST(put("a/1", "x", 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(watchesAnswerAtAChangeAndListWhenTooFarBehind)
+{
+    const ModRevision first = put("a/1", "x", 0).value();
+    BOOST_TEST(watch(first, Milliseconds(20))->changed.empty());
+    const Timer later = loop.after(Milliseconds(20), [&] {
+        client->put("a/1", "y", Expected{first}, std::nullopt, [](Result<ModRevision>) {});
+    });
+    const WatchAnswer changed = watch(first, Milliseconds(10'000)).value();
+    BOOST_TEST(changed.changed.at(0).value == "y");
+    BOOST_TEST(!changed.isWhole);
+    for (int i = 0; i < 30; ++i)
+        put("b/" + std::to_string(i), "", 0).value();
+    const WatchAnswer whole = watch(first, Milliseconds(10'000)).value();
+    BOOST_TEST(whole.isWhole);
+    BOOST_TEST(whole.changed.size() == 1U);
+    BOOST_TEST(whole.storeRevision.value() == 32U);
+}
+
+BOOST_AUTO_TEST_CASE(aLapsedLeaseRemovesItsKeysAndWakesWatches)
+{
+    const LeaseId lease = await<LeaseId>([&](auto callback) {
+                              client->grantLease(Milliseconds(150), callback);
+                          }).value();
+    const ModRevision written = put("a/1", "x", 0, lease).value();
+    BOOST_TEST(await<void>([&](auto callback) { client->keepAlive(lease, callback); }).has_value());
+    BOOST_TEST(watch(written, Milliseconds(10'000))->removed.at(0) == "a/1");
+    const auto late = await<void>([&](auto callback) { client->keepAlive(lease, callback); });
+    BOOST_TEST((late.error().kind == ErrorKind::NotFound));
+}
+
+BOOST_AUTO_TEST_CASE(triesItsOtherAddresses)
+{
+    const Address nobody{"127.0.0.1", 1};
+    client = std::make_unique<PlatformClient>(loop, std::vector<Address>{nobody, address},
+                                              Milliseconds(300), metrics);
+    BOOST_TEST(put("a/1", "x", 0).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(namesTheFaultOfABadCommand)
+{
+    BOOST_TEST(command("outage?mode=sideways") == 400);
+    BOOST_TEST(command("lost-answers?probability=2") == 400);
+    BOOST_TEST(command("nothing") == 404);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
