--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -73,6 +73,8 @@
     Timer sweepTimer;
     Timer outcomeTimer;
     Timer drainTimer;
+    // When the configuration came into force here, for reports of convergence.
+    std::int64_t appliedAtMs = 0;
     bool isDraining = false;
 
     Impl(EventLoop &loop_, const NodeSettings &settings_)
@@ -92,6 +94,7 @@
         handlers.onConfig = [this](std::shared_ptr<const Snapshot> config) {
             views.setConfig(std::move(config));
             publish();
+            appliedAtMs = wallClockMs();
         };
         handlers.onMoves
                 = [this](const std::shared_ptr<const MoveTable> &moves) { takeMoves(moves); };
@@ -185,6 +188,7 @@
                                      {"data_centre", self.dataCentre.value()},
                                      {"revision", state.revision.value()},
                                      {"digest", state.digest.value()},
+                                     {"applied_at_ms", appliedAtMs},
                                      {"relay", state.isRelay},
                                      {"has_relay", state.hasRelay},
                                      {"subscribers", state.subscribers},
