Add the stand-in of a backend server and the load tool

The load tool sends open-loop, checks every whole answer, and compares each key's last word with the ledger.

Net gains Responder::connection, so that connections can go silent on demand; Settings gains all() for flags that may be repeated.

--- a/include/cornelhead/base/settings.h
+++ b/include/cornelhead/base/settings.h
@@ -39,6 +39,8 @@
     bool has(const std::string &name) const;
     std::string text(const std::string &name);
     std::vector<std::string> list(const std::string &name);
+    /// Returns every value of a flag that may be repeated.
+    std::vector<std::string> all(const std::string &name) const;
     Address address(const std::string &name);
     /// Reads a comma-separated list of addresses; empty text gives an empty list.
     std::vector<Address> addresses(const std::string &name);
--- a/include/cornelhead/net/http.h
+++ b/include/cornelhead/net/http.h
@@ -59,6 +59,8 @@
     void send(const HttpResponse &response) const;
     /// Closes the connection without an answer; for stand-ins that lose answers on purpose.
     void drop() const;
+    /// Numbers the request's connection; no other connection of the server has had that number.
+    std::uint64_t connection() const;
     /// Tells whether the caller has closed its connection.
     bool isAbandoned() const;
 
@@ -95,6 +97,10 @@
     void stopListening();
     /// Returns how many requests wait for their answer.
     std::size_t pending() const;
+    /// Returns how many open connections have sent a request.
+    std::size_t connections() const;
+    /// Returns the greatest number that a connection has had so far.
+    std::uint64_t lastConnection() const;
 
 private:
     struct Impl;
--- /dev/null
+++ b/include/cornelhead/standin/load-worker.h
@@ -0,0 +1,74 @@
+// One thread of the load tool: sends calls at its own pace, whatever becomes of earlier ones.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "cornelhead/base/address.h"
+#include "cornelhead/net/http.h"
+#include "cornelhead/standin/load-mix.h"
+#include "cornelhead/standin/load-tally.h"
+
+namespace cornelhead {
+
+struct LoadSettings
+{
+    std::vector<CallKind> mix;
+    /// Proxies that take calls.
+    std::vector<Address> nodes;
+    /// Backend servers by service that take calls directly, for comparison; each call goes one of
+    /// both ways at random when there are both.
+    std::map<ServiceId, std::vector<Address>> direct;
+    /// Calls a second of this worker.
+    double rate = 100;
+    /// Attempts after the first, at another node where there is one.
+    std::uint32_t resends = 3;
+    Milliseconds deadline{2000};
+    std::uint64_t seed = 1;
+};
+
+namespace detail {
+class Pacer;
+}
+
+/// Belongs to the thread that runs `loop`.
+class LoadWorker
+{
+public:
+    LoadWorker(EventLoop &loop, LoadSettings settings);
+    ~LoadWorker();
+    LoadWorker(const LoadWorker &) = delete;
+    LoadWorker &operator=(const LoadWorker &) = delete;
+
+    void start();
+    /// Sends no further calls and calls `done` once all have ended.
+    void finish(std::function<void()> done);
+    const LoadTally &tally() const { return tally_; }
+
+private:
+    struct Call;
+    using CallHandle = std::list<Call>::iterator;
+
+    void sendNew();
+    void sendAttempt(CallHandle call);
+    void takeResult(CallHandle call, const Result<HttpResponse> &response);
+    void end(CallHandle call);
+    void chooseTarget(Call &call);
+    void scheduleNext();
+
+    EventLoop *loop_;
+    LoadSettings settings_;
+    HttpClient http_;
+    Random random_;
+    TimePoint startedAt_;
+    TimePoint due_;
+    std::unique_ptr<detail::Pacer> pacer_;
+    std::list<Call> calls_;
+    LoadTally tally_;
+    std::function<void()> done_;
+};
+
+} // namespace cornelhead
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -121,6 +121,13 @@
     return has(name) ? detail::splitCommas(text(name)) : std::vector<std::string>();
 }
 
+std::vector<std::string> Settings::all(const std::string &name) const
+{
+    const auto found = values_.find(name);
+    const bool isList = found != values_.end() && found->second.isStringList();
+    return isList ? found->second.asStringList() : std::vector<std::string>();
+}
+
 Address Settings::address(const std::string &name)
 {
     const std::string value = text(name);
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -129,6 +129,7 @@
     // Null once answered; evhttp keeps an unanswered request alive after its connection closed.
     evhttp_request *raw = nullptr;
     std::shared_ptr<std::size_t> pending;
+    std::uint64_t connection = 0;
 
     ~State()
     {
@@ -171,6 +172,11 @@
     send(HttpResponse{503, {}, {}});
 }
 
+std::uint64_t Responder::connection() const
+{
+    return state_->connection;
+}
+
 bool Responder::isAbandoned() const
 {
     evhttp_connection *connection
@@ -184,6 +190,28 @@
     evhttp_bound_socket *socket = nullptr;
     HttpHandler handler;
     std::shared_ptr<std::size_t> pending = std::make_shared<std::size_t>(0);
+    // Holds open connections only.
+    std::map<evhttp_connection *, std::uint64_t> connections;
+    std::uint64_t lastConnection = 0;
+
+    ~Impl()
+    {
+        // evhttp reports the closing of each connection while it is freed.
+        server.reset();
+    }
+
+    std::uint64_t numberOf(evhttp_connection *connection)
+    {
+        const auto [found, isNew] = connections.try_emplace(connection, lastConnection + 1);
+        if (isNew) {
+            ++lastConnection;
+            const auto forget = [](evhttp_connection *closed, void *arg) {
+                static_cast<Impl *>(arg)->connections.erase(closed);
+            };
+            evhttp_connection_set_closecb(connection, forget, this);
+        }
+        return found->second;
+    }
 
     void serve(evhttp_request *raw)
     {
@@ -191,6 +219,7 @@
         auto state = std::make_shared<Responder::State>();
         state->raw = raw;
         state->pending = pending;
+        state->connection = numberOf(evhttp_request_get_connection(raw));
         ++*pending;
         const Responder responder(state);
         if (!request) {
@@ -243,4 +272,14 @@
     return *impl_->pending;
 }
 
+std::size_t HttpServer::connections() const
+{
+    return impl_->connections.size();
+}
+
+std::uint64_t HttpServer::lastConnection() const
+{
+    return impl_->lastConnection;
+}
+
 } // namespace cornelhead
--- /dev/null
+++ b/src/standin/backend-behaviour.cc
@@ -0,0 +1,110 @@
+// Decides how the stand-in of a backend server treats its calls.
+#include "cornelhead/standin/backend-behaviour.h"
+
+#include <cmath>
+
+#include "cornelhead/base/check.h"
+
+namespace cornelhead {
+
+std::string_view backendStateName(BackendState state)
+{
+    switch (state) {
+    case BackendState::Starting:
+        return "starting";
+    case BackendState::Serving:
+        return "serving";
+    case BackendState::Draining:
+        return "draining";
+    }
+    return "serving";
+}
+
+BackendBehaviour::BackendBehaviour(BackendSettings settings, Clock clock, std::uint64_t seed)
+    : settings_(std::move(settings)), clock_(std::move(clock)), random_(seed),
+      startedAt_(now(clock_))
+{ }
+
+Admission BackendBehaviour::admit() const
+{
+    if (isPastGrace())
+        return RefuseCall{"draining"};
+    if (hasFreeSlot() && waiting_ == 0)
+        return RunNow();
+    if (waiting_ < settings_.queueLength)
+        return WaitForSlot();
+    return RefuseCall{"shed"};
+}
+
+void BackendBehaviour::enqueue()
+{
+    ++waiting_;
+}
+
+void BackendBehaviour::dequeue()
+{
+    CORNELHEAD_CHECK(waiting_ > 0);
+    --waiting_;
+}
+
+RunPlan BackendBehaviour::start(std::string_view path)
+{
+    CORNELHEAD_CHECK(hasFreeSlot());
+    const bool faulty = isFaulty(path);
+    ++running_;
+    double factor
+            = std::exp(std::normal_distribution<double>(0, 1)(random_.engine()) * settings_.spread);
+    if (state() == BackendState::Starting)
+        factor *= settings_.coldFactor;
+    if (faulty)
+        factor *= settings_.slowFactor;
+    const auto duration = static_cast<double>(settings_.latency.count()) * factor;
+    return RunPlan{Milliseconds(std::llround(duration)),
+                   random_.chance(settings_.failRate) && faulty};
+}
+
+void BackendBehaviour::finish()
+{
+    CORNELHEAD_CHECK(running_ > 0);
+    --running_;
+}
+
+double BackendBehaviour::load() const
+{
+    return static_cast<double>(running_) / settings_.slots;
+}
+
+bool BackendBehaviour::isFaulty(std::string_view path) const
+{
+    const FaultConditions &when = settings_.conditions;
+    return now(clock_) - startedAt_ >= when.after
+            && path.substr(0, when.pathPrefix.size()) == when.pathPrefix
+            && load() >= when.aboveLoad;
+}
+
+void BackendBehaviour::drain()
+{
+    if (!drainingSince_)
+        drainingSince_ = now(clock_);
+}
+
+bool BackendBehaviour::isPastGrace() const
+{
+    return drainingSince_ && now(clock_) - *drainingSince_ >= drainGrace;
+}
+
+bool BackendBehaviour::isDrained() const
+{
+    return isPastGrace() && isIdle();
+}
+
+BackendState BackendBehaviour::state() const
+{
+    if (drainingSince_)
+        return BackendState::Draining;
+    if (now(clock_) - startedAt_ < settings_.coldStart)
+        return BackendState::Starting;
+    return BackendState::Serving;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/standin/latency-histogram.cc
@@ -0,0 +1,68 @@
+// Counts durations in proportional buckets.
+#include "cornelhead/standin/latency-histogram.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace cornelhead {
+
+// Durations below bucketsPerOctave have a bucket each; above, every octave has bucketsPerOctave.
+std::size_t LatencyHistogram::indexOf(Microseconds duration)
+{
+    const auto value = static_cast<std::uint64_t>(std::max<std::int64_t>(duration.count(), 0));
+    if (value < bucketsPerOctave)
+        return value;
+    const auto octave = static_cast<std::size_t>(std::bit_width(value / bucketsPerOctave));
+    const std::size_t position = (value >> (octave - 1)) - bucketsPerOctave;
+    return std::min(octave * bucketsPerOctave + position, bucketsPerOctave * octaves - 1);
+}
+
+Microseconds LatencyHistogram::limitOf(std::size_t index)
+{
+    if (index < bucketsPerOctave)
+        return Microseconds(index);
+    const std::size_t octave = index / bucketsPerOctave;
+    const std::size_t position = index % bucketsPerOctave + bucketsPerOctave;
+    return Microseconds(((position + 1) << (octave - 1)) - 1);
+}
+
+void LatencyHistogram::record(Microseconds duration)
+{
+    ++counts_[indexOf(duration)];
+    ++count_;
+    maximum_ = std::max(maximum_, duration);
+}
+
+void LatencyHistogram::add(const LatencyHistogram &other)
+{
+    for (std::size_t i = 0; i < counts_.size(); ++i)
+        counts_[i] += other.counts_[i];
+    count_ += other.count_;
+    maximum_ = std::max(maximum_, other.maximum_);
+}
+
+Microseconds LatencyHistogram::quantile(double probability) const
+{
+    const auto rank
+            = static_cast<std::uint64_t>(std::ceil(probability * static_cast<double>(count_)));
+    std::uint64_t seen = 0;
+    for (std::size_t i = 0; i < counts_.size(); ++i) {
+        seen += counts_[i];
+        if (seen >= rank && seen > 0)
+            return std::min(limitOf(i), maximum_);
+    }
+    return maximum_;
+}
+
+std::vector<LatencyHistogram::Bucket> LatencyHistogram::buckets() const
+{
+    std::vector<Bucket> result;
+    for (std::size_t i = 0; i < counts_.size(); ++i) {
+        if (counts_[i] > 0)
+            result.push_back(Bucket{limitOf(i), counts_[i]});
+    }
+    return result;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/standin/load-tally.cc
@@ -0,0 +1,190 @@
+// Accounts for calls and compares them with the ledger.
+#include "cornelhead/standin/load-tally.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+#include "cornelhead/base/check.h"
+
+namespace cornelhead {
+namespace detail {
+
+using nlohmann::json;
+
+json quantilesOf(const LatencyHistogram &histogram)
+{
+    return {{"count", histogram.count()},
+            {"p50", histogram.quantile(0.5).count()},
+            {"p90", histogram.quantile(0.9).count()},
+            {"p99", histogram.quantile(0.99).count()},
+            {"p999", histogram.quantile(0.999).count()},
+            {"max", histogram.maximum().count()}};
+}
+
+json bucketsOf(const LatencyHistogram &histogram)
+{
+    json buckets = json::array();
+    for (const LatencyHistogram::Bucket &bucket : histogram.buckets())
+        buckets.push_back({{"upToUs", bucket.limit.count()}, {"count", bucket.count}});
+    return buckets;
+}
+
+json secondsOf(const LoadTally &tally)
+{
+    json seconds = json::array();
+    for (const SecondCounts &second : tally.seconds()) {
+        seconds.push_back({{"answered", second.answered},
+                           {"refused", second.refused},
+                           {"lost", second.lost}});
+    }
+    return seconds;
+}
+
+} // namespace detail
+
+bool CallCourse::takeResult(AttemptResult result)
+{
+    last_ = result;
+    const bool mayHaveRun = result == AttemptResult::Broken || result == AttemptResult::Unknown;
+    if (result == AttemptResult::NotRun || result == AttemptResult::Unknown) {
+        hasRefusal_ = true;
+        refusal_ = result == AttemptResult::NotRun ? CallWord::NotRun : CallWord::Unknown;
+    }
+    const bool isHopeful = result == AttemptResult::Broken || result == AttemptResult::Unreachable
+            || (result == AttemptResult::Unknown && isKeyed_);
+    if (!isHopeful || resendsLeft_ == 0)
+        return false;
+    hasDoubt_ = hasDoubt_ || mayHaveRun;
+    --resendsLeft_;
+    return true;
+}
+
+CallWord CallCourse::word() const
+{
+    switch (last_) {
+    case AttemptResult::Right:
+    case AttemptResult::Failed:
+        return CallWord::Answered;
+    case AttemptResult::Wrong:
+        return CallWord::Wrong;
+    default:
+        return hasRefusal_ ? refusal_ : CallWord::Lost;
+    }
+}
+
+void LoadTally::finish(const FinishedCall &call)
+{
+    if (seconds_.size() <= call.second)
+        seconds_.resize(call.second + 1);
+    SecondCounts &second = seconds_[call.second];
+    switch (call.word) {
+    case CallWord::Answered:
+        ++summary_.answered;
+        ++second.answered;
+        summary_.failed += call.isFailed ? 1 : 0;
+        (call.isDirect ? direct_ : throughNodes_).record(call.latency);
+        break;
+    case CallWord::Wrong:
+        ++summary_.wrong;
+        break;
+    case CallWord::NotRun:
+        ++summary_.refusedNotRun;
+        ++second.refused;
+        break;
+    case CallWord::Unknown:
+        ++summary_.unknown;
+        ++second.refused;
+        break;
+    case CallWord::Lost:
+        ++summary_.lost;
+        ++second.lost;
+        break;
+    }
+    if (!call.key.empty())
+        keys_[call.key] = KeyWord{call.word, call.hasDoubt};
+}
+
+void LoadTally::add(const LoadTally &other)
+{
+    summary_.sent += other.summary_.sent;
+    summary_.answered += other.summary_.answered;
+    summary_.wrong += other.summary_.wrong;
+    summary_.lost += other.summary_.lost;
+    summary_.refusedNotRun += other.summary_.refusedNotRun;
+    summary_.unknown += other.summary_.unknown;
+    summary_.failed += other.summary_.failed;
+    summary_.resent += other.summary_.resent;
+    throughNodes_.add(other.throughNodes_);
+    direct_.add(other.direct_);
+    keys_.insert(other.keys_.begin(), other.keys_.end());
+    seconds_.resize(std::max(seconds_.size(), other.seconds_.size()));
+    for (std::size_t i = 0; i < other.seconds_.size(); ++i) {
+        seconds_[i].answered += other.seconds_[i].answered;
+        seconds_[i].refused += other.seconds_[i].refused;
+        seconds_[i].lost += other.seconds_[i].lost;
+    }
+    for (const auto &[reason, count] : other.reasons_)
+        reasons_[reason] += count;
+}
+
+LoadSummary LoadTally::summarize(const std::unordered_map<std::string, std::uint32_t> &runs) const
+{
+    LoadSummary summary = summary_;
+    CORNELHEAD_CHECK(summary.sent
+                     == summary.answered + summary.wrong + summary.refusedNotRun + summary.unknown
+                             + summary.lost);
+    for (const auto &[key, count] : runs) {
+        summary.runs += count;
+        if (count > 1)
+            ++summary.doubled;
+    }
+    for (const auto &[key, word] : keys_) {
+        const bool wasRun = runs.contains(key);
+        if (wasRun && word.word == CallWord::NotRun) {
+            ++summary.falseNotRun;
+            summary.falseNotRunAtOnce += word.hasDoubt ? 0 : 1;
+        }
+        if (!wasRun && word.word == CallWord::Answered)
+            ++summary.answeredUnseen;
+    }
+    return summary;
+}
+
+std::string summaryLine(const LoadSummary &summary, const LatencyHistogram &latency)
+{
+    std::ostringstream out;
+    out << "load sent=" << summary.sent << " answered=" << summary.answered
+        << " wrong=" << summary.wrong << " lost=" << summary.lost << " doubled=" << summary.doubled
+        << " refused_not_run=" << summary.refusedNotRun << " unknown=" << summary.unknown
+        << " false_not_run=" << summary.falseNotRun << " p50_us=" << latency.quantile(0.5).count()
+        << " p99_us=" << latency.quantile(0.99).count() << " max_us=" << latency.maximum().count();
+    return out.str();
+}
+
+std::string summaryJson(const LoadSummary &summary, const LoadTally &tally)
+{
+    const detail::json body = {{"sent", summary.sent},
+                               {"answered", summary.answered},
+                               {"wrong", summary.wrong},
+                               {"lost", summary.lost},
+                               {"doubled", summary.doubled},
+                               {"refusedNotRun", summary.refusedNotRun},
+                               {"unknown", summary.unknown},
+                               {"falseNotRun", summary.falseNotRun},
+                               {"falseNotRunAtOnce", summary.falseNotRunAtOnce},
+                               {"failed", summary.failed},
+                               {"resent", summary.resent},
+                               {"answeredUnseen", summary.answeredUnseen},
+                               {"runs", summary.runs},
+                               {"reasons", tally.reasons()},
+                               {"throughNodesUs", detail::quantilesOf(tally.throughNodes())},
+                               {"directUs", detail::quantilesOf(tally.direct())},
+                               {"seconds", detail::secondsOf(tally)},
+                               {"histogram", detail::bucketsOf(tally.throughNodes())},
+                               {"directHistogram", detail::bucketsOf(tally.direct())}};
+    return body.dump(2);
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/standin/load-worker.cc
@@ -0,0 +1,188 @@
+// Sends calls open-loop and follows each to its last word.
+#include "cornelhead/standin/load-worker.h"
+
+#include <cmath>
+
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+
+namespace cornelhead {
+namespace detail {
+
+/// Waited beyond the deadline before a call counts as lost.
+constexpr Milliseconds lostGrace(1000);
+/// Before the first resend; doubles with each.
+constexpr Milliseconds resendDelay(20);
+
+/// Calls back at given times with microsecond precision, which the event loop's timers lack.
+class Pacer
+{
+public:
+    Pacer(EventLoop &loop, std::function<void()> work)
+        : work_(std::move(work)), timer_(::timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK))
+    {
+        const auto fire
+                = [](evutil_socket_t, short, void *arg) { static_cast<Pacer *>(arg)->fire(); };
+        event_.reset(event_new(loop.base(), timer_, EV_READ | EV_PERSIST, fire, this));
+        event_add(event_.get(), nullptr);
+    }
+
+    ~Pacer()
+    {
+        event_.reset();
+        ::close(timer_);
+    }
+
+    Pacer(const Pacer &) = delete;
+    Pacer &operator=(const Pacer &) = delete;
+
+    void wakeAt(TimePoint time)
+    {
+        const auto us = std::max<std::int64_t>(time.time_since_epoch().count(), 1);
+        itimerspec spec{};
+        spec.it_value = timespec{us / 1'000'000, (us % 1'000'000) * 1000};
+        ::timerfd_settime(timer_, TFD_TIMER_ABSTIME, &spec, nullptr);
+    }
+
+private:
+    void fire()
+    {
+        std::uint64_t expirations = 0;
+        if (::read(timer_, &expirations, sizeof expirations) > 0)
+            work_();
+    }
+
+    std::function<void()> work_;
+    int timer_;
+    std::unique_ptr<event, EventDeleter> event_;
+};
+
+} // namespace detail
+
+struct LoadWorker::Call
+{
+    const CallKind *kind = nullptr;
+    ExpectedAnswer expected;
+    CallCourse course;
+    TimePoint sentAt;
+    bool isDirect = false;
+    std::size_t target = 0;
+    std::uint32_t attempts = 0;
+    Timer resend;
+};
+
+LoadWorker::LoadWorker(EventLoop &loop, LoadSettings settings)
+    : loop_(&loop), settings_(std::move(settings)), http_(loop), random_(settings_.seed)
+{ }
+
+LoadWorker::~LoadWorker() = default;
+
+void LoadWorker::start()
+{
+    startedAt_ = due_ = now(SteadyClock());
+    pacer_ = std::make_unique<detail::Pacer>(*loop_, [this] {
+        while (due_ <= now(SteadyClock())) {
+            sendNew();
+            scheduleNext();
+        }
+        pacer_->wakeAt(due_);
+    });
+    scheduleNext();
+    pacer_->wakeAt(due_);
+}
+
+void LoadWorker::scheduleNext()
+{
+    // Exponential gaps make Poisson arrivals.
+    const double gap = -std::log(1.0 - random_.unit()) / settings_.rate;
+    due_ += Microseconds(std::llround(gap * 1e6));
+}
+
+void LoadWorker::finish(std::function<void()> done)
+{
+    done_ = std::move(done);
+    pacer_.reset();
+    if (calls_.empty())
+        loop_->post(std::exchange(done_, nullptr));
+}
+
+void LoadWorker::sendNew()
+{
+    const CallKind &kind = drawKind(settings_.mix, random_);
+    const std::string id = std::to_string(random_.engine()());
+    std::string key = kind.isKeyed() ? makeIdempotencyKey(wallClockMs(), random_) : "";
+    calls_.push_front(Call{&kind,
+                           ExpectedAnswer{kind.service.value(), kind.path, kind.customer.value(),
+                                          std::move(key), id, kind.answerBytes},
+                           CallCourse(kind.isKeyed(), settings_.resends), now(SteadyClock()), false,
+                           0, 0, Timer()});
+    chooseTarget(calls_.front());
+    tally_.countSent();
+    sendAttempt(calls_.begin());
+}
+
+void LoadWorker::chooseTarget(Call &call)
+{
+    const bool canDirect = settings_.direct.contains(call.kind->service);
+    call.isDirect = settings_.nodes.empty() || (canDirect && random_.chance(0.5));
+    call.target = random_.engine()();
+}
+
+void LoadWorker::sendAttempt(CallHandle call)
+{
+    const CallKind &kind = *call->kind;
+    const std::vector<Address> &targets
+            = call->isDirect ? settings_.direct.at(kind.service) : settings_.nodes;
+    HttpRequest request{kind.method, call->isDirect ? "" : "/", {}, {}, {}};
+    if (!call->isDirect)
+        request.path += kind.service.value();
+    request.path += kind.path;
+    request.headers["Cornelhead-Customer"] = kind.customer.value();
+    request.headers["Cornelhead-Deadline-Ms"] = std::to_string(settings_.deadline.count());
+    request.headers[requestIdHeader] = call->expected.requestId;
+    if (kind.isKeyed())
+        request.headers["Idempotency-Key"] = call->expected.idempotencyKey;
+    if (kind.answerBytes > 0)
+        request.headers[answerBytesHeader] = std::to_string(kind.answerBytes);
+    if (!kind.chain.empty())
+        request.headers[callChainHeader] = kind.chain;
+    if (kind.isPoisoned)
+        request.headers.emplace(poisonHeader, "1");
+    http_.send(targets[call->target % targets.size()], request,
+               settings_.deadline + detail::lostGrace,
+               [this, call](const Result<HttpResponse> &response) { takeResult(call, response); });
+}
+
+void LoadWorker::takeResult(CallHandle call, const Result<HttpResponse> &response)
+{
+    const AttemptResult result = judgeAttempt(call->expected, response);
+    if (result == AttemptResult::NotRun || result == AttemptResult::Unknown) {
+        const auto reason = response->headers.find("Cornelhead-Reason");
+        tally_.countReason(reason == response->headers.end() ? "none" : reason->second);
+    }
+    if (!call->course.takeResult(result)) {
+        end(call);
+        return;
+    }
+    tally_.countResent();
+    ++call->target;
+    const Milliseconds delay = detail::resendDelay * (1U << std::min(call->attempts++, 6U));
+    call->resend = loop_->after(delay + random_.jitter(delay), [this, call] { sendAttempt(call); });
+}
+
+void LoadWorker::end(CallHandle call)
+{
+    const TimePoint time = now(SteadyClock());
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(time - startedAt_);
+    tally_.finish(FinishedCall{call->expected.idempotencyKey, call->course.word(),
+                               call->course.isFailed(), call->course.hasDoubt(),
+                               time - call->sentAt, call->isDirect,
+                               static_cast<std::uint32_t>(second.count())});
+    calls_.erase(call);
+    if (done_ && calls_.empty())
+        std::exchange(done_, nullptr)();
+}
+
+} // namespace cornelhead
