--- a/test/standin/platform-server-test.cc
+++ b/test/standin/platform-server-test.cc
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "support/free-address.h"
+
 namespace cornelhead {
 
 struct PlatformFixture
@@ -11,8 +13,8 @@
     Metrics metrics;
     PlatformServerSettings settings{{1024 * 1024, 1024, 20}, 5000, 5000, 1};
     std::unique_ptr<PlatformServer> server;
-    Address address{"127.0.0.1", 0};
-    Address control{"127.0.0.1", 0};
+    Address address;
+    Address control;
     std::unique_ptr<PlatformClient> client;
 
     PlatformFixture() { restart(); }
@@ -20,23 +22,12 @@
     void restart()
     {
         server = std::make_unique<PlatformServer>(loop, settings, metrics);
-        address.port = freePort([&](const Address &a) { return server->listen(a); });
-        control.port = freePort([&](const Address &a) { return server->listenControl(a); });
+        address = listenOnFreePort([&](const Address &a) { return server->listen(a); });
+        control = listenOnFreePort([&](const Address &a) { return server->listenControl(a); });
         client = std::make_unique<PlatformClient>(loop, std::vector<Address>{address},
                                                   Milliseconds(300), metrics);
     }
 
-    template <typename Listen>
-    static std::uint16_t freePort(Listen listen)
-    {
-        for (std::uint16_t port = 42300; port < 42500; ++port) {
-            if (listen(Address{"127.0.0.1", port}))
-                return port;
-        }
-        BOOST_FAIL("no free port");
-        return 0;
-    }
-
     // Runs the loop until `start` has called back.
     template <typename T, typename Start>
     Result<T> await(Start start)
