Add cornelheadctl

Commands are typed values run over blocking platform operations, so that tests need no network. An apply writes missing chunks, then the manifest that it replaces into the history, then the new manifest by compare-and-swap. The history holds accepted manifests only, hence two racing edits cannot leave a record of one that lost. Prune fences racing applies by writing the manifest again before it removes anything.

--- /dev/null
+++ b/include/cornelhead/ctl/command-line.h
@@ -0,0 +1,107 @@
+// The commands of cornelheadctl as typed values.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cornelhead/base/address.h"
+#include "cornelhead/base/clock.h"
+#include "cornelhead/base/ids.h"
+#include "cornelhead/base/settings.h"
+#include "cornelhead/ctl/output.h"
+
+namespace cornelhead {
+
+struct ValidateCommand
+{
+    std::string folder;
+};
+
+struct DiffCommand
+{
+    std::string folder;
+};
+
+struct ApplyCommand
+{
+    std::string folder;
+    std::string author;
+    std::optional<Revision> expectedRevision;
+};
+
+struct HistoryCommand
+{ };
+
+struct PruneCommand
+{
+    std::size_t keep = 0;
+};
+
+struct StartCommand
+{
+    ServiceId service;
+    VersionId version;
+    Milliseconds deadline{};
+};
+
+struct TakeBackCommand
+{
+    ServiceId service;
+    std::string reason;
+};
+
+struct PauseCommand
+{
+    ServiceId service;
+};
+
+struct ResumeCommand
+{
+    ServiceId service;
+};
+
+struct HastenCommand
+{
+    ServiceId service;
+    Milliseconds deadline{};
+};
+
+struct ReportCommand
+{
+    std::optional<ServiceId> service;
+    bool isWatching = false;
+};
+
+struct StatusCommand
+{
+    std::vector<Address> nodes;
+};
+
+struct DeploymentCommand
+{
+    std::string folder;
+};
+
+using Command
+        = std::variant<ValidateCommand, DiffCommand, ApplyCommand, HistoryCommand, PruneCommand,
+                       StartCommand, TakeBackCommand, PauseCommand, ResumeCommand, HastenCommand,
+                       ReportCommand, StatusCommand, DeploymentCommand>;
+
+struct CommandLine
+{
+    Command command;
+    std::vector<Address> platform;
+    /// How long a call is repeated while it is certain that it was not run.
+    Milliseconds patience{};
+    OutputFormat format = OutputFormat::Table;
+};
+
+/// The usage text, which docopt reads.
+extern const char *const commandUsage;
+
+/// Reads the command; faults stay in `settings`.
+CommandLine readCommandLine(Settings &settings);
+
+} // namespace cornelhead
--- /dev/null
+++ b/include/cornelhead/ctl/commands.h
@@ -0,0 +1,31 @@
+// Runs the commands of cornelheadctl.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+
+#include "cornelhead/ctl/command-line.h"
+#include "cornelhead/ctl/output.h"
+#include "cornelhead/ctl/platform-operations.h"
+#include "cornelhead/net/http.h"
+
+namespace cornelhead {
+
+/// What commands use of the world around them.
+struct CommandContext
+{
+    PlatformOperations platform;
+    /// Wall-clock milliseconds since the Unix epoch, for reports and deadlines.
+    std::function<std::int64_t()> nowMs;
+    /// Makes an id that no other edit has.
+    std::function<EditId()> makeEdit;
+    /// Waits between two looks of `report --watch`.
+    std::function<void(Milliseconds)> sleep;
+    /// Asks one node for a path of its admin address.
+    std::function<Result<HttpResponse>(const Address &, const std::string &path)> askNode;
+};
+
+/// Runs `command` and writes its result to `output`.
+ExitCode runCommand(const Command &command, const CommandContext &context, Output &output);
+
+} // namespace cornelhead
--- /dev/null
+++ b/include/cornelhead/ctl/platform-operations.h
@@ -0,0 +1,49 @@
+// The operations of the platform that commands need, one call at a time.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cornelhead/base/address.h"
+#include "cornelhead/base/clock.h"
+#include "cornelhead/base/error.h"
+#include "cornelhead/platform/client.h"
+
+namespace cornelhead {
+
+/// Blocking calls, so that commands read from top to bottom and tests need no network.
+///
+/// Errors are those of `PlatformClient`.
+struct PlatformOperations
+{
+    std::function<Result<std::optional<KeyValue>>(const std::string &key)> get;
+    std::function<Result<Listing>(const std::string &prefix)> list;
+    std::function<Result<ModRevision>(const std::string &key, const std::string &value,
+                                      Expected expected)>
+            put;
+    std::function<Result<void>(const std::string &key, Expected expected)> remove;
+};
+
+/// Calls the platform over the network and waits for each answer.
+///
+/// Repeats a call that was certainly not run until `patience` has passed.
+class PlatformSession
+{
+public:
+    PlatformSession(std::vector<Address> addresses, Milliseconds patience);
+    ~PlatformSession();
+    PlatformSession(const PlatformSession &) = delete;
+    PlatformSession &operator=(const PlatformSession &) = delete;
+
+    /// The operations are valid as long as the session lives.
+    PlatformOperations operations();
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/ctl/config-commands.cc
@@ -0,0 +1,199 @@
+// Implements validate, diff, apply, history, prune and deployment.
+#include "ctl/config-commands.h"
+
+#include <utility>
+#include <vector>
+
+#include "cornelhead/config/declarations-reader.h"
+#include "cornelhead/config/delta.h"
+#include "cornelhead/config/deployment.h"
+#include "cornelhead/config/validation.h"
+#include "cornelhead/ctl/configuration-store.h"
+#include "cornelhead/ctl/report.h"
+
+namespace cornelhead::detail {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+Json faultToJson(const SourceFault &fault)
+{
+    return {{"file", fault.file},
+            {"line", fault.line},
+            {"message", fault.message},
+            {"remedy", fault.remedy}};
+}
+
+ExitCode showFaults(const std::vector<SourceFault> &faults, Output &output)
+{
+    Json list = Json::array();
+    std::string text;
+    for (const SourceFault &fault : faults) {
+        list.push_back(faultToJson(fault));
+        text += fault.describe() + "\n";
+    }
+    text += faults.empty() ? "The declarations are valid.\n"
+                           : std::to_string(faults.size()) + " faults.\n";
+    output.write({{"valid", faults.empty()}, {"faults", std::move(list)}}, text);
+    return faults.empty() ? ExitCode::Ok : ExitCode::Refused;
+}
+
+// Adds the faults of deployment.yaml where the folder has one.
+void checkOptionalDeployment(const std::string &folder, ReadDeclarations &read)
+{
+    const Result<std::string> text = loadDeploymentFile(folder);
+    if (!text)
+        return;
+    ReadDeployment deployed = readDeployment(*text);
+    if (deployed.faults.empty() && read.faults.empty())
+        checkDeployment(deployed.deployment, read.declarations, deployed.faults);
+    read.faults.insert(read.faults.end(), deployed.faults.begin(), deployed.faults.end());
+}
+
+Result<ReadDeclarations> readFolder(const std::string &folder)
+{
+    const Result<DeclarationFiles> files = loadDeclarationFiles(folder);
+    if (!files)
+        return tl::unexpected<Error>(files.error());
+    ReadDeclarations read = readDeclarations(*files);
+    checkOptionalDeployment(folder, read);
+    return read;
+}
+
+Result<Declarations> readInForce(const PlatformOperations &platform)
+{
+    const Result<std::optional<StoredManifest>> stored = readManifest(platform);
+    if (!stored)
+        return tl::unexpected<Error>(stored.error());
+    return *stored ? readDeclarationsOf(platform, (*stored)->manifest)
+                   : Result<Declarations>(Declarations());
+}
+
+void showApplied(const ApplyOutcome &outcome, Output &output)
+{
+    const Manifest &manifest = outcome.manifest;
+    const std::string revision = std::to_string(manifest.revision.value());
+    const Json json
+            = {{"revision", manifest.revision.value()},  {"digest", manifest.digest.value()},
+               {"edit", manifest.edit.value()},          {"changed", outcome.isNew},
+               {"chunksWritten", outcome.chunksWritten}, {"bytesWritten", outcome.bytesWritten}};
+    const std::string text = outcome.isNew
+            ? "Revision " + revision + " is accepted: " + manifest.digest.value() + ".\n"
+            : "Revision " + revision + " is in force already; nothing was changed.\n";
+    output.write(json, text);
+}
+
+std::string deploymentToText(const Deployment &deployment)
+{
+    std::string text;
+    for (const DataCentreId &dataCentre : deployment.dataCentres)
+        text += "datacentre " + dataCentre.value() + "\n";
+    for (const DeployedService &service : deployment.services) {
+        const std::string rest = service.service.value() + " " + std::to_string(service.slots) + " "
+                + std::to_string(service.connections) + "\n";
+        for (const Placement &placement : service.placements) {
+            for (std::uint32_t i = 0; i < placement.servers; ++i)
+                text.append("server ")
+                        .append(placement.dataCentre.value())
+                        .append(" ")
+                        .append(rest);
+        }
+    }
+    return text;
+}
+
+Json deploymentToJson(const Deployment &deployment)
+{
+    Json dataCentres = Json::array();
+    for (const DataCentreId &dataCentre : deployment.dataCentres)
+        dataCentres.push_back(dataCentre.value());
+    Json services = Json::array();
+    for (const DeployedService &service : deployment.services) {
+        Json servers = Json::object();
+        for (const Placement &placement : service.placements)
+            servers[placement.dataCentre.value()] = placement.servers;
+        services.push_back({{"service", service.service.value()},
+                            {"slots", service.slots},
+                            {"connections", service.connections},
+                            {"servers", std::move(servers)}});
+    }
+    return {{"dataCentres", std::move(dataCentres)}, {"services", std::move(services)}};
+}
+
+} // namespace
+
+ExitCode runValidate(const ValidateCommand &command, Output &output)
+{
+    const Result<ReadDeclarations> read = readFolder(command.folder);
+    return read ? showFaults(read->faults, output) : output.fail(read.error());
+}
+
+ExitCode runDeployment(const DeploymentCommand &command, Output &output)
+{
+    const Result<std::string> text = loadDeploymentFile(command.folder);
+    if (!text)
+        return output.fail(text.error());
+    const ReadDeployment read = readDeployment(*text);
+    if (!read.faults.empty())
+        return showFaults(read.faults, output);
+    output.write(deploymentToJson(read.deployment), deploymentToText(read.deployment));
+    return ExitCode::Ok;
+}
+
+ExitCode run(const DiffCommand &command, const CommandContext &context, Output &output)
+{
+    const Result<ReadDeclarations> read = readFolder(command.folder);
+    if (!read)
+        return output.fail(read.error());
+    if (!read->faults.empty())
+        return showFaults(read->faults, output);
+    const Result<Declarations> inForce = readInForce(context.platform);
+    if (!inForce)
+        return output.fail(inForce.error());
+    const Declarations wanted = canonicalOrder(read->declarations);
+    const std::vector<RecordChange> changes = changesOf(*inForce, makeDelta(*inForce, wanted));
+    output.write(changesToJson(changes),
+                 changes.empty() ? "Nothing differs from the configuration in force.\n"
+                                 : changesToText(changes));
+    return ExitCode::Ok;
+}
+
+ExitCode run(const ApplyCommand &command, const CommandContext &context, Output &output)
+{
+    Result<ReadDeclarations> read = readFolder(command.folder);
+    if (!read)
+        return output.fail(read.error());
+    if (!read->faults.empty())
+        return showFaults(read->faults, output);
+    const ApplyRequest request{std::move(read->declarations), command.author, context.makeEdit(),
+                               context.nowMs(), command.expectedRevision};
+    const Result<ApplyOutcome> outcome = applyDeclarations(context.platform, request);
+    if (!outcome)
+        return output.fail(outcome.error());
+    showApplied(*outcome, output);
+    return ExitCode::Ok;
+}
+
+ExitCode run(const HistoryCommand &, const CommandContext &context, Output &output)
+{
+    const Result<std::vector<Manifest>> history = readHistory(context.platform);
+    if (!history)
+        return output.fail(history.error());
+    output.write(historyToJson(*history), historyToText(*history));
+    return ExitCode::Ok;
+}
+
+ExitCode run(const PruneCommand &command, const CommandContext &context, Output &output)
+{
+    const Result<PruneOutcome> outcome = pruneHistory(context.platform, command.keep);
+    if (!outcome)
+        return output.fail(outcome.error());
+    output.write({{"chunksRemoved", outcome->chunksRemoved},
+                  {"manifestsRemoved", outcome->manifestsRemoved}},
+                 std::to_string(outcome->manifestsRemoved) + " old configurations and "
+                         + std::to_string(outcome->chunksRemoved) + " chunks removed.\n");
+    return ExitCode::Ok;
+}
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/src/ctl/configuration-store.cc
@@ -0,0 +1,390 @@
+// Reads, replaces and prunes the configuration stored at the platform.
+#include "cornelhead/ctl/configuration-store.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <set>
+#include <utility>
+
+#include "cornelhead/base/check.h"
+#include "cornelhead/base/digest.h"
+
+namespace cornelhead {
+namespace detail {
+
+// Tries to write one key whose answers keep being lost.
+constexpr int maxWriteTries = 5;
+// Times that an apply starts anew because the manifest's key was rewritten unchanged.
+constexpr int maxApplyTries = 3;
+// A manifest stays well below the platform's limit of a value.
+constexpr std::size_t maxManifestBytes = 900 * 1024;
+
+// Padded, so that keys list in the order of revisions.
+std::string historyKey(Revision revision)
+{
+    std::array<char, 24> digits{};
+    std::snprintf(digits.data(), digits.size(), "%020llu",
+                  static_cast<unsigned long long>(revision.value()));
+    return historyPrefix + std::string(digits.data());
+}
+
+std::string chunkKey(const Digest &digest)
+{
+    return chunkPrefix + digest.value();
+}
+
+tl::unexpected<Error> outcomeUnknown(const std::string &what, const Error &cause)
+{
+    return fail(ErrorKind::Unknown, "it is not known whether " + what + ": " + cause.describe(),
+                "repeat the command; it changes nothing if the edit was accepted");
+}
+
+tl::unexpected<Error> lostRace(const Manifest &winner)
+{
+    return fail(ErrorKind::Conflict,
+                "revision " + std::to_string(winner.revision.value()) + " by " + winner.author
+                        + " was accepted meanwhile",
+                "look at it with 'cornelheadctl diff', merge it into your declarations and apply "
+                "again");
+}
+
+// Checks that a chunk that is there holds what its key says, and makes it newer than any listing
+// that a prune may act on.
+Result<void> renewChunk(const PlatformOperations &platform, const Chunk &chunk)
+{
+    const std::string key = chunkKey(chunk.digest);
+    for (int i = 0; i < maxWriteTries; ++i) {
+        const Result<std::optional<KeyValue>> found = platform.get(key);
+        if (!found)
+            return tl::unexpected<Error>(found.error());
+        const ModRevision held = *found ? (*found)->modRevision : ModRevision();
+        const Result<ModRevision> put = platform.put(key, chunk.bytes, {held});
+        if (put)
+            return {};
+        if (put.error().kind != ErrorKind::Conflict && put.error().kind != ErrorKind::Unknown)
+            return tl::unexpected<Error>(put.error());
+    }
+    return fail(ErrorKind::Unavailable, "chunk " + chunk.digest.value() + " could not be written",
+                "repeat the command");
+}
+
+// Writing a chunk again has no effect of its own, so every unclear outcome leads to a renewal.
+Result<void> writeChunk(const PlatformOperations &platform, const Chunk &chunk)
+{
+    const Result<ModRevision> put = platform.put(chunkKey(chunk.digest), chunk.bytes, {});
+    if (put)
+        return {};
+    if (put.error().kind == ErrorKind::Conflict || put.error().kind == ErrorKind::Unknown)
+        return renewChunk(platform, chunk);
+    return tl::unexpected<Error>(put.error());
+}
+
+// An accepted manifest never changes, so whoever writes its history writes the same.
+Result<void> writeHistory(const PlatformOperations &platform, const Manifest &past)
+{
+    const std::string key = historyKey(past.revision);
+    const Result<ModRevision> put = platform.put(key, encodeManifest(past), {});
+    if (put || put.error().kind == ErrorKind::Conflict)
+        return {};
+    if (put.error().kind != ErrorKind::Unknown)
+        return tl::unexpected<Error>(put.error());
+    const Result<std::optional<KeyValue>> found = platform.get(key);
+    if (found && *found)
+        return {};
+    return tl::unexpected<Error>(found ? put.error() : found.error());
+}
+
+// Tells whether `edit` was accepted at `revision`, by the manifest in force or by the history.
+Result<bool> wasAccepted(const PlatformOperations &platform, const Manifest &wanted,
+                         const std::optional<StoredManifest> &inForce)
+{
+    if (!inForce || inForce->manifest.revision < wanted.revision)
+        return false;
+    if (inForce->manifest.revision == wanted.revision)
+        return inForce->manifest.edit == wanted.edit;
+    const Result<std::optional<KeyValue>> past = platform.get(historyKey(wanted.revision));
+    if (!past)
+        return tl::unexpected<Error>(past.error());
+    if (!*past)
+        return false;
+    const Result<Manifest> manifest = decodeManifest((*past)->value);
+    return manifest && manifest->edit == wanted.edit;
+}
+
+enum class SwapResult {
+    Accepted,
+    Rewritten, ///< The same revision is in force, but its key was written again.
+};
+
+// Replaces the manifest read as `base`.
+class ManifestSwap
+{
+public:
+    ManifestSwap(const PlatformOperations &platform, const Manifest &wanted, ModRevision base)
+        : platform_(platform), wanted_(wanted), encoded_(encodeManifest(wanted)), base_(base)
+    { }
+
+    Result<SwapResult> run()
+    {
+        for (int i = 0; i < maxWriteTries; ++i) {
+            const Result<ModRevision> put = platform_.put(manifestKey, encoded_, {base_});
+            if (put)
+                return SwapResult::Accepted;
+            wasUnclear_ = wasUnclear_ || put.error().kind == ErrorKind::Unknown;
+            if (put.error().kind != ErrorKind::Conflict && put.error().kind != ErrorKind::Unknown)
+                return giveUp(put.error());
+            const Result<std::optional<SwapResult>> resolved = resolve();
+            if (!resolved)
+                return giveUp(resolved.error());
+            if (*resolved)
+                return **resolved;
+        }
+        return giveUp(Error{ErrorKind::Unknown, "answers kept being lost", "repeat the command"});
+    }
+
+private:
+    // Returns nothing where the write may be sent again: the key is as it was read, and a delayed
+    // first write can only lose or win against it.
+    Result<std::optional<SwapResult>> resolve()
+    {
+        const Result<std::optional<StoredManifest>> inForce = readManifest(platform_);
+        if (!inForce)
+            return tl::unexpected<Error>(inForce.error());
+        const Result<bool> accepted = wasAccepted(platform_, wanted_, *inForce);
+        if (!accepted)
+            return tl::unexpected<Error>(accepted.error());
+        if (*accepted)
+            return SwapResult::Accepted;
+        const ModRevision held = *inForce ? (*inForce)->modRevision : ModRevision();
+        if (held == base_)
+            return std::optional<SwapResult>();
+        // The key changed, so a first write that is still on its way can only lose.
+        wasUnclear_ = false;
+        if (*inForce && (*inForce)->manifest.revision.next() == wanted_.revision)
+            return SwapResult::Rewritten;
+        if (!*inForce)
+            return fail(ErrorKind::Conflict, "the manifest was removed meanwhile",
+                        "apply again after finding out why");
+        return lostRace((*inForce)->manifest);
+    }
+
+    tl::unexpected<Error> giveUp(const Error &error) const
+    {
+        if (wasUnclear_)
+            return outcomeUnknown("revision " + std::to_string(wanted_.revision.value())
+                                          + " was accepted",
+                                  error);
+        return tl::unexpected<Error>(error);
+    }
+
+    const PlatformOperations &platform_;
+    const Manifest &wanted_;
+    std::string encoded_;
+    ModRevision base_;
+    // A write was sent whose outcome is not known yet.
+    bool wasUnclear_ = false;
+};
+
+// Puts one set of declarations in force.
+class Apply
+{
+public:
+    Apply(const PlatformOperations &platform, const ApplyRequest &request)
+        : platform_(platform), request_(request),
+          encoded_(encodeDeclarations(request.declarations)), digest_(digestOf(encoded_)),
+          chunks_(splitChunks(encoded_))
+    { }
+
+    Result<ApplyOutcome> run()
+    {
+        for (int i = 0; i < maxApplyTries; ++i) {
+            const Result<bool> done = tryOnce();
+            if (!done)
+                return tl::unexpected<Error>(done.error());
+            if (*done)
+                return std::move(outcome_);
+        }
+        return fail(ErrorKind::Conflict, "the manifest's key kept being rewritten",
+                    "wait until no prune runs, and apply again");
+    }
+
+private:
+    // Returns false where the whole has to start anew.
+    Result<bool> tryOnce()
+    {
+        Result<std::optional<StoredManifest>> inForce = readManifest(platform_);
+        if (!inForce)
+            return tl::unexpected<Error>(inForce.error());
+        if (*inForce && isSame((*inForce)->manifest)) {
+            outcome_.manifest = std::move((*inForce)->manifest);
+            return true;
+        }
+        if (const Result<void> expected = checkExpected(*inForce); !expected)
+            return tl::unexpected<Error>(expected.error());
+        const Result<Manifest> wanted = makeManifest(*inForce);
+        if (!wanted)
+            return tl::unexpected<Error>(wanted.error());
+        if (const Result<void> written = writeParts(*inForce); !written)
+            return tl::unexpected<Error>(written.error());
+        return swap(*wanted, *inForce ? (*inForce)->modRevision : ModRevision());
+    }
+
+    Result<bool> swap(const Manifest &wanted, ModRevision base)
+    {
+        const Result<SwapResult> swapped = ManifestSwap(platform_, wanted, base).run();
+        if (!swapped)
+            return resolveLostRace(swapped.error());
+        if (*swapped == SwapResult::Rewritten)
+            return false;
+        outcome_.manifest = wanted;
+        outcome_.isNew = true;
+        return true;
+    }
+
+    // Two operators who apply the same declarations both succeed.
+    Result<bool> resolveLostRace(const Error &error)
+    {
+        if (error.kind != ErrorKind::Conflict)
+            return tl::unexpected<Error>(error);
+        const Result<std::optional<StoredManifest>> inForce = readManifest(platform_);
+        if (!inForce || !*inForce || !isSame((*inForce)->manifest))
+            return tl::unexpected<Error>(error);
+        outcome_.manifest = (*inForce)->manifest;
+        return true;
+    }
+
+    bool isSame(const Manifest &manifest) const { return manifest.digest == digest_; }
+
+    Result<void> checkExpected(const std::optional<StoredManifest> &inForce) const
+    {
+        const Revision held = inForce ? inForce->manifest.revision : Revision();
+        if (!request_.expectedRevision || *request_.expectedRevision == held)
+            return {};
+        return fail(ErrorKind::Conflict,
+                    "revision " + std::to_string(held.value()) + " is in force, not "
+                            + std::to_string(request_.expectedRevision->value()),
+                    "look at it with 'cornelheadctl diff', merge it into your declarations and "
+                    "apply again");
+    }
+
+    Result<Manifest> makeManifest(const std::optional<StoredManifest> &inForce) const
+    {
+        const Result<Revision> revision
+                = inForce ? Result<Revision>(inForce->manifest.revision.next()) : firstRevision();
+        if (!revision)
+            return tl::unexpected<Error>(revision.error());
+        Manifest manifest{*revision, request_.edit, request_.author, request_.nowMs, digest_, {}};
+        for (const Chunk &chunk : chunks_)
+            manifest.chunks.push_back(chunk.digest);
+        if (encodeManifest(manifest).size() > maxManifestBytes)
+            return fail(ErrorKind::TooLarge, "the declarations make too many chunks",
+                        "declare fewer records");
+        return manifest;
+    }
+
+    // Nodes never go back, so a manifest that was lost must not start at 1 again.  The newest
+    // manifest is never in the history, hence the second step.
+    Result<Revision> firstRevision() const
+    {
+        const Result<Listing> past = platform_.list(historyPrefix);
+        if (!past)
+            return tl::unexpected<Error>(past.error());
+        Revision newest;
+        for (const KeyValue &entry : past->entries) {
+            if (const Result<Manifest> manifest = decodeManifest(entry.value))
+                newest = std::max(newest, manifest->revision);
+        }
+        return past->entries.empty() ? newest.next() : newest.next().next();
+    }
+
+    // The chunks of the manifest in force are there and cannot be pruned.
+    Result<void> writeParts(const std::optional<StoredManifest> &inForce)
+    {
+        std::set<Digest> known;
+        if (inForce)
+            known.insert(inForce->manifest.chunks.begin(), inForce->manifest.chunks.end());
+        for (const Chunk &chunk : chunks_) {
+            if (!known.insert(chunk.digest).second)
+                continue;
+            if (const Result<void> written = writeChunk(platform_, chunk); !written)
+                return written;
+            ++outcome_.chunksWritten;
+            outcome_.bytesWritten += chunk.bytes.size();
+        }
+        return inForce ? writeHistory(platform_, inForce->manifest) : Result<void>();
+    }
+
+    const PlatformOperations &platform_;
+    const ApplyRequest &request_;
+    const std::string encoded_;
+    const Digest digest_;
+    const std::vector<Chunk> chunks_;
+    ApplyOutcome outcome_;
+};
+
+} // namespace detail
+
+Result<std::optional<StoredManifest>> readManifest(const PlatformOperations &platform)
+{
+    const Result<std::optional<KeyValue>> found = platform.get(manifestKey);
+    if (!found)
+        return tl::unexpected<Error>(found.error());
+    if (!*found)
+        return std::optional<StoredManifest>();
+    Result<Manifest> manifest = decodeManifest((*found)->value);
+    if (!manifest)
+        return tl::unexpected<Error>(manifest.error());
+    return StoredManifest{std::move(*manifest), (*found)->modRevision};
+}
+
+Result<Declarations> readDeclarationsOf(const PlatformOperations &platform,
+                                        const Manifest &manifest)
+{
+    std::vector<Chunk> chunks;
+    for (const Digest &digest : manifest.chunks) {
+        Result<std::optional<KeyValue>> found = platform.get(detail::chunkKey(digest));
+        if (!found)
+            return tl::unexpected<Error>(found.error());
+        if (*found)
+            chunks.push_back({digest, std::move((*found)->value)});
+    }
+    const Result<std::string> joined = joinChunks(manifest, chunks);
+    if (!joined)
+        return tl::unexpected<Error>(joined.error());
+    return decodeDeclarations(*joined);
+}
+
+Result<std::vector<Manifest>> readHistory(const PlatformOperations &platform)
+{
+    const Result<Listing> past = platform.list(historyPrefix);
+    if (!past)
+        return tl::unexpected<Error>(past.error());
+    const Result<std::optional<StoredManifest>> inForce = readManifest(platform);
+    if (!inForce)
+        return tl::unexpected<Error>(inForce.error());
+    std::vector<Manifest> manifests;
+    for (const KeyValue &entry : past->entries) {
+        Result<Manifest> manifest = decodeManifest(entry.value);
+        if (!manifest)
+            return tl::unexpected<Error>(manifest.error());
+        manifests.push_back(std::move(*manifest));
+    }
+    const auto byRevision = [](const Manifest &left, const Manifest &right) {
+        return left.revision < right.revision;
+    };
+    std::sort(manifests.begin(), manifests.end(), byRevision);
+    // Between the two reads the manifest may have moved on; what is listed twice is dropped.
+    if (*inForce
+        && (manifests.empty() || manifests.back().revision < (*inForce)->manifest.revision))
+        manifests.push_back((*inForce)->manifest);
+    return manifests;
+}
+
+Result<ApplyOutcome> applyDeclarations(const PlatformOperations &platform,
+                                       const ApplyRequest &request)
+{
+    CORNELHEAD_CHECK(!request.edit.empty());
+    return detail::Apply(platform, request).run();
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/ctl/move-store.cc
@@ -0,0 +1,133 @@
+// Reads moves and writes operators' edits by compare-and-swap.
+#include "cornelhead/ctl/move-store.h"
+
+#include <utility>
+
+#include "cornelhead/config/manifest.h"
+
+namespace cornelhead {
+namespace detail {
+
+// The controller writes a few times a second at most, so this many lost races mean a fault.
+constexpr int maxEditTries = 10;
+
+std::string moveKey(const ServiceId &service)
+{
+    return movePrefix + service.value();
+}
+
+Result<Move> readStored(const KeyValue &stored)
+{
+    Result<Move> move = decodeMove(stored.value);
+    if (move)
+        move->modRevision = stored.modRevision;
+    return move;
+}
+
+// Carries one edit through lost races and lost answers.
+class MoveEdit
+{
+public:
+    MoveEdit(const PlatformOperations &platform, const ServiceId &service, const EditId &edit,
+             const MoveAction &action)
+        : platform_(platform), service_(service), edit_(edit), action_(action)
+    { }
+
+    Result<Move> run()
+    {
+        for (int i = 0; i < maxEditTries; ++i) {
+            Result<std::optional<Move>> done = tryOnce();
+            if (!done)
+                return giveUp(done.error());
+            if (*done)
+                return std::move(**done);
+        }
+        return giveUp(Error{ErrorKind::Conflict, "the move's record kept changing",
+                            "look at 'cornelheadctl report' and repeat the command"});
+    }
+
+private:
+    // Returns nothing where the edit has to be tried on a newer record.
+    Result<std::optional<Move>> tryOnce()
+    {
+        const Result<std::optional<Move>> held = readMove(platform_, service_);
+        if (!held)
+            return tl::unexpected<Error>(held.error());
+        if (*held && holdsEdit(**held, edit_))
+            return *held;
+        Result<Move> wanted = action_(*held);
+        if (!wanted) {
+            wasUnclear_ = wasUnclear_ && held->has_value() && !isNewer(**held);
+            return tl::unexpected<Error>(wanted.error());
+        }
+        base_ = *held ? (*held)->modRevision : ModRevision();
+        const Result<ModRevision> put
+                = platform_.put(moveKey(service_), encodeMove(*wanted), {base_});
+        if (put) {
+            wanted->modRevision = *put;
+            return std::optional<Move>(std::move(*wanted));
+        }
+        wasUnclear_ = put.error().kind == ErrorKind::Unknown;
+        if (wasUnclear_ || put.error().kind == ErrorKind::Conflict)
+            return std::optional<Move>();
+        return tl::unexpected<Error>(put.error());
+    }
+
+    // A write that is still on its way loses against a record that is newer than its base.
+    bool isNewer(const Move &held) const { return held.modRevision > base_; }
+
+    tl::unexpected<Error> giveUp(const Error &error) const
+    {
+        if (!wasUnclear_)
+            return tl::unexpected<Error>(error);
+        return fail(ErrorKind::Unknown,
+                    "it is not known whether the move of " + service_.value()
+                            + " was edited: " + error.describe(),
+                    "look at 'cornelheadctl report' before repeating the command");
+    }
+
+    const PlatformOperations &platform_;
+    const ServiceId &service_;
+    const EditId &edit_;
+    const MoveAction &action_;
+    // The revision that the last write expected.
+    ModRevision base_;
+    // The outcome of the last write is not known.
+    bool wasUnclear_ = false;
+};
+
+} // namespace detail
+
+Result<std::optional<Move>> readMove(const PlatformOperations &platform, const ServiceId &service)
+{
+    const Result<std::optional<KeyValue>> found = platform.get(detail::moveKey(service));
+    if (!found)
+        return tl::unexpected<Error>(found.error());
+    if (!*found)
+        return std::optional<Move>();
+    return detail::readStored(**found);
+}
+
+Result<MoveTable> readMoves(const PlatformOperations &platform)
+{
+    const Result<Listing> listing = platform.list(movePrefix);
+    if (!listing)
+        return tl::unexpected<Error>(listing.error());
+    MoveTable table;
+    for (const KeyValue &entry : listing->entries) {
+        Result<Move> move = detail::readStored(entry);
+        if (!move)
+            return tl::unexpected<Error>(move.error());
+        const ServiceId service = move->service;
+        table.moves.insert_or_assign(service, std::move(*move));
+    }
+    return table;
+}
+
+Result<Move> editMove(const PlatformOperations &platform, const ServiceId &service,
+                      const EditId &edit, const MoveAction &action)
+{
+    return detail::MoveEdit(platform, service, edit, action).run();
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/ctl/platform-operations.cc
@@ -0,0 +1,98 @@
+// Runs the platform's client on a loop of its own until each answer is there.
+#include "cornelhead/ctl/platform-operations.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "cornelhead/base/metrics.h"
+#include "cornelhead/base/random.h"
+#include "cornelhead/net/event-loop.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr Milliseconds callTimeout(2000);
+constexpr Milliseconds firstBackOff(50);
+constexpr Milliseconds mostBackOff(1000);
+
+bool wasNotRun(const Error &error)
+{
+    return error.kind == ErrorKind::Unavailable || error.kind == ErrorKind::RateLimited;
+}
+
+} // namespace detail
+
+struct PlatformSession::Impl
+{
+    Impl(std::vector<Address> addresses, Milliseconds patienceOfCalls)
+        : client(loop, std::move(addresses), std::min(detail::callTimeout, patienceOfCalls),
+                 metrics),
+          patience(patienceOfCalls)
+    { }
+
+    template <typename T, typename Begin>
+    Result<T> callOnce(Begin begin)
+    {
+        std::optional<Result<T>> answer;
+        begin([&](Result<T> result) {
+            answer.emplace(std::move(result));
+            loop.stop();
+        });
+        while (!answer)
+            loop.run();
+        return std::move(*answer);
+    }
+
+    // Waits between tries with full jitter, so that many callers do not come back together.
+    template <typename T, typename Begin>
+    Result<T> call(Begin begin)
+    {
+        const TimePoint end = now(clock) + patience;
+        Milliseconds backOff = detail::firstBackOff;
+        Result<T> result = callOnce<T>(begin);
+        while (!result && detail::wasNotRun(result.error()) && now(clock) < end) {
+            loop.runFor(random.jitter(backOff));
+            backOff = std::min(2 * backOff, detail::mostBackOff);
+            result = callOnce<T>(begin);
+        }
+        return result;
+    }
+
+    EventLoop loop;
+    Metrics metrics;
+    PlatformClient client;
+    Milliseconds patience;
+    Clock clock = SteadyClock();
+    Random random{freshSeed()};
+};
+
+PlatformSession::PlatformSession(std::vector<Address> addresses, Milliseconds patience)
+    : impl_(std::make_unique<Impl>(std::move(addresses), patience))
+{ }
+
+PlatformSession::~PlatformSession() = default;
+
+PlatformOperations PlatformSession::operations()
+{
+    Impl &impl = *impl_;
+    PlatformOperations operations;
+    operations.get = [&impl](const std::string &key) {
+        return impl.call<std::optional<KeyValue>>(
+                [&](auto done) { impl.client.get(key, std::move(done)); });
+    };
+    operations.list = [&impl](const std::string &prefix) {
+        return impl.call<Listing>([&](auto done) { impl.client.list(prefix, std::move(done)); });
+    };
+    operations.put = [&impl](const std::string &key, const std::string &value, Expected expected) {
+        return impl.call<ModRevision>([&](auto done) {
+            impl.client.put(key, value, expected, std::nullopt, std::move(done));
+        });
+    };
+    operations.remove = [&impl](const std::string &key, Expected expected) {
+        return impl.call<void>(
+                [&](auto done) { impl.client.remove(key, expected, std::move(done)); });
+    };
+    return operations;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/ctl/prune.cc
@@ -0,0 +1,138 @@
+// Removes past manifests and the chunks that only they name.
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornelhead/ctl/configuration-store.h"
+
+namespace cornelhead {
+namespace detail {
+
+// Chunks are listed by their first digit, so that one answer stays small.
+constexpr std::string_view firstDigits = "0123456789abcdef";
+
+struct ListedKey
+{
+    std::string key;
+    ModRevision modRevision;
+};
+
+Result<std::vector<ListedKey>> listChunkKeys(const PlatformOperations &platform)
+{
+    std::vector<ListedKey> keys;
+    for (const char digit : firstDigits) {
+        const Result<Listing> listing = platform.list(std::string(chunkPrefix) + digit);
+        if (!listing)
+            return tl::unexpected<Error>(listing.error());
+        for (const KeyValue &entry : listing->entries)
+            keys.push_back({entry.key, entry.modRevision});
+    }
+    return keys;
+}
+
+// The newest `keep` of the listed manifests by revision, and the rest.
+struct SplitHistory
+{
+    std::vector<Manifest> kept;
+    std::vector<ListedKey> dropped;
+};
+
+Result<SplitHistory> splitHistory(const PlatformOperations &platform, std::size_t keep)
+{
+    const Result<Listing> listing = platform.list(historyPrefix);
+    if (!listing)
+        return tl::unexpected<Error>(listing.error());
+    std::vector<std::pair<Manifest, ListedKey>> all;
+    for (const KeyValue &entry : listing->entries) {
+        Result<Manifest> manifest = decodeManifest(entry.value);
+        if (!manifest)
+            return tl::unexpected<Error>(manifest.error());
+        all.emplace_back(std::move(*manifest), ListedKey{entry.key, entry.modRevision});
+    }
+    std::sort(all.begin(), all.end(), [](const auto &left, const auto &right) {
+        return left.first.revision > right.first.revision;
+    });
+    SplitHistory split;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        if (i < keep)
+            split.kept.push_back(std::move(all[i].first));
+        else
+            split.dropped.push_back(std::move(all[i].second));
+    }
+    return split;
+}
+
+// Makes every apply that read the manifest before now lose its compare-and-swap.
+Result<void> fence(const PlatformOperations &platform, const StoredManifest &inForce)
+{
+    const Result<ModRevision> put
+            = platform.put(manifestKey, encodeManifest(inForce.manifest), {inForce.modRevision});
+    if (put)
+        return {};
+    if (put.error().kind != ErrorKind::Conflict)
+        return tl::unexpected<Error>(put.error());
+    return fail(ErrorKind::Conflict, "a configuration was accepted meanwhile", "prune again");
+}
+
+// Removes what is unchanged since it was listed; returns how many keys went.
+Result<std::size_t> removeUnchanged(const PlatformOperations &platform,
+                                    const std::vector<ListedKey> &keys)
+{
+    std::size_t removed = 0;
+    for (const ListedKey &listed : keys) {
+        const Result<void> done = platform.remove(listed.key, {listed.modRevision});
+        if (done)
+            ++removed;
+        else if (done.error().kind != ErrorKind::Conflict
+                 && done.error().kind != ErrorKind::NotFound)
+            return tl::unexpected<Error>(done.error());
+    }
+    return removed;
+}
+
+std::set<std::string> namedChunkKeys(const SplitHistory &history, const Manifest &inForce)
+{
+    std::set<std::string> named;
+    const auto add = [&](const Manifest &manifest) {
+        for (const Digest &digest : manifest.chunks)
+            named.insert(chunkPrefix + digest.value());
+    };
+    add(inForce);
+    std::for_each(history.kept.begin(), history.kept.end(), add);
+    return named;
+}
+
+} // namespace detail
+
+Result<PruneOutcome> pruneHistory(const PlatformOperations &platform, std::size_t keep)
+{
+    // The order is what makes it safe: list, read the manifest, fence, remove.
+    Result<std::vector<detail::ListedKey>> chunks = detail::listChunkKeys(platform);
+    if (!chunks)
+        return tl::unexpected<Error>(chunks.error());
+    const Result<std::optional<StoredManifest>> inForce = readManifest(platform);
+    if (!inForce)
+        return tl::unexpected<Error>(inForce.error());
+    if (!*inForce)
+        return fail(ErrorKind::NotFound, "no configuration is in force", "apply one first");
+    const Result<detail::SplitHistory> history = detail::splitHistory(platform, keep);
+    if (!history)
+        return tl::unexpected<Error>(history.error());
+    if (const Result<void> fenced = detail::fence(platform, **inForce); !fenced)
+        return tl::unexpected<Error>(fenced.error());
+
+    const std::set<std::string> named = detail::namedChunkKeys(*history, (*inForce)->manifest);
+    std::erase_if(*chunks, [&](const auto &listed) { return named.contains(listed.key); });
+    // Manifests go first, so that none is left whose chunks are gone.
+    const Result<std::size_t> manifests = detail::removeUnchanged(platform, history->dropped);
+    if (!manifests)
+        return tl::unexpected<Error>(manifests.error());
+    const Result<std::size_t> removed = detail::removeUnchanged(platform, *chunks);
+    if (!removed)
+        return tl::unexpected<Error>(removed.error());
+    return PruneOutcome{*removed, *manifests};
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/ctl/status-command.cc
@@ -0,0 +1,137 @@
+// Implements status.
+#include "ctl/status-command.h"
+
+#include <algorithm>
+#include <exception>
+#include <optional>
+#include <utility>
+
+#include "cornelhead/ctl/configuration-store.h"
+
+namespace cornelhead::detail {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+// What one node says about itself.
+struct NodeStatus
+{
+    std::string address;
+    std::uint64_t revision = 0;
+    std::string digest;
+    std::string role;
+    std::string dataCentre;
+    // Empty when the node answered.
+    std::string problem;
+};
+
+// Nodes of other releases may lack some of it.
+template <typename T>
+T valueOr(const nlohmann::json &json, const char *name, T otherwise)
+{
+    const auto found = json.find(name);
+    return found == json.end() || found->is_null() ? std::move(otherwise) : found->get<T>();
+}
+
+void readStatus(const std::string &body, NodeStatus &status)
+{
+    try {
+        const nlohmann::json json = nlohmann::json::parse(body);
+        status.revision = valueOr<std::uint64_t>(json, "revision", 0);
+        status.digest = valueOr<std::string>(json, "digest", "-");
+        status.role = valueOr<std::string>(json, "role", "-");
+        status.dataCentre = valueOr<std::string>(json, "dataCentre", "-");
+    } catch (const std::exception &) {
+        status.problem = "its status cannot be read";
+    }
+}
+
+NodeStatus askNode(const Address &address, const CommandContext &context)
+{
+    NodeStatus status;
+    status.address = address.toString();
+    const Result<HttpResponse> response = context.askNode(address, "/status");
+    if (!response)
+        status.problem = response.error().message;
+    else if (response->status != 200)
+        status.problem = "it answered " + std::to_string(response->status);
+    else
+        readStatus(response->body, status);
+    return status;
+}
+
+bool isAt(const NodeStatus &status, const std::optional<StoredManifest> &inForce)
+{
+    if (!status.problem.empty())
+        return false;
+    return !inForce
+            || (status.revision == inForce->manifest.revision.value()
+                && status.digest == inForce->manifest.digest.value());
+}
+
+Json nodeToJson(const NodeStatus &status, bool isInForce)
+{
+    return {{"address", status.address},   {"dataCentre", status.dataCentre},
+            {"revision", status.revision}, {"digest", status.digest},
+            {"role", status.role},         {"inForce", isInForce},
+            {"problem", status.problem}};
+}
+
+void addRow(TextTable &table, const NodeStatus &status, bool isInForce)
+{
+    const bool isReached = status.problem.empty();
+    table.add({status.address, isReached ? status.dataCentre : "-",
+               isReached ? std::to_string(status.revision) : "-", isReached ? status.digest : "-",
+               isReached ? status.role : "-", isInForce ? "yes" : "no",
+               isReached ? "-" : status.problem});
+}
+
+std::string platformLine(const Result<std::optional<StoredManifest>> &inForce)
+{
+    if (!inForce)
+        return "platform: " + inForce.error().describe() + "\n";
+    if (!*inForce)
+        return "platform: no configuration is accepted yet\n";
+    const Manifest &manifest = (*inForce)->manifest;
+    return "platform: revision " + std::to_string(manifest.revision.value()) + " "
+            + manifest.digest.value() + "\n";
+}
+
+Json platformToJson(const Result<std::optional<StoredManifest>> &inForce)
+{
+    if (!inForce)
+        return {{"available", false}, {"problem", inForce.error().describe()}};
+    if (!*inForce)
+        return {{"available", true}, {"revision", 0}};
+    const Manifest &manifest = (*inForce)->manifest;
+    return {{"available", true},
+            {"revision", manifest.revision.value()},
+            {"digest", manifest.digest.value()}};
+}
+
+} // namespace
+
+// With the platform away the nodes are still shown, but nothing tells whether they are behind.
+ExitCode run(const StatusCommand &command, const CommandContext &context, Output &output)
+{
+    const Result<std::optional<StoredManifest>> inForce = readManifest(context.platform);
+    const std::optional<StoredManifest> manifest = inForce.value_or(std::nullopt);
+    TextTable table({"NODE", "DATA CENTRE", "REVISION", "DIGEST", "ROLE", "IN FORCE", "PROBLEM"});
+    Json nodes = Json::array();
+    bool isAllInForce = true;
+    for (const Address &address : command.nodes) {
+        const NodeStatus status = askNode(address, context);
+        const bool isInForce = isAt(status, manifest);
+        isAllInForce = isAllInForce && isInForce;
+        addRow(table, status, isInForce);
+        nodes.push_back(nodeToJson(status, isInForce));
+    }
+    output.write({{"platform", platformToJson(inForce)}, {"nodes", std::move(nodes)}},
+                 platformLine(inForce) + (command.nodes.empty() ? "" : table.render()));
+    if (!inForce)
+        return exitCodeOf(inForce.error());
+    return isAllInForce ? ExitCode::Ok : ExitCode::Refused;
+}
+
+} // namespace cornelhead::detail
