--- a/include/cornelhead/rollout/move.h
+++ b/include/cornelhead/rollout/move.h
@@ -10,6 +10,7 @@
 
 #include "cornelhead/base/error.h"
 #include "cornelhead/base/ids.h"
+#include "cornelhead/rollout/outcome.h"
 
 namespace cornelhead {
 
@@ -53,6 +54,8 @@
     std::int64_t startedAtMs = 0;
     /// The move is to have full share by then.
     std::int64_t deadlineMs = 0;
+    /// When the new version got every call; 0 before that.
+    std::int64_t fullShareAtMs = 0;
     /// The edit that wrote the record last.
     EditId edit;
     /// Why it was taken back, or how it ended.
@@ -60,6 +63,9 @@
     /// Versions of this service that were taken back, now or before; none of them may start again.
     std::set<VersionId> refusedVersions;
     std::vector<MoveEvent> events;
+    /// What callers got of the old version until the last step, so that a controller which takes
+    /// over can judge the new version when the old one has no calls left.
+    OutcomeBatch past;
     /// The platform's revision of this record; not stored in it.
     ModRevision modRevision;
 };
--- /dev/null
+++ b/include/cornelhead/rollout/pace.h
@@ -0,0 +1,35 @@
+// Says when a move takes its next step, so that a good version has every call by the deadline.
+#pragma once
+
+#include <cstdint>
+
+#include "cornelhead/rollout/move.h"
+
+namespace cornelhead {
+
+/// The share a new version has until it was judged.
+constexpr PerMille firstShare = PerMille(50);
+
+/// What the pace depends on.
+struct PaceInput
+{
+    PerMille share;
+    std::int64_t startedAtMs = 0;
+    std::int64_t deadlineMs = 0;
+    std::int64_t nowMs = 0;
+    /// Since the share was raised last, or since the controller began to gather evidence.
+    std::int64_t stageMs = 0;
+    /// Badness would have shown at this share.
+    bool isCleared = false;
+    /// Something speaks against the new version, but not enough to take it back.
+    bool isSuspect = false;
+};
+
+/// Returns the share to have now; never below `input.share`.
+PerMille dueShare(const PaceInput &input);
+/// Returns how long a controller gathers its own evidence before it raises a share.
+std::int64_t leastStageMs(std::int64_t moveMs);
+/// Returns how long a version is watched at full share, from the time that the move was given.
+std::int64_t watchMs(std::int64_t moveMs);
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/rollout/controller.cc
@@ -0,0 +1,289 @@
+// Drives moves: judges, raises shares at the pace, takes bad versions back.
+#include "cornelhead/rollout/controller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "cornelhead/rollout/judgement.h"
+#include "cornelhead/rollout/pace.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr std::int64_t blockMs = 300;
+/// After a longer silence a controller counts as new, since its evidence has a hole.
+constexpr std::int64_t longestGapMs = 3'000;
+/// Odds from which a version is suspect: its share waits.
+constexpr double suspectOdds = 20.0;
+/// The probability that a good version is ever taken back by the controller.
+constexpr double controllerFalseAlarms = 0.004;
+/// The same for one node or data centre; there are many of them.
+constexpr double brakeFalseAlarms = 0.00002;
+
+bool isSameMove(const Move &one, const Move &other)
+{
+    return one.newVersion == other.newVersion && one.oldVersion == other.oldVersion
+            && one.startedAtMs == other.startedAtMs;
+}
+
+JudgementSettings settingsFor(const Move &move, double falseAlarms)
+{
+    const std::int64_t moveMs = std::max<std::int64_t>(1, move.deadlineMs - move.startedAtMs);
+    const auto wholeMs = static_cast<double>(moveMs + watchMs(moveMs));
+    return {falseAlarms, std::max(20.0, wholeMs / blockMs)};
+}
+
+/// One move with the evidence for and against it.
+class TrackedMove
+{
+public:
+    TrackedMove(Move move, double falseAlarms)
+        : move_(std::move(move)), judgement_(settingsFor(move_, falseAlarms))
+    {
+        judgement_.recallPast(move_.past);
+    }
+
+    const Move &move() const { return move_; }
+    const Judgement &judgement() const { return judgement_; }
+
+    /// Takes a newer record of the same move.
+    void update(const Move &move)
+    {
+        if (move.share != move_.share)
+            startStage(lastMs_);
+        judgement_.recallPast(move.past);
+        move_ = move;
+    }
+
+    void add(const OutcomeKey &key, const OutcomeSums &sums)
+    {
+        if (key.version == move_.newVersion)
+            judgement_.add(true, key.route, key.dataCentre, sums);
+        else if (key.version == move_.oldVersion)
+            judgement_.add(false, key.route, key.dataCentre, sums);
+    }
+
+    /// Closes blocks that ended by `nowMs`.
+    void advance(std::int64_t nowMs)
+    {
+        if (nowMs - lastMs_ > longestGapMs)
+            startStage(nowMs);
+        lastMs_ = std::max(lastMs_, nowMs);
+        if (nowMs - blockStartMs_ < blockMs)
+            return;
+        blockStartMs_ = nowMs;
+        judgement_.closeBlock(move_.share == fullShare);
+    }
+
+    /// Returns how long evidence was gathered at the present share without a hole.
+    std::int64_t stageMs(std::int64_t nowMs) const { return nowMs - stageStartMs_; }
+
+private:
+    void startStage(std::int64_t nowMs)
+    {
+        stageStartMs_ = nowMs;
+        judgement_.startStage();
+    }
+
+    Move move_;
+    Judgement judgement_;
+    std::int64_t blockStartMs_ = 0;
+    std::int64_t stageStartMs_ = 0;
+    std::int64_t lastMs_ = 0;
+};
+
+/// Holds the latest record of each service and what was seen since.
+class MoveBook
+{
+public:
+    explicit MoveBook(double falseAlarms) : falseAlarms_(falseAlarms) { }
+
+    void observe(const Move &move)
+    {
+        const auto found = moves_.find(move.service);
+        if (found == moves_.end()) {
+            moves_.try_emplace(move.service, move, falseAlarms_);
+            return;
+        }
+        if (move.modRevision <= found->second.move().modRevision)
+            return;
+        if (isSameMove(found->second.move(), move))
+            found->second.update(move);
+        else
+            found->second = TrackedMove(move, falseAlarms_);
+    }
+
+    void addEvidence(const OutcomeBatch &outcomes, std::int64_t nowMs)
+    {
+        for (const auto &[key, sums] : outcomes) {
+            const auto found = moves_.find(key.service);
+            if (found != moves_.end())
+                found->second.add(key, sums);
+        }
+        for (auto &[service, tracked] : moves_)
+            tracked.advance(nowMs);
+    }
+
+    TrackedMove *find(const ServiceId &service)
+    {
+        const auto found = moves_.find(service);
+        return found == moves_.end() ? nullptr : &found->second;
+    }
+
+private:
+    double falseAlarms_;
+    std::map<ServiceId, TrackedMove> moves_;
+};
+
+std::string stageText(const VersionSums &stage)
+{
+    const auto part = [](const OutcomeSums &sums) {
+        const double calls = static_cast<double>(std::max<std::uint64_t>(1, sums.calls));
+        return std::to_string(sums.calls) + " calls, "
+                + renderPercent(static_cast<double>(sums.failures) / calls) + " failed";
+    };
+    return "new version: " + part(stage.newer) + "; old version: " + part(stage.older);
+}
+
+// Fenced by the revision of the record that it replaces.
+Move recordStep(const TrackedMove &tracked, std::int64_t nowMs, const std::string &text)
+{
+    Move next = tracked.move();
+    next.edit = EditId("controller-" + std::to_string(next.modRevision.value()) + "-"
+                       + std::to_string(nowMs));
+    addMoveEvent(next, nowMs, text);
+    return next;
+}
+
+Move takeBack(const TrackedMove &tracked, const Finding &finding, std::int64_t nowMs)
+{
+    Move next = recordStep(tracked, nowMs, "taken back");
+    next.state = MoveState::TakenBack;
+    next.share = PerMille(0);
+    next.refusedVersions.insert(next.newVersion);
+    const auto odds = static_cast<std::uint64_t>(std::min(finding.odds, 1e9));
+    next.verdict = "taken back: " + finding.text + "; odds " + std::to_string(odds) + " to 1";
+    next.events.back() = {nowMs, PerMille(0), next.verdict, {}};
+    return next;
+}
+
+Move raise(const TrackedMove &tracked, PerMille share, std::int64_t nowMs)
+{
+    Move next = tracked.move();
+    next.share = share;
+    if (share == fullShare) {
+        next.state = MoveState::Watching;
+        next.fullShareAtMs = nowMs;
+    }
+    const OutcomeBatch past = tracked.judgement().past(next.service, next.oldVersion);
+    for (const auto &[key, sums] : past)
+        if (next.past[key].calls < sums.calls)
+            next.past[key] = sums;
+    next.edit = EditId("controller-" + std::to_string(next.modRevision.value()) + "-"
+                       + std::to_string(nowMs));
+    addMoveEvent(next, nowMs,
+                 "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + "; "
+                         + stageText(tracked.judgement().stage()));
+    return next;
+}
+
+Move finish(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    Move next = recordStep(tracked, nowMs, "done; " + stageText(tracked.judgement().stage()));
+    next.state = MoveState::Done;
+    next.verdict = "done: nothing spoke against the new version until "
+            + std::to_string((nowMs - next.fullShareAtMs) / 1000) + " s after full share";
+    return next;
+}
+
+std::optional<Move> nextStep(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
+    if (move.state == MoveState::Watching) {
+        const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
+        if (isSuspect || nowMs - move.fullShareAtMs < watch || tracked.stageMs(nowMs) < watch / 2)
+            return std::nullopt;
+        return finish(tracked, nowMs);
+    }
+    if (move.state != MoveState::Running)
+        return std::nullopt;
+    const PerMille due
+            = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
+                        tracked.stageMs(nowMs), tracked.judgement().isCleared(), isSuspect});
+    if (due <= move.share)
+        return std::nullopt;
+    return raise(tracked, due, nowMs);
+}
+
+} // namespace detail
+
+struct MoveController::Impl
+{
+    detail::MoveBook book{detail::controllerFalseAlarms};
+};
+
+MoveController::MoveController() : impl_(std::make_unique<Impl>()) { }
+MoveController::~MoveController() = default;
+MoveController::MoveController(MoveController &&) noexcept = default;
+MoveController &MoveController::operator=(MoveController &&) noexcept = default;
+
+void MoveController::observe(const Move &move)
+{
+    impl_->book.observe(move);
+}
+
+void MoveController::addEvidence(const OutcomeBatch &outcomes, std::int64_t nowMs)
+{
+    impl_->book.addEvidence(outcomes, nowMs);
+}
+
+std::optional<Move> MoveController::next(const ServiceId &service, std::int64_t nowMs)
+{
+    detail::TrackedMove *tracked = impl_->book.find(service);
+    if (!tracked || isFinal(tracked->move().state))
+        return std::nullopt;
+    tracked->advance(nowMs);
+    if (const auto finding = tracked->judgement().finding())
+        return detail::takeBack(*tracked, *finding, nowMs);
+    return detail::nextStep(*tracked, nowMs);
+}
+
+struct LocalBrake::Impl
+{
+    detail::MoveBook book{detail::brakeFalseAlarms};
+    std::map<ServiceId, VersionId> braked;
+};
+
+LocalBrake::LocalBrake() : impl_(std::make_unique<Impl>()) { }
+LocalBrake::~LocalBrake() = default;
+LocalBrake::LocalBrake(LocalBrake &&) noexcept = default;
+LocalBrake &LocalBrake::operator=(LocalBrake &&) noexcept = default;
+
+void LocalBrake::observe(const Move &move)
+{
+    impl_->book.observe(move);
+    const Move &latest = impl_->book.find(move.service)->move();
+    const auto found = impl_->braked.find(move.service);
+    if (found != impl_->braked.end()
+        && (isFinal(latest.state) || found->second != latest.newVersion))
+        impl_->braked.erase(found);
+}
+
+void LocalBrake::addEvidence(const OutcomeBatch &outcomes, std::int64_t nowMs)
+{
+    impl_->book.addEvidence(outcomes, nowMs);
+    for (const auto &[key, sums] : outcomes) {
+        const detail::TrackedMove *tracked = impl_->book.find(key.service);
+        if (tracked && !isFinal(tracked->move().state) && tracked->judgement().finding())
+            impl_->braked.insert_or_assign(key.service, tracked->move().newVersion);
+    }
+}
+
+bool LocalBrake::isBraked(const ServiceId &service) const
+{
+    return impl_->braked.contains(service);
+}
+
+} // namespace cornelhead
--- a/src/rollout/move.cc
+++ b/src/rollout/move.cc
@@ -43,6 +43,27 @@
     return event;
 }
 
+Json encodeSums(const OutcomeKey &key, const OutcomeSums &sums)
+{
+    return {{"route", key.route.value()}, {"data_centre", key.dataCentre.value()},
+            {"calls", sums.calls},        {"failures", sums.failures},
+            {"shed", sums.shed},          {"cold", sums.cold},
+            {"latencies", sums.latencies}};
+}
+
+void decodeSums(const Json &json, Move &move)
+{
+    OutcomeSums sums;
+    sums.calls = json.at("calls").get<std::uint64_t>();
+    sums.failures = json.at("failures").get<std::uint64_t>();
+    sums.shed = json.at("shed").get<std::uint64_t>();
+    sums.cold = json.at("cold").get<std::uint64_t>();
+    sums.latencies = json.at("latencies").get<decltype(sums.latencies)>();
+    move.past[{move.service, move.oldVersion, RouteId(json.at("route").get<std::string>()),
+               DataCentreId(json.at("data_centre").get<std::string>())}]
+            = sums;
+}
+
 Move readMove(const Json &json)
 {
     Move move;
@@ -52,12 +73,15 @@
     move.share = PerMille(json.at("share").get<std::uint64_t>());
     move.startedAtMs = json.at("started_at_ms").get<std::int64_t>();
     move.deadlineMs = json.at("deadline_ms").get<std::int64_t>();
+    move.fullShareAtMs = json.at("full_share_at_ms").get<std::int64_t>();
     move.edit = EditId(json.at("edit").get<std::string>());
     move.verdict = json.at("verdict").get<std::string>();
     for (const Json &version : json.at("refused_versions"))
         move.refusedVersions.insert(VersionId(version.get<std::string>()));
     for (const Json &event : json.at("events"))
         move.events.push_back(decodeEvent(event));
+    for (const Json &sums : json.at("past"))
+        decodeSums(sums, move);
     return move;
 }
 
@@ -133,15 +157,19 @@
             {"share", move.share.value()},
             {"started_at_ms", move.startedAtMs},
             {"deadline_ms", move.deadlineMs},
+            {"full_share_at_ms", move.fullShareAtMs},
             {"edit", move.edit.value()},
             {"verdict", move.verdict},
             {"refused_versions", detail::Json::array()},
             {"events", detail::Json::array()},
+            {"past", detail::Json::array()},
     };
     for (const VersionId &version : move.refusedVersions)
         json["refused_versions"].push_back(version.value());
     for (const MoveEvent &event : move.events)
         json["events"].push_back(detail::encodeEvent(event));
+    for (const auto &[key, sums] : move.past)
+        json["past"].push_back(detail::encodeSums(key, sums));
     // Names that are not UTF-8 must not end the process.
     return json.dump(-1, ' ', false, detail::Json::error_handler_t::replace);
 }
--- /dev/null
+++ b/test/rollout/controller-test.cc
@@ -0,0 +1,183 @@
+// Tests the controller and the brake on small streams of outcomes over a clock moved by hand.
+#include "cornelhead/rollout/controller.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "cornelhead/base/random.h"
+#include "cornelhead/rollout/move-actions.h"
+
+namespace cornelhead {
+namespace {
+
+const ServiceId service("bookings");
+const VersionId oldVersion("v1");
+const VersionId newVersion("v2");
+
+/// A record with compare-and-swap, a steady stream of calls, and one controller.
+struct Fixture
+{
+    Random random{7};
+    MoveController controller;
+    LocalBrake brake;
+    Move record;
+    std::int64_t nowMs = 1'000'000;
+    double newFailures = 0.002;
+    double oldFailures = 0.002;
+    double callsPerTick = 10;
+
+    explicit Fixture(std::int64_t moveMs = 15'000)
+    {
+        record = startMove(std::nullopt, {service, oldVersion, newVersion, nowMs + moveMs},
+                           {EditId("start"), nowMs})
+                         .value();
+        record.modRevision = ModRevision(1);
+        observe();
+    }
+
+    void observe()
+    {
+        controller.observe(record);
+        brake.observe(record);
+    }
+
+    void write(Move next)
+    {
+        BOOST_REQUIRE(next.modRevision == record.modRevision);
+        next.modRevision = record.modRevision.next();
+        record = next;
+        observe();
+    }
+
+    void tick()
+    {
+        constexpr std::int64_t tickMs = 100;
+        nowMs += tickMs;
+        OutcomeBatch batch;
+        for (int i = 0; i < callsPerTick; ++i) {
+            const bool isNew = random.below(1000) < record.share.value();
+            OutcomeSums &sums = batch[{service, isNew ? newVersion : oldVersion, RouteId("/book"),
+                                       DataCentreId("akl-a")}];
+            sums.calls += 1;
+            sums.failures += random.chance(isNew ? newFailures : oldFailures) ? 1 : 0;
+            sums.latencies[4 + random.below(3)] += 1;
+        }
+        brake.addEvidence(batch, nowMs);
+        controller.addEvidence(batch, nowMs);
+        if (const auto next = controller.next(service, nowMs))
+            write(*next);
+    }
+
+    void run(std::int64_t forMs)
+    {
+        for (const std::int64_t endMs = nowMs + forMs; nowMs < endMs;)
+            tick();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(controller)
+
+BOOST_AUTO_TEST_CASE(givesAGoodVersionEveryCallByTheDeadline)
+{
+    Fixture fixture;
+    fixture.run(15'000);
+    BOOST_TEST((fixture.record.state == MoveState::Watching));
+    BOOST_TEST(fixture.record.share.value() == 1000);
+    fixture.run(9'000);
+    BOOST_TEST((fixture.record.state == MoveState::Done));
+    BOOST_TEST(!fixture.brake.isBraked(service));
+}
+
+BOOST_AUTO_TEST_CASE(takesBackAVersionThatFails)
+{
+    Fixture fixture;
+    fixture.newFailures = 0.3;
+    fixture.run(6'000);
+    BOOST_TEST((fixture.record.state == MoveState::TakenBack));
+    BOOST_TEST(fixture.record.share.value() == 0);
+    BOOST_TEST(fixture.record.refusedVersions.contains(newVersion));
+    BOOST_TEST(fixture.record.verdict.find("calls failed") != std::string::npos);
+    for (const MoveEvent &event : fixture.record.events)
+        BOOST_TEST(event.share.value() <= 50);
+}
+
+BOOST_AUTO_TEST_CASE(takesBackAVersionThatFailsLate)
+{
+    Fixture fixture;
+    fixture.run(16'000);
+    BOOST_REQUIRE((fixture.record.state == MoveState::Watching));
+    fixture.newFailures = 0.3;
+    fixture.run(3'000);
+    BOOST_TEST((fixture.record.state == MoveState::TakenBack));
+}
+
+BOOST_AUTO_TEST_CASE(doesNotHoldAFaultOfBothAgainstTheNewVersion)
+{
+    Fixture fixture;
+    fixture.run(3'000);
+    fixture.newFailures = fixture.oldFailures = 0.5;
+    fixture.run(2'000);
+    fixture.newFailures = fixture.oldFailures = 0.002;
+    fixture.run(10'000);
+    BOOST_TEST((fixture.record.state == MoveState::Watching));
+}
+
+BOOST_AUTO_TEST_CASE(keepsTheBrakeUntilTheRecordIsFinal)
+{
+    Fixture fixture;
+    fixture.newFailures = 0.9;
+    // The controller is away, so that only the brake acts.
+    fixture.run(500);
+    for (int i = 0; i < 100; ++i) {
+        OutcomeBatch batch;
+        batch[{service, newVersion, RouteId("/book"), DataCentreId("akl-a")}]
+                = OutcomeSums{.calls = 5, .failures = 4};
+        batch[{service, oldVersion, RouteId("/book"), DataCentreId("akl-a")}]
+                = OutcomeSums{.calls = 95};
+        fixture.nowMs += 100;
+        fixture.brake.addEvidence(batch, fixture.nowMs);
+    }
+    BOOST_TEST(fixture.brake.isBraked(service));
+    Move raised = fixture.record;
+    raised.share = PerMille(300);
+    raised.modRevision = ModRevision(50);
+    fixture.brake.observe(raised);
+    BOOST_TEST(fixture.brake.isBraked(service));
+    Move back = takeBackMove(raised, "", {EditId("back"), fixture.nowMs}).value();
+    back.modRevision = ModRevision(51);
+    fixture.brake.observe(back);
+    BOOST_TEST(!fixture.brake.isBraked(service));
+}
+
+BOOST_AUTO_TEST_CASE(aControllerThatTookOverGathersItsOwnEvidenceFirst)
+{
+    Fixture fixture(60'000);
+    fixture.run(30'000);
+    const std::uint64_t share = fixture.record.share.value();
+    BOOST_REQUIRE(share < 1000);
+    fixture.controller = MoveController();
+    fixture.nowMs += 25'000;
+    fixture.observe();
+    fixture.run(1'900);
+    BOOST_TEST(fixture.record.share.value() == share);
+    fixture.run(1'000);
+    BOOST_TEST(fixture.record.share.value() > share);
+}
+
+BOOST_AUTO_TEST_CASE(ignoresAnOlderRecord)
+{
+    Fixture fixture;
+    Move older = fixture.record;
+    fixture.run(2'000);
+    BOOST_REQUIRE(fixture.record.modRevision > older.modRevision);
+    older.share = PerMille(900);
+    fixture.controller.observe(older);
+    fixture.nowMs += 20'000;
+    const auto next = fixture.controller.next(service, fixture.nowMs);
+    BOOST_TEST((!next || next->modRevision == fixture.record.modRevision));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- a/test/rollout/move-test.cc
+++ b/test/rollout/move-test.cc
@@ -21,6 +21,8 @@
     move.edit = EditId("edit-1");
     move.verdict = "line \"quoted\"\n\xff";
     move.refusedVersions = {VersionId("v0")};
+    move.past[{move.service, move.oldVersion, RouteId("/book"), DataCentreId("akl-a")}]
+            = OutcomeSums{.calls = 9, .failures = 1, .shed = 0, .cold = 2};
     addMoveEvent(move, 1000, "started", EditId("edit-1"));
     return move;
 }
@@ -32,10 +34,13 @@
 BOOST_AUTO_TEST_CASE(readsWhatItRendered)
 {
     const Move move = sampleMove();
-    const Move read = decodeMove(encodeMove(move)).value();
+    const Result<Move> decoded = decodeMove(encodeMove(move));
+    BOOST_REQUIRE(decoded.has_value());
+    const Move read = *decoded;
     BOOST_TEST(encodeMove(read) == encodeMove(move));
     BOOST_TEST((read.state == MoveState::Watching));
     BOOST_TEST(read.deadlineMs == 16000);
+    BOOST_TEST(read.past.begin()->second.cold == 2);
     BOOST_TEST(holdsEdit(read, EditId("edit-1")));
     BOOST_TEST(read.refusedVersions.contains(VersionId("v0")));
 }
