--- a/include/cornelhead/membership/endpoint.h
+++ b/include/cornelhead/membership/endpoint.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "cornelhead/base/address.h"
@@ -58,6 +59,8 @@
 {
     std::map<ServiceId, std::vector<Endpoint>> servers;
     std::map<NodeId, NodeInfo> nodes;
+    /// Data centres that cannot be reached from here; their servers are kept, but others go first.
+    std::set<DataCentreId> unreachable;
 };
 
 } // namespace cornelhead
--- /dev/null
+++ b/src/distribution/config-store.cc
@@ -0,0 +1,82 @@
+// Applies configurations whole and forwards only.
+#include "cornelhead/distribution/config-store.h"
+
+#include "cornelhead/base/digest.h"
+#include "cornelhead/base/log.h"
+#include "cornelhead/config/manifest.h"
+#include "cornelhead/distribution/invariant.h"
+
+namespace cornelhead {
+
+ConfigStore::ConfigStore(Metrics &metrics) :
+    revertsRefused_(&metrics.counter("cornelhead_reverts_refused_total")),
+    partialRefused_(&metrics.counter("cornelhead_partial_refused_total")),
+    danglingRefused_(&metrics.counter("cornelhead_dangling_refused_total")),
+    revisionGauge_(&metrics.gauge("cornelhead_config_revision")),
+    floorGauge_(&metrics.gauge("cornelhead_config_floor"))
+{
+    current_.bytes = std::make_shared<const std::string>();
+}
+
+void ConfigStore::raiseFloor(Revision floor)
+{
+    floor_ = std::max(floor_, floor);
+    floorGauge_->set(static_cast<std::int64_t>(floor_.value()));
+}
+
+Result<void> ConfigStore::checkOrder(const EncodedConfig &config) const
+{
+    if (config.revision < current_.revision)
+        return fail(ErrorKind::Stale, "revision is older than the one in force",
+                    "send the newest revision");
+    if (config.revision < floor_)
+        return fail(ErrorKind::Stale, "revision is below the floor of this address",
+                    "send the newest revision");
+    return {};
+}
+
+Result<std::shared_ptr<const Snapshot>> ConfigStore::compile(const EncodedConfig &config) const
+{
+    if (digestOf(*config.bytes) != config.digest) {
+        partialRefused_->add();
+        return fail(ErrorKind::InvalidMessage, "bytes do not have the stated digest",
+                    "send the whole configuration again");
+    }
+    Result<Declarations> declarations = decodeDeclarations(*config.bytes);
+    if (!declarations) {
+        partialRefused_->add();
+        return tl::unexpected(declarations.error());
+    }
+    auto snapshot = Snapshot::build(config.revision, std::move(*declarations));
+    if (!snapshot)
+        danglingRefused_->add();
+    return snapshot;
+}
+
+Result<bool> ConfigStore::offer(const EncodedConfig &config)
+{
+    if (snapshot_ && config.revision == current_.revision && config.digest == current_.digest)
+        return false;
+    if (const Result<void> order = checkOrder(config); !order) {
+        revertsRefused_->add();
+        return tl::unexpected(order.error());
+    }
+    Result<std::shared_ptr<const Snapshot>> snapshot = compile(config);
+    if (!snapshot)
+        return tl::unexpected(snapshot.error());
+    swap(config, std::move(*snapshot));
+    return true;
+}
+
+void ConfigStore::swap(const EncodedConfig &config, std::shared_ptr<const Snapshot> snapshot)
+{
+    requireInvariant(config.revision >= current_.revision, "revision never goes down");
+    requireInvariant(config.revision >= floor_, "revision is not below the floor");
+    requireInvariant(snapshot->digest() == config.digest, "snapshot has the stated digest");
+    current_ = config;
+    snapshot_ = std::move(snapshot);
+    revisionGauge_->set(static_cast<std::int64_t>(config.revision.value()));
+    CORNELHEAD_LOG(INFO, "config") << "Revision " << config.revision.value() << " is in force.";
+}
+
+} // namespace cornelhead
