--- /dev/null
+++ b/include/cornelhead/distribution/agent.h
@@ -0,0 +1,125 @@
+// All decisions of distribution in one node, without sockets: its roles and how they hang together.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "cornelhead/distribution/distribution.h"
+#include "cornelhead/distribution/exchange.h"
+#include "cornelhead/distribution/nack-writer.h"
+#include "cornelhead/distribution/node-state.h"
+#include "cornelhead/distribution/platform-watcher.h"
+#include "cornelhead/distribution/relay-election.h"
+#include "cornelhead/distribution/relay.h"
+#include "cornelhead/distribution/subscriber.h"
+
+namespace cornelhead {
+
+/// Runs one node's part of distribution.
+///
+/// The owner reports frames, closed links and the passing of time; every effect goes out through
+/// the ports and handlers.
+class Agent
+{
+public:
+    Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform, Clock clock,
+          Metrics &metrics, DistributionHandlers handlers);
+    ~Agent();
+    Agent(const Agent &) = delete;
+    Agent &operator=(const Agent &) = delete;
+
+    void start();
+    void tick();
+    void onFrame(LinkId link, const inner::Frame &frame);
+    void onClosed(LinkId link);
+
+    void announce(const Endpoint &server);
+    void withdraw(const ServerId &server);
+    void report(const OutcomeBatch &outcomes);
+    /// Says goodbye to everyone; calls `done` when the platform knows, or is away.
+    void drain(std::function<void()> done);
+    DistributionStatus status() const;
+
+    const NodeState &state() const { return state_; }
+
+private:
+    enum class Role {
+        Subscriber, ///< Streams from a relay.
+        Acting, ///< Serves without a slot, since the platform and all relays are away.
+        Relay, ///< Holds a slot.
+    };
+
+    // Construction of the parts with their handlers.
+    SubscriberHandlers subscriberHandlers();
+    RelayHandlers relayHandlers();
+    ExchangeHandlers exchangeHandlers();
+    WatcherHandlers watcherHandlers();
+    ElectionHandlers electionHandlers();
+
+    // Roles.
+    void becomeRelay(Role role);
+    void becomeSubscriber();
+    void considerRole();
+    void considerContest();
+    void considerActing();
+    void considerVacancy();
+    bool mayAct() const;
+    std::vector<Address> actingCandidates() const;
+    bool servesOthers() const { return role_ != Role::Subscriber; }
+
+    // What arrives, from wherever.
+    void onHello(LinkId link, const inner::Hello &hello);
+    void onRelayFrame(LinkId link, const inner::Frame &frame);
+    void onConfigFrame(std::optional<LinkId> link, const inner::Config &wire);
+    Result<bool> takeConfig(const EncodedConfig &config);
+    void takeMoves(const std::vector<Move> &moves);
+    void takeRecords(const inner::Records &records);
+    void takeRecord(const NodeRecord &record, bool firstHand);
+    void takeRelays(const RelayDirectory &directory);
+    void takeReachability(const inner::Reachability &wire);
+    void takeOutcomes(const OutcomeBatch &batch);
+    void refuse(std::optional<LinkId> link, const EncodedConfig &config, const Error &error);
+
+    // What this node tells.
+    FramePtr makeHello(inner::LinkRole role);
+    void changeOwnRecord();
+    void sendUpstream(const FramePtr &frame);
+    void flushEndpoints();
+    void flushOutcomes();
+    void sendHeartbeat();
+    void expireRecords();
+
+    DistributionSettings settings_;
+    NetworkPort network_;
+    PlatformPort platform_;
+    Clock clock_;
+    DistributionHandlers handlers_;
+    Random random_;
+    NodeState state_;
+    NodeRecord own_;
+    Role role_ = Role::Subscriber;
+    bool draining_ = false;
+    /// Records are complete once a relay sent all it knew, or this node is a relay itself.
+    bool recordsComplete_ = false;
+    OutcomeBatch outcomes_;
+    std::shared_ptr<const EndpointTable> handedOver_;
+    TimePoint nextHeartbeat_;
+    TimePoint nextOutcomes_;
+    TimePoint nextExpiry_;
+    TimePoint nextInvite_;
+    TimePoint contestFrom_;
+    Gauge *roleGauge_;
+    Gauge *platformGauge_;
+    Subscriber subscriber_;
+    Relay relay_;
+    Exchange exchange_;
+    PlatformWatcher watcher_;
+    RelayElection election_;
+    NackWriter nacks_;
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/include/cornelhead/distribution/platform-watcher.h
@@ -0,0 +1,82 @@
+// A relay's view of the platform: the newest configuration, all moves and the other relays.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cornelhead/config/manifest.h"
+#include "cornelhead/distribution/config-store.h"
+#include "cornelhead/distribution/prefix-watch.h"
+#include "cornelhead/distribution/relay-directory.h"
+#include "cornelhead/rollout/move.h"
+
+namespace cornelhead {
+
+struct WatcherHandlers
+{
+    std::function<void(const EncodedConfig &)> onConfig;
+    std::function<void(const std::vector<Move> &)> onMoves;
+    std::function<void(const RelayDirectory &)> onRelays;
+};
+
+/// Watches the platform while this node is a relay, and fetches only chunks that it lacks.
+class PlatformWatcher
+{
+public:
+    /// Gets the revision read at the platform after the question, or nothing when it is away.
+    using FloorCallback = std::function<void(std::optional<Revision>)>;
+
+    PlatformWatcher(PlatformPort &platform, Clock clock, Random &random, Metrics &metrics,
+                    WatcherHandlers handlers);
+
+    void start();
+    void stop();
+    void tick();
+    bool isReachable() const { return manifest_.isReachable(); }
+    /// Tells whether it is not known yet if the platform can be reached.
+    bool isUndecided() const { return manifest_.isUndecided(); }
+
+    /// Reads the manifest's revision anew.  Questions that come during a read share the next one.
+    void confirmFloor(FloorCallback callback);
+
+private:
+    void onManifestChange(const PrefixChange &change);
+    void onManifest(const std::string &bytes);
+    void fetchMissing();
+    void fetch(const Digest &digest);
+    void onChunk(const Digest &digest, const Result<std::optional<KeyValue>> &answer);
+    void finishWhenComplete();
+    void onMoveChange(const PrefixChange &change);
+    void onRelayChange(const PrefixChange &change);
+    void readFloor();
+    void onFloor(const Result<std::optional<KeyValue>> &answer);
+
+    PlatformPort *platform_;
+    Clock clock_;
+    Random *random_;
+    WatcherHandlers handlers_;
+    Counter *chunkCalls_;
+    Counter *floorCalls_;
+    Counter *unreadable_;
+    Backoff chunkBackoff_;
+    // Dropped by `stop`; answers to earlier calls find nobody.
+    std::shared_ptr<int> running_;
+    /// The manifest whose chunks are being fetched.
+    std::optional<Manifest> wanted_;
+    Revision delivered_;
+    std::map<Digest, std::string> chunks_;
+    std::map<Digest, bool> fetching_;
+    TimePoint nextFetch_;
+    RelayDirectory relays_;
+    std::vector<FloorCallback> asked_;
+    std::vector<FloorCallback> reading_;
+    PrefixWatch manifest_;
+    PrefixWatch moves_;
+    PrefixWatch relayWatch_;
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/distribution/agent.cc
@@ -0,0 +1,607 @@
+// Wires the roles of a node together.
+#include "cornelhead/distribution/agent.h"
+
+#include <algorithm>
+
+#include "cornelhead/base/digest.h"
+#include "cornelhead/base/log.h"
+#include "cornelhead/distribution/wire.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr Milliseconds outcomeInterval = Milliseconds(1000);
+constexpr Milliseconds expiryInterval = Milliseconds(250);
+constexpr Milliseconds inviteInterval = Milliseconds(1000);
+/// Spreads the first contests of nodes that start together.
+constexpr Milliseconds contestJitter = Milliseconds(500);
+/// A node without a relay for so long looks for a vacant slot.
+constexpr Milliseconds contestAfter = Milliseconds(1000);
+/// A node without relay and platform for so long may act as a relay itself.
+constexpr Milliseconds actAfter = Milliseconds(3000);
+constexpr std::size_t actingNodes = 3;
+constexpr int missedBeforeGone = 3;
+
+RegistryTiming registryTiming(const DistributionSettings &settings)
+{
+    RegistryTiming timing;
+    timing.silence = settings.heartbeat * missedBeforeGone;
+    timing.orphanGrace = settings.relayLease * 2;
+    return timing;
+}
+
+} // namespace detail
+
+Agent::Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform,
+             Clock clock, Metrics &metrics, DistributionHandlers handlers) :
+    settings_(std::move(settings)),
+    network_(std::move(network)), platform_(std::move(platform)), clock_(clock),
+    handlers_(std::move(handlers)), random_(settings_.seed),
+    state_(settings_.self, clock, detail::registryTiming(settings_), metrics),
+    roleGauge_(&metrics.gauge("cornelhead_relay_role")),
+    platformGauge_(&metrics.gauge("cornelhead_platform_reachable")),
+    subscriber_({settings_.self, settings_.seeds, settings_.heartbeat}, network_, clock, random_,
+                metrics, subscriberHandlers()),
+    relay_(state_, network_, clock, random_, metrics, settings_.heartbeat, relayHandlers()),
+    exchange_(state_, network_, clock, random_, metrics, settings_.heartbeat, exchangeHandlers()),
+    watcher_(platform_, clock, random_, metrics, watcherHandlers()),
+    election_({settings_.self, settings_.relaysPerDataCentre, settings_.relayLease}, platform_,
+              clock, random_, metrics, electionHandlers()),
+    nacks_(platform_, metrics)
+{
+    own_.info = settings_.self;
+    own_.sequence = RecordSequence(1);
+}
+
+Agent::~Agent() = default;
+
+SubscriberHandlers Agent::subscriberHandlers()
+{
+    return {[this] { return makeHello(inner::SUBSCRIBER); }, [] {}};
+}
+
+RelayHandlers Agent::relayHandlers()
+{
+    RelayHandlers handlers;
+    handlers.onRecord = [this](const NodeRecord &record) { takeRecord(record, true); };
+    handlers.onOutcomes = [this](const OutcomeBatch &batch) { mergeOutcomes(outcomes_, batch); };
+    handlers.onNack = [this](const inner::Nack &nack) {
+        nacks_.write({Revision(nack.revision()), NodeId(nack.node()), nack.reason()});
+    };
+    handlers.confirmFloor = [this](auto callback) { watcher_.confirmFloor(std::move(callback)); };
+    return handlers;
+}
+
+ExchangeHandlers Agent::exchangeHandlers()
+{
+    ExchangeHandlers handlers;
+    handlers.makeHello = [this] { return makeHello(inner::PEER); };
+    handlers.onRecords = [this](const std::vector<NodeRecord> &records) {
+        for (const NodeRecord &record : records)
+            takeRecord(record, false);
+    };
+    handlers.onMoves = [this](const std::vector<Move> &moves) { takeMoves(moves); };
+    handlers.onConfig
+            = [this](const inner::Config &config) { onConfigFrame(std::nullopt, config); };
+    handlers.onRelays = [this](const RelayDirectory &directory) { takeRelays(directory); };
+    handlers.onOutcomes = [this](const OutcomeBatch &batch) { takeOutcomes(batch); };
+    handlers.onReachability = [this] { relay_.publishReachability(); };
+    handlers.isPlatformReachable = [this] { return watcher_.isReachable(); };
+    handlers.isPlatformUndecided = [this] { return watcher_.isUndecided(); };
+    return handlers;
+}
+
+WatcherHandlers Agent::watcherHandlers()
+{
+    WatcherHandlers handlers;
+    handlers.onConfig = [this](const EncodedConfig &config) {
+        if (const Result<bool> taken = takeConfig(config); !taken)
+            refuse(std::nullopt, config, taken.error());
+    };
+    handlers.onMoves = [this](const std::vector<Move> &moves) { takeMoves(moves); };
+    handlers.onRelays = [this](const RelayDirectory &directory) {
+        takeRelays(directory);
+        election_.onRelays(directory);
+    };
+    return handlers;
+}
+
+ElectionHandlers Agent::electionHandlers()
+{
+    ElectionHandlers handlers;
+    handlers.onElected = [this] { becomeRelay(Role::Relay); };
+    handlers.onLost = [this] { becomeSubscriber(); };
+    handlers.onFull = [this] {
+        if (role_ == Role::Acting)
+            becomeSubscriber();
+    };
+    handlers.onRelays = [this](const RelayDirectory &directory) { takeRelays(directory); };
+    return handlers;
+}
+
+void Agent::start()
+{
+    const TimePoint time = now(clock_);
+    nextHeartbeat_ = time + random_.jitter(settings_.heartbeat);
+    nextOutcomes_ = time + detail::outcomeInterval;
+    nextExpiry_ = time;
+    nextInvite_ = time;
+    contestFrom_ = time + random_.jitter(detail::contestJitter)
+            + (settings_.seeds.empty() ? Milliseconds(0) : detail::contestAfter);
+    state_.registry.merge(own_);
+    subscriber_.start();
+}
+
+void Agent::tick()
+{
+    if (draining_)
+        return;
+    subscriber_.tick();
+    watcher_.tick();
+    election_.tick();
+    relay_.tick();
+    exchange_.tick();
+    considerRole();
+    if (now(clock_) >= nextExpiry_)
+        expireRecords();
+    if (now(clock_) >= nextHeartbeat_)
+        sendHeartbeat();
+    if (now(clock_) >= nextOutcomes_)
+        flushOutcomes();
+    flushEndpoints();
+}
+
+// Roles
+
+void Agent::considerRole()
+{
+    considerContest();
+    considerActing();
+    considerVacancy();
+    roleGauge_->set(static_cast<std::int64_t>(role_));
+    platformGauge_->set(status().platformReachable ? 1 : 0);
+}
+
+void Agent::considerContest()
+{
+    if (role_ == Role::Relay || now(clock_) < contestFrom_)
+        return;
+    if (role_ == Role::Acting) {
+        if (watcher_.isReachable())
+            election_.contend();
+        return;
+    }
+    const auto since = subscriber_.detachedSince();
+    if (since && now(clock_) - *since >= detail::contestAfter)
+        election_.contend();
+    else if (since && settings_.seeds.empty() && state_.directory.relays.empty())
+        election_.contend();
+}
+
+std::vector<Address> Agent::actingCandidates() const
+{
+    std::vector<std::pair<std::uint64_t, Address>> ranked;
+    const std::string key = "acting/" + settings_.self.dataCentre.value();
+    for (const auto &[id, info] : state_.registry.table()->nodes) {
+        if (info.dataCentre == settings_.self.dataCentre)
+            ranked.emplace_back(rendezvousWeight(key, id.value()), info.inner);
+    }
+    std::sort(ranked.rbegin(), ranked.rend());
+    std::vector<Address> candidates;
+    for (std::size_t i = 0; i < std::min(detail::actingNodes, ranked.size()); ++i)
+        candidates.push_back(ranked[i].second);
+    return candidates;
+}
+
+bool Agent::mayAct() const
+{
+    const Address &self = settings_.self.inner;
+    const std::vector<Address> &seeds = settings_.seeds;
+    if (std::find(seeds.begin(), seeds.end(), self) != seeds.end())
+        return true;
+    // A node that knows no other must not think itself the first.
+    const std::vector<Address> candidates = actingCandidates();
+    return candidates.size() > 1
+            && std::find(candidates.begin(), candidates.end(), self) != candidates.end();
+}
+
+void Agent::considerActing()
+{
+    const auto since = subscriber_.detachedSince();
+    if (role_ != Role::Subscriber || !since)
+        return;
+    subscriber_.setNeighbours(actingCandidates());
+    const bool alone = now(clock_) - *since >= detail::actAfter;
+    if (alone && !election_.isPlatformReachable() && mayAct())
+        becomeRelay(Role::Acting);
+}
+
+void Agent::considerVacancy()
+{
+    if (role_ != Role::Relay || !watcher_.isReachable() || now(clock_) < nextInvite_)
+        return;
+    nextInvite_ = now(clock_) + detail::inviteInterval + random_.jitter(detail::inviteInterval);
+    const std::size_t held = countRelays(state_.directory, settings_.self.dataCentre);
+    if (held > 0 && held < settings_.relaysPerDataCentre)
+        relay_.invite();
+}
+
+void Agent::becomeRelay(Role role)
+{
+    const bool served = servesOthers();
+    role_ = role;
+    if (served)
+        return;
+    CORNELHEAD_LOG(INFO, "relay") << "Serves subscribers.";
+    subscriber_.stop();
+    recordsComplete_ = true;
+    std::vector<Address> extra = settings_.seeds;
+    for (const Address &candidate : actingCandidates())
+        extra.push_back(candidate);
+    if (role == Role::Acting)
+        exchange_.setExtraPeers(extra);
+    nextInvite_ = now(clock_) + detail::inviteInterval;
+    relay_.start();
+    exchange_.start();
+    watcher_.start();
+    changeOwnRecord();
+}
+
+void Agent::becomeSubscriber()
+{
+    if (!servesOthers() || draining_)
+        return;
+    CORNELHEAD_LOG(INFO, "relay") << "Serves no subscribers any more.";
+    role_ = Role::Subscriber;
+    relay_.stop();
+    exchange_.stop();
+    exchange_.setExtraPeers({});
+    watcher_.stop();
+    subscriber_.start();
+}
+
+// What arrives
+
+void Agent::onFrame(LinkId link, const inner::Frame &frame)
+{
+    if (draining_)
+        return;
+    if (frame.has_hello())
+        onHello(link, frame.hello());
+    else if (subscriber_.owns(link))
+        onRelayFrame(link, frame);
+    else if (relay_.owns(link))
+        relay_.onFrame(link, frame);
+    else if (exchange_.owns(link))
+        exchange_.onFrame(link, frame);
+}
+
+void Agent::onHello(LinkId link, const inner::Hello &hello)
+{
+    if (hello.role() == inner::PEER)
+        exchange_.onHello(link, hello);
+    else
+        relay_.onHello(link, hello);
+}
+
+void Agent::onClosed(LinkId link)
+{
+    if (subscriber_.owns(link))
+        subscriber_.onClosed();
+    else if (relay_.owns(link))
+        relay_.onClosed(link);
+    else
+        exchange_.onClosed(link);
+}
+
+void Agent::onRelayFrame(LinkId link, const inner::Frame &frame)
+{
+    switch (frame.body_case()) {
+    case inner::Frame::kConfig:
+        onConfigFrame(link, frame.config());
+        break;
+    case inner::Frame::kRecords:
+        takeRecords(frame.records());
+        break;
+    case inner::Frame::kMoves: {
+        std::vector<Move> moves;
+        for (const inner::Move &wire : frame.moves().moves()) {
+            if (Result<Move> move = fromWire(wire))
+                moves.push_back(std::move(*move));
+        }
+        takeMoves(moves);
+        break;
+    }
+    case inner::Frame::kRelays:
+        if (const Result<RelayDirectory> directory = fromWire(frame.relays()))
+            takeRelays(*directory);
+        break;
+    case inner::Frame::kReachability:
+        takeReachability(frame.reachability());
+        break;
+    case inner::Frame::kInvite:
+        election_.contendNow();
+        break;
+    default:
+        break;
+    }
+    // Last, since a Goodbye ends the link.
+    if (subscriber_.owns(link))
+        subscriber_.onFrame(frame);
+}
+
+void Agent::onConfigFrame(std::optional<LinkId> link, const inner::Config &wire)
+{
+    state_.config.raiseFloor(Revision(wire.floor()));
+    const EncodedConfig config{Revision(wire.revision()), Digest(wire.digest()),
+                               std::make_shared<const std::string>(wire.whole())};
+    const Result<bool> taken = takeConfig(config);
+    if (!taken) {
+        refuse(link, config, taken.error());
+        return;
+    }
+    if (!link)
+        return;
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_ack()->set_revision(config.revision.value());
+    network_.send(*link, frame);
+}
+
+Result<bool> Agent::takeConfig(const EncodedConfig &config)
+{
+    const Result<bool> taken = state_.config.offer(config);
+    if (!taken || !*taken)
+        return taken;
+    state_.floors.raise(settings_.self.inner, config.revision);
+    // Make before break: what the configuration may route to comes first.
+    flushEndpoints();
+    handlers_.onConfig(state_.config.snapshot());
+    relay_.publishConfig();
+    exchange_.publishSummary();
+    return taken;
+}
+
+void Agent::refuse(std::optional<LinkId> link, const EncodedConfig &config, const Error &error)
+{
+    CORNELHEAD_LOG(WARNING, "config")
+            << "Revision " << config.revision.value() << " refused: " << error.describe();
+    if (error.kind == ErrorKind::Stale)
+        return;
+    if (!link) {
+        nacks_.write({config.revision, settings_.self.id, error.describe()});
+        return;
+    }
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Nack *nack = frame->mutable_nack();
+    nack->set_revision(config.revision.value());
+    nack->set_digest(config.digest.value());
+    nack->set_reason(error.describe());
+    nack->set_node(settings_.self.id.value());
+    network_.send(*link, frame);
+}
+
+void Agent::takeMoves(const std::vector<Move> &moves)
+{
+    std::vector<Move> newer;
+    for (const Move &move : moves) {
+        if (state_.moves.merge(move))
+            newer.push_back(move);
+    }
+    if (newer.empty())
+        return;
+    flushEndpoints();
+    handlers_.onMoves(state_.moves.table());
+    relay_.publishMoves(newer);
+    exchange_.publishSummary();
+}
+
+void Agent::takeRecords(const inner::Records &records)
+{
+    for (const inner::Record &wire : records.records()) {
+        if (const Result<NodeRecord> record = fromWire(wire))
+            takeRecord(*record, false);
+    }
+    recordsComplete_ |= records.complete();
+    if (records.complete())
+        flushEndpoints();
+}
+
+void Agent::takeRecord(const NodeRecord &record, bool firstHand)
+{
+    // Only this node speaks for itself; it answers what others say by a newer record.
+    if (record.info.id == settings_.self.id) {
+        if (record.gone && record.sequence >= own_.sequence && !draining_) {
+            own_.sequence = record.sequence;
+            changeOwnRecord();
+        }
+        return;
+    }
+    if (!state_.registry.merge(record))
+        return;
+    relay_.queueRecord(record);
+    if (firstHand)
+        exchange_.queueRecord(record);
+}
+
+void Agent::takeRelays(const RelayDirectory &directory)
+{
+    if (directory.storeRevision < state_.directory.storeRevision)
+        return;
+    const bool changed = directory.relays != state_.directory.relays;
+    state_.directory = directory;
+    subscriber_.setDirectory(directory);
+    if (changed)
+        relay_.publishRelays();
+}
+
+void Agent::takeReachability(const inner::Reachability &wire)
+{
+    std::set<DataCentreId> unreachable;
+    for (const std::string &name : wire.unreachable())
+        unreachable.insert(DataCentreId(name));
+    for (const DataCentreId &dataCentre : state_.registry.dataCentres())
+        state_.registry.setReachable(dataCentre, !unreachable.contains(dataCentre));
+}
+
+void Agent::takeOutcomes(const OutcomeBatch &batch)
+{
+    if (servesOthers() && handlers_.onEvidence && !batch.empty())
+        handlers_.onEvidence(batch);
+}
+
+// What this node tells
+
+FramePtr Agent::makeHello(inner::LinkRole role)
+{
+    if (role == inner::SUBSCRIBER)
+        own_.sequence = own_.sequence.next();
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Hello *hello = frame->mutable_hello();
+    hello->set_protocol(protocolVersion);
+    hello->set_role(role);
+    *hello->mutable_record() = toWire(own_);
+    hello->set_revision(state_.config.revision().value());
+    hello->set_digest(state_.config.current().digest.value());
+    return frame;
+}
+
+void Agent::changeOwnRecord()
+{
+    own_.sequence = own_.sequence.next();
+    own_.caretaker = servesOthers() ? settings_.self.id : NodeId();
+    state_.registry.merge(own_);
+    if (servesOthers()) {
+        relay_.queueRecord(own_);
+        exchange_.queueRecord(own_);
+        return;
+    }
+    sendUpstream(recordsFrame({own_}, false));
+}
+
+void Agent::sendUpstream(const FramePtr &frame)
+{
+    if (const auto link = subscriber_.attached())
+        network_.send(*link, frame);
+}
+
+void Agent::flushEndpoints()
+{
+    if (!recordsComplete_)
+        return;
+    std::shared_ptr<const EndpointTable> table = state_.registry.table();
+    if (table == handedOver_)
+        return;
+    handedOver_ = std::move(table);
+    handlers_.onEndpoints(handedOver_);
+}
+
+void Agent::flushOutcomes()
+{
+    nextOutcomes_ = now(clock_) + detail::outcomeInterval;
+    if (outcomes_.empty())
+        return;
+    if (servesOthers()) {
+        const OutcomeBatch batch = std::exchange(outcomes_, {});
+        takeOutcomes(batch);
+        exchange_.publishOutcomes(batch);
+        return;
+    }
+    if (!subscriber_.attached())
+        return;
+    auto frame = std::make_shared<inner::Frame>();
+    *frame->mutable_outcomes() = toWire(std::exchange(outcomes_, {}));
+    sendUpstream(frame);
+}
+
+void Agent::sendHeartbeat()
+{
+    nextHeartbeat_ = now(clock_) + settings_.heartbeat;
+    sendUpstream(heartbeatFrame());
+}
+
+void Agent::expireRecords()
+{
+    nextExpiry_ = now(clock_) + detail::expiryInterval;
+    state_.registry.collectGarbage();
+    if (!servesOthers())
+        return;
+    std::set<NodeId> caretakers = exchange_.livePeers();
+    caretakers.insert(settings_.self.id);
+    for (const NodeRecord &record : state_.registry.expire(caretakers)) {
+        CORNELHEAD_LOG(INFO, "relay") << "Node " << record.info.id.value() << " is gone.";
+        relay_.queueRecord(record);
+        exchange_.queueRecord(record);
+    }
+}
+
+// The node's own calls
+
+void Agent::announce(const Endpoint &server)
+{
+    Endpoint stamped = server;
+    stamped.node = settings_.self.id;
+    stamped.dataCentre = settings_.self.dataCentre;
+    const auto held = std::find_if(own_.servers.begin(), own_.servers.end(),
+                                   [&](const Endpoint &other) { return other.id == server.id; });
+    if (held == own_.servers.end())
+        own_.servers.push_back(stamped);
+    else if (*held == stamped)
+        return;
+    else
+        *held = stamped;
+    changeOwnRecord();
+}
+
+void Agent::withdraw(const ServerId &server)
+{
+    const auto removed = std::erase_if(own_.servers, [&](const Endpoint &held) {
+        return held.id == server;
+    });
+    if (removed > 0)
+        changeOwnRecord();
+}
+
+void Agent::report(const OutcomeBatch &outcomes)
+{
+    mergeOutcomes(outcomes_, outcomes);
+}
+
+void Agent::drain(std::function<void()> done)
+{
+    if (draining_) {
+        done();
+        return;
+    }
+    flushOutcomes();
+    own_.gone = true;
+    own_.servers.clear();
+    changeOwnRecord();
+    if (const auto link = subscriber_.attached())
+        network_.send(*link, goodbyeFrame());
+    if (servesOthers()) {
+        exchange_.flush();
+        relay_.flushRecords();
+        // Subscribers must not come back to a relay that leaves.
+        std::erase_if(state_.directory.relays,
+                      [&](const auto &entry) { return entry.second.id == settings_.self.id; });
+        relay_.stop();
+    }
+    draining_ = true;
+    watcher_.stop();
+    election_.resign(std::move(done));
+}
+
+DistributionStatus Agent::status() const
+{
+    DistributionStatus status;
+    status.revision = state_.config.revision();
+    status.digest = state_.config.current().digest;
+    status.isRelay = servesOthers();
+    status.hasRelay = servesOthers() || subscriber_.attached().has_value();
+    status.platformReachable
+            = servesOthers() ? watcher_.isReachable() : election_.isPlatformReachable();
+    status.subscribers = relay_.subscribers();
+    return status;
+}
+
+} // namespace cornelhead
--- a/src/distribution/config-store.cc
+++ b/src/distribution/config-store.cc
@@ -29,6 +29,9 @@
     if (config.revision < current_.revision)
         return fail(ErrorKind::Stale, "revision is older than the one in force",
                     "send the newest revision");
+    if (snapshot_ && config.revision == current_.revision)
+        return fail(ErrorKind::Stale, "revision is in force with another digest",
+                    "accept edits only by compare-and-swap on the manifest");
     if (config.revision < floor_)
         return fail(ErrorKind::Stale, "revision is below the floor of this address",
                     "send the newest revision");
--- /dev/null
+++ b/src/distribution/node-state.cc
@@ -0,0 +1,94 @@
+// Keeps moves and renders frames.
+#include "cornelhead/distribution/node-state.h"
+
+#include "cornelhead/base/digest.h"
+#include "cornelhead/distribution/wire.h"
+
+namespace cornelhead {
+
+bool MoveBook::merge(const Move &move)
+{
+    const auto held = table_->moves.find(move.service);
+    if (held != table_->moves.end() && held->second.modRevision >= move.modRevision)
+        return false;
+    auto table = std::make_shared<MoveTable>(*table_);
+    table->moves[move.service] = move;
+    table_ = std::move(table);
+    return true;
+}
+
+std::uint64_t MoveBook::hash() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[service, move] : table_->moves)
+        sum ^= rendezvousWeight(service.value(), std::to_string(move.modRevision.value()));
+    return sum;
+}
+
+FramePtr configFrame(const EncodedConfig &config, Revision floor, bool confirmed)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Config *out = frame->mutable_config();
+    out->set_revision(config.revision.value());
+    out->set_digest(config.digest.value());
+    out->set_whole(*config.bytes);
+    out->set_floor(floor.value());
+    out->set_confirmed(confirmed);
+    return frame;
+}
+
+FramePtr movesFrame(const MoveTable &table)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_moves();
+    for (const auto &[service, move] : table.moves)
+        *frame->mutable_moves()->add_moves() = toWire(move);
+    return frame;
+}
+
+FramePtr recordsFrame(const std::vector<NodeRecord> &records, bool complete)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_records()->set_complete(complete);
+    for (const NodeRecord &record : records)
+        *frame->mutable_records()->add_records() = toWire(record);
+    return frame;
+}
+
+FramePtr relaysFrame(const RelayDirectory &directory)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    *frame->mutable_relays() = toWire(directory);
+    return frame;
+}
+
+FramePtr reachabilityFrame(const std::set<DataCentreId> &unreachable)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_reachability();
+    for (const DataCentreId &dataCentre : unreachable)
+        frame->mutable_reachability()->add_unreachable(dataCentre.value());
+    return frame;
+}
+
+FramePtr heartbeatFrame()
+{
+    static const FramePtr frame = [] {
+        auto made = std::make_shared<inner::Frame>();
+        made->mutable_heartbeat();
+        return made;
+    }();
+    return frame;
+}
+
+FramePtr goodbyeFrame()
+{
+    static const FramePtr frame = [] {
+        auto made = std::make_shared<inner::Frame>();
+        made->mutable_goodbye();
+        return made;
+    }();
+    return frame;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/distribution/platform-watcher.cc
@@ -0,0 +1,220 @@
+// Turns changes at the platform into configurations, moves and relays.
+#include "cornelhead/distribution/platform-watcher.h"
+
+#include <algorithm>
+
+#include "cornelhead/base/log.h"
+#include "cornelhead/distribution/wire.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr Milliseconds firstChunkRetry = Milliseconds(100);
+constexpr Milliseconds lastChunkRetry = Milliseconds(2000);
+
+} // namespace detail
+
+PlatformWatcher::PlatformWatcher(PlatformPort &platform, Clock clock, Random &random,
+                                 Metrics &metrics, WatcherHandlers handlers) :
+    platform_(&platform),
+    clock_(clock), random_(&random), handlers_(std::move(handlers)),
+    chunkCalls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "chunk"}})),
+    floorCalls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "floor"}})),
+    unreadable_(&metrics.counter("cornelhead_platform_unreadable_total")),
+    chunkBackoff_(detail::firstChunkRetry, detail::lastChunkRetry),
+    manifest_(manifestKey, platform, clock, random, metrics,
+              [this](const PrefixChange &change) { onManifestChange(change); }),
+    moves_(movePrefix, platform, clock, random, metrics,
+           [this](const PrefixChange &change) { onMoveChange(change); }),
+    relayWatch_(relayPrefix, platform, clock, random, metrics,
+                [this](const PrefixChange &change) { onRelayChange(change); })
+{ }
+
+void PlatformWatcher::start()
+{
+    if (running_)
+        return;
+    running_ = std::make_shared<int>();
+    manifest_.start();
+    moves_.start();
+    relayWatch_.start();
+}
+
+void PlatformWatcher::stop()
+{
+    running_.reset();
+    manifest_.stop();
+    moves_.stop();
+    relayWatch_.stop();
+    fetching_.clear();
+    wanted_.reset();
+    asked_.clear();
+    reading_.clear();
+}
+
+void PlatformWatcher::tick()
+{
+    manifest_.tick();
+    moves_.tick();
+    relayWatch_.tick();
+    if (running_ && wanted_ && now(clock_) >= nextFetch_)
+        fetchMissing();
+}
+
+void PlatformWatcher::onManifestChange(const PrefixChange &change)
+{
+    for (const KeyValue &entry : change.changed) {
+        if (entry.key == manifestKey)
+            onManifest(entry.value);
+    }
+}
+
+void PlatformWatcher::onManifest(const std::string &bytes)
+{
+    Result<Manifest> manifest = decodeManifest(bytes);
+    if (!manifest) {
+        unreadable_->add();
+        CORNELHEAD_LOG(ERROR, "watch") << "Manifest refused: " << manifest.error().describe();
+        return;
+    }
+    if (manifest->revision <= delivered_)
+        return;
+    if (wanted_ && wanted_->revision >= manifest->revision)
+        return;
+    wanted_ = std::move(*manifest);
+    chunkBackoff_.reset();
+    fetchMissing();
+    finishWhenComplete();
+}
+
+void PlatformWatcher::fetchMissing()
+{
+    for (const Digest &digest : wanted_->chunks) {
+        if (!chunks_.contains(digest) && !fetching_.contains(digest))
+            fetch(digest);
+    }
+}
+
+void PlatformWatcher::fetch(const Digest &digest)
+{
+    fetching_[digest] = true;
+    chunkCalls_->add();
+    platform_->get(chunkPrefix + digest.value(),
+                   [this, digest, alive = std::weak_ptr<int>(running_)](const auto &answer) {
+                       if (!alive.expired())
+                           onChunk(digest, answer);
+                   });
+}
+
+void PlatformWatcher::onChunk(const Digest &digest, const Result<std::optional<KeyValue>> &answer)
+{
+    fetching_.erase(digest);
+    if (answer && *answer) {
+        chunks_[digest] = (*answer)->value;
+        finishWhenComplete();
+        return;
+    }
+    nextFetch_ = now(clock_) + chunkBackoff_.next(*random_);
+}
+
+void PlatformWatcher::finishWhenComplete()
+{
+    if (!wanted_)
+        return;
+    std::vector<Chunk> chunks;
+    for (const Digest &digest : wanted_->chunks) {
+        const auto found = chunks_.find(digest);
+        if (found == chunks_.end())
+            return;
+        chunks.push_back({digest, found->second});
+    }
+    Result<std::string> joined = joinChunks(*wanted_, chunks);
+    if (!joined) {
+        unreadable_->add();
+        CORNELHEAD_LOG(ERROR, "watch") << "Chunks refused: " << joined.error().describe();
+        for (const Chunk &chunk : chunks)
+            chunks_.erase(chunk.digest);
+        nextFetch_ = now(clock_) + chunkBackoff_.next(*random_);
+        return;
+    }
+    std::map<Digest, std::string> kept;
+    for (Chunk &chunk : chunks)
+        kept[chunk.digest] = std::move(chunk.bytes);
+    chunks_ = std::move(kept);
+    const Manifest manifest = *wanted_;
+    wanted_.reset();
+    delivered_ = manifest.revision;
+    handlers_.onConfig({manifest.revision, manifest.digest,
+                        std::make_shared<const std::string>(std::move(*joined))});
+}
+
+void PlatformWatcher::onMoveChange(const PrefixChange &change)
+{
+    std::vector<Move> moves;
+    for (const KeyValue &entry : change.changed) {
+        Result<Move> move = decodeMove(entry.value);
+        if (!move) {
+            unreadable_->add();
+            CORNELHEAD_LOG(ERROR, "watch") << "Move refused: " << move.error().describe();
+            continue;
+        }
+        move->modRevision = entry.modRevision;
+        moves.push_back(std::move(*move));
+    }
+    handlers_.onMoves(moves);
+}
+
+void PlatformWatcher::onRelayChange(const PrefixChange &change)
+{
+    if (change.complete)
+        relays_.relays.clear();
+    for (const std::string &key : change.removed)
+        relays_.relays.erase(key);
+    for (const KeyValue &entry : change.changed) {
+        if (const Result<NodeInfo> info = decodeNodeInfo(entry.value))
+            relays_.relays[entry.key] = *info;
+        else
+            unreadable_->add();
+    }
+    relays_.storeRevision = change.storeRevision;
+    handlers_.onRelays(relays_);
+}
+
+void PlatformWatcher::confirmFloor(FloorCallback callback)
+{
+    asked_.push_back(std::move(callback));
+    if (reading_.empty())
+        readFloor();
+}
+
+void PlatformWatcher::readFloor()
+{
+    reading_ = std::move(asked_);
+    asked_.clear();
+    floorCalls_->add();
+    platform_->get(manifestKey, [this, alive = std::weak_ptr<int>(running_)](const auto &answer) {
+        if (!alive.expired())
+            onFloor(answer);
+    });
+}
+
+void PlatformWatcher::onFloor(const Result<std::optional<KeyValue>> &answer)
+{
+    std::optional<Revision> floor;
+    if (answer && !*answer) {
+        floor = Revision(0);
+    } else if (answer) {
+        if (const Result<Manifest> manifest = decodeManifest((*answer)->value)) {
+            floor = manifest->revision;
+            onManifest((*answer)->value);
+        }
+    }
+    const std::vector<FloorCallback> answered = std::move(reading_);
+    reading_.clear();
+    for (const FloorCallback &callback : answered)
+        callback(floor);
+    if (!asked_.empty() && reading_.empty())
+        readFloor();
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/distribution/relay-election.cc
@@ -0,0 +1,246 @@
+// Runs contests for relay slots.
+#include "cornelhead/distribution/relay-election.h"
+
+#include "cornelhead/base/log.h"
+#include "cornelhead/config/manifest.h"
+#include "cornelhead/distribution/wire.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr Milliseconds firstContest = Milliseconds(500);
+constexpr Milliseconds lastContest = Milliseconds(10000);
+
+} // namespace detail
+
+RelayElection::RelayElection(ElectionSettings settings, PlatformPort &platform, Clock clock,
+                             Random &random, Metrics &metrics, ElectionHandlers handlers) :
+    settings_(std::move(settings)),
+    platform_(&platform), clock_(std::move(clock)), random_(&random),
+    handlers_(std::move(handlers)),
+    calls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "election"}})),
+    won_(&metrics.counter("cornelhead_relay_elections_total", {{"outcome", "won"}})),
+    lost_(&metrics.counter("cornelhead_relay_elections_total", {{"outcome", "lost"}})),
+    backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "election"}})),
+    backoff_(detail::firstContest, detail::lastContest)
+{ }
+
+template <typename T>
+std::function<void(Result<T>)>
+RelayElection::guarded(std::function<void(const Result<T> &)> handler)
+{
+    calls_->add();
+    return [alive = std::weak_ptr<int>(alive_), handler = std::move(handler)](Result<T> answer) {
+        if (!alive.expired())
+            handler(answer);
+    };
+}
+
+void RelayElection::contend()
+{
+    if (now(clock_) >= nextTry_)
+        contendNow();
+}
+
+void RelayElection::contendNow()
+{
+    if (phase_ != Phase::Idle)
+        return;
+    phase_ = Phase::Contending;
+    list();
+}
+
+void RelayElection::list()
+{
+    platform_->list(relayPrefix,
+                    guarded<Listing>([this](const auto &listing) { onListing(listing); }));
+}
+
+RelayDirectory RelayElection::readDirectory(const Listing &listing) const
+{
+    RelayDirectory directory;
+    directory.storeRevision = listing.storeRevision;
+    for (const KeyValue &entry : listing.entries) {
+        if (const Result<NodeInfo> info = decodeNodeInfo(entry.value))
+            directory.relays[entry.key] = *info;
+    }
+    return directory;
+}
+
+std::optional<std::string> RelayElection::ownSlot(const RelayDirectory &directory) const
+{
+    for (const auto &[key, info] : directory.relays) {
+        if (info.id == settings_.self.id)
+            return key;
+    }
+    return std::nullopt;
+}
+
+std::optional<std::string> RelayElection::vacantSlot(const RelayDirectory &directory)
+{
+    std::vector<std::string> vacant;
+    for (std::uint32_t slot = 0; slot < settings_.slots; ++slot) {
+        const std::string key = relaySlotKey(settings_.self.dataCentre, slot);
+        if (!directory.relays.contains(key))
+            vacant.push_back(key);
+    }
+    if (vacant.empty())
+        return std::nullopt;
+    return vacant[random_->below(vacant.size())];
+}
+
+void RelayElection::onListing(const Result<Listing> &listing)
+{
+    if (phase_ != Phase::Contending)
+        return;
+    if (!listing) {
+        fail(listing.error());
+        return;
+    }
+    reachable_ = true;
+    const RelayDirectory directory = readDirectory(*listing);
+    handlers_.onRelays(directory);
+    // A write whose answer was lost may have taken effect.
+    if (const auto own = ownSlot(directory); own && lease_) {
+        heldSince_ = directory.storeRevision;
+        hold(*own);
+    } else if (const auto slot = vacantSlot(directory)) {
+        grant(*slot);
+    } else {
+        phase_ = Phase::Idle;
+        nextTry_ = now(clock_) + backoff_.next(*random_);
+        if (held_)
+            lose();
+        handlers_.onFull();
+    }
+}
+
+void RelayElection::grant(const std::string &slot)
+{
+    platform_->grantLease(settings_.lease,
+                          guarded<LeaseId>([this, slot](const Result<LeaseId> &lease) {
+                              if (!lease) {
+                                  fail(lease.error());
+                                  return;
+                              }
+                              lease_ = *lease;
+                              write(slot);
+                          }));
+}
+
+void RelayElection::write(const std::string &slot)
+{
+    platform_->put(slot, encodeNodeInfo(settings_.self), Expected{ModRevision(0)}, lease_,
+                   guarded<ModRevision>([this, slot](const Result<ModRevision> &written) {
+                       onWritten(slot, written);
+                   }));
+}
+
+void RelayElection::onWritten(const std::string &slot, const Result<ModRevision> &written)
+{
+    if (phase_ == Phase::Resigned)
+        return;
+    if (written) {
+        heldSince_ = *written;
+        hold(slot);
+        return;
+    }
+    if (written.error().kind == ErrorKind::Conflict) {
+        lost_->add();
+        platform_->revoke(*lease_, guarded<void>([](const auto &) {}));
+        lease_.reset();
+        // Lists again at once, to learn who won.
+        list();
+        return;
+    }
+    fail(written.error());
+}
+
+void RelayElection::hold(const std::string &slot)
+{
+    phase_ = Phase::Holding;
+    reachable_ = true;
+    backoff_.reset();
+    nextRenewal_ = now(clock_) + settings_.lease / 3;
+    if (held_)
+        return;
+    held_ = true;
+    won_->add();
+    CORNELHEAD_LOG(INFO, "election") << "Holds " << slot << ".";
+    handlers_.onElected();
+}
+
+void RelayElection::onRelays(const RelayDirectory &directory)
+{
+    if (phase_ != Phase::Holding || directory.storeRevision < heldSince_)
+        return;
+    if (ownSlot(directory))
+        return;
+    // The lease lapsed; contends once more before it gives up the work.
+    lease_.reset();
+    phase_ = Phase::Contending;
+    list();
+}
+
+void RelayElection::tick()
+{
+    if (phase_ == Phase::Holding && !renewing_ && now(clock_) >= nextRenewal_)
+        renew();
+    if (phase_ == Phase::Idle && held_ && now(clock_) >= nextTry_)
+        contendNow();
+}
+
+void RelayElection::renew()
+{
+    renewing_ = true;
+    platform_->keepAlive(*lease_, guarded<void>([this](const Result<void> &renewed) {
+        renewing_ = false;
+        onRenewed(renewed);
+    }));
+}
+
+void RelayElection::onRenewed(const Result<void> &renewed)
+{
+    if (phase_ != Phase::Holding)
+        return;
+    reachable_ = renewed.has_value() || renewed.error().kind == ErrorKind::NotFound;
+    nextRenewal_ = now(clock_) + settings_.lease / 3;
+    if (renewed || renewed.error().kind != ErrorKind::NotFound)
+        return;
+    lease_.reset();
+    phase_ = Phase::Contending;
+    list();
+}
+
+void RelayElection::lose()
+{
+    held_ = false;
+    lease_.reset();
+    CORNELHEAD_LOG(INFO, "election") << "Lost its slot.";
+    handlers_.onLost();
+}
+
+void RelayElection::fail(const Error &error)
+{
+    if (phase_ == Phase::Resigned)
+        return;
+    phase_ = Phase::Idle;
+    reachable_ = error.kind != ErrorKind::Unavailable && error.kind != ErrorKind::Unknown;
+    backoffs_->add();
+    nextTry_ = now(clock_) + backoff_.next(*random_);
+    CORNELHEAD_LOG(DEBUG, "election") << "Contest failed: " << error.describe();
+}
+
+void RelayElection::resign(std::function<void()> done)
+{
+    phase_ = Phase::Resigned;
+    held_ = false;
+    if (!lease_) {
+        done();
+        return;
+    }
+    platform_->revoke(*lease_, guarded<void>([done = std::move(done)](const auto &) { done(); }));
+    lease_.reset();
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/distribution/relay.cc
@@ -0,0 +1,293 @@
+// Feeds subscribers.
+#include "cornelhead/distribution/relay.h"
+
+#include "cornelhead/base/log.h"
+#include "cornelhead/distribution/wire.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr Milliseconds recordBatch = Milliseconds(100);
+constexpr int relayMissedHeartbeats = 3;
+
+} // namespace detail
+
+Relay::Relay(NodeState &state, NetworkPort &network, Clock clock, Random &random, Metrics &metrics,
+             Milliseconds heartbeat, RelayHandlers handlers) :
+    state_(&state),
+    network_(&network), clock_(std::move(clock)), random_(&random), heartbeat_(heartbeat),
+    handlers_(std::move(handlers)),
+    floorsUnconfirmed_(&metrics.counter("cornelhead_floor_unconfirmed_total")),
+    floorWaits_(&metrics.counter("cornelhead_floor_waits_total")),
+    subscriberGauge_(&metrics.gauge("cornelhead_subscribers"))
+{ }
+
+void Relay::start()
+{
+    serving_ = true;
+    nextFlush_ = now(clock_);
+    nextHeartbeat_ = now(clock_) + heartbeat_;
+}
+
+void Relay::stop()
+{
+    serving_ = false;
+    for (const auto &[link, subscription] : subscribers_) {
+        network_->send(link, relaysFrame(state_->directory));
+        network_->send(link, goodbyeFrame());
+    }
+    subscribers_.clear();
+    subscriberGauge_->set(0);
+    queued_.clear();
+}
+
+void Relay::sendWelcome(LinkId link, bool relay)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Welcome *welcome = frame->mutable_welcome();
+    welcome->set_protocol(protocolVersion);
+    *welcome->mutable_node() = toWire(state_->self);
+    welcome->set_relay(relay);
+    welcome->set_revision(state_->config.revision().value());
+    network_->send(link, frame);
+}
+
+void Relay::onHello(LinkId link, const inner::Hello &hello)
+{
+    const Result<NodeRecord> record = fromWire(hello.record());
+    if (!record) {
+        CORNELHEAD_LOG(WARNING, "relay") << "Hello refused: " << record.error().describe();
+        network_->close(link);
+        return;
+    }
+    if (!serving_) {
+        redirect(link);
+        return;
+    }
+    Subscription subscription;
+    subscription.node = record->info.id;
+    subscription.address = record->info.inner;
+    subscription.dataCentre = record->info.dataCentre;
+    subscription.heard = now(clock_);
+    subscription.acked = Revision(hello.revision());
+    subscription.sent = subscription.acked;
+    subscription.awaitsFloor = hello.revision() == 0;
+    subscribers_[link] = subscription;
+    subscriberGauge_->set(static_cast<std::int64_t>(subscribers_.size()));
+    state_->floors.raise(subscription.address, subscription.acked);
+    NodeRecord attached = *record;
+    attached.caretaker = state_->self.id;
+    handlers_.onRecord(attached);
+    sendState(link);
+}
+
+void Relay::redirect(LinkId link)
+{
+    sendWelcome(link, false);
+    network_->send(link, relaysFrame(state_->directory));
+    network_->send(link, goodbyeFrame());
+}
+
+void Relay::sendState(LinkId link)
+{
+    sendWelcome(link, true);
+    network_->send(link, relaysFrame(state_->directory));
+    network_->send(link, reachabilityFrame(state_->registry.unreachable()));
+    network_->send(link, recordsFrame(state_->registry.all(), true));
+    network_->send(link, movesFrame(*state_->moves.table()));
+    Subscription &subscription = subscribers_.at(link);
+    if (subscription.awaitsFloor)
+        askFloor(link);
+    else
+        sendConfig(link, subscription);
+}
+
+void Relay::askFloor(LinkId link)
+{
+    const NodeId node = subscribers_.at(link).node;
+    handlers_.confirmFloor([this, link, node](std::optional<Revision> revision) {
+        onFloor(link, node, revision);
+    });
+}
+
+void Relay::onFloor(LinkId link, const NodeId &node, std::optional<Revision> revision)
+{
+    const auto found = subscribers_.find(link);
+    if (found == subscribers_.end() || found->second.node != node)
+        return;
+    Subscription &subscription = found->second;
+    subscription.awaitsFloor = false;
+    subscription.confirmed = revision.has_value();
+    const Revision remembered
+            = state_->floors.floorOf(subscription.address, subscription.dataCentre);
+    subscription.floor = std::max(remembered, revision.value_or(Revision(0)));
+    if (!revision)
+        floorsUnconfirmed_->add();
+    if (subscription.floor > state_->config.revision())
+        floorWaits_->add();
+    sendConfig(link, subscription);
+}
+
+void Relay::sendConfig(LinkId link, Subscription &subscription)
+{
+    const EncodedConfig &config = state_->config.current();
+    if (!state_->config.snapshot() || subscription.awaitsFloor)
+        return;
+    if (config.revision <= subscription.sent || config.revision < subscription.floor)
+        return;
+    subscription.sent = config.revision;
+    // Noted before it is sent: from then on the address may act on it.
+    state_->floors.raise(subscription.address, config.revision);
+    state_->floors.raise(subscription.dataCentre, config.revision);
+    network_->send(link, configFrame(config, subscription.floor, subscription.confirmed));
+}
+
+void Relay::publishConfig()
+{
+    for (auto &[link, subscription] : subscribers_)
+        sendConfig(link, subscription);
+}
+
+void Relay::sendToAll(const FramePtr &frame)
+{
+    for (const auto &[link, subscription] : subscribers_)
+        network_->send(link, frame);
+}
+
+void Relay::publishMoves(const std::vector<Move> &moves)
+{
+    MoveTable table;
+    for (const Move &move : moves)
+        table.moves[move.service] = move;
+    if (!table.moves.empty() && !subscribers_.empty())
+        sendToAll(movesFrame(table));
+}
+
+void Relay::publishRelays()
+{
+    if (!subscribers_.empty())
+        sendToAll(relaysFrame(state_->directory));
+}
+
+void Relay::publishReachability()
+{
+    if (!subscribers_.empty())
+        sendToAll(reachabilityFrame(state_->registry.unreachable()));
+}
+
+void Relay::queueRecord(const NodeRecord &record)
+{
+    if (serving_)
+        queued_[record.info.id] = record;
+}
+
+void Relay::invite()
+{
+    std::vector<LinkId> eligible;
+    for (const auto &[link, subscription] : subscribers_) {
+        if (subscription.dataCentre == state_->self.dataCentre)
+            eligible.push_back(link);
+    }
+    if (eligible.empty())
+        return;
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_invite();
+    network_->send(eligible[random_->below(eligible.size())], frame);
+}
+
+void Relay::onFrame(LinkId link, const inner::Frame &frame)
+{
+    Subscription &subscription = subscribers_.at(link);
+    subscription.heard = now(clock_);
+    state_->registry.heard(subscription.node);
+    switch (frame.body_case()) {
+    case inner::Frame::kRecords:
+        onRecords(frame.records());
+        break;
+    case inner::Frame::kAck:
+        onAck(subscription, frame.ack());
+        break;
+    case inner::Frame::kNack:
+        onNack(link, subscription, frame.nack());
+        break;
+    case inner::Frame::kOutcomes:
+        handlers_.onOutcomes(fromWire(frame.outcomes()));
+        break;
+    default:
+        break;
+    }
+}
+
+void Relay::onAck(Subscription &subscription, const inner::Ack &ack)
+{
+    subscription.acked = std::max(subscription.acked, Revision(ack.revision()));
+    state_->floors.raise(subscription.address, subscription.acked);
+}
+
+void Relay::onNack(LinkId link, Subscription &subscription, const inner::Nack &nack)
+{
+    if (nack.want_whole()) {
+        subscription.sent = subscription.acked;
+        sendConfig(link, subscription);
+        return;
+    }
+    handlers_.onNack(nack);
+}
+
+void Relay::onRecords(const inner::Records &records)
+{
+    for (const inner::Record &wire : records.records()) {
+        Result<NodeRecord> record = fromWire(wire);
+        if (!record)
+            continue;
+        record->caretaker = state_->self.id;
+        handlers_.onRecord(*record);
+    }
+}
+
+void Relay::onClosed(LinkId link)
+{
+    subscribers_.erase(link);
+    subscriberGauge_->set(static_cast<std::int64_t>(subscribers_.size()));
+}
+
+void Relay::tick()
+{
+    if (!serving_)
+        return;
+    if (now(clock_) >= nextFlush_)
+        flushRecords();
+    if (now(clock_) >= nextHeartbeat_) {
+        nextHeartbeat_ = now(clock_) + heartbeat_;
+        sendToAll(heartbeatFrame());
+        dropSilent();
+    }
+}
+
+void Relay::flushRecords()
+{
+    nextFlush_ = now(clock_) + detail::recordBatch;
+    if (queued_.empty())
+        return;
+    std::vector<NodeRecord> records;
+    for (auto &[node, record] : queued_)
+        records.push_back(std::move(record));
+    queued_.clear();
+    if (!subscribers_.empty())
+        sendToAll(recordsFrame(records, false));
+}
+
+void Relay::dropSilent()
+{
+    std::vector<LinkId> silent;
+    for (const auto &[link, subscription] : subscribers_) {
+        if (now(clock_) - subscription.heard >= heartbeat_ * detail::relayMissedHeartbeats)
+            silent.push_back(link);
+    }
+    for (const LinkId link : silent) {
+        network_->close(link);
+        onClosed(link);
+    }
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/distribution/subscriber.cc
@@ -0,0 +1,218 @@
+// Connects, fails over, and returns to the preferred relay.
+#include "cornelhead/distribution/subscriber.h"
+
+#include <algorithm>
+
+#include "cornelhead/base/log.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr Milliseconds firstCandidateRetry = Milliseconds(250);
+constexpr Milliseconds lastCandidateRetry = Milliseconds(5000);
+constexpr Milliseconds welcomeTimeout = Milliseconds(1000);
+/// Spreads a herd that lost the same relay.
+constexpr Milliseconds failoverJitter = Milliseconds(50);
+/// Spreads the return to a relay that came back.
+constexpr Milliseconds moveJitter = Milliseconds(2000);
+constexpr int missedHeartbeats = 3;
+
+} // namespace detail
+
+Subscriber::Subscriber(SubscriberSettings settings, NetworkPort &network, Clock clock,
+                       Random &random, Metrics &metrics, SubscriberHandlers handlers) :
+    settings_(std::move(settings)),
+    network_(&network), clock_(std::move(clock)), random_(&random),
+    handlers_(std::move(handlers)), changes_(&metrics.counter("cornelhead_relay_changes_total")),
+    backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "relay"}}))
+{ }
+
+void Subscriber::start()
+{
+    if (running_)
+        return;
+    running_ = true;
+    detachedSince_ = now(clock_);
+    nextConnect_ = now(clock_) + random_->jitter(detail::failoverJitter);
+    rebuildCandidates();
+}
+
+void Subscriber::stop()
+{
+    running_ = false;
+    if (link_)
+        network_->close(*link_);
+    link_.reset();
+    welcomed_ = false;
+    detachedSince_.reset();
+}
+
+void Subscriber::setDirectory(const RelayDirectory &directory)
+{
+    if (directory == directory_)
+        return;
+    directory_ = directory;
+    rebuildCandidates();
+}
+
+void Subscriber::setNeighbours(std::vector<Address> neighbours)
+{
+    if (neighbours == neighbours_)
+        return;
+    neighbours_ = std::move(neighbours);
+    rebuildCandidates();
+}
+
+void Subscriber::addCandidate(const Address &address)
+{
+    const bool known = std::find(ranked_.begin(), ranked_.end(), address) != ranked_.end();
+    if (known || address == settings_.self.inner)
+        return;
+    ranked_.push_back(address);
+    candidates_.try_emplace(address,
+                            Candidate{Backoff(detail::firstCandidateRetry,
+                                              detail::lastCandidateRetry),
+                                      now(clock_)});
+}
+
+void Subscriber::rebuildCandidates()
+{
+    ranked_.clear();
+    for (const NodeInfo &relay : rankRelays(directory_, settings_.self))
+        addCandidate(relay.inner);
+    listed_ = ranked_.size();
+    for (const Address &neighbour : neighbours_)
+        addCandidate(neighbour);
+    for (const Address &seed : settings_.seeds)
+        addCandidate(seed);
+    std::erase_if(candidates_, [this](const auto &entry) {
+        return std::find(ranked_.begin(), ranked_.end(), entry.first) == ranked_.end();
+    });
+}
+
+std::optional<Address> Subscriber::nextCandidate() const
+{
+    const TimePoint time = now(clock_);
+    for (const Address &address : ranked_) {
+        if (time >= candidates_.at(address).notBefore)
+            return address;
+    }
+    return std::nullopt;
+}
+
+bool Subscriber::isExhausted() const
+{
+    return std::all_of(candidates_.begin(), candidates_.end(),
+                       [](const auto &entry) { return entry.second.failed; });
+}
+
+void Subscriber::connect()
+{
+    const std::optional<Address> address = nextCandidate();
+    if (!address)
+        return;
+    address_ = *address;
+    opened_ = now(clock_);
+    heard_ = opened_;
+    link_ = network_->open(address_);
+    network_->send(*link_, handlers_.makeHello());
+}
+
+void Subscriber::tick()
+{
+    if (!running_)
+        return;
+    if (!link_) {
+        if (now(clock_) >= nextConnect_)
+            connect();
+        return;
+    }
+    checkSilence();
+    if (welcomed_)
+        considerMove();
+}
+
+void Subscriber::checkSilence()
+{
+    const TimePoint time = now(clock_);
+    if (!welcomed_ && time - opened_ >= detail::welcomeTimeout)
+        abandon(true);
+    else if (welcomed_ && time - heard_ >= settings_.heartbeat * detail::missedHeartbeats)
+        abandon(true);
+}
+
+void Subscriber::considerMove()
+{
+    const auto preferred = nextCandidate();
+    const bool better = listed_ > 0 && preferred && *preferred != address_
+            && std::find(ranked_.begin(), ranked_.begin() + static_cast<long>(listed_), *preferred)
+                    != ranked_.begin() + static_cast<long>(listed_);
+    if (!better) {
+        moveAt_.reset();
+        return;
+    }
+    if (!moveAt_)
+        moveAt_ = now(clock_) + random_->jitter(detail::moveJitter);
+    if (now(clock_) >= *moveAt_)
+        abandon(false);
+}
+
+void Subscriber::noteFailure(const Address &address)
+{
+    const auto found = candidates_.find(address);
+    if (found == candidates_.end())
+        return;
+    found->second.failed = true;
+    found->second.notBefore = now(clock_) + found->second.backoff.next(*random_);
+    backoffs_->add();
+}
+
+void Subscriber::abandon(bool failed)
+{
+    if (link_)
+        network_->close(*link_);
+    link_.reset();
+    moveAt_.reset();
+    if (welcomed_ || !detachedSince_)
+        detachedSince_ = now(clock_);
+    if (failed)
+        noteFailure(address_);
+    nextConnect_ = now(clock_)
+            + (welcomed_ ? random_->jitter(detail::failoverJitter) : Milliseconds(0));
+    welcomed_ = false;
+    if (now(clock_) >= nextConnect_)
+        connect();
+}
+
+void Subscriber::onFrame(const inner::Frame &frame)
+{
+    heard_ = now(clock_);
+    if (frame.has_welcome())
+        onWelcome(frame.welcome());
+    else if (frame.has_goodbye())
+        abandon(true);
+}
+
+void Subscriber::onWelcome(const inner::Welcome &welcome)
+{
+    // A node that is no relay sends what it knows, and then Goodbye.
+    if (!welcome.relay())
+        return;
+    welcomed_ = true;
+    detachedSince_.reset();
+    moveAt_.reset();
+    changes_->add();
+    for (auto &[address, candidate] : candidates_)
+        candidate.failed = false;
+    if (const auto found = candidates_.find(address_); found != candidates_.end())
+        found->second.backoff.reset();
+    handlers_.onAttached();
+}
+
+void Subscriber::onClosed()
+{
+    link_.reset();
+    abandon(true);
+}
+
+} // namespace cornelhead
