--- a/include/cornelhead/distribution/exchange.h
+++ b/include/cornelhead/distribution/exchange.h
@@ -11,6 +11,7 @@
 #include "cornelhead/base/random.h"
 #include "cornelhead/distribution/backoff.h"
 #include "cornelhead/distribution/node-state.h"
+#include "cornelhead/rollout/outcome.h"
 
 namespace cornelhead {
 
@@ -37,8 +38,8 @@
 class Exchange
 {
 public:
-    Exchange(NodeState &state, NetworkPort &network, Clock clock, Random &random,
-             Metrics &metrics, Milliseconds heartbeat, ExchangeHandlers handlers);
+    Exchange(NodeState &state, NetworkPort &network, Clock clock, Random &random, Metrics &metrics,
+             Milliseconds heartbeat, ExchangeHandlers handlers);
 
     void start();
     void stop();
--- a/include/cornelhead/distribution/node-state.h
+++ b/include/cornelhead/distribution/node-state.h
@@ -30,8 +30,8 @@
 
 struct NodeState
 {
-    NodeState(NodeInfo info, Clock clock, RegistryTiming timing, Metrics &metrics) :
-        self(std::move(info)), config(metrics), registry(self.id, self.dataCentre, clock, timing)
+    NodeState(NodeInfo info, Clock clock, RegistryTiming timing, Metrics &metrics)
+        : self(std::move(info)), config(metrics), registry(self.id, self.dataCentre, clock, timing)
     { }
 
     NodeInfo self;
--- a/include/cornelhead/distribution/relay.h
+++ b/include/cornelhead/distribution/relay.h
@@ -9,6 +9,7 @@
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/base/random.h"
 #include "cornelhead/distribution/node-state.h"
+#include "cornelhead/rollout/outcome.h"
 
 namespace cornelhead {
 
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -32,22 +32,21 @@
 
 } // namespace detail
 
-Agent::Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform,
-             Clock clock, Metrics &metrics, DistributionHandlers handlers) :
-    settings_(std::move(settings)),
-    network_(std::move(network)), platform_(std::move(platform)), clock_(clock),
-    handlers_(std::move(handlers)), random_(settings_.seed),
-    state_(settings_.self, clock, detail::registryTiming(settings_), metrics),
-    roleGauge_(&metrics.gauge("cornelhead_relay_role")),
-    platformGauge_(&metrics.gauge("cornelhead_platform_reachable")),
-    subscriber_({settings_.self, settings_.seeds, settings_.heartbeat}, network_, clock, random_,
-                metrics, subscriberHandlers()),
-    relay_(state_, network_, clock, random_, metrics, settings_.heartbeat, relayHandlers()),
-    exchange_(state_, network_, clock, random_, metrics, settings_.heartbeat, exchangeHandlers()),
-    watcher_(platform_, clock, random_, metrics, watcherHandlers()),
-    election_({settings_.self, settings_.relaysPerDataCentre, settings_.relayLease}, platform_,
-              clock, random_, metrics, electionHandlers()),
-    nacks_(platform_, metrics)
+Agent::Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform, Clock clock,
+             Metrics &metrics, DistributionHandlers handlers)
+    : settings_(std::move(settings)), network_(std::move(network)), platform_(std::move(platform)),
+      clock_(clock), handlers_(std::move(handlers)), random_(settings_.seed),
+      state_(settings_.self, clock, detail::registryTiming(settings_), metrics),
+      roleGauge_(&metrics.gauge("cornelhead_relay_role")),
+      platformGauge_(&metrics.gauge("cornelhead_platform_reachable")),
+      subscriber_({settings_.self, settings_.seeds, settings_.heartbeat}, network_, clock, random_,
+                  metrics, subscriberHandlers()),
+      relay_(state_, network_, clock, random_, metrics, settings_.heartbeat, relayHandlers()),
+      exchange_(state_, network_, clock, random_, metrics, settings_.heartbeat, exchangeHandlers()),
+      watcher_(platform_, clock, random_, metrics, watcherHandlers()),
+      election_({settings_.self, settings_.relaysPerDataCentre, settings_.relayLease}, platform_,
+                clock, random_, metrics, electionHandlers()),
+      nacks_(platform_, metrics)
 {
     own_.info = settings_.self;
     own_.sequence = RecordSequence(1);
@@ -554,9 +553,8 @@
 
 void Agent::withdraw(const ServerId &server)
 {
-    const auto removed = std::erase_if(own_.servers, [&](const Endpoint &held) {
-        return held.id == server;
-    });
+    const auto removed
+            = std::erase_if(own_.servers, [&](const Endpoint &held) { return held.id == server; });
     if (removed > 0)
         changeOwnRecord();
 }
--- a/src/distribution/config-store.cc
+++ b/src/distribution/config-store.cc
@@ -1,19 +1,19 @@
 // Applies configurations whole and forwards only.
 #include "cornelhead/distribution/config-store.h"
 
+#include "cornelhead/base/check.h"
 #include "cornelhead/base/digest.h"
 #include "cornelhead/base/log.h"
 #include "cornelhead/config/manifest.h"
-#include "cornelhead/distribution/invariant.h"
 
 namespace cornelhead {
 
-ConfigStore::ConfigStore(Metrics &metrics) :
-    revertsRefused_(&metrics.counter("cornelhead_reverts_refused_total")),
-    partialRefused_(&metrics.counter("cornelhead_partial_refused_total")),
-    danglingRefused_(&metrics.counter("cornelhead_dangling_refused_total")),
-    revisionGauge_(&metrics.gauge("cornelhead_config_revision")),
-    floorGauge_(&metrics.gauge("cornelhead_config_floor"))
+ConfigStore::ConfigStore(Metrics &metrics)
+    : revertsRefused_(&metrics.counter("cornelhead_reverts_refused_total")),
+      partialRefused_(&metrics.counter("cornelhead_partial_refused_total")),
+      danglingRefused_(&metrics.counter("cornelhead_dangling_refused_total")),
+      revisionGauge_(&metrics.gauge("cornelhead_config_revision")),
+      floorGauge_(&metrics.gauge("cornelhead_config_floor"))
 {
     current_.bytes = std::make_shared<const std::string>();
 }
@@ -73,9 +73,9 @@
 
 void ConfigStore::swap(const EncodedConfig &config, std::shared_ptr<const Snapshot> snapshot)
 {
-    requireInvariant(config.revision >= current_.revision, "revision never goes down");
-    requireInvariant(config.revision >= floor_, "revision is not below the floor");
-    requireInvariant(snapshot->digest() == config.digest, "snapshot has the stated digest");
+    CORNELHEAD_CHECK(config.revision >= current_.revision);
+    CORNELHEAD_CHECK(config.revision >= floor_);
+    CORNELHEAD_CHECK(snapshot->digest() == config.digest);
     current_ = config;
     snapshot_ = std::move(snapshot);
     revisionGauge_->set(static_cast<std::int64_t>(config.revision.value()));
--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -17,14 +17,13 @@
 struct Distribution::Impl
 {
     Impl(EventLoop &eventLoop, PlatformClient &platform, Metrics &metrics,
-         DistributionSettings given, DistributionHandlers handlers) :
-        loop(&eventLoop),
-        settings(given),
-        network(eventLoop, metrics,
-                {[this](LinkId link, const inner::Frame &frame) { agent.onFrame(link, frame); },
-                 [this](LinkId link) { agent.onClosed(link); }}),
-        agent(std::move(given), network.port(), platformPort(platform), SteadyClock(), metrics,
-              std::move(handlers))
+         DistributionSettings given, DistributionHandlers handlers)
+        : loop(&eventLoop), settings(given),
+          network(eventLoop, metrics,
+                  {[this](LinkId link, const inner::Frame &frame) { agent.onFrame(link, frame); },
+                   [this](LinkId link) { agent.onClosed(link); }}),
+          agent(std::move(given), network.port(), platformPort(platform), SteadyClock(), metrics,
+                std::move(handlers))
     { }
 
     EventLoop *loop;
@@ -36,9 +35,9 @@
 };
 
 Distribution::Distribution(EventLoop &loop, PlatformClient &platform, Metrics &metrics,
-                           DistributionSettings settings, DistributionHandlers handlers) :
-    impl_(std::make_unique<Impl>(loop, platform, metrics, std::move(settings),
-                                 std::move(handlers)))
+                           DistributionSettings settings, DistributionHandlers handlers)
+    : impl_(std::make_unique<Impl>(loop, platform, metrics, std::move(settings),
+                                   std::move(handlers)))
 { }
 
 Distribution::~Distribution() = default;
--- a/src/distribution/exchange.cc
+++ b/src/distribution/exchange.cc
@@ -23,12 +23,12 @@
 } // namespace detail
 
 Exchange::Exchange(NodeState &state, NetworkPort &network, Clock clock, Random &random,
-                   Metrics &metrics, Milliseconds heartbeat, ExchangeHandlers handlers) :
-    state_(&state),
-    network_(&network), clock_(std::move(clock)), random_(&random), heartbeat_(heartbeat),
-    handlers_(std::move(handlers)), pulls_(&metrics.counter("cornelhead_exchange_pulls_total")),
-    backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "exchange"}})),
-    peerGauge_(&metrics.gauge("cornelhead_peers"))
+                   Metrics &metrics, Milliseconds heartbeat, ExchangeHandlers handlers)
+    : state_(&state), network_(&network), clock_(std::move(clock)), random_(&random),
+      heartbeat_(heartbeat), handlers_(std::move(handlers)),
+      pulls_(&metrics.counter("cornelhead_exchange_pulls_total")),
+      backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "exchange"}})),
+      peerGauge_(&metrics.gauge("cornelhead_peers"))
 { }
 
 void Exchange::start()
@@ -98,10 +98,9 @@
 
 void Exchange::noteFailure(const Address &address)
 {
-    Dial &dial = dials_
-                         .try_emplace(address,
-                                      Dial{Backoff(detail::firstDialRetry, detail::lastDialRetry),
-                                           now(clock_)})
+    Dial &dial = dials_.try_emplace(address,
+                                    Dial{Backoff(detail::firstDialRetry, detail::lastDialRetry),
+                                         now(clock_)})
                          .first->second;
     dial.notBefore = now(clock_) + dial.backoff.next(*random_);
     backoffs_->add();
--- a/src/distribution/grpc-network.cc
+++ b/src/distribution/grpc-network.cc
@@ -155,16 +155,16 @@
 class ClientStream final : public Stream, public grpc::ClientBidiReactor<inner::Frame, inner::Frame>
 {
 public:
-    ClientStream(std::shared_ptr<NetworkHub> hub, LinkId link, const Address &address) :
-        Stream(std::move(hub), link)
+    ClientStream(std::shared_ptr<NetworkHub> hub, LinkId link, const Address &address)
+        : Stream(std::move(hub), link)
     {
         grpc::ChannelArguments arguments;
         arguments.SetMaxReceiveMessageSize(maxFrameBytes);
         // A broken connection must not delay the next link by gRPC's own back-off.
         arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
         arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-        channel_ = grpc::CreateCustomChannel(address.toString(),
-                                             grpc::InsecureChannelCredentials(), arguments);
+        channel_ = grpc::CreateCustomChannel(address.toString(), grpc::InsecureChannelCredentials(),
+                                             arguments);
         stub_ = inner::Inner::NewStub(channel_);
     }
 
@@ -339,8 +339,8 @@
     return stream;
 }
 
-GrpcNetwork::GrpcNetwork(EventLoop &loop, Metrics &metrics, NetworkHandlers handlers) :
-    impl_(std::make_shared<Impl>())
+GrpcNetwork::GrpcNetwork(EventLoop &loop, Metrics &metrics, NetworkHandlers handlers)
+    : impl_(std::make_shared<Impl>())
 {
     detail::NetworkHub &hub = *impl_->hub;
     hub.loop = &loop;
--- a/src/distribution/nack-writer.cc
+++ b/src/distribution/nack-writer.cc
@@ -39,10 +39,10 @@
 
 } // namespace detail
 
-NackWriter::NackWriter(PlatformPort &platform, Metrics &metrics) :
-    platform_(&platform),
-    calls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "nack"}})),
-    nacks_(&metrics.counter("cornelhead_config_nacks_total"))
+NackWriter::NackWriter(PlatformPort &platform, Metrics &metrics)
+    : platform_(&platform),
+      calls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "nack"}})),
+      nacks_(&metrics.counter("cornelhead_config_nacks_total"))
 { }
 
 void NackWriter::write(const Refusal &refusal)
@@ -80,8 +80,8 @@
     platform_->put(nackPrefix + std::to_string(refusal.revision.value()),
                    value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
                    Expected{held ? held->modRevision : ModRevision(0)}, std::nullopt,
-                   [this, refusal, triesLeft, alive = std::weak_ptr<int>(alive_)](
-                           const Result<ModRevision> &written) {
+                   [this, refusal, triesLeft,
+                    alive = std::weak_ptr<int>(alive_)](const Result<ModRevision> &written) {
                        if (!alive.expired() && !written)
                            read(refusal, triesLeft - 1);
                    });
--- a/src/distribution/platform-watcher.cc
+++ b/src/distribution/platform-watcher.cc
@@ -15,19 +15,18 @@
 } // namespace detail
 
 PlatformWatcher::PlatformWatcher(PlatformPort &platform, Clock clock, Random &random,
-                                 Metrics &metrics, WatcherHandlers handlers) :
-    platform_(&platform),
-    clock_(clock), random_(&random), handlers_(std::move(handlers)),
-    chunkCalls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "chunk"}})),
-    floorCalls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "floor"}})),
-    unreadable_(&metrics.counter("cornelhead_platform_unreadable_total")),
-    chunkBackoff_(detail::firstChunkRetry, detail::lastChunkRetry),
-    manifest_(manifestKey, platform, clock, random, metrics,
-              [this](const PrefixChange &change) { onManifestChange(change); }),
-    moves_(movePrefix, platform, clock, random, metrics,
-           [this](const PrefixChange &change) { onMoveChange(change); }),
-    relayWatch_(relayPrefix, platform, clock, random, metrics,
-                [this](const PrefixChange &change) { onRelayChange(change); })
+                                 Metrics &metrics, WatcherHandlers handlers)
+    : platform_(&platform), clock_(clock), random_(&random), handlers_(std::move(handlers)),
+      chunkCalls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "chunk"}})),
+      floorCalls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "floor"}})),
+      unreadable_(&metrics.counter("cornelhead_platform_unreadable_total")),
+      chunkBackoff_(detail::firstChunkRetry, detail::lastChunkRetry),
+      manifest_(manifestKey, platform, clock, random, metrics,
+                [this](const PrefixChange &change) { onManifestChange(change); }),
+      moves_(movePrefix, platform, clock, random, metrics,
+             [this](const PrefixChange &change) { onMoveChange(change); }),
+      relayWatch_(relayPrefix, platform, clock, random, metrics,
+                  [this](const PrefixChange &change) { onRelayChange(change); })
 { }
 
 void PlatformWatcher::start()
--- a/src/distribution/ports.cc
+++ b/src/distribution/ports.cc
@@ -7,7 +7,8 @@
 {
     PlatformPort port;
     port.get = [&](const auto &key, auto callback) { client.get(key, std::move(callback)); };
-    port.list = [&](const auto &prefix, auto callback) { client.list(prefix, std::move(callback)); };
+    port.list
+            = [&](const auto &prefix, auto callback) { client.list(prefix, std::move(callback)); };
     port.put = [&](const auto &key, const auto &value, Expected expected, const auto &lease,
                    auto callback) { client.put(key, value, expected, lease, std::move(callback)); };
     port.remove = [&](const auto &key, Expected expected, auto callback) {
--- a/src/distribution/prefix-watch.cc
+++ b/src/distribution/prefix-watch.cc
@@ -13,12 +13,12 @@
 } // namespace detail
 
 PrefixWatch::PrefixWatch(std::string prefix, PlatformPort &platform, Clock clock, Random &random,
-                         Metrics &metrics, Handler handler) :
-    prefix_(std::move(prefix)),
-    platform_(&platform), clock_(std::move(clock)), random_(&random), handler_(std::move(handler)),
-    calls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "watch"}})),
-    backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "watch"}})),
-    backoff_(detail::firstRetry, detail::lastRetry)
+                         Metrics &metrics, Handler handler)
+    : prefix_(std::move(prefix)), platform_(&platform), clock_(std::move(clock)), random_(&random),
+      handler_(std::move(handler)),
+      calls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "watch"}})),
+      backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "watch"}})),
+      backoff_(detail::firstRetry, detail::lastRetry)
 { }
 
 void PrefixWatch::start()
--- a/src/distribution/relay-directory.cc
+++ b/src/distribution/relay-directory.cc
@@ -17,8 +17,9 @@
 std::size_t countRelays(const RelayDirectory &directory, const DataCentreId &dataCentre)
 {
     return static_cast<std::size_t>(
-            std::count_if(directory.relays.begin(), directory.relays.end(),
-                          [&](const auto &entry) { return entry.second.dataCentre == dataCentre; }));
+            std::count_if(directory.relays.begin(), directory.relays.end(), [&](const auto &entry) {
+                return entry.second.dataCentre == dataCentre;
+            }));
 }
 
 bool isListed(const RelayDirectory &directory, const NodeId &node)
--- a/src/distribution/relay-election.cc
+++ b/src/distribution/relay-election.cc
@@ -14,15 +14,14 @@
 } // namespace detail
 
 RelayElection::RelayElection(ElectionSettings settings, PlatformPort &platform, Clock clock,
-                             Random &random, Metrics &metrics, ElectionHandlers handlers) :
-    settings_(std::move(settings)),
-    platform_(&platform), clock_(std::move(clock)), random_(&random),
-    handlers_(std::move(handlers)),
-    calls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "election"}})),
-    won_(&metrics.counter("cornelhead_relay_elections_total", {{"outcome", "won"}})),
-    lost_(&metrics.counter("cornelhead_relay_elections_total", {{"outcome", "lost"}})),
-    backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "election"}})),
-    backoff_(detail::firstContest, detail::lastContest)
+                             Random &random, Metrics &metrics, ElectionHandlers handlers)
+    : settings_(std::move(settings)), platform_(&platform), clock_(std::move(clock)),
+      random_(&random), handlers_(std::move(handlers)),
+      calls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "election"}})),
+      won_(&metrics.counter("cornelhead_relay_elections_total", {{"outcome", "won"}})),
+      lost_(&metrics.counter("cornelhead_relay_elections_total", {{"outcome", "lost"}})),
+      backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "election"}})),
+      backoff_(detail::firstContest, detail::lastContest)
 { }
 
 template <typename T>
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -13,13 +13,12 @@
 } // namespace detail
 
 Relay::Relay(NodeState &state, NetworkPort &network, Clock clock, Random &random, Metrics &metrics,
-             Milliseconds heartbeat, RelayHandlers handlers) :
-    state_(&state),
-    network_(&network), clock_(std::move(clock)), random_(&random), heartbeat_(heartbeat),
-    handlers_(std::move(handlers)),
-    floorsUnconfirmed_(&metrics.counter("cornelhead_floor_unconfirmed_total")),
-    floorWaits_(&metrics.counter("cornelhead_floor_waits_total")),
-    subscriberGauge_(&metrics.gauge("cornelhead_subscribers"))
+             Milliseconds heartbeat, RelayHandlers handlers)
+    : state_(&state), network_(&network), clock_(std::move(clock)), random_(&random),
+      heartbeat_(heartbeat), handlers_(std::move(handlers)),
+      floorsUnconfirmed_(&metrics.counter("cornelhead_floor_unconfirmed_total")),
+      floorWaits_(&metrics.counter("cornelhead_floor_waits_total")),
+      subscriberGauge_(&metrics.gauge("cornelhead_subscribers"))
 { }
 
 void Relay::start()
--- a/src/distribution/subscriber.cc
+++ b/src/distribution/subscriber.cc
@@ -20,11 +20,11 @@
 } // namespace detail
 
 Subscriber::Subscriber(SubscriberSettings settings, NetworkPort &network, Clock clock,
-                       Random &random, Metrics &metrics, SubscriberHandlers handlers) :
-    settings_(std::move(settings)),
-    network_(&network), clock_(std::move(clock)), random_(&random),
-    handlers_(std::move(handlers)), changes_(&metrics.counter("cornelhead_relay_changes_total")),
-    backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "relay"}}))
+                       Random &random, Metrics &metrics, SubscriberHandlers handlers)
+    : settings_(std::move(settings)), network_(&network), clock_(std::move(clock)),
+      random_(&random), handlers_(std::move(handlers)),
+      changes_(&metrics.counter("cornelhead_relay_changes_total")),
+      backoffs_(&metrics.counter("cornelhead_backoffs_total", {{"flow", "relay"}}))
 { }
 
 void Subscriber::start()
@@ -69,10 +69,10 @@
     if (known || address == settings_.self.inner)
         return;
     ranked_.push_back(address);
-    candidates_.try_emplace(address,
-                            Candidate{Backoff(detail::firstCandidateRetry,
-                                              detail::lastCandidateRetry),
-                                      now(clock_)});
+    candidates_.try_emplace(
+            address,
+            Candidate{Backoff(detail::firstCandidateRetry, detail::lastCandidateRetry),
+                      now(clock_)});
 }
 
 void Subscriber::rebuildCandidates()
@@ -177,8 +177,8 @@
         detachedSince_ = now(clock_);
     if (failed)
         noteFailure(address_);
-    nextConnect_ = now(clock_)
-            + (welcomed_ ? random_->jitter(detail::failoverJitter) : Milliseconds(0));
+    nextConnect_
+            = now(clock_) + (welcomed_ ? random_->jitter(detail::failoverJitter) : Milliseconds(0));
     welcomed_ = false;
     if (now(clock_) >= nextConnect_)
         connect();
--- a/src/membership/endpoint-registry.cc
+++ b/src/membership/endpoint-registry.cc
@@ -16,9 +16,9 @@
 } // namespace detail
 
 EndpointRegistry::EndpointRegistry(NodeId self, DataCentreId dataCentre, Clock clock,
-                                   RegistryTiming timing) :
-    self_(std::move(self)),
-    dataCentre_(std::move(dataCentre)), clock_(std::move(clock)), timing_(timing)
+                                   RegistryTiming timing)
+    : self_(std::move(self)), dataCentre_(std::move(dataCentre)), clock_(std::move(clock)),
+      timing_(timing)
 { }
 
 bool EndpointRegistry::merge(const NodeRecord &record)
