--- /dev/null
+++ b/include/cornelhead/routing/refusal.h
@@ -0,0 +1,73 @@
+// The typed refusals of the call path: reason, status, and whether the call may have been run.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace cornelhead {
+
+/// Says why a proxy answered a call itself.  Each reason has a counter and a remedy.
+enum class RefusalReason {
+    BadRequest,
+    TooLarge,
+    UnknownCustomer,
+    UnknownService,
+    NoRoute,
+    PlanLacksService,
+    KeyMissing,
+    Rate,
+    Concurrency,
+    Overload,
+    Deadline,
+    NoServer,
+    NotReady,
+    Draining,
+    ConnectFailed,
+    Shed,
+    BrokenConnection,
+    Timeout,
+    UnboundedAnswer,
+    Cancelled,
+    Poison,
+    InProgress,
+    OutcomeUnknown,
+    KeyReused,
+    AnswerForgotten,
+    HomeYoung,
+    HomeMoved,
+    HomeUnreachable,
+    TooDeep,
+};
+
+constexpr std::size_t refusalReasonCount = static_cast<std::size_t>(RefusalReason::TooDeep) + 1;
+
+/// Says what is known about the run of a refused call.
+enum class RunProof {
+    NotRun, ///< It was certainly not run; sending it again is safe.
+    Unknown, ///< It may or may not have been run.
+};
+
+/// The fixed facts about a reason.
+struct RefusalFacts
+{
+    /// The stable, hyphenated name in headers, bodies and counters.
+    std::string_view name;
+    int status = 0;
+    std::string_view message;
+    std::string_view remedy;
+};
+
+const RefusalFacts &refusalFacts(RefusalReason reason);
+
+/// Returns "not-run" or "unknown".
+std::string_view runProofName(RunProof proof);
+
+/// One refusal of one call.
+struct Refusal
+{
+    RefusalReason reason = RefusalReason::BadRequest;
+    RunProof run = RunProof::NotRun;
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/include/cornelhead/routing/retry.h
@@ -0,0 +1,69 @@
+// Decides whether a call is sent again, and bounds how often.
+#pragma once
+
+#include <cstdint>
+
+#include "cornelhead/base/clock.h"
+#include "cornelhead/config/declarations.h"
+
+namespace cornelhead {
+
+/// Tells how one attempt at a backend server ended without an answer for the caller.
+enum class AttemptFailure {
+    NotSent, ///< No byte of the request left; certainly not run.
+    RefusedNotRun, ///< The server proved that it did not run it.
+    Broken, ///< The connection broke after the request was sent.
+    Silent, ///< No progress within the attempt's time.
+};
+
+/// Tells whether the attempt was certainly not run.
+bool provesNotRun(AttemptFailure failure);
+
+/// What the retry decision rests on.
+struct RetryQuestion
+{
+    Idempotency idempotency = Idempotency::Keyed;
+    AttemptFailure failure = AttemptFailure::Broken;
+    /// Attempts made so far.
+    std::uint32_t attempts = 1;
+    Milliseconds remaining = Milliseconds(0);
+};
+
+enum class RetryDecision {
+    Retry,
+    NotAllowed, ///< The call may have been run and must not run twice.
+    TooLate, ///< The deadline leaves no time.
+    TooMany, ///< The call used up its attempts.
+};
+
+/// Attempts of one call, the first included.
+constexpr std::uint32_t maxAttempts = 3;
+/// A retry needs at least this much time to be of use.
+constexpr Milliseconds minRetryTime = Milliseconds(2);
+
+/// Decides without regard to the budget, which is asked next.
+RetryDecision decideRetry(const RetryQuestion &question);
+
+/// Bounds retries to a part of the calls seen, less with each hop.
+///
+/// Sums to less than a tenth over 19 hops, so that retries at every hop together multiply the
+/// calls of the last one by at most 1.1.
+class RetryBudget
+{
+public:
+    /// Earns for a call that came through `depth` hops.
+    void addCall(std::uint32_t depth);
+    /// Takes one retry, if there is one left.
+    bool take();
+
+private:
+    // Invariant: 0 <= tokens_ <= maxTokens.
+    double tokens_ = maxTokens;
+
+    static constexpr double maxTokens = 10.0;
+};
+
+/// Returns the retries that one call at `depth` earns.
+double retryShare(std::uint32_t depth);
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/routing/limits.cc
@@ -0,0 +1,67 @@
+// Implements the limits of customers.
+#include "cornelhead/routing/limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelhead {
+namespace detail {
+
+constexpr double microsecondsPerSecond = 1e6;
+
+// A share never rounds a customer down to nothing.
+double sharedLimit(std::uint32_t limit, double share)
+{
+    return std::max(1.0, std::ceil(static_cast<double>(limit) * share));
+}
+
+} // namespace detail
+
+bool TokenBucket::take(TimePoint now, double ratePerSecond, double burst)
+{
+    const double capacity = std::max(1.0, burst);
+    const double seconds = static_cast<double>((now - last_).count()) / detail::microsecondsPerSecond;
+    tokens_ = isStarted_ ? std::min(capacity, tokens_ + seconds * ratePerSecond) : capacity;
+    isStarted_ = true;
+    last_ = now;
+    if (tokens_ < 1.0)
+        return false;
+    tokens_ -= 1.0;
+    return true;
+}
+
+LimitResult CustomerLimits::take(const CustomerId &customer, const Plan &plan, TimePoint now,
+                                 LimitShare share)
+{
+    Entry &entry = entries_[customer];
+    entry.lastUse = now;
+    if (entry.inFlight >= detail::sharedLimit(plan.concurrency, share.concurrency))
+        return LimitResult::ConcurrencyExceeded;
+    const double burst = detail::sharedLimit(plan.burst, share.rate);
+    if (!entry.bucket.take(now, plan.ratePerSecond * share.rate, burst))
+        return LimitResult::RateExceeded;
+    ++entry.inFlight;
+    return LimitResult::Admitted;
+}
+
+void CustomerLimits::release(const CustomerId &customer)
+{
+    const auto found = entries_.find(customer);
+    if (found != entries_.end() && found->second.inFlight > 0)
+        --found->second.inFlight;
+}
+
+std::uint32_t CustomerLimits::inFlight(const CustomerId &customer) const
+{
+    const auto found = entries_.find(customer);
+    return found == entries_.end() ? 0 : found->second.inFlight;
+}
+
+void CustomerLimits::forgetQuiet(TimePoint before)
+{
+    std::erase_if(entries_, [before](const auto &entry) {
+        return entry.second.inFlight == 0 && entry.second.lastUse < before;
+    });
+}
+
+} // namespace cornelhead
