Add the call path: admission, choice of version and server, retries, limits and workers

Workers own an event loop, a listener and pooled upstream connections each. A call is retried only where it is idempotent or proved not run, under a budget that sums to a tenth over 19 hops. Answers beyond 64 KiB are streamed with back-pressure. Proxy::setView and Proxy::drain take references; the proxy part links nlohmann_json for refusal bodies.

--- /dev/null
+++ b/include/cornelhead/proxy/attempt.h
@@ -0,0 +1,98 @@
+// One try of a call at one backend server or node, on one connection.
+#pragma once
+
+#include <functional>
+#include <variant>
+
+#include <event2/http.h>
+
+#include "cornelhead/base/address.h"
+#include "cornelhead/net/event-loop.h"
+#include "cornelhead/proxy/upstream-pool.h"
+#include "cornelhead/routing/retry.h"
+
+struct evbuffer;
+struct evbuffer_cb_entry;
+struct evbuffer_cb_info;
+
+namespace cornelhead::detail {
+
+/// A whole answer; `raw` is valid during the handler only.
+struct WholeAnswer
+{
+    evhttp_request *raw = nullptr;
+};
+
+/// A streamed answer came to its end.
+struct StreamEnd
+{ };
+
+/// The answer states no end, so it cannot be told from one that was cut.
+struct UnboundedAnswer
+{ };
+
+using AttemptEnd = std::variant<WholeAnswer, StreamEnd, UnboundedAnswer, AttemptFailure>;
+
+/// What the owner of an attempt is told.  No handler runs after `cancel` or `onEnd`.
+struct AttemptHandlers
+{
+    /// Looks at the head of an answer; returns whether to stream its body.
+    std::function<bool(evhttp_request *)> onHead;
+    std::function<void(evbuffer *)> onChunk;
+    std::function<void(const AttemptEnd &)> onEnd;
+};
+
+/// Sends one request and waits for its answer.
+///
+/// Must not be destroyed inside its own handlers, as evhttp still uses the connection there.
+class Attempt
+{
+public:
+    Attempt(EventLoop &loop, UpstreamPool &pool, Address to, AttemptHandlers handlers);
+    ~Attempt();
+    Attempt(const Attempt &) = delete;
+    Attempt &operator=(const Attempt &) = delete;
+
+    /// To be filled before `send`.
+    evkeyvalq *headers();
+    evbuffer *body();
+    /// A buffered answer with a body beyond `bytes` counts as broken.
+    void limitBody(std::size_t bytes);
+    void send(evhttp_cmd_type method, const char *uri);
+
+    /// Closes the connection and calls no handler any more.
+    void cancel();
+    /// Tells whether a byte of the request may have left this process.
+    bool wasSent() const { return wasSent_; }
+    /// Stops and goes on reading a streamed answer.
+    void pause();
+    void resume();
+
+private:
+    static void onDone(evhttp_request *raw, void *arg);
+    static int onHeadRead(evhttp_request *raw, void *arg);
+    static void onChunkRead(evhttp_request *raw, void *arg);
+    static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg);
+
+    void finish(const AttemptEnd &end);
+    AttemptEnd endOf(evhttp_request *raw) const;
+    void watchOutput();
+    void unwatchOutput();
+    void setNoDelay();
+
+    UpstreamPool &pool_;
+    const Address to_;
+    AttemptHandlers handlers_;
+    UpstreamHandle connection_;
+    // Owned by evhttp once sent; null once ended.
+    evhttp_request *raw_ = nullptr;
+    evbuffer_cb_entry *output_ = nullptr;
+    std::unique_ptr<event, EventDeleter> pauseEvent_;
+    bool isStreaming_ = false;
+    bool isPaused_ = false;
+    bool isOver_ = false;
+    bool isRequested_ = false;
+    bool wasSent_ = false;
+};
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/include/cornelhead/proxy/counters.h
@@ -0,0 +1,44 @@
+// The proxy's metrics, looked up once so that a call never searches for one.
+#pragma once
+
+#include <array>
+
+#include "cornelhead/base/metrics.h"
+#include "cornelhead/routing/refusal.h"
+#include "cornelhead/routing/retry.h"
+
+namespace cornelhead::detail {
+
+constexpr std::size_t attemptFailureCount = 4;
+
+/// Returns the name of `failure` in counters.
+const char *attemptFailureName(AttemptFailure failure);
+
+/// References into the process's metrics; safe to use from any worker.
+struct ProxyCounters
+{
+    explicit ProxyCounters(Metrics &metrics);
+
+    Counter &refusal(RefusalReason reason, RunProof run);
+    Counter &retry(AttemptFailure failure);
+
+    Counter &calls;
+    Counter &answers;
+    Counter &retriesOverBudget;
+    Counter &retriesNotAllowed;
+    Counter &ejections;
+    Counter &connectionsOpened;
+    Counter &cutAnswers;
+    Counter &callersGone;
+    Counter &keyedSentOn;
+    Counter &keyedRemembered;
+    Counter &lateAnswersKept;
+    Gauge &inFlight;
+    Summary &duration;
+
+private:
+    std::array<std::array<Counter *, 2>, refusalReasonCount> refusals_{};
+    std::array<Counter *, attemptFailureCount> retries_{};
+};
+
+} // namespace cornelhead::detail
--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -32,11 +32,11 @@
     /// Listens and starts the workers.  Calls are refused as `not-run` until the first view.
     Result<void> start();
     /// Replaces what every worker decides from.
-    void setView(std::shared_ptr<const RoutingView> view);
+    void setView(const std::shared_ptr<const RoutingView> &view);
     /// Takes the outcomes of finished calls since the last take.
     OutcomeBatch takeOutcomes();
     /// Stops accepting, lets calls end, then calls `done` from a worker thread.
-    void drain(std::function<void()> done);
+    void drain(const std::function<void()> &done);
 
 private:
     struct Impl;
--- a/include/cornelhead/routing/server-choice.h
+++ b/include/cornelhead/routing/server-choice.h
@@ -29,13 +29,17 @@
     /// Ejections since the last answer; sets how long the next one lasts.
     std::uint32_t ejections = 0;
     TimePoint ejectedUntil{};
+    /// Until then it takes calls only when no other server does, as it was full.
+    TimePoint avoidedUntil{};
+    TimePoint lastAnswer{};
 };
 
 /// How a call at a server ended, for the choice of later servers.
 enum class ServerResult {
     Answered,
-    Failed, ///< A failure that counts against the server.
-    Neutral, ///< Says nothing about the server: cancelled, or the connection went silent.
+    Failed, ///< Answered with an error, refused the connection or broke it.
+    Silent, ///< No answer in time; counts only if the server answered nobody else meanwhile.
+    Neutral, ///< Says nothing about the server.
     Shed, ///< Full; avoided for a moment, never ejected.
 };
 
@@ -65,8 +69,9 @@
                   const std::vector<Record> &tried, TimePoint now, Random &random) const;
     /// Counts a call as in flight.
     static void begin(ServerRecord &server);
-    /// Ends a call and learns from it.
-    void finish(ServerRecord &server, ServerResult result, Microseconds latency, TimePoint now);
+    /// Ends a call that was sent `latency` ago and learns from it.  Returns whether the server was
+    /// ejected for it.
+    bool finish(ServerRecord &server, ServerResult result, Microseconds latency, TimePoint now);
 
     /// Counts the servers of a service that are ejected now.
     std::size_t ejected(const ServiceId &service, TimePoint now) const;
@@ -79,7 +84,7 @@
     };
 
     void addToGroup(const Record &record);
-    void eject(ServerRecord &server, TimePoint now);
+    bool addFailure(ServerRecord &server, TimePoint now);
     bool mayEject(const ServerRecord &server, TimePoint now) const;
     const Group *findGroup(const ServiceId &service, const VersionId &version) const;
 
--- /dev/null
+++ b/src/proxy/answer.cc
@@ -0,0 +1,114 @@
+// Implements the writing of answers.
+#include "cornelhead/proxy/answer.h"
+
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <nlohmann/json.hpp>
+
+#include "cornelhead/proxy/evhttp-handles.h"
+#include "cornelhead/proxy/request-head.h"
+
+namespace cornelhead::detail {
+
+namespace {
+
+std::string renderRefusal(const Refusal &refusal)
+{
+    const RefusalFacts &facts = refusalFacts(refusal.reason);
+    const nlohmann::json body = {{"error",
+                                  {{"reason", facts.name},
+                                   {"run", runProofName(refusal.run)},
+                                   {"message", facts.message},
+                                   {"remedy", facts.remedy}}}};
+    return body.dump();
+}
+
+} // namespace
+
+RefusalBodies::RefusalBodies()
+{
+    for (std::size_t i = 0; i < refusalReasonCount; ++i) {
+        for (const RunProof run : {RunProof::NotRun, RunProof::Unknown}) {
+            const Refusal refusal{static_cast<RefusalReason>(i), run};
+            bodies_[i][static_cast<std::size_t>(run)] = renderRefusal(refusal);
+        }
+    }
+}
+
+const std::string &RefusalBodies::body(const Refusal &refusal) const
+{
+    return bodies_[static_cast<std::size_t>(refusal.reason)][static_cast<std::size_t>(refusal.run)];
+}
+
+namespace {
+
+void addClose(evkeyvalq *headers, AfterAnswer after)
+{
+    if (after == AfterAnswer::Close)
+        evhttp_add_header(headers, "Connection", "close");
+}
+
+} // namespace
+
+void sendRefusal(evhttp_request *caller, const Refusal &refusal, const RefusalBodies &bodies,
+                 AfterAnswer after)
+{
+    const RefusalFacts &facts = refusalFacts(refusal.reason);
+    evkeyvalq *headers = evhttp_request_get_output_headers(caller);
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    evhttp_add_header(headers, runHeader, runProofName(refusal.run).data());
+    evhttp_add_header(headers, reasonHeader, facts.name.data());
+    addClose(headers, after);
+    const std::string &text = bodies.body(refusal);
+    const BufferHandle body(evbuffer_new());
+    // The bodies live as long as the proxy, so they need no copy.
+    evbuffer_add_reference(body.get(), text.data(), text.size(), nullptr, nullptr);
+    evhttp_send_reply(caller, facts.status, nullptr, body.get());
+}
+
+namespace {
+
+void copyAnswerHead(evhttp_request *caller, evhttp_request *answer, AfterAnswer after)
+{
+    evkeyvalq *headers = evhttp_request_get_output_headers(caller);
+    const evkeyvalq *received = evhttp_request_get_input_headers(answer);
+    copyEndToEndHeaders(received, headers);
+    addClose(headers, after);
+    // An answer to HEAD, or one that is streamed, states the length of a body not held here.
+    const char *length = evhttp_find_header(received, "Content-Length");
+    if (length && evbuffer_get_length(evhttp_request_get_input_buffer(answer)) == 0)
+        evhttp_add_header(headers, "Content-Length", length);
+}
+
+} // namespace
+
+void sendAnswer(evhttp_request *caller, evhttp_request *answer, AfterAnswer after)
+{
+    copyAnswerHead(caller, answer, after);
+    evhttp_send_reply(caller, evhttp_request_get_response_code(answer),
+                      evhttp_request_get_response_code_line(answer),
+                      evhttp_request_get_input_buffer(answer));
+}
+
+void startAnswer(evhttp_request *caller, evhttp_request *answer, AfterAnswer after)
+{
+    copyAnswerHead(caller, answer, after);
+    evhttp_send_reply_start(caller, evhttp_request_get_response_code(answer),
+                            evhttp_request_get_response_code_line(answer));
+}
+
+void cutAnswer(evhttp_request *caller)
+{
+    evhttp_connection *connection = evhttp_request_get_connection(caller);
+    if (connection) {
+        // Closed before the end marker can be written, so the caller never takes it for whole.
+        shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
+    }
+    evhttp_send_reply_end(caller);
+}
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/src/proxy/counters.cc
@@ -0,0 +1,64 @@
+// Names the proxy's metrics.
+#include "cornelhead/proxy/counters.h"
+
+#include <string>
+
+namespace cornelhead::detail {
+
+const char *attemptFailureName(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::NotSent:
+        return "not-sent";
+    case AttemptFailure::RefusedNotRun:
+        return "refused-not-run";
+    case AttemptFailure::Broken:
+        return "broken";
+    case AttemptFailure::Silent:
+        return "silent";
+    }
+    return "broken";
+}
+
+ProxyCounters::ProxyCounters(Metrics &metrics)
+    : calls(metrics.counter("cornelhead_calls_total")),
+      answers(metrics.counter("cornelhead_answers_total")),
+      retriesOverBudget(metrics.counter("cornelhead_retries_denied_total", {{"reason", "budget"}})),
+      retriesNotAllowed(
+              metrics.counter("cornelhead_retries_denied_total", {{"reason", "may-have-run"}})),
+      ejections(metrics.counter("cornelhead_ejections_total")),
+      connectionsOpened(metrics.counter("cornelhead_upstream_connections_total")),
+      cutAnswers(metrics.counter("cornelhead_answers_cut_total")),
+      callersGone(metrics.counter("cornelhead_callers_gone_total")),
+      keyedSentOn(metrics.counter("cornelhead_keyed_calls_sent_on_total")),
+      keyedRemembered(metrics.counter("cornelhead_keyed_answers_remembered_total")),
+      lateAnswersKept(metrics.counter("cornelhead_keyed_late_answers_kept_total")),
+      inFlight(metrics.gauge("cornelhead_calls_in_flight")),
+      duration(metrics.summary("cornelhead_call_duration_us"))
+{
+    for (std::size_t i = 0; i < refusalReasonCount; ++i) {
+        const std::string reason(refusalFacts(static_cast<RefusalReason>(i)).name);
+        for (const RunProof run : {RunProof::NotRun, RunProof::Unknown}) {
+            refusals_[i][static_cast<std::size_t>(run)] = &metrics.counter(
+                    "cornelhead_refusals_total",
+                    {{"reason", reason}, {"run", std::string(runProofName(run))}});
+        }
+    }
+    for (std::size_t i = 0; i < attemptFailureCount; ++i) {
+        retries_[i] = &metrics.counter(
+                "cornelhead_retries_total",
+                {{"reason", attemptFailureName(static_cast<AttemptFailure>(i))}});
+    }
+}
+
+Counter &ProxyCounters::refusal(RefusalReason reason, RunProof run)
+{
+    return *refusals_[static_cast<std::size_t>(reason)][static_cast<std::size_t>(run)];
+}
+
+Counter &ProxyCounters::retry(AttemptFailure failure)
+{
+    return *retries_[static_cast<std::size_t>(failure)];
+}
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/src/proxy/request-head.cc
@@ -0,0 +1,176 @@
+// Implements the checks of request heads.
+#include "cornelhead/proxy/request-head.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
+
+namespace cornelhead::detail {
+
+namespace {
+
+constexpr std::array hopByHopHeaders
+        = {"Connection", "Keep-Alive",     "Proxy-Connection",   "Proxy-Authenticate",
+           "TE",         "Trailer",        "Transfer-Encoding",  "Upgrade",
+           "Expect",     "Content-Length", "Proxy-Authorization"};
+
+// Set anew for each hop, or meant for nodes alone.
+constexpr std::array ownHeaders = {deadlineHeader, depthHeader, homeHeader, refuseHeader};
+
+bool isSameHeader(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size()
+            && evutil_ascii_strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+template <std::size_t N>
+bool contains(const std::array<const char *, N> &names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(),
+                       [&](const char *entry) { return isSameHeader(entry, name); });
+}
+
+// The caller's Connection header may name more headers that end at this hop.
+bool isNamedBy(std::string_view connection, std::string_view name)
+{
+    std::size_t begin = 0;
+    while (begin < connection.size()) {
+        const std::size_t end = std::min(connection.find(',', begin), connection.size());
+        std::string_view token = connection.substr(begin, end - begin);
+        while (!token.empty() && token.front() == ' ')
+            token.remove_prefix(1);
+        while (!token.empty() && token.back() == ' ')
+            token.remove_suffix(1);
+        if (isSameHeader(token, name))
+            return true;
+        begin = end + 1;
+    }
+    return false;
+}
+
+bool isTokenByte(char c)
+{
+    const bool isAlphanumeric
+            = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+    return isAlphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+
+bool isToken(std::string_view name)
+{
+    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenByte);
+}
+
+bool isNumber(std::string_view text)
+{
+    return !text.empty() && text.size() < 10
+            && std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::uint32_t numberOf(std::string_view text)
+{
+    std::uint32_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+// Counts the headers that decide where the body ends, and checks each name.
+struct FramingCheck
+{
+    int lengths = 0;
+    int encodings = 0;
+    bool isSound = true;
+
+    void add(const evkeyval &entry)
+    {
+        const std::string_view name = entry.key;
+        isSound = isSound && isToken(name);
+        if (isSameHeader(name, "Content-Length")) {
+            ++lengths;
+            isSound = isSound && isNumber(entry.value);
+        }
+        if (isSameHeader(name, "Transfer-Encoding")) {
+            ++encodings;
+            isSound = isSound && isSameHeader(entry.value, "chunked");
+        }
+    }
+
+    bool passes() const { return isSound && lengths + encodings <= 1; }
+};
+
+bool hasSoundFraming(const evkeyvalq *headers)
+{
+    FramingCheck check;
+    for (const evkeyval *entry = headers->tqh_first; entry; entry = entry->next.tqe_next)
+        check.add(*entry);
+    return check.passes();
+}
+
+} // namespace
+
+std::string_view findHeader(const evkeyvalq *headers, const char *name)
+{
+    const char *value = evhttp_find_header(headers, name);
+    return value ? std::string_view(value) : std::string_view();
+}
+
+namespace {
+
+// Reads the numbers that callers send along; false when one is malformed.
+bool readNumbers(const evkeyvalq *headers, RequestHead &head)
+{
+    const std::string_view deadline = findHeader(headers, deadlineHeader);
+    const std::string_view depth = findHeader(headers, depthHeader);
+    if (!deadline.empty()) {
+        if (!isNumber(deadline))
+            return false;
+        head.deadline = Milliseconds(numberOf(deadline));
+    }
+    if (!depth.empty()) {
+        if (!isNumber(depth))
+            return false;
+        head.depth = numberOf(depth);
+    }
+    return true;
+}
+
+} // namespace
+
+tl::expected<RequestHead, RefusalReason> readRequestHead(evhttp_request *request)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+    const char *path = uri ? evhttp_uri_get_path(uri) : nullptr;
+    RequestHead head;
+    if (!path || path[0] != '/' || !hasSoundFraming(headers) || !readNumbers(headers, head))
+        return tl::make_unexpected(RefusalReason::BadRequest);
+    head.path = path;
+    head.query = evhttp_uri_get_query(uri);
+    head.customer = findHeader(headers, customerHeader);
+    head.key = findHeader(headers, keyHeader);
+    head.home = findHeader(headers, homeHeader);
+    head.refuse = findHeader(headers, refuseHeader);
+    if (head.key.size() > maxKeyBytes)
+        return tl::make_unexpected(RefusalReason::BadRequest);
+    if (head.depth >= maxDepth)
+        return tl::make_unexpected(RefusalReason::TooDeep);
+    return head;
+}
+
+void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to)
+{
+    const std::string_view connection = findHeader(from, "Connection");
+    for (const evkeyval *entry = from->tqh_first; entry; entry = entry->next.tqe_next) {
+        const std::string_view name = entry->key;
+        if (contains(hopByHopHeaders, name) || contains(ownHeaders, name))
+            continue;
+        if (!connection.empty() && isNamedBy(connection, name))
+            continue;
+        evhttp_add_header(to, entry->key, entry->value);
+    }
+}
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/src/proxy/upstream-pool.cc
@@ -0,0 +1,57 @@
+// Implements the pool of connections.
+#include "cornelhead/proxy/upstream-pool.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+namespace cornelhead::detail {
+
+namespace {
+
+bool isConnected(evhttp_connection *connection)
+{
+    // evhttp watches idle connections and resets one that the other end closed or wrote to.
+    return bufferevent_getfd(evhttp_connection_get_bufferevent(connection)) >= 0;
+}
+
+bool isEmpty(evhttp_connection *connection)
+{
+    bufferevent *events = evhttp_connection_get_bufferevent(connection);
+    return evbuffer_get_length(bufferevent_get_input(events)) == 0
+            && evbuffer_get_length(bufferevent_get_output(events)) == 0;
+}
+
+} // namespace
+
+bool UpstreamPool::isReusable(evhttp_connection *connection)
+{
+    return isConnected(connection) && isEmpty(connection);
+}
+
+UpstreamHandle UpstreamPool::take(const Address &to)
+{
+    std::vector<Idle> &pool = idle_[to];
+    while (!pool.empty()) {
+        UpstreamHandle connection = std::move(pool.back().connection);
+        pool.pop_back();
+        if (isReusable(connection.get()))
+            return connection;
+    }
+    opened_.add();
+    return UpstreamHandle(evhttp_connection_base_new(base_, nullptr, to.ip.c_str(), to.port));
+}
+
+void UpstreamPool::give(const Address &to, UpstreamHandle connection, TimePoint now)
+{
+    idle_[to].push_back(Idle{std::move(connection), now});
+}
+
+void UpstreamPool::closeIdle(TimePoint before)
+{
+    for (auto &[address, pool] : idle_)
+        std::erase_if(pool, [before](const Idle &entry) { return entry.since < before; });
+    std::erase_if(idle_, [](const auto &entry) { return entry.second.empty(); });
+}
+
+} // namespace cornelhead::detail
--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -3,6 +3,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 int hexDigit(char c)
 {
@@ -43,6 +44,7 @@
     return false;
 }
 
+} // namespace
 } // namespace detail
 
 SplitPath splitPath(std::string_view path)
@@ -61,8 +63,8 @@
     decoded.reserve(path.size());
     for (std::size_t i = 0; i < path.size(); ++i) {
         const bool isEscape = path[i] == '%';
-        const int byte = isEscape ? detail::decodeEscape(path, i)
-                                  : static_cast<unsigned char>(path[i]);
+        const int byte
+                = isEscape ? detail::decodeEscape(path, i) : static_cast<unsigned char>(path[i]);
         if (byte < 0 || detail::isControl(byte) || (isEscape && byte == '/'))
             return tl::make_unexpected(RefusalReason::BadRequest);
         decoded += static_cast<char>(byte);
--- a/src/routing/limits.cc
+++ b/src/routing/limits.cc
@@ -6,6 +6,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 constexpr double microsecondsPerSecond = 1e6;
 
@@ -15,12 +16,14 @@
     return std::max(1.0, std::ceil(static_cast<double>(limit) * share));
 }
 
+} // namespace
 } // namespace detail
 
 bool TokenBucket::take(TimePoint now, double ratePerSecond, double burst)
 {
     const double capacity = std::max(1.0, burst);
-    const double seconds = static_cast<double>((now - last_).count()) / detail::microsecondsPerSecond;
+    const double seconds
+            = static_cast<double>((now - last_).count()) / detail::microsecondsPerSecond;
     tokens_ = isStarted_ ? std::min(capacity, tokens_ + seconds * ratePerSecond) : capacity;
     isStarted_ = true;
     last_ = now;
--- a/src/routing/refusal.cc
+++ b/src/routing/refusal.cc
@@ -3,6 +3,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 // In the order of RefusalReason.
 constexpr std::array<RefusalFacts, refusalReasonCount> refusalTable = {{
@@ -47,8 +48,8 @@
          "read the state before booking with a new key"},
         {"key-reused", 422, "the key was used for another request",
          "use a fresh key for each request"},
-        {"answer-forgotten", 409, "the call with this key was run; its answer was too large to keep",
-         "read the state"},
+        {"answer-forgotten", 409,
+         "the call with this key was run; its answer was too large to keep", "read the state"},
         {"home-young", 503, "the key may be older than the node that keeps it",
          "read the state, then send with a fresh key"},
         {"home-moved", 503, "another node keeps this key now", "resend with the same key later"},
@@ -57,6 +58,7 @@
         {"too-deep", 508, "the call passed through too many hops", "look for a loop of services"},
 }};
 
+} // namespace
 } // namespace detail
 
 const RefusalFacts &refusalFacts(RefusalReason reason)
--- a/src/routing/retry.cc
+++ b/src/routing/retry.cc
@@ -6,10 +6,12 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 constexpr double firstHopShare = 0.04;
 constexpr double leastHopShare = 0.0008;
 
+} // namespace
 } // namespace detail
 
 bool provesNotRun(AttemptFailure failure)
--- a/src/routing/server-choice.cc
+++ b/src/routing/server-choice.cc
@@ -4,8 +4,11 @@
 #include <algorithm>
 #include <array>
 
+#include "cornelhead/base/check.h"
+
 namespace cornelhead {
 namespace detail {
+namespace {
 
 constexpr double latencyWeight = 0.1;
 // A server without answers yet is taken to be as quick as this.
@@ -40,7 +43,8 @@
     const double cold = server.endpoint.state == ServerState::Starting ? coldPenalty : 1.0;
     const double load = static_cast<double>(server.inFlight) + 1.0;
     // Calls beyond the slots wait for one, so they count once more for each round of slots.
-    const double rounds = 1.0 + static_cast<double>(server.inFlight)
+    const double rounds = 1.0
+            + static_cast<double>(server.inFlight)
                     / std::max(1.0, static_cast<double>(server.endpoint.slots));
     return latency * cold * load * rounds;
 }
@@ -63,7 +67,7 @@
     {
         if (isFull(server) || (needFreeSlot && !hasFreeSlot(server)))
             return false;
-        if (!allowEjected && isEjected(server, now))
+        if (!allowEjected && (isEjected(server, now) || server.avoidedUntil > now))
             return false;
         return !wasTried(*tried, server);
     }
@@ -93,6 +97,17 @@
     return isFirst ? *picks[0] : *picks[1];
 }
 
+void learn(ServerRecord &server, Microseconds latency, TimePoint now)
+{
+    const auto sample = static_cast<double>(latency.count());
+    const double weight = server.latencyUs > 0.0 ? latencyWeight : 1.0;
+    server.latencyUs += weight * (sample - server.latencyUs);
+    server.failuresInRow = 0;
+    server.ejections = 0;
+    server.lastAnswer = now;
+}
+
+} // namespace
 } // namespace detail
 
 std::uint32_t connectionShare(std::uint32_t connections, ConnectionSplit split)
@@ -163,38 +178,40 @@
     ++server.inFlight;
 }
 
-void ServerBook::finish(ServerRecord &server, ServerResult result, Microseconds latency,
+bool ServerBook::finish(ServerRecord &server, ServerResult result, Microseconds latency,
                         TimePoint now)
 {
-    if (server.inFlight > 0)
-        --server.inFlight;
+    CORNELHEAD_CHECK(server.inFlight > 0);
+    --server.inFlight;
     switch (result) {
-    case ServerResult::Answered: {
-        const auto sample = static_cast<double>(latency.count());
-        const double weight = server.latencyUs > 0.0 ? detail::latencyWeight : 1.0;
-        server.latencyUs += weight * (sample - server.latencyUs);
-        server.failuresInRow = 0;
-        server.ejections = 0;
-        break;
-    }
+    case ServerResult::Answered:
+        detail::learn(server, latency, now);
+        return false;
     case ServerResult::Failed:
-        if (++server.failuresInRow >= detail::failuresToEject && mayEject(server, now))
-            eject(server, now);
-        break;
+        return addFailure(server, now);
+    case ServerResult::Silent: {
+        // Another connection's answer shows that only this connection was lost.
+        const bool isServerSilent = server.lastAnswer < now - latency;
+        return isServerSilent && addFailure(server, now);
+    }
     case ServerResult::Shed:
-        server.ejectedUntil = std::max(server.ejectedUntil, now + detail::shedPause);
-        break;
+        server.avoidedUntil = now + detail::shedPause;
+        return false;
     case ServerResult::Neutral:
-        break;
+        return false;
     }
+    return false;
 }
 
-void ServerBook::eject(ServerRecord &server, TimePoint now)
+bool ServerBook::addFailure(ServerRecord &server, TimePoint now)
 {
+    if (++server.failuresInRow < detail::failuresToEject || !mayEject(server, now))
+        return false;
     const std::uint32_t doublings = std::min(server.ejections, detail::maxEjectionDoublings);
     server.ejectedUntil = now + detail::firstEjection * (1U << doublings);
     ++server.ejections;
     server.failuresInRow = 0;
+    return true;
 }
 
 bool ServerBook::mayEject(const ServerRecord &server, TimePoint now) const
--- a/src/routing/version-choice.cc
+++ b/src/routing/version-choice.cc
@@ -3,6 +3,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 constexpr double wholeShare = 1000.0;
 
@@ -14,6 +15,7 @@
     return VersionChoice{&move.newVersion, &move.oldVersion};
 }
 
+} // namespace
 } // namespace detail
 
 VersionChoice chooseVersion(const Service &service, const Move *move, double draw)
