--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -15,6 +15,7 @@
 declare -A host_dc=()
 hosts=()
 next_ip=10
+backend_seed=0
 
 launch() { # NAME COMMAND...
     local name=$1
@@ -86,10 +87,11 @@
 start_backend() { # HOST VERSION PORT [FLAGS...]
     local host=$1 version=$2 port=$3
     shift 3
+    backend_seed=$((backend_seed + 1))
     launch "backend-$host-$version" "$build/cornelhead-backend" --listen "${node_ip[$host]}:$port" \
         --node-admin "${node_ip[$host]}:8081" --service "${host_service[$host]}" \
         --version-name "$version" --slots "${host_slots[$host]}" \
-        --connections "${host_connections[$host]}" "$@"
+        --connections "${host_connections[$host]}" --seed "$backend_seed" "$@"
 }
 
 node_status() { # HOST FIELD
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -75,6 +75,7 @@
     Timer drainTimer;
     // When the configuration came into force here, for reports of convergence.
     std::int64_t appliedAtMs = 0;
+    Revision appliedRevision;
     bool isDraining = false;
 
     Impl(EventLoop &loop_, const NodeSettings &settings_)
@@ -91,11 +92,8 @@
     DistributionHandlers distributionHandlers()
     {
         DistributionHandlers handlers;
-        handlers.onConfig = [this](std::shared_ptr<const Snapshot> config) {
-            views.setConfig(std::move(config));
-            publish();
-            appliedAtMs = wallClockMs();
-        };
+        handlers.onConfig
+                = [this](std::shared_ptr<const Snapshot> config) { takeConfig(std::move(config)); };
         handlers.onMoves
                 = [this](const std::shared_ptr<const MoveTable> &moves) { takeMoves(moves); };
         handlers.onEndpoints = [this](std::shared_ptr<const EndpointTable> endpoints) {
@@ -119,6 +117,15 @@
         return handlers;
     }
 
+    void takeConfig(std::shared_ptr<const Snapshot> config)
+    {
+        const Revision revision = config->revision();
+        views.setConfig(std::move(config));
+        publish();
+        if (std::exchange(appliedRevision, revision) != revision)
+            appliedAtMs = wallClockMs();
+    }
+
     void takeMoves(const std::shared_ptr<const MoveTable> &moves)
     {
         views.setMoves(moves);
@@ -181,21 +188,27 @@
             proxy.setView(std::move(view));
     }
 
+    std::string roleName(const DistributionStatus &state) const
+    {
+        if (!state.isRelay)
+            return "node";
+        return rollout.isController() ? "relay and controller" : "relay";
+    }
+
     std::string renderStatus() const
     {
         const DistributionStatus state = distribution.status();
         const nlohmann::json json = {{"node", self.id.value()},
-                                     {"data_centre", self.dataCentre.value()},
+                                     {"dataCentre", self.dataCentre.value()},
                                      {"revision", state.revision.value()},
                                      {"digest", state.digest.value()},
-                                     {"applied_at_ms", appliedAtMs},
-                                     {"relay", state.isRelay},
-                                     {"has_relay", state.hasRelay},
+                                     {"appliedAtMs", appliedAtMs},
+                                     {"role", roleName(state)},
+                                     {"hasRelay", state.hasRelay},
                                      {"subscribers", state.subscribers},
-                                     {"platform_reachable", state.platformReachable},
-                                     {"controller", rollout.isController()},
-                                     {"local_servers", servers.size()},
-                                     {"braked_moves", brakedServices.size()},
+                                     {"platformReachable", state.platformReachable},
+                                     {"localServers", servers.size()},
+                                     {"brakedMoves", brakedServices.size()},
                                      {"draining", isDraining}};
         return json.dump();
     }
