--- a/include/cornelhead/distribution/agent.h
+++ b/include/cornelhead/distribution/agent.h
@@ -26,8 +26,8 @@
 class Agent
 {
 public:
-    Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform, Clock clock,
-          Metrics &metrics, DistributionHandlers handlers);
+    Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform,
+          const Clock &clock, Metrics &metrics, DistributionHandlers handlers);
     ~Agent();
     Agent(const Agent &) = delete;
     Agent &operator=(const Agent &) = delete;
--- a/include/cornelhead/distribution/node-state.h
+++ b/include/cornelhead/distribution/node-state.h
@@ -30,7 +30,7 @@
 
 struct NodeState
 {
-    NodeState(NodeInfo info, Clock clock, RegistryTiming timing, Metrics &metrics)
+    NodeState(NodeInfo info, const Clock &clock, RegistryTiming timing, Metrics &metrics)
         : self(std::move(info)), config(metrics), registry(self.id, self.dataCentre, clock, timing)
     { }
 
--- a/include/cornelhead/distribution/platform-watcher.h
+++ b/include/cornelhead/distribution/platform-watcher.h
@@ -30,7 +30,7 @@
     /// Gets the revision read at the platform after the question, or nothing when it is away.
     using FloorCallback = std::function<void(std::optional<Revision>)>;
 
-    PlatformWatcher(PlatformPort &platform, Clock clock, Random &random, Metrics &metrics,
+    PlatformWatcher(PlatformPort &platform, const Clock &clock, Random &random, Metrics &metrics,
                     WatcherHandlers handlers);
 
     void start();
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -32,8 +32,8 @@
 
 } // namespace detail
 
-Agent::Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform, Clock clock,
-             Metrics &metrics, DistributionHandlers handlers)
+Agent::Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform,
+             const Clock &clock, Metrics &metrics, DistributionHandlers handlers)
     : settings_(std::move(settings)), network_(std::move(network)), platform_(std::move(platform)),
       clock_(clock), handlers_(std::move(handlers)), random_(settings_.seed),
       state_(settings_.self, clock, detail::registryTiming(settings_), metrics),
@@ -171,9 +171,8 @@
         return;
     }
     const auto since = subscriber_.detachedSince();
-    if (since && now(clock_) - *since >= detail::contestAfter)
-        election_.contend();
-    else if (since && settings_.seeds.empty() && state_.directory.relays.empty())
+    const bool knowsNobody = settings_.seeds.empty() && state_.directory.relays.empty();
+    if (since && (knowsNobody || now(clock_) - *since >= detail::contestAfter))
         election_.contend();
 }
 
@@ -348,7 +347,7 @@
 
 Result<bool> Agent::takeConfig(const EncodedConfig &config)
 {
-    const Result<bool> taken = state_.config.offer(config);
+    Result<bool> taken = state_.config.offer(config);
     if (!taken || !*taken)
         return taken;
     state_.floors.raise(settings_.self.inner, config.revision);
--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -44,7 +44,7 @@
 
 Result<void> Distribution::start()
 {
-    const Result<void> listening = impl_->network.listen(impl_->settings.self.inner);
+    Result<void> listening = impl_->network.listen(impl_->settings.self.inner);
     if (!listening)
         return listening;
     impl_->agent.start();
--- a/src/distribution/exchange.cc
+++ b/src/distribution/exchange.cc
@@ -408,6 +408,7 @@
             chosen[peer.info->id] = link;
     }
     std::vector<LinkId> links;
+    links.reserve(chosen.size());
     for (const auto &[node, link] : chosen)
         links.push_back(link);
     return links;
--- a/src/distribution/platform-watcher.cc
+++ b/src/distribution/platform-watcher.cc
@@ -14,7 +14,7 @@
 
 } // namespace detail
 
-PlatformWatcher::PlatformWatcher(PlatformPort &platform, Clock clock, Random &random,
+PlatformWatcher::PlatformWatcher(PlatformPort &platform, const Clock &clock, Random &random,
                                  Metrics &metrics, WatcherHandlers handlers)
     : platform_(&platform), clock_(clock), random_(&random), handlers_(std::move(handlers)),
       chunkCalls_(&metrics.counter("cornelhead_platform_calls_total", {{"flow", "chunk"}})),
--- a/src/distribution/prefix-watch.cc
+++ b/src/distribution/prefix-watch.cc
@@ -57,19 +57,21 @@
 
 void PrefixWatch::list()
 {
-    platform_->list(prefix_, [this, alive = std::weak_ptr<int>(running_)](Result<Listing> answer) {
-        if (!alive.expired())
-            onListing(answer);
-    });
+    platform_->list(prefix_,
+                    [this, alive = std::weak_ptr<int>(running_)](const Result<Listing> &answer) {
+                        if (!alive.expired())
+                            onListing(answer);
+                    });
 }
 
 void PrefixWatch::poll()
 {
-    platform_->watch(prefix_, storeRevision_, detail::longPoll,
-                     [this, alive = std::weak_ptr<int>(running_)](Result<WatchAnswer> answer) {
-                         if (!alive.expired())
-                             onAnswer(answer);
-                     });
+    platform_->watch(
+            prefix_, storeRevision_, detail::longPoll,
+            [this, alive = std::weak_ptr<int>(running_)](const Result<WatchAnswer> &answer) {
+                if (!alive.expired())
+                    onAnswer(answer);
+            });
 }
 
 void PrefixWatch::onListing(const Result<Listing> &listing)
--- a/src/distribution/subscriber.cc
+++ b/src/distribution/subscriber.cc
@@ -134,10 +134,10 @@
 
 void Subscriber::checkSilence()
 {
-    const TimePoint time = now(clock_);
-    if (!welcomed_ && time - opened_ >= detail::welcomeTimeout)
-        abandon(true);
-    else if (welcomed_ && time - heard_ >= settings_.heartbeat * detail::missedHeartbeats)
+    const Microseconds silence = now(clock_) - (welcomed_ ? heard_ : opened_);
+    const Microseconds limit
+            = welcomed_ ? settings_.heartbeat * detail::missedHeartbeats : detail::welcomeTimeout;
+    if (silence >= limit)
         abandon(true);
 }
 
