--- a/include/cornelhead/distribution/agent.h
+++ b/include/cornelhead/distribution/agent.h
@@ -13,6 +13,7 @@
 #include "cornelhead/distribution/nack-writer.h"
 #include "cornelhead/distribution/node-state.h"
 #include "cornelhead/distribution/platform-watcher.h"
+#include "cornelhead/distribution/reconciler.h"
 #include "cornelhead/distribution/relay-election.h"
 #include "cornelhead/distribution/relay.h"
 #include "cornelhead/distribution/subscriber.h"
@@ -74,6 +75,8 @@
     // What arrives, from wherever.
     void onHello(LinkId link, const inner::Hello &hello);
     void onRelayFrame(LinkId link, const inner::Frame &frame);
+    void onRelayHeartbeat(LinkId link, const inner::Heartbeat &heartbeat);
+    void onRelayPull(LinkId link, const inner::Pull &pull);
     void onConfigFrame(std::optional<LinkId> link, const inner::Config &wire);
     Result<bool> takeConfig(const EncodedConfig &config);
     void takeMoves(const std::vector<Move> &moves);
@@ -120,6 +123,8 @@
     PlatformWatcher watcher_;
     RelayElection election_;
     NackWriter nacks_;
+    Reconciler reconciler_;
+    Counter *pulls_;
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/distribution/relay.h
+++ b/include/cornelhead/distribution/relay.h
@@ -18,6 +18,8 @@
     /// A subscriber announced itself or changed its servers.
     std::function<void(const NodeRecord &)> onRecord;
     std::function<void(const OutcomeBatch &)> onOutcomes;
+    /// A subscriber sent a configuration that is newer than this relay's.
+    std::function<void(const inner::Config &)> onConfig;
     std::function<void(const inner::Nack &)> onNack;
     /// Reads the newest revision at the platform and then calls back; nothing when it is away.
     std::function<void(std::function<void(std::optional<Revision>)>)> confirmFloor;
@@ -83,6 +85,10 @@
     void onAck(Subscription &subscription, const inner::Ack &ack);
     void onNack(LinkId link, Subscription &subscription, const inner::Nack &nack);
     void onRecords(const inner::Records &records);
+    void onHeartbeat(LinkId link, const Subscription &subscription,
+                     const inner::Heartbeat &heartbeat);
+    void onPull(LinkId link, Subscription &subscription, const inner::Pull &pull);
+    void pullConfig(LinkId link, const Subscription &subscription);
     void dropSilent();
     void sendToAll(const FramePtr &frame);
 
@@ -98,6 +104,8 @@
     bool serving_ = false;
     std::map<LinkId, Subscription> subscribers_;
     std::map<NodeId, NodeRecord> queued_;
+    // Of the records that all subscribers were sent.
+    std::uint64_t sentHash_ = 0;
     TimePoint nextFlush_;
     TimePoint nextHeartbeat_;
 };
--- a/include/cornelhead/membership/endpoint-registry.h
+++ b/include/cornelhead/membership/endpoint-registry.h
@@ -81,6 +81,10 @@
 
     /// Returns a number that is equal for registries with equal living records of `dataCentre`.
     std::uint64_t hash(const DataCentreId &dataCentre) const;
+    /// Returns such a number over all data centres.
+    std::uint64_t hash() const;
+    /// Forgets nodes that are not in `nodes`, but for this one.
+    void retainOnly(const std::set<NodeId> &nodes);
     std::set<DataCentreId> dataCentres() const;
     std::vector<NodeRecord> all() const;
     std::vector<KnownRecord> known(const DataCentreId &dataCentre) const;
@@ -102,6 +106,8 @@
     };
 
     void buryEarlierRuns(const NodeInfo &info);
+    // Adds a living record to the hash of its data centre, or takes it out.
+    void toggleHash(const NodeRecord &record);
     void bury(Entry &entry);
     std::vector<Entry *> silentEntries(const std::set<NodeId> &caretakers);
     std::optional<TimePoint> silentSince(Entry &entry, const std::set<NodeId> &caretakers) const;
@@ -113,6 +119,8 @@
     Clock clock_;
     RegistryTiming timing_;
     std::map<NodeId, Entry> entries_;
+    // Over the living records of each data centre.
+    std::map<DataCentreId, std::uint64_t> hashes_;
     std::set<DataCentreId> unreachable_;
     std::map<DataCentreId, TimePoint> unreachableSince_;
     // Null when the table must be built again.
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -46,7 +46,8 @@
       watcher_(platform_, clock, random_, metrics, watcherHandlers()),
       election_({settings_.self, settings_.relaysPerDataCentre, settings_.relayLease}, platform_,
                 clock, random_, metrics, electionHandlers()),
-      nacks_(platform_, metrics)
+      nacks_(platform_, metrics), reconciler_(state_),
+      pulls_(&metrics.counter("cornelhead_subscriber_pulls_total"))
 {
     own_.info = settings_.self;
     own_.sequence = RecordSequence(1);
@@ -56,7 +57,7 @@
 
 SubscriberHandlers Agent::subscriberHandlers()
 {
-    return {[this] { return makeHello(inner::SUBSCRIBER); }, [] {}};
+    return {[this] { return makeHello(inner::SUBSCRIBER); }, [this] { reconciler_.reset(); }};
 }
 
 RelayHandlers Agent::relayHandlers()
@@ -64,6 +65,8 @@
     RelayHandlers handlers;
     handlers.onRecord = [this](const NodeRecord &record) { takeRecord(record, true); };
     handlers.onOutcomes = [this](const OutcomeBatch &batch) { mergeOutcomes(outcomes_, batch); };
+    handlers.onConfig
+            = [this](const inner::Config &config) { onConfigFrame(std::nullopt, config); };
     handlers.onNack = [this](const inner::Nack &nack) {
         nacks_.write({Revision(nack.revision()), NodeId(nack.node()), nack.reason()});
     };
@@ -317,6 +320,12 @@
     case inner::Frame::kReachability:
         takeReachability(frame.reachability());
         break;
+    case inner::Frame::kHeartbeat:
+        onRelayHeartbeat(link, frame.heartbeat());
+        break;
+    case inner::Frame::kPull:
+        onRelayPull(link, frame.pull());
+        break;
     case inner::Frame::kInvite:
         election_.contendNow();
         break;
@@ -328,6 +337,25 @@
         subscriber_.onFrame(frame);
 }
 
+void Agent::onRelayHeartbeat(LinkId link, const inner::Heartbeat &heartbeat)
+{
+    const std::optional<inner::Pull> pull = reconciler_.onHeartbeat(heartbeat);
+    if (!pull)
+        return;
+    pulls_->add();
+    auto frame = std::make_shared<inner::Frame>();
+    *frame->mutable_pull() = *pull;
+    network_.send(link, frame);
+}
+
+void Agent::onRelayPull(LinkId link, const inner::Pull &pull)
+{
+    if (pull.records_size() > 0)
+        network_.send(link, recordsFrame({own_}));
+    if (pull.config() && state_.config.revision() > Revision(pull.held_revision()))
+        network_.send(link, configFrame(state_.config.current(), Revision(0), false));
+}
+
 void Agent::onConfigFrame(std::optional<LinkId> link, const inner::Config &wire)
 {
     state_.config.raiseFloor(Revision(wire.floor()));
@@ -395,10 +423,16 @@
 
 void Agent::takeRecords(const inner::Records &records)
 {
+    std::set<NodeId> named;
     for (const inner::Record &wire : records.records()) {
-        if (const Result<NodeRecord> record = fromWire(wire))
-            takeRecord(*record, false);
+        const Result<NodeRecord> record = fromWire(wire);
+        if (!record)
+            continue;
+        named.insert(record->info.id);
+        takeRecord(*record, false);
     }
+    if (records.replace())
+        state_.registry.retainOnly(named);
     recordsComplete_ |= records.complete();
     if (records.complete())
         flushEndpoints();
@@ -451,8 +485,10 @@
 
 FramePtr Agent::makeHello(inner::LinkRole role)
 {
-    if (role == inner::SUBSCRIBER)
+    if (role == inner::SUBSCRIBER) {
         own_.sequence = own_.sequence.next();
+        state_.registry.merge(own_);
+    }
     auto frame = std::make_shared<inner::Frame>();
     inner::Hello *hello = frame->mutable_hello();
     hello->set_protocol(protocolVersion);
@@ -473,7 +509,7 @@
         exchange_.queueRecord(own_);
         return;
     }
-    sendUpstream(recordsFrame({own_}, false));
+    sendUpstream(recordsFrame({own_}));
 }
 
 void Agent::sendUpstream(const FramePtr &frame)
@@ -514,7 +550,7 @@
 void Agent::sendHeartbeat()
 {
     nextHeartbeat_ = now(clock_) + settings_.heartbeat;
-    sendUpstream(heartbeatFrame());
+    sendUpstream(heartbeatFrame(own_.sequence));
 }
 
 void Agent::expireRecords()
--- a/src/distribution/exchange.cc
+++ b/src/distribution/exchange.cc
@@ -307,7 +307,7 @@
         known.push_back({NodeId(record.node()), RecordSequence(record.sequence()), record.gone()});
     const auto records = state_->registry.beyond(DataCentreId(pull.data_centre()), known);
     if (!records.empty())
-        network_->send(link, recordsFrame(records, false));
+        network_->send(link, recordsFrame(records));
 }
 
 void Exchange::onRecordsFrame(const inner::Records &records)
@@ -431,8 +431,9 @@
         flush();
     if (time >= nextHeartbeat_) {
         nextHeartbeat_ = time + heartbeat_;
+        const FramePtr beat = heartbeatFrame(RecordSequence());
         for (const auto &[link, peer] : links_)
-            network_->send(link, heartbeatFrame());
+            network_->send(link, beat);
         dropSilent();
         checkReachability();
     }
@@ -450,7 +451,7 @@
     for (auto &[node, record] : queued_)
         records.push_back(std::move(record));
     queued_.clear();
-    sendToPeers(recordsFrame(records, false));
+    sendToPeers(recordsFrame(records));
 }
 
 void Exchange::dropSilent()
--- a/src/distribution/node-state.cc
+++ b/src/distribution/node-state.cc
@@ -46,15 +46,24 @@
     return frame;
 }
 
-FramePtr recordsFrame(const std::vector<NodeRecord> &records, bool complete)
+FramePtr recordsFrame(const std::vector<NodeRecord> &records)
 {
     auto frame = std::make_shared<inner::Frame>();
-    frame->mutable_records()->set_complete(complete);
     for (const NodeRecord &record : records)
         *frame->mutable_records()->add_records() = toWire(record);
     return frame;
 }
 
+FramePtr allRecordsFrame(const EndpointRegistry &registry, bool replace)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_records()->set_complete(true);
+    frame->mutable_records()->set_replace(replace);
+    for (const NodeRecord &record : registry.all())
+        *frame->mutable_records()->add_records() = toWire(record);
+    return frame;
+}
+
 FramePtr relaysFrame(const RelayDirectory &directory)
 {
     auto frame = std::make_shared<inner::Frame>();
@@ -71,13 +80,21 @@
     return frame;
 }
 
-FramePtr heartbeatFrame()
+FramePtr heartbeatFrame(RecordSequence sequence)
 {
-    static const FramePtr frame = [] {
-        auto made = std::make_shared<inner::Frame>();
-        made->mutable_heartbeat();
-        return made;
-    }();
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_heartbeat()->set_sequence(sequence.value());
+    return frame;
+}
+
+FramePtr relayHeartbeatFrame(const NodeState &state, std::uint64_t recordsHash)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Heartbeat *heartbeat = frame->mutable_heartbeat();
+    heartbeat->set_revision(state.config.revision().value());
+    heartbeat->set_moves_hash(state.moves.hash());
+    heartbeat->set_records_hash(recordsHash);
+    heartbeat->set_relays_revision(state.directory.storeRevision.value());
     return frame;
 }
 
--- a/src/distribution/prefix-watch.cc
+++ b/src/distribution/prefix-watch.cc
@@ -96,8 +96,8 @@
     if (answer->storeRevision < storeRevision_)
         listed_ = false;
     onSuccess(answer->storeRevision);
-    if (!answer->changed.empty() || !answer->removed.empty())
-        handler_({answer->changed, answer->removed, answer->storeRevision, false});
+    if (!answer->changed.empty() || !answer->removed.empty() || answer->isWhole)
+        handler_({answer->changed, answer->removed, answer->storeRevision, answer->isWhole});
     tick();
 }
 
--- /dev/null
+++ b/src/distribution/reconciler.cc
@@ -0,0 +1,40 @@
+// Counts differences and decides when to ask.
+#include "cornelhead/distribution/reconciler.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr int heartbeatsBeforePull = 2;
+/// A difference that merging did not mend is a node that the relay has forgotten.
+constexpr int pullsBeforeReplace = 2;
+
+bool isDue(int &inARow, bool differs)
+{
+    inARow = differs ? inARow + 1 : 0;
+    if (inARow < heartbeatsBeforePull)
+        return false;
+    inARow = 0;
+    return true;
+}
+
+} // namespace detail
+
+std::optional<inner::Pull> Reconciler::onHeartbeat(const inner::Heartbeat &heartbeat)
+{
+    const Revision revision = state_->config.revision();
+    const ModRevision relays(heartbeat.relays_revision());
+    inner::Pull pull;
+    pull.set_held_revision(revision.value());
+    pull.set_config(detail::isDue(config_, Revision(heartbeat.revision()) > revision));
+    pull.set_moves(detail::isDue(moves_, heartbeat.moves_hash() != state_->moves.hash()));
+    pull.set_relays(detail::isDue(relays_, relays > state_->directory.storeRevision));
+    const bool recordsDiffer = heartbeat.records_hash() != state_->registry.hash();
+    pull.set_all_records(detail::isDue(records_, recordsDiffer));
+    recordPulls_ = recordsDiffer ? recordPulls_ + (pull.all_records() ? 1 : 0) : 0;
+    pull.set_replace_records(pull.all_records() && recordPulls_ > detail::pullsBeforeReplace);
+    if (!pull.config() && !pull.moves() && !pull.relays() && !pull.all_records())
+        return std::nullopt;
+    return pull;
+}
+
+} // namespace cornelhead
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -74,6 +74,7 @@
     subscribers_[link] = subscription;
     subscriberGauge_->set(static_cast<std::int64_t>(subscribers_.size()));
     state_->floors.raise(subscription.address, subscription.acked);
+    state_->floors.raise(subscription.dataCentre, subscription.acked);
     NodeRecord attached = *record;
     attached.caretaker = state_->self.id;
     handlers_.onRecord(attached);
@@ -92,13 +93,14 @@
     sendWelcome(link, true);
     network_->send(link, relaysFrame(state_->directory));
     network_->send(link, reachabilityFrame(state_->registry.unreachable()));
-    network_->send(link, recordsFrame(state_->registry.all(), true));
+    network_->send(link, allRecordsFrame(state_->registry, false));
     network_->send(link, movesFrame(*state_->moves.table()));
     Subscription &subscription = subscribers_.at(link);
     if (subscription.awaitsFloor)
         askFloor(link);
     else
         sendConfig(link, subscription);
+    pullConfig(link, subscription);
 }
 
 void Relay::askFloor(LinkId link)
@@ -209,6 +211,15 @@
     case inner::Frame::kNack:
         onNack(link, subscription, frame.nack());
         break;
+    case inner::Frame::kHeartbeat:
+        onHeartbeat(link, subscription, frame.heartbeat());
+        break;
+    case inner::Frame::kPull:
+        onPull(link, subscription, frame.pull());
+        break;
+    case inner::Frame::kConfig:
+        handlers_.onConfig(frame.config());
+        break;
     case inner::Frame::kOutcomes:
         handlers_.onOutcomes(fromWire(frame.outcomes()));
         break;
@@ -233,6 +244,43 @@
     handlers_.onNack(nack);
 }
 
+void Relay::onHeartbeat(LinkId link, const Subscription &subscription,
+                        const inner::Heartbeat &heartbeat)
+{
+    const NodeRecord *held = state_->registry.find(subscription.node);
+    const bool isBehind
+            = held && (held->gone || held->sequence < RecordSequence(heartbeat.sequence()));
+    if (!isBehind)
+        return;
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_pull()->add_records()->set_data_centre(subscription.dataCentre.value());
+    network_->send(link, frame);
+}
+
+void Relay::onPull(LinkId link, Subscription &subscription, const inner::Pull &pull)
+{
+    if (pull.config()) {
+        subscription.sent = Revision(pull.held_revision());
+        sendConfig(link, subscription);
+    }
+    if (pull.moves())
+        network_->send(link, movesFrame(*state_->moves.table()));
+    if (pull.relays())
+        network_->send(link, relaysFrame(state_->directory));
+    if (pull.all_records())
+        network_->send(link, allRecordsFrame(state_->registry, pull.replace_records()));
+}
+
+void Relay::pullConfig(LinkId link, const Subscription &subscription)
+{
+    if (subscription.acked <= state_->config.revision())
+        return;
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_pull()->set_config(true);
+    frame->mutable_pull()->set_held_revision(state_->config.revision().value());
+    network_->send(link, frame);
+}
+
 void Relay::onRecords(const inner::Records &records)
 {
     for (const inner::Record &wire : records.records()) {
@@ -258,7 +306,7 @@
         flushRecords();
     if (now(clock_) >= nextHeartbeat_) {
         nextHeartbeat_ = now(clock_) + heartbeat_;
-        sendToAll(heartbeatFrame());
+        sendToAll(relayHeartbeatFrame(*state_, sentHash_));
         dropSilent();
     }
 }
@@ -266,6 +314,7 @@
 void Relay::flushRecords()
 {
     nextFlush_ = now(clock_) + detail::recordBatch;
+    sentHash_ = state_->registry.hash();
     if (queued_.empty())
         return;
     std::vector<NodeRecord> records;
@@ -273,7 +322,7 @@
         records.push_back(std::move(record));
     queued_.clear();
     if (!subscribers_.empty())
-        sendToAll(recordsFrame(records, false));
+        sendToAll(recordsFrame(records));
 }
 
 void Relay::dropSilent()
--- a/src/membership/endpoint-registry.cc
+++ b/src/membership/endpoint-registry.cc
@@ -29,8 +29,10 @@
         const NodeRecord &held = found->second.record;
         if (!detail::supersedes(record.sequence, record.gone, held.sequence, held.gone))
             return false;
+        toggleHash(held);
     }
     entries_[record.info.id] = Entry{record, time, time, std::nullopt};
+    toggleHash(record);
     if (!record.gone)
         buryEarlierRuns(record.info);
     table_ = nullptr;
@@ -50,6 +52,7 @@
 {
     if (entry.record.gone)
         return;
+    toggleHash(entry.record);
     entry.record.gone = true;
     entry.record.servers.clear();
     entry.changed = now(clock_);
@@ -144,6 +147,7 @@
             continue;
         }
         tableChanged |= !it->second.record.gone;
+        toggleHash(it->second.record);
         it = entries_.erase(it);
     }
     if (tableChanged)
@@ -167,14 +171,38 @@
 }
 
 std::uint64_t EndpointRegistry::hash(const DataCentreId &dataCentre) const
+{
+    const auto found = hashes_.find(dataCentre);
+    return found == hashes_.end() ? 0 : found->second;
+}
+
+std::uint64_t EndpointRegistry::hash() const
 {
     std::uint64_t sum = 0;
-    for (const auto &[id, entry] : entries_) {
-        if (entry.record.gone || entry.record.info.dataCentre != dataCentre)
+    for (const auto &[dataCentre, hash] : hashes_)
+        sum ^= hash;
+    return sum;
+}
+
+void EndpointRegistry::toggleHash(const NodeRecord &record)
+{
+    if (record.gone)
+        return;
+    hashes_[record.info.dataCentre]
+            ^= rendezvousWeight(record.info.id.value(), std::to_string(record.sequence.value()));
+}
+
+void EndpointRegistry::retainOnly(const std::set<NodeId> &nodes)
+{
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        if (it->first == self_ || nodes.contains(it->first)) {
+            ++it;
             continue;
-        sum ^= rendezvousWeight(id.value(), std::to_string(entry.record.sequence.value()));
+        }
+        toggleHash(it->second.record);
+        it = entries_.erase(it);
+        table_ = nullptr;
     }
-    return sum;
 }
 
 std::set<DataCentreId> EndpointRegistry::dataCentres() const
