--- a/support/parts.cmake
+++ b/support/parts.cmake
@@ -20,7 +20,7 @@
 endfunction()
 
 function(cornelhead_part_tests name)
-    file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*-test.cc)
+    file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*.cc)
     if(NOT tests)
         return()
     endif()
@@ -55,6 +55,11 @@
 cornelhead_part(ctl DEPENDS net config platform rollout)
 cornelhead_part(standin DEPENDS net platform)
 
+# The fleet of the distribution tests runs over the stand-in's store.
+if(TARGET distribution-test)
+    target_link_libraries(distribution-test PRIVATE part-standin)
+endif()
+
 cornelhead_program(cornelhead-node node)
 cornelhead_program(cornelheadctl ctl)
 cornelhead_program(cornelhead-platform standin)
--- /dev/null
+++ b/test/distribution/fleet-test.cc
@@ -0,0 +1,42 @@
+// Tests how agents act together while processes, links and the platform fail.
+#include <boost/test/unit_test.hpp>
+
+#include "distribution/fleet.h"
+
+namespace cornelhead {
+
+using test::Fleet;
+
+namespace {
+
+void startAll(Fleet &fleet)
+{
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        fleet.start(i);
+}
+
+std::string firstOf(const std::vector<std::string> &list)
+{
+    return list.empty() ? "" : list.front() + " (" + std::to_string(list.size()) + " in all)";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet)
+
+BOOST_AUTO_TEST_CASE(convergesAfterAColdStart)
+{
+    Fleet fleet(3, 4, 1);
+    fleet.edit();
+    startAll(fleet);
+    fleet.run(Milliseconds(5000));
+    BOOST_TEST(firstOf(fleet.differences()) == "");
+    fleet.edit();
+    fleet.run(Milliseconds(300));
+    BOOST_TEST(firstOf(fleet.differences()) == "");
+    BOOST_TEST(firstOf(fleet.tally().broken) == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
