Add the homes of idempotency keys: ownership, memory and truthful refusals

A home runs a key only if it has owned it, in its own view and without a pause, since before the key was born; the data centre of a key never moves.

--- /dev/null
+++ b/include/cornelhead/routing/key-memory.h
@@ -0,0 +1,115 @@
+// Remembers what became of calls with an idempotency key, so that none is run twice.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "cornelhead/base/clock.h"
+#include "cornelhead/base/ids.h"
+#include "cornelhead/routing/refusal.h"
+
+namespace cornelhead {
+
+/// Names a call over the whole fleet: its customer and its idempotency key.
+using CallKey = Id<struct CallKeyTag>;
+
+CallKey makeCallKey(std::string_view customer, std::string_view idempotencyKey);
+
+struct HeaderField
+{
+    std::string name;
+    std::string value;
+};
+
+/// An answer kept for callers that send the same key again.
+struct RememberedAnswer
+{
+    int status = 200;
+    std::string phrase;
+    std::vector<HeaderField> headers;
+    std::string body;
+
+    std::size_t bytes() const;
+};
+
+/// The call may be run now; the key is marked as running.
+struct StartRun
+{ };
+
+/// The call was run before, and this is its answer.
+struct AnswerAgain
+{
+    std::shared_ptr<const RememberedAnswer> answer;
+};
+
+using KeyVerdict = std::variant<StartRun, AnswerAgain, Refusal>;
+
+struct KeyMemoryLimits
+{
+    Milliseconds retention = Milliseconds(300'000);
+    std::size_t keys = 100'000;
+    /// Of all remembered answers; the oldest are dropped first, their keys stay.
+    std::size_t answerBytes = 16 * 1024 * 1024;
+};
+
+/// The at-most-once state machine of each key: unseen, running, answered or unknown.
+///
+/// Invariant: a key leaves `running` only by one of the three `finish` functions, and a key that
+/// may have been run is not forgotten before its retention ends.
+class KeyMemory
+{
+public:
+    explicit KeyMemory(KeyMemoryLimits limits) : limits_(limits) { }
+
+    /// Decides about a call.  `request` is the digest of its method, path and body.
+    KeyVerdict begin(const CallKey &key, const Digest &request);
+    /// Tells what is remembered without starting anything; nothing for an unseen key.
+    std::optional<KeyVerdict> recall(const CallKey &key) const;
+
+    /// The call was certainly not run; the key is unseen again.
+    void finishNotRun(const CallKey &key);
+    void finishUnknown(const CallKey &key, TimePoint now);
+    void finishAnswered(const CallKey &key, std::shared_ptr<const RememberedAnswer> answer,
+                        TimePoint now);
+
+    /// Forgets keys whose retention has ended.
+    void expire(TimePoint now);
+    std::size_t size() const { return entries_.size(); }
+    std::size_t answerBytes() const { return answerBytes_; }
+    const KeyMemoryLimits &limits() const { return limits_; }
+
+private:
+    enum class State { Running, Answered, Unknown };
+
+    struct Entry
+    {
+        State state = State::Running;
+        Digest request;
+        // Null for an answered key whose answer was dropped.
+        std::shared_ptr<const RememberedAnswer> answer;
+        TimePoint finishedAt{};
+    };
+
+    Entry &running(const CallKey &key);
+    void finish(const CallKey &key, Entry &entry, TimePoint now);
+    void dropAnswers();
+    static KeyVerdict verdictOf(const Entry &entry);
+
+    const KeyMemoryLimits limits_;
+    std::unordered_map<CallKey, Entry> entries_;
+    // Finished keys, oldest first.
+    std::list<CallKey> finished_;
+    // Answered keys whose answer is kept, oldest first.
+    std::list<CallKey> answered_;
+    // Invariant: the sum of the bytes of all kept answers.
+    std::size_t answerBytes_ = 0;
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/include/cornelhead/routing/key-ownership.h
@@ -0,0 +1,107 @@
+// Decides which node is the home of a key, and whether this node has been it for long enough.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "cornelhead/base/address.h"
+#include "cornelhead/base/clock.h"
+#include "cornelhead/membership/endpoint.h"
+#include "cornelhead/routing/key-memory.h"
+
+namespace cornelhead {
+
+struct OwnershipLimits
+{
+    /// Bounds how long two nodes of a data centre may disagree on its nodes.
+    Milliseconds disagreement = Milliseconds(3000);
+    /// Bounds how far the clocks of callers and nodes are apart.
+    Milliseconds clockSkew = Milliseconds(1000);
+    /// A node that did not run for this long treats its ownership as new.
+    Milliseconds longestPause = Milliseconds(1000);
+    /// A node counts as a member of its data centre for this long after it was last seen.
+    Milliseconds memberMemory = Milliseconds(60'000);
+    /// Keys older than this are not remembered any more.
+    Milliseconds retention = Milliseconds(300'000);
+};
+
+/// What this node may do with a key.
+enum class Ownership {
+    Owner, ///< It has been the home since before the key was born.
+    Young, ///< It became the home after the key may have been used elsewhere.
+    NotOwner,
+    Expired, ///< The key is older than what any home remembers.
+};
+
+/// Where a key's calls are to be sent.
+struct KeyHome
+{
+    DataCentreId dataCentre;
+    /// Null when no node of that data centre is known.
+    const NodeInfo *node = nullptr;
+};
+
+/// Tracks the nodes of the fleet as this node has seen them over time.
+///
+/// A key's data centre is fixed by rendezvous hashing over all data centres ever known, so that a
+/// cut between data centres moves no key.  Within it, rendezvous hashing over the nodes seen now
+/// names the home.  Two nodes can both be `Owner` of one key only if they disagreed on the nodes
+/// of their data centre for longer than `disagreement`.
+class KeyOwnership
+{
+public:
+    KeyOwnership(NodeInfo self, std::vector<DataCentreId> dataCentres, OwnershipLimits limits);
+
+    /// Takes the nodes known now.  `wallMs` is wall-clock time.
+    void observe(const std::map<NodeId, NodeInfo> &nodes, std::int64_t wallMs);
+    /// Notes that this process runs; to be called several times in `longestPause`.
+    void tick(TimePoint time, std::int64_t wallMs);
+
+    KeyHome homeOf(const CallKey &key) const;
+    /// Checks this node's own right to run a call with `key`.  `birthMs` is when the key was made,
+    /// if it tells.
+    Ownership check(const CallKey &key, std::optional<std::int64_t> birthMs, TimePoint time,
+                    std::int64_t wallMs);
+
+private:
+    // A time over which this node saw the same nodes.
+    struct Era
+    {
+        std::int64_t fromMs = 0;
+        std::set<DataCentreId> dataCentres;
+        std::vector<NodeId> members;
+        bool hasMajority = true;
+    };
+
+    void setNodes(const std::map<NodeId, NodeInfo> &nodes);
+    void updateSeen(std::int64_t wallMs);
+    bool seesMajority() const;
+    void startEra(std::int64_t wallMs);
+    bool ownedIn(const Era &era, const CallKey &key) const;
+    std::optional<std::int64_t> usableBirth(std::optional<std::int64_t> birthMs,
+                                            std::int64_t wallMs) const;
+
+    const NodeInfo self_;
+    const OwnershipLimits limits_;
+    // The nodes known now, this one included.
+    std::map<DataCentreId, std::vector<NodeInfo>> nodes_;
+    std::set<Address> present_;
+    // Only grows: a data centre that cannot be seen keeps its keys.
+    std::set<DataCentreId> dataCentres_;
+    // When each address of this data centre was last seen; a restarted node keeps its address.
+    std::map<Address, std::int64_t> seenAt_;
+    // Invariant: never empty, oldest first.
+    std::deque<Era> eras_;
+    TimePoint lastTick_{};
+    bool hasTicked_ = false;
+};
+
+/// Returns the wall-clock birth of a UUIDv7 in milliseconds, or nothing for another key.
+std::optional<std::int64_t> keyBirth(std::string_view idempotencyKey);
+
+} // namespace cornelhead
--- a/include/cornelhead/routing/refusal.h
+++ b/include/cornelhead/routing/refusal.h
@@ -34,6 +34,7 @@
     OutcomeUnknown,
     KeyReused,
     AnswerForgotten,
+    KeyExpired,
     HomeYoung,
     HomeMoved,
     HomeUnreachable,
--- /dev/null
+++ b/src/routing/key-memory.cc
@@ -0,0 +1,129 @@
+// Implements the at-most-once state machine.
+#include "cornelhead/routing/key-memory.h"
+
+#include "cornelhead/base/check.h"
+
+namespace cornelhead {
+
+CallKey makeCallKey(std::string_view customer, std::string_view idempotencyKey)
+{
+    std::string text(customer);
+    // Header values hold no line feed, so no two pairs give the same text.
+    text.append("\n").append(idempotencyKey);
+    return CallKey(std::move(text));
+}
+
+std::size_t RememberedAnswer::bytes() const
+{
+    std::size_t total = sizeof(*this) + phrase.size() + body.size();
+    for (const HeaderField &field : headers)
+        total += sizeof field + field.name.size() + field.value.size();
+    return total;
+}
+
+KeyVerdict KeyMemory::verdictOf(const Entry &entry)
+{
+    switch (entry.state) {
+    case State::Running:
+        return Refusal{RefusalReason::InProgress, RunProof::Unknown};
+    case State::Unknown:
+        return Refusal{RefusalReason::OutcomeUnknown, RunProof::Unknown};
+    case State::Answered:
+        break;
+    }
+    if (!entry.answer)
+        return Refusal{RefusalReason::AnswerForgotten, RunProof::Unknown};
+    return AnswerAgain{entry.answer};
+}
+
+KeyVerdict KeyMemory::begin(const CallKey &key, const Digest &request)
+{
+    const auto found = entries_.find(key);
+    if (found == entries_.end()) {
+        if (entries_.size() >= limits_.keys)
+            return Refusal{RefusalReason::Overload, RunProof::NotRun};
+        entries_.emplace(key, Entry{State::Running, request, nullptr, {}});
+        return StartRun{};
+    }
+    if (found->second.request != request)
+        return Refusal{RefusalReason::KeyReused, RunProof::Unknown};
+    return verdictOf(found->second);
+}
+
+std::optional<KeyVerdict> KeyMemory::recall(const CallKey &key) const
+{
+    const auto found = entries_.find(key);
+    if (found == entries_.end())
+        return std::nullopt;
+    return verdictOf(found->second);
+}
+
+KeyMemory::Entry &KeyMemory::running(const CallKey &key)
+{
+    const auto found = entries_.find(key);
+    CORNELHEAD_CHECK(found != entries_.end() && found->second.state == State::Running);
+    return found->second;
+}
+
+void KeyMemory::finishNotRun(const CallKey &key)
+{
+    running(key);
+    entries_.erase(key);
+}
+
+void KeyMemory::finish(const CallKey &key, Entry &entry, TimePoint now)
+{
+    entry.finishedAt = now;
+    finished_.push_back(key);
+}
+
+void KeyMemory::finishUnknown(const CallKey &key, TimePoint now)
+{
+    Entry &entry = running(key);
+    entry.state = State::Unknown;
+    finish(key, entry, now);
+}
+
+void KeyMemory::finishAnswered(const CallKey &key, std::shared_ptr<const RememberedAnswer> answer,
+                               TimePoint now)
+{
+    Entry &entry = running(key);
+    entry.state = State::Answered;
+    entry.answer = std::move(answer);
+    finish(key, entry, now);
+    if (!entry.answer)
+        return;
+    answerBytes_ += entry.answer->bytes();
+    answered_.push_back(key);
+    dropAnswers();
+}
+
+void KeyMemory::dropAnswers()
+{
+    while (answerBytes_ > limits_.answerBytes && !answered_.empty()) {
+        Entry &oldest = entries_.at(answered_.front());
+        answered_.pop_front();
+        answerBytes_ -= oldest.answer->bytes();
+        oldest.answer = nullptr;
+    }
+}
+
+void KeyMemory::expire(TimePoint now)
+{
+    while (!finished_.empty()) {
+        const auto oldest = entries_.find(finished_.front());
+        CORNELHEAD_CHECK(oldest != entries_.end());
+        if (oldest->second.finishedAt + limits_.retention > now)
+            return;
+        if (oldest->second.answer) {
+            // Answers are kept in the order in which keys finished.
+            CORNELHEAD_CHECK(answered_.front() == oldest->first);
+            answerBytes_ -= oldest->second.answer->bytes();
+            answered_.pop_front();
+        }
+        entries_.erase(oldest);
+        finished_.pop_front();
+    }
+}
+
+} // namespace cornelhead
--- a/src/routing/refusal.cc
+++ b/src/routing/refusal.cc
@@ -50,6 +50,8 @@
          "use a fresh key for each request"},
         {"answer-forgotten", 409,
          "the call with this key was run; its answer was too large to keep", "read the state"},
+        {"key-expired", 409, "the key is older than what is remembered",
+         "read the state, then send with a fresh key"},
         {"home-young", 503, "the key may be older than the node that keeps it",
          "read the state, then send with a fresh key"},
         {"home-moved", 503, "another node keeps this key now", "resend with the same key later"},
--- /dev/null
+++ b/test/routing/key-home-test.cc
@@ -0,0 +1,450 @@
+// Tests at-most-once: the state machine, and a randomised fleet of homes under faults.
+#include <boost/test/unit_test.hpp>
+
+#include <iostream>
+#include <queue>
+
+#include "cornelhead/base/random.h"
+#include "cornelhead/routing/home-keys.h"
+
+namespace cornelhead {
+
+namespace {
+
+std::string keyBornAt(std::int64_t ms, std::uint64_t serial)
+{
+    std::array<char, 40> text{};
+    std::snprintf(text.data(), text.size(), "%08llx-%04llx-7000-8000-%012llx",
+                  static_cast<unsigned long long>(ms >> 16),
+                  static_cast<unsigned long long>(ms & 0xffff),
+                  static_cast<unsigned long long>(serial));
+    return text.data();
+}
+
+NodeInfo makeNode(const std::string &id, const std::string &dataCentre, std::uint16_t port,
+                  std::int64_t startedAtMs)
+{
+    NodeInfo node;
+    node.id = NodeId(id);
+    node.dataCentre = DataCentreId(dataCentre);
+    node.proxy = Address{"127.0.0.1", port};
+    node.startedAtMs = startedAtMs;
+    return node;
+}
+
+// A fleet of homes on one virtual clock.  Nodes die, start again, freeze, and learn of each other
+// late; data centres are cut off; messages take time; callers send a key again through any node.
+//
+// The truth is kept aside: which keys ran, and which were said not to have run.
+class Fleet
+{
+public:
+    explicit Fleet(std::uint64_t seed) : random_(seed)
+    {
+        for (int i = 0; i < nodesInAll; ++i) {
+            hosts_.emplace_back();
+            startNode(i);
+        }
+    }
+
+    void runFor(std::int64_t ms)
+    {
+        const std::int64_t end = nowMs_ + ms;
+        for (; nowMs_ < end; ++nowMs_) {
+            causeFaults();
+            if (random_.chance(0.1))
+                callWithNewKey();
+            while (!events_.empty() && events_.top().atMs <= nowMs_) {
+                const auto run = events_.top().run;
+                events_.pop();
+                run();
+            }
+            if (nowMs_ % 200 == 0)
+                tickAll();
+        }
+    }
+
+    int doubled = 0;
+    int falseNotRun = 0;
+    int answered = 0;
+    int notRun = 0;
+    int unknown = 0;
+
+private:
+    static constexpr int dataCentres = 2;
+    static constexpr int nodesPerDataCentre = 4;
+    static constexpr int nodesInAll = dataCentres * nodesPerDataCentre;
+    static constexpr std::int64_t firstMs = 1'700'000'000'000;
+    static constexpr std::uint64_t longestViewDelayMs = 2000;
+    static constexpr std::uint64_t longestMessageMs = 300;
+    static constexpr std::int64_t silenceMs = 2000;
+    static constexpr std::int64_t callerTimeoutMs = 1500;
+
+    struct Host
+    {
+        NodeInfo info;
+        std::unique_ptr<HomeKeys> keys;
+        std::int64_t frozenUntilMs = 0;
+        int run = 0;
+    };
+    struct Event
+    {
+        std::int64_t atMs = 0;
+        std::function<void()> run;
+        bool operator<(const Event &other) const { return atMs > other.atMs; }
+    };
+    struct KeyTruth
+    {
+        int runs = 0;
+        std::int64_t saidNotRunMs = 0;
+        int sends = 0;
+    };
+    // One send of a key; dropped by whoever holds it once its caller has gone.
+    struct Send
+    {
+        KeyedCall call;
+        std::int64_t startedMs = 0;
+        bool isOver = false;
+    };
+    using SendPtr = std::shared_ptr<Send>;
+
+    Moment moment() const { return Moment{TimePoint(Milliseconds(nowMs_)), nowMs_}; }
+    bool isUp(const Host &host) const { return host.keys && host.frozenUntilMs <= nowMs_; }
+    int dataCentreOf(int host) const { return host / nodesPerDataCentre; }
+
+    void after(std::int64_t ms, std::function<void()> run)
+    {
+        events_.push(Event{nowMs_ + ms, std::move(run)});
+    }
+
+    void startNode(int index)
+    {
+        Host &host = hosts_[static_cast<std::size_t>(index)];
+        ++host.run;
+        host.info = makeNode("n" + std::to_string(index) + "." + std::to_string(host.run),
+                             "dc" + std::to_string(dataCentreOf(index)),
+                             static_cast<std::uint16_t>(1000 + index), nowMs_);
+        OwnershipLimits limits;
+        limits.retention = Milliseconds(60'000);
+        KeyMemoryLimits memory;
+        memory.retention = limits.retention;
+        host.keys = std::make_unique<HomeKeys>(
+                host.info, std::vector{DataCentreId("dc0"), DataCentreId("dc1")}, limits, memory);
+        host.frozenUntilMs = 0;
+        spreadViews();
+    }
+
+    // Every node learns the present truth, each after its own delay.
+    void spreadViews()
+    {
+        for (int i = 0; i < nodesInAll; ++i)
+            after(static_cast<std::int64_t>(random_.below(longestViewDelayMs)),
+                  [this, i] { learn(i); });
+    }
+
+    void learn(int index)
+    {
+        Host &host = hosts_[static_cast<std::size_t>(index)];
+        if (!host.keys)
+            return;
+        if (!isUp(host)) {
+            after(host.frozenUntilMs - nowMs_ + 50, [this, index] { learn(index); });
+            return;
+        }
+        std::map<NodeId, NodeInfo> seen;
+        for (int i = 0; i < nodesInAll; ++i) {
+            const Host &other = hosts_[static_cast<std::size_t>(i)];
+            const bool isCut = isCut_ && dataCentreOf(i) != dataCentreOf(index);
+            const bool isSilent = other.frozenUntilMs > nowMs_ && other.frozenUntilMs - nowMs_ > 0
+                    && nowMs_ - frozenAt_[i] > silenceMs;
+            if (other.keys && !isCut && !isSilent)
+                seen.emplace(other.info.id, other.info);
+        }
+        host.keys->observe(seen, nowMs_);
+    }
+
+    void causeFaults()
+    {
+        if (random_.chance(0.0002))
+            kill(static_cast<int>(random_.below(nodesInAll)));
+        if (random_.chance(0.0002))
+            freeze(static_cast<int>(random_.below(nodesInAll)));
+        if (random_.chance(0.0001)) {
+            isCut_ = !isCut_;
+            spreadViews();
+        }
+    }
+
+    void kill(int index)
+    {
+        hosts_[static_cast<std::size_t>(index)].keys = nullptr;
+        spreadViews();
+        after(500 + static_cast<std::int64_t>(random_.below(8000)), [this, index] {
+            if (!hosts_[static_cast<std::size_t>(index)].keys)
+                startNode(index);
+        });
+    }
+
+    void freeze(int index)
+    {
+        Host &host = hosts_[static_cast<std::size_t>(index)];
+        if (!isUp(host))
+            return;
+        const auto length = 100 + static_cast<std::int64_t>(random_.below(12'000));
+        host.frozenUntilMs = nowMs_ + length;
+        frozenAt_[index] = nowMs_;
+        after(silenceMs + 1, [this] { spreadViews(); });
+        after(length, [this] { spreadViews(); });
+    }
+
+    void tickAll()
+    {
+        for (Host &host : hosts_) {
+            if (isUp(host))
+                host.keys->tick(moment());
+        }
+    }
+
+    void callWithNewKey()
+    {
+        const std::string key = keyBornAt(nowMs_, ++serial_);
+        KeyedCall call{makeCallKey("ana", key), keyBirth(key), Digest("d")};
+        // Some callers' clocks are a little off.
+        *call.birthMs += static_cast<std::int64_t>(random_.below(1000)) - 500;
+        send(call);
+    }
+
+    void send(const KeyedCall &call)
+    {
+        ++truth_[call.key].sends;
+        auto sent = std::make_shared<Send>(Send{call, nowMs_});
+        after(callerTimeoutMs, [this, sent] {
+            if (!std::exchange(sent->isOver, true))
+                sendAgain(sent->call);
+        });
+        const auto entry = static_cast<int>(random_.below(nodesInAll));
+        deliver(entry, sent, [this, entry, sent] { route(entry, sent); });
+    }
+
+    void sendAgain(const KeyedCall &call)
+    {
+        if (truth_[call.key].sends < 5 && random_.chance(0.7))
+            after(static_cast<std::int64_t>(random_.below(6000)), [this, call] { send(call); });
+    }
+
+    // Runs `handle` at a host after the way there, and after the host wakes if it is frozen.
+    void deliver(int index, const SendPtr &sent, const std::function<void()> &handle)
+    {
+        const int run = hosts_[static_cast<std::size_t>(index)].run;
+        after(static_cast<std::int64_t>(random_.below(longestMessageMs)),
+              [this, index, run, sent, handle] { arrive(index, run, sent, handle); });
+    }
+
+    void arrive(int index, int run, const SendPtr &sent, const std::function<void()> &handle)
+    {
+        const Host &host = hosts_[static_cast<std::size_t>(index)];
+        if (sent->isOver || !host.keys || host.run != run)
+            return;
+        if (isUp(host))
+            handle();
+        else
+            after(host.frozenUntilMs - nowMs_ + 1,
+                  [this, index, run, sent, handle] { arrive(index, run, sent, handle); });
+    }
+
+    void route(int entry, const SendPtr &sent)
+    {
+        const KeyHome home = hosts_[static_cast<std::size_t>(entry)].keys->homeOf(sent->call.key);
+        const int target = home.node ? home.node->proxy.port - 1000 : -1;
+        const bool isCut = target >= 0 && isCut_ && dataCentreOf(target) != dataCentreOf(entry);
+        const bool isReached = home.node && !isCut
+                && hosts_[static_cast<std::size_t>(target)].info.id == home.node->id;
+        if (!isReached) {
+            say(sent, Refusal{RefusalReason::HomeUnreachable, RunProof::Unknown});
+            return;
+        }
+        deliver(target, sent, [this, target, sent] { runAt(target, sent); });
+    }
+
+    void runAt(int index, const SendPtr &sent)
+    {
+        HomeKeys &keys = *hosts_[static_cast<std::size_t>(index)].keys;
+        const bool isLimited = random_.chance(0.1);
+        const KeyVerdict verdict = isLimited
+                ? keys.refuse(sent->call, RefusalReason::Rate, moment())
+                : keys.begin(sent->call, moment());
+        if (std::holds_alternative<AnswerAgain>(verdict))
+            sayAnswered(sent);
+        else if (const auto *refusal = std::get_if<Refusal>(&verdict))
+            say(sent, *refusal);
+        else
+            callBackend(index, sent);
+    }
+
+    void callBackend(int index, const SendPtr &sent)
+    {
+        const int run = hosts_[static_cast<std::size_t>(index)].run;
+        const bool isShed = random_.chance(0.1);
+        const bool isBroken = !isShed && random_.chance(0.1);
+        const auto runsAfter = static_cast<std::int64_t>(random_.below(100));
+        if (!isShed)
+            after(runsAfter, [this, sent] { runKey(*sent); });
+        after(runsAfter + static_cast<std::int64_t>(random_.below(2500)),
+              [this, index, run, sent, isShed, isBroken] {
+                  finishAt(index, run, sent, isShed, isBroken);
+              });
+    }
+
+    void runKey(const Send &sent)
+    {
+        KeyTruth &truth = truth_[sent.call.key];
+        doubled += ++truth.runs > 1 ? 1 : 0;
+        // A send from before the statement makes it a lie as well.
+        falseNotRun += truth.saidNotRunMs > sent.startedMs ? 1 : 0;
+    }
+
+    void finishAt(int index, int run, const SendPtr &sent, bool isShed, bool isBroken)
+    {
+        Host &host = hosts_[static_cast<std::size_t>(index)];
+        if (!host.keys || host.run != run)
+            return;
+        if (!isUp(host)) {
+            after(host.frozenUntilMs - nowMs_ + 1, [this, index, run, sent, isShed, isBroken] {
+                finishAt(index, run, sent, isShed, isBroken);
+            });
+            return;
+        }
+        KeyMemory &memory = host.keys->memory();
+        const TimePoint time = moment().time;
+        if (isShed) {
+            memory.finishNotRun(sent->call.key);
+            say(sent, Refusal{RefusalReason::Shed, RunProof::NotRun});
+        } else if (isBroken) {
+            memory.finishUnknown(sent->call.key, time);
+            say(sent, Refusal{RefusalReason::BrokenConnection, RunProof::Unknown});
+        } else {
+            memory.finishAnswered(sent->call.key, std::make_shared<RememberedAnswer>(), time);
+            sayAnswered(sent);
+        }
+    }
+
+    void say(const SendPtr &sent, const Refusal &refusal)
+    {
+        if (std::exchange(sent->isOver, true))
+            return;
+        const bool isNotRun = refusal.run == RunProof::NotRun;
+        (isNotRun ? notRun : unknown) += 1;
+        KeyTruth &truth = truth_[sent->call.key];
+        falseNotRun += isNotRun && truth.runs > 0 ? 1 : 0;
+        if (isNotRun)
+            truth.saidNotRunMs = nowMs_;
+        sendAgain(sent->call);
+    }
+
+    void sayAnswered(const SendPtr &sent)
+    {
+        if (!std::exchange(sent->isOver, true))
+            ++answered;
+    }
+
+    Random random_;
+    std::int64_t nowMs_ = firstMs;
+    std::uint64_t serial_ = 0;
+    bool isCut_ = false;
+    std::vector<Host> hosts_;
+    std::map<int, std::int64_t> frozenAt_;
+    std::map<CallKey, KeyTruth> truth_;
+    std::priority_queue<Event> events_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(keyHome)
+
+BOOST_AUTO_TEST_CASE(readsTheBirthOfUuid7Only)
+{
+    BOOST_TEST(keyBirth("01931c5e-7d80-7abc-8def-0123456789ab").value() == 0x01931c5e7d80);
+    BOOST_TEST(!keyBirth("01931c5e-7d80-4abc-8def-0123456789ab"));
+    BOOST_TEST(!keyBirth("01931c5e-7d80-7abc-8def-0123456789a"));
+    BOOST_TEST(!keyBirth("01931c5e-7d8g-7abc-8def-0123456789ab"));
+}
+
+BOOST_AUTO_TEST_CASE(remembersEachEndOfACall)
+{
+    KeyMemory memory(KeyMemoryLimits{Milliseconds(1000), 2, 1024});
+    const TimePoint time{Milliseconds(1)};
+    const auto begin = [&](const char *key, const char *request = "r") {
+        const KeyVerdict verdict = memory.begin(CallKey(key), Digest(request));
+        if (std::holds_alternative<StartRun>(verdict))
+            return std::string_view("run");
+        const auto *refusal = std::get_if<Refusal>(&verdict);
+        return refusal ? refusalFacts(refusal->reason).name : std::string_view("again");
+    };
+    BOOST_TEST(begin("a") == "run");
+    BOOST_TEST(begin("a") == "in-progress");
+    memory.finishNotRun(CallKey("a"));
+    BOOST_TEST(begin("a") == "run");
+    memory.finishUnknown(CallKey("a"), time);
+    BOOST_TEST(begin("a") == "outcome-unknown");
+    BOOST_TEST(begin("b") == "run");
+    memory.finishAnswered(CallKey("b"), std::make_shared<RememberedAnswer>(), time);
+    BOOST_TEST(begin("b") == "again");
+    BOOST_TEST(begin("b", "other") == "key-reused");
+    BOOST_TEST(begin("c") == "overload");
+    memory.expire(time + Milliseconds(1000));
+    BOOST_TEST(memory.size() == 0);
+    BOOST_TEST(memory.answerBytes() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(dropsOldAnswersBeforeKeys)
+{
+    KeyMemory memory(KeyMemoryLimits{Milliseconds(1000), 100, 1000});
+    auto answer = std::make_shared<RememberedAnswer>();
+    answer->body = std::string(600, 'x');
+    for (const char *key : {"a", "b"}) {
+        memory.begin(CallKey(key), Digest("r"));
+        memory.finishAnswered(CallKey(key), answer, TimePoint{});
+    }
+    const auto forgotten = memory.recall(CallKey("a")).value();
+    BOOST_REQUIRE(std::holds_alternative<Refusal>(forgotten));
+    BOOST_TEST((std::get<Refusal>(forgotten).reason == RefusalReason::AnswerForgotten));
+    BOOST_TEST(std::holds_alternative<AnswerAgain>(memory.recall(CallKey("b")).value()));
+}
+
+BOOST_AUTO_TEST_CASE(aHomeYoungerThanTheKeyDoesNotRunIt)
+{
+    const std::int64_t start = 1'700'000'000'000;
+    HomeKeys keys(makeNode("n1", "dc0", 1000, start), {}, {}, {});
+    std::int64_t tickedMs = start;
+    const auto runs = [&](const std::string &key, std::int64_t wallMs, bool isPaused = false) {
+        const KeyedCall call{makeCallKey("ana", key), keyBirth(key), Digest("r")};
+        const Moment moment{TimePoint(Milliseconds(wallMs)), wallMs};
+        for (; !isPaused && tickedMs < wallMs; tickedMs += 200)
+            keys.tick(Moment{TimePoint(Milliseconds(tickedMs)), tickedMs});
+        return std::holds_alternative<StartRun>(keys.begin(call, moment));
+    };
+    BOOST_TEST(!runs(keyBornAt(start + 1000, 1), start + 1000));
+    BOOST_TEST(!runs(keyBornAt(start + 3999, 2), start + 6000));
+    BOOST_TEST(runs(keyBornAt(start + 4000, 3), start + 6001));
+    BOOST_TEST(!runs("no-birth", start + 6002));
+    // After a pause it may have been replaced meanwhile.
+    BOOST_TEST(!runs(keyBornAt(start + 19'000, 4), start + 20'000, true));
+}
+
+BOOST_AUTO_TEST_CASE(noKeyRunsTwiceAndNoRefusalLies)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        Fleet fleet(seed);
+        fleet.runFor(120'000);
+        std::cout << "seed=" << seed << " answered=" << fleet.answered
+                  << " not_run=" << fleet.notRun << " unknown=" << fleet.unknown
+                  << " doubled=" << fleet.doubled << " false_not_run=" << fleet.falseNotRun << '\n';
+        BOOST_TEST(fleet.doubled == 0, "seed " << seed);
+        BOOST_TEST(fleet.falseNotRun == 0, "seed " << seed);
+        BOOST_TEST(fleet.answered > 1000, "seed " << seed);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
