Measure the judgement of moves over generated runs

scripts/measure moves draws runs of both example deployments with a good version or one of ten kinds of bad ones, lost reports, controllers that die, partitions and outages, and runs the real controller and brakes on them beside a baseline of fixed steps with an error threshold.

--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -40,12 +40,12 @@
 constexpr std::size_t eventKinds = firstLatencyEvent + latencyBuckets - 1;
 
 /// Names the calls that a test is about; an empty name stands for all.
-struct Scope
+struct JudgementScope
 {
     RouteId route;
     DataCentreId dataCentre;
 
-    friend auto operator<=>(const Scope &, const Scope &) = default;
+    friend auto operator<=>(const JudgementScope &, const JudgementScope &) = default;
 };
 
 /// Sums of both versions in one scope.
@@ -56,10 +56,10 @@
 };
 
 using KindRatios = std::array<LogRatios, eventKinds>;
-using ScopeRatios = std::map<Scope, KindRatios>;
+using ScopeRatios = std::map<JudgementScope, KindRatios>;
 
 /// The calls of one route and data centre.
-struct Cell
+struct JudgementCell
 {
     VersionSums pending;
     /// Blocks that `pending` has waited for calls of both versions.
@@ -69,7 +69,7 @@
 };
 
 /// The tests of one scope.
-struct ScopeTests
+struct JudgementTests
 {
     double weight = 0;
     std::array<SequentialTest, eventKinds> kinds;
@@ -110,18 +110,20 @@
     const detail::VersionSums &stage() const { return stage_; }
 
 private:
-    detail::ScopeTests &tests(const detail::Scope &scope);
-    void compare(const detail::Scope &scope, detail::Cell &cell, detail::ScopeRatios &sums);
-    void compareWithPast(const detail::Scope &scope, detail::Cell &cell, detail::ScopeRatios &sums);
-    const OutcomeSums &pastFor(const detail::Scope &scope) const;
+    detail::JudgementTests &tests(const detail::JudgementScope &scope);
+    void compare(const detail::JudgementScope &scope, detail::JudgementCell &cell,
+                 detail::ScopeRatios &sums);
+    void compareWithPast(const detail::JudgementScope &scope, detail::JudgementCell &cell,
+                         detail::ScopeRatios &sums);
+    const OutcomeSums &pastFor(const detail::JudgementScope &scope) const;
     void openRecent();
-    void noteRecent(const detail::Scope &scope, const detail::VersionSums &sums);
+    void noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums);
     void addToTests(const detail::ScopeRatios &sums);
-    std::string describe(const detail::Scope &scope, std::size_t kind) const;
+    std::string describe(const detail::JudgementScope &scope, std::size_t kind) const;
 
     JudgementSettings settings_;
-    std::map<detail::Scope, detail::Cell> cells_;
-    std::map<detail::Scope, detail::ScopeTests> tests_;
+    std::map<detail::JudgementScope, detail::JudgementCell> cells_;
+    std::map<detail::JudgementScope, detail::JudgementTests> tests_;
     OutcomeSums wholePast_;
     detail::VersionSums stage_;
     /// Evidence for moderate badness since the stage began, as a logarithm.
--- /dev/null
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -0,0 +1,279 @@
+// Measures the judgement of moves over generated runs, beside a baseline.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <iostream>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "cornelhead/base/settings.h"
+#include "rollout/simulated-move.h"
+
+namespace cornelhead::simulation {
+namespace {
+
+const std::string usage = R"(Measures the judgement of moves over generated runs.
+
+Usage: cornelhead-measure-moves [options]
+
+Options:
+  --deployment NAME  paperfold or association. [default: paperfold]
+  --seed S           Seed of the first run. [default: 1]
+  --runs N           Runs of each kind. [default: 200]
+  --threads N        Runs at a time. [default: 2]
+  --kind NAME        Only this kind; "all" for every one. [default: all]
+  --show             Print each run of a wrong verdict.
+  --help             Show this text.
+  --version          Show the version.
+)";
+
+constexpr std::array allKinds = {
+        Badness::None,          Badness::NoneCommonFault,   Badness::FailNow,
+        Badness::SlowNow,       Badness::FailLate,          Badness::SlowLate,
+        Badness::FailUnderLoad, Badness::SlowUnderLoad,     Badness::FailOneRoute,
+        Badness::SlowOneRoute,  Badness::FailOneDataCentre, Badness::SlowOneDataCentre,
+};
+
+/// A part of all runs, with its 95 % confidence interval (Wilson).
+struct Proportion
+{
+    std::size_t hits = 0;
+    std::size_t total = 0;
+
+    void add(bool hit)
+    {
+        hits += hit ? 1 : 0;
+        total += 1;
+    }
+    void add(const Proportion &more)
+    {
+        hits += more.hits;
+        total += more.total;
+    }
+    std::string text() const
+    {
+        if (total == 0)
+            return "none";
+        constexpr double z = 1.96;
+        const double n = static_cast<double>(total);
+        const double p = static_cast<double>(hits) / n;
+        const double middle = (p + z * z / (2 * n)) / (1 + z * z / n);
+        const double half = z * std::sqrt(p * (1 - p) / n + z * z / (4 * n * n)) / (1 + z * z / n);
+        std::array<char, 80> out{};
+        std::snprintf(out.data(), out.size(), "%.2f%%[%.2f,%.2f]", p * 100,
+                      std::max(0.0, middle - half) * 100, std::min(1.0, middle + half) * 100);
+        return out.data();
+    }
+};
+
+/// Values of which a quantile is asked, with its 95 % interval by order statistics.
+struct Sample
+{
+    std::vector<double> values;
+
+    std::string quantile(double q) const
+    {
+        if (values.empty())
+            return "none";
+        std::vector<double> sorted = values;
+        std::sort(sorted.begin(), sorted.end());
+        const double n = static_cast<double>(sorted.size());
+        const double half = 1.96 * std::sqrt(n * q * (1 - q));
+        const auto at = [&](double rank) {
+            const double bounded = std::clamp(rank, 0.0, n - 1);
+            return sorted[static_cast<std::size_t>(bounded)];
+        };
+        std::array<char, 80> out{};
+        std::snprintf(out.data(), out.size(), "%.2f[%.2f,%.2f]", at(n * q), at(n * q - half),
+                      at(n * q + half));
+        return out.data();
+    }
+    double mean() const
+    {
+        double sum = 0;
+        for (const double value : values)
+            sum += value;
+        return values.empty() ? 0 : sum / static_cast<double>(values.size());
+    }
+    double highest() const
+    {
+        return values.empty() ? 0 : *std::max_element(values.begin(), values.end());
+    }
+    void add(const Sample &more)
+    {
+        values.insert(values.end(), more.values.begin(), more.values.end());
+    }
+};
+
+/// Figures of many runs.
+struct Totals
+{
+    Proportion goodInTime;
+    Proportion falseTakeBack;
+    Proportion badTakenBack;
+    /// Only runs in which a judge who knows the truth would have been sure.
+    Proportion shownTakenBack;
+    Proportion aboveFirstShare;
+    Sample badSharePct;
+    Sample exposedPct;
+    Sample secondsToZero;
+    std::size_t brakedNodes = 0;
+
+    void add(const Scenario &scenario, const RunFigures &run);
+    void add(const Totals &more);
+    std::string text() const;
+};
+
+void Totals::add(const Scenario &scenario, const RunFigures &run)
+{
+    const bool isTakenBack = run.end == MoveState::TakenBack;
+    if (isGood(scenario.badness)) {
+        goodInTime.add(run.fullShareAtMs > 0 && run.fullShareAtMs <= run.deadlineMs
+                       && !isTakenBack);
+        falseTakeBack.add(isTakenBack);
+        brakedNodes += static_cast<std::size_t>(run.brakedNodes);
+        return;
+    }
+    badTakenBack.add(isTakenBack);
+    if (run.shownAtMs > 0)
+        shownTakenBack.add(isTakenBack);
+    exposedPct.values.push_back(100.0 * static_cast<double>(run.exposedCalls)
+                                / static_cast<double>(std::max<std::uint64_t>(1, run.calls)));
+    if (isAtOnce(scenario.badness)) {
+        aboveFirstShare.add(run.highestShare > PerMille(50));
+        badSharePct.values.push_back(static_cast<double>(run.highestShare.value()) / 10.0);
+    }
+    if (isTakenBack && run.shownAtMs > 0)
+        secondsToZero.values.push_back(
+                static_cast<double>(std::max<std::int64_t>(0, run.zeroAtMs - run.shownAtMs))
+                / 1000.0);
+}
+
+void Totals::add(const Totals &more)
+{
+    goodInTime.add(more.goodInTime);
+    falseTakeBack.add(more.falseTakeBack);
+    badTakenBack.add(more.badTakenBack);
+    shownTakenBack.add(more.shownTakenBack);
+    aboveFirstShare.add(more.aboveFirstShare);
+    badSharePct.add(more.badSharePct);
+    exposedPct.add(more.exposedPct);
+    secondsToZero.add(more.secondsToZero);
+    brakedNodes += more.brakedNodes;
+}
+
+std::string Totals::text() const
+{
+    std::array<char, 80> exposed{};
+    std::snprintf(exposed.data(), exposed.size(), "%.3f", exposedPct.mean());
+    std::array<char, 80> share{};
+    std::snprintf(share.data(), share.size(), "%.1f", badSharePct.highest());
+    return "good_in_time=" + goodInTime.text() + " bad_taken_back=" + badTakenBack.text()
+            + " false_take_back=" + falseTakeBack.text() + " bad_share_max_pct=" + share.data()
+            + " exposed_calls_pct=" + exposed.data()
+            + " seconds_to_zero_p99=" + secondsToZero.quantile(0.99);
+}
+
+struct Settled
+{
+    Deployment deployment;
+    std::uint64_t seed = 0;
+    std::size_t runs = 0;
+    std::size_t threads = 0;
+    bool show = false;
+};
+
+Totals measure(const Settled &settled, Badness kind, Judge judge, bool lowTraffic)
+{
+    std::vector<Scenario> scenarios(settled.runs);
+    std::vector<RunFigures> figures(settled.runs);
+    for (std::size_t i = 0; i < settled.runs; ++i) {
+        const std::uint64_t seed
+                = settled.seed * 1'000'003 + i * 64 + static_cast<std::uint64_t>(kind);
+        scenarios[i] = drawScenario(settled.deployment, kind, seed, lowTraffic);
+        scenarios[i].judge = judge;
+    }
+    std::vector<std::thread> threads;
+    for (std::size_t t = 0; t < settled.threads; ++t)
+        threads.emplace_back([&, t] {
+            for (std::size_t i = t; i < settled.runs; i += settled.threads)
+                figures[i] = runMove(scenarios[i]);
+        });
+    for (std::thread &thread : threads)
+        thread.join();
+    Totals totals;
+    for (std::size_t i = 0; i < settled.runs; ++i) {
+        totals.add(scenarios[i], figures[i]);
+        const bool isWrong = isGood(kind) == (figures[i].end == MoveState::TakenBack);
+        if (settled.show && isWrong)
+            std::cout << "  wrong " << badnessName(kind) << " seed " << scenarios[i].seed << " end "
+                      << moveStateName(figures[i].end) << " rate " << scenarios[i].callRate
+                      << " fail " << scenarios[i].failRate << " slow " << scenarios[i].slowFactor
+                      << " from " << scenarios[i].badFromMs << " move " << scenarios[i].moveMs
+                      << " shown " << figures[i].shownAtMs - figures[i].startMs << " gap "
+                      << scenarios[i].controllerGap.fromMs << " cut " << scenarios[i].cutDataCentre
+                      << " load " << scenarios[i].badFromLoad << " step "
+                      << scenarios[i].loadChange.fromMs << "x" << scenarios[i].loadStep << " "
+                      << figures[i].verdict << '\n';
+    }
+    return totals;
+}
+
+Totals measureAll(const Settled &settled, const std::string &only, Judge judge, bool lowTraffic,
+                  const std::string &title)
+{
+    Totals all;
+    for (const Badness kind : allKinds) {
+        if (only != "all" && only != badnessName(kind))
+            continue;
+        const Totals totals = measure(settled, kind, judge, lowTraffic);
+        std::cout << title << ' ' << badnessName(kind) << ' ';
+        if (isGood(kind))
+            std::cout << "in_time=" << totals.goodInTime.text()
+                      << " false=" << totals.falseTakeBack.text()
+                      << " false_brakes=" << totals.brakedNodes << '\n';
+        else
+            std::cout << "taken_back=" << totals.badTakenBack.text()
+                      << " when_shown=" << totals.shownTakenBack.text()
+                      << " above_5pct=" << totals.aboveFirstShare.text()
+                      << " exposed=" << totals.exposedPct.mean()
+                      << " to_zero_p50=" << totals.secondsToZero.quantile(0.5)
+                      << " p99=" << totals.secondsToZero.quantile(0.99) << '\n';
+        std::cout.flush();
+        all.add(totals);
+    }
+    return all;
+}
+
+int runMeasure(int argc, const char *const *argv)
+{
+    Settings settings = Settings::parseOrExit(usage, argc, argv);
+    Settled settled;
+    const std::string name = settings.choice("--deployment", {"paperfold", "association"});
+    settled.deployment = name == "association" ? association() : paperfold();
+    settled.seed = static_cast<std::uint64_t>(settings.integer("--seed", 0, 1'000'000'000));
+    settled.runs = static_cast<std::size_t>(settings.integer("--runs", 1, 1'000'000));
+    settled.threads = static_cast<std::size_t>(settings.integer("--threads", 1, 64));
+    settled.show = settings.flag("--show");
+    const std::string only = settings.text("--kind");
+    settings.exitOnFaults();
+    std::cout << "deployment " << name << ", seed " << settled.seed << ", " << settled.runs
+              << " runs of each kind\n";
+    const Totals baseline = measureAll(settled, only, Judge::Threshold, false, "threshold");
+    const Totals low = measureAll(settled, only, Judge::Sequential, true, "low-traffic");
+    const Totals own = measureAll(settled, only, Judge::Sequential, false, "moves");
+    std::cout << "baseline " << baseline.text() << '\n';
+    std::cout << "low-traffic " << low.text() << '\n';
+    std::cout << "moves " << own.text() << '\n';
+    return 0;
+}
+
+} // namespace
+} // namespace cornelhead::simulation
+
+int main(int argc, char **argv)
+{
+    return cornelhead::simulation::runMeasure(argc, argv);
+}
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -10,6 +10,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 constexpr std::int64_t blockMs = 300;
 /// After a longer silence a controller counts as new, since its evidence has a hole.
@@ -217,6 +218,7 @@
     return raise(tracked, due, nowMs);
 }
 
+} // namespace
 } // namespace detail
 
 struct MoveController::Impl
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -9,6 +9,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 /// A failure rate this much above the old version's is still good.
 constexpr double toleratedFailures = 0.005;
@@ -135,9 +136,9 @@
     return 0.5 / ((further + 1.0) * (further + 2.0));
 }
 
-std::vector<Scope> scopesOf(const Scope &cell)
+std::vector<JudgementScope> scopesOf(const JudgementScope &cell)
 {
-    std::vector<Scope> scopes
+    std::vector<JudgementScope> scopes
             = {{}, {cell.route, {}}, {{}, cell.dataCentre}, {cell.route, cell.dataCentre}};
     return scopes;
 }
@@ -178,7 +179,7 @@
             + std::to_string(static_cast<std::uint64_t>(calls)) + " (" + renderPercent(rate) + ")";
 }
 
-std::string scopeText(const Scope &scope)
+std::string scopeText(const JudgementScope &scope)
 {
     std::string text = scope.route.empty() ? "on all routes" : "on " + scope.route.value();
     return text
@@ -186,6 +187,7 @@
                                         : " in " + scope.dataCentre.value());
 }
 
+} // namespace
 } // namespace detail
 
 std::string renderPercent(double part)
@@ -200,7 +202,7 @@
 void Judgement::add(bool isNew, const RouteId &route, const DataCentreId &dataCentre,
                     const OutcomeSums &sums)
 {
-    detail::Cell &cell = cells_[{route, dataCentre}];
+    detail::JudgementCell &cell = cells_[{route, dataCentre}];
     (isNew ? cell.pending.newer : cell.pending.older).add(sums);
     (isNew ? stage_.newer : stage_.older).add(sums);
 }
@@ -208,7 +210,7 @@
 void Judgement::recallPast(const OutcomeBatch &past)
 {
     for (const auto &[key, sums] : past) {
-        detail::Cell &cell = cells_[{key.route, key.dataCentre}];
+        detail::JudgementCell &cell = cells_[{key.route, key.dataCentre}];
         if (cell.past.calls >= sums.calls)
             continue;
         cell.past = sums;
@@ -218,7 +220,7 @@
         wholePast_.add(cell.past);
 }
 
-detail::ScopeTests &Judgement::tests(const detail::Scope &scope)
+detail::JudgementTests &Judgement::tests(const detail::JudgementScope &scope)
 {
     const auto [found, isNew] = tests_.try_emplace(scope);
     if (!isNew)
@@ -235,7 +237,8 @@
     return found->second;
 }
 
-void Judgement::compare(const detail::Scope &scope, detail::Cell &cell, detail::ScopeRatios &sums)
+void Judgement::compare(const detail::JudgementScope &scope, detail::JudgementCell &cell,
+                        detail::ScopeRatios &sums)
 {
     detail::KindRatios ratios{};
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
@@ -244,17 +247,17 @@
                                         detail::toleranceOf(kind),
                                         detail::expectedRate(cell.past, kind));
     detail::capRatios(ratios, detail::highestBlockRatio);
-    for (const detail::Scope &wider : detail::scopesOf(scope))
+    for (const detail::JudgementScope &wider : detail::scopesOf(scope))
         detail::addRatios(sums[wider], ratios);
 }
 
-const OutcomeSums &Judgement::pastFor(const detail::Scope &scope) const
+const OutcomeSums &Judgement::pastFor(const detail::JudgementScope &scope) const
 {
     const OutcomeSums &own = cells_.at(scope).past;
     return static_cast<double>(own.calls) >= detail::leastPastCalls ? own : wholePast_;
 }
 
-void Judgement::compareWithPast(const detail::Scope &scope, detail::Cell &cell,
+void Judgement::compareWithPast(const detail::JudgementScope &scope, detail::JudgementCell &cell,
                                 detail::ScopeRatios &sums)
 {
     const OutcomeSums &past = pastFor(scope);
@@ -268,13 +271,13 @@
                 = compareWithRate(compared.newEvents, compared.newOthers, upperRate(events, calls));
     }
     detail::capRatios(ratios, detail::highestBlockRatio);
-    for (const detail::Scope &wider : detail::scopesOf(scope))
+    for (const detail::JudgementScope &wider : detail::scopesOf(scope))
         detail::addRatios(sums[wider], ratios);
 }
 
-void Judgement::noteRecent(const detail::Scope &scope, const detail::VersionSums &sums)
+void Judgement::noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums)
 {
-    for (const detail::Scope &wider : detail::scopesOf(scope)) {
+    for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
         auto &recent = tests(wider).recent;
         recent.back().newer.add(sums.newer);
         recent.back().older.add(sums.older);
@@ -297,7 +300,7 @@
 void Judgement::openRecent()
 {
     for (const auto &[scope, cell] : cells_)
-        for (const detail::Scope &wider : detail::scopesOf(scope))
+        for (const detail::JudgementScope &wider : detail::scopesOf(scope))
             tests(wider);
     for (auto &[scope, scopeTests] : tests_) {
         scopeTests.recent.emplace_back();
@@ -386,7 +389,7 @@
     return batch;
 }
 
-std::string Judgement::describe(const detail::Scope &scope, std::size_t kind) const
+std::string Judgement::describe(const detail::JudgementScope &scope, std::size_t kind) const
 {
     detail::VersionSums sums;
     for (const detail::VersionSums &block : tests_.at(scope).recent) {
--- a/src/rollout/move-actions.cc
+++ b/src/rollout/move-actions.cc
@@ -5,6 +5,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 tl::unexpected<Error> failOver(const Move &move)
 {
@@ -60,6 +61,7 @@
     return {};
 }
 
+} // namespace
 } // namespace detail
 
 Result<Move> startMove(const std::optional<Move> &current, const StartRequest &request,
--- a/src/rollout/move.cc
+++ b/src/rollout/move.cc
@@ -10,6 +10,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 using Json = nlohmann::json;
 
@@ -102,6 +103,7 @@
     return std::nullopt;
 }
 
+} // namespace
 } // namespace detail
 
 std::string_view moveStateName(MoveState state)
--- a/src/rollout/pace.cc
+++ b/src/rollout/pace.cc
@@ -6,6 +6,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 /// One step up, in parts of the time from the start to the deadline.
 struct PaceStep
@@ -42,6 +43,7 @@
     return part >= step.latest || (part >= step.earliest && input.isCleared);
 }
 
+} // namespace
 } // namespace detail
 
 std::int64_t leastStageMs(std::int64_t moveMs)
--- a/src/rollout/sequential-test.cc
+++ b/src/rollout/sequential-test.cc
@@ -6,6 +6,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 constexpr double lowestRate = 0.002;
 constexpr double highestRate = 0.97;
@@ -48,6 +49,7 @@
             * std::log(tolerance.extraRate * event + (1.0 - tolerance.extraRate) * other);
 }
 
+} // namespace
 } // namespace detail
 
 LogRatios compareCalls(const ComparedCalls &calls, const Tolerance &tolerance,
--- /dev/null
+++ b/src/rollout/simulated-calls.cc
@@ -0,0 +1,179 @@
+// Models servers, load, warm-up, stalls and badness.
+#include "rollout/simulated-calls.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelhead::simulation {
+namespace detail {
+namespace {
+
+constexpr double latencySpread = 0.5;
+constexpr double hostSpread = 0.18;
+/// Calls after which a new server is as fast as it gets.
+constexpr double warmUpCalls = 40;
+constexpr double warmUpSlowdown = 1.5;
+constexpr std::uint64_t coldCalls = 10;
+constexpr double coldSlowdown = 8;
+/// The chance of a stall in one call, and its length.
+constexpr double stallChance = 0.0002;
+constexpr std::int64_t longestStallMs = 400;
+constexpr double rateSmoothing = 0.1;
+constexpr double longestLatencyMs = 3'000;
+
+double drawNormal(Random &random)
+{
+    return std::normal_distribution<double>(0.0, 1.0)(random.engine());
+}
+
+double between(Random &random, double low, double high)
+{
+    return low + (high - low) * random.unit();
+}
+
+} // namespace
+} // namespace detail
+
+CallSource::CallSource(const Scenario &scenario, Random &random)
+    : scenario_(&scenario), random_(&random)
+{
+    const Deployment &deployment = scenario.deployment;
+    const auto dataCentres = static_cast<int>(deployment.dataCentres.size());
+    for (int i = 0; i < deployment.servers; ++i) {
+        const double slowness = std::exp(detail::hostSpread * detail::drawNormal(random));
+        const double other = std::exp(detail::hostSpread * detail::drawNormal(random));
+        versions_[0].servers.push_back({i % dataCentres, slowness});
+        versions_[1].servers.push_back(
+                {i % dataCentres, scenario.hasOtherHosts ? other : slowness});
+        versions_[0].servers.back().answered = 1'000;
+    }
+    const double usedSlots
+            = detail::between(random, 0.1, 0.4) * deployment.slots * deployment.servers;
+    const double meanMs = std::clamp(usedSlots / scenario.callRate * 1000.0, 1.0, 40.0);
+    for (int i = 0; i < deployment.routes; ++i) {
+        routeWeights_.push_back(detail::between(random, 0.5, 1.5));
+        routeLatencyMs_.push_back(meanMs * detail::between(random, 0.5, 1.5));
+    }
+    baseFailRate_ = detail::between(random, 0.0005, 0.005);
+}
+
+int CallSource::drawCalls(std::int64_t sinceStartMs, Milliseconds tick)
+{
+    double rate = scenario_->callRate / scenario_->deployment.nodes;
+    if (scenario_->loadChange.holds(sinceStartMs))
+        rate *= scenario_->loadStep;
+    const double mean = rate * static_cast<double>(tick.count()) / 1000.0;
+    return std::poisson_distribution<int>(mean)(random_->engine());
+}
+
+int CallSource::drawRoute()
+{
+    return std::discrete_distribution<int>(routeWeights_.begin(),
+                                           routeWeights_.end())(random_->engine());
+}
+
+double CallSource::loadFactor(const Version &version) const
+{
+    double meanMs = 0;
+    for (const double latency : routeLatencyMs_)
+        meanMs += latency / static_cast<double>(routeLatencyMs_.size());
+    const double slots = scenario_->deployment.slots * static_cast<double>(version.servers.size());
+    const double used = version.callRate * meanMs / 1000.0 / slots;
+    return 1.0 / std::sqrt(1.0 - std::min(used, 0.9));
+}
+
+CallSource::Server &CallSource::pickServer(Version &version, int dataCentre)
+{
+    std::vector<Server *> near;
+    for (Server &server : version.servers)
+        if (server.dataCentre == dataCentre)
+            near.push_back(&server);
+    if (near.empty())
+        return version.servers[random_->below(version.servers.size())];
+    return *near[random_->below(near.size())];
+}
+
+bool CallSource::isBad(Side side, int route, int dataCentre, std::int64_t sinceStartMs) const
+{
+    if (side == Side::Old || isGood(scenario_->badness))
+        return false;
+    switch (scenario_->badness) {
+    case Badness::FailLate:
+    case Badness::SlowLate:
+        return sinceStartMs >= scenario_->badFromMs;
+    case Badness::FailUnderLoad:
+    case Badness::SlowUnderLoad:
+        return versions_[1].callRate >= scenario_->badFromLoad * scenario_->callRate;
+    case Badness::FailOneRoute:
+    case Badness::SlowOneRoute:
+        return route == scenario_->badRoute;
+    case Badness::FailOneDataCentre:
+    case Badness::SlowOneDataCentre:
+        return dataCentre == scenario_->badDataCentre;
+    default:
+        return true;
+    }
+}
+
+void CallSource::addCommonFault(CallOutcome &outcome, double &slow, int dataCentre,
+                                std::int64_t sinceStartMs)
+{
+    if (!scenario_->commonFault.holds(sinceStartMs))
+        return;
+    if (scenario_->commonDataCentre >= 0 && scenario_->commonDataCentre != dataCentre)
+        return;
+    slow *= scenario_->commonSlowFactor;
+    outcome.isFailure = outcome.isFailure || random_->chance(scenario_->commonFailRate);
+}
+
+CallOutcome CallSource::drawOutcome(Side side, int route, int dataCentre, std::int64_t sinceStartMs)
+{
+    Version &version = versions_[static_cast<std::size_t>(side)];
+    version.tickCalls += 1;
+    Server &server = pickServer(version, dataCentre);
+    CallOutcome outcome;
+    outcome.isExposed = isBad(side, route, dataCentre, sinceStartMs);
+    outcome.isFailure = random_->chance(baseFailRate_);
+    double slow = server.slowness * loadFactor(version);
+    const auto answered = static_cast<double>(server.answered++);
+    outcome.isCold = server.answered <= detail::coldCalls;
+    slow *= outcome.isCold
+            ? detail::coldSlowdown
+            : 1.0 + (detail::warmUpSlowdown - 1.0) * std::exp(-answered / detail::warmUpCalls);
+    const double noise = detail::latencySpread * detail::drawNormal(*random_);
+    const double badFactor = outcome.isExposed ? scenario_->slowFactor : 1.0;
+    if (outcome.isExposed && scenario_->failRate > 0) {
+        const bool fails = random_->chance(scenario_->failRate);
+        outcome.isFailure = outcome.isFailure || fails;
+        outcome.trueLogOdds = fails ? std::log(scenario_->failRate / baseFailRate_)
+                                    : std::log1p(-scenario_->failRate);
+    } else if (outcome.isExposed && badFactor > 1.0) {
+        const double shift = std::log(badFactor) / detail::latencySpread;
+        const double seen = noise / detail::latencySpread + shift;
+        outcome.trueLogOdds = seen * shift - shift * shift / 2.0;
+    }
+    addCommonFault(outcome, slow, dataCentre, sinceStartMs);
+    if (random_->chance(detail::stallChance))
+        server.stalledUntilMs
+                = sinceStartMs + static_cast<std::int64_t>(random_->below(detail::longestStallMs));
+    const double stall
+            = static_cast<double>(std::max<std::int64_t>(0, server.stalledUntilMs - sinceStartMs));
+    const double latencyMs = std::min(detail::longestLatencyMs,
+                                      stall
+                                              + routeLatencyMs_[static_cast<std::size_t>(route)]
+                                                      * slow * badFactor * std::exp(noise));
+    outcome.latency = Microseconds(static_cast<std::int64_t>(latencyMs * 1000.0));
+    return outcome;
+}
+
+void CallSource::endTick(Milliseconds tick)
+{
+    for (Version &version : versions_) {
+        const double rate = static_cast<double>(version.tickCalls) * 1000.0
+                / static_cast<double>(tick.count());
+        version.callRate += detail::rateSmoothing * (rate - version.callRate);
+        version.tickCalls = 0;
+    }
+}
+
+} // namespace cornelhead::simulation
--- /dev/null
+++ b/src/rollout/simulated-move.cc
@@ -0,0 +1,502 @@
+// Runs the controller, the brakes and a fake of the platform's record over generated calls.
+#include "rollout/simulated-move.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <variant>
+
+#include "cornelhead/rollout/controller.h"
+#include "cornelhead/rollout/move-actions.h"
+#include "cornelhead/rollout/pace.h"
+#include "rollout/simulated-calls.h"
+#include "rollout/threshold-controller.h"
+
+namespace cornelhead::simulation {
+namespace detail {
+namespace {
+
+constexpr Milliseconds tick = Milliseconds(100);
+constexpr std::int64_t startMs = 1'000'000'000;
+constexpr std::int64_t reportEveryMs = 500;
+constexpr std::int64_t longestRecordDelayMs = 250;
+/// Ticks that a call may last.
+constexpr std::size_t longestCallTicks = 32;
+/// The odds at which a judge who knows the truth is sure, as a logarithm.
+constexpr double sureLogOdds = 5.5;
+
+const ServiceId service("bookings");
+const VersionId oldVersion("v1");
+const VersionId newVersion("v2");
+
+void require(bool holds, const char *promise, const Scenario &scenario)
+{
+    if (holds)
+        return;
+    std::cerr << "broken promise: " << promise << "; kind " << badnessName(scenario.badness)
+              << ", seed " << scenario.seed << '\n';
+    std::abort();
+}
+
+double between(Random &random, double low, double high)
+{
+    return low + (high - low) * random.unit();
+}
+
+double betweenLog(Random &random, double low, double high)
+{
+    return std::exp(between(random, std::log(low), std::log(high)));
+}
+
+Span drawSpan(Random &random, std::int64_t withinMs, std::int64_t shortestMs,
+              std::int64_t longestMs)
+{
+    const auto fromMs
+            = static_cast<std::int64_t>(random.below(static_cast<std::uint64_t>(withinMs)));
+    const auto lengthMs = static_cast<std::int64_t>(
+            random.below(static_cast<std::uint64_t>(longestMs - shortestMs)));
+    return {fromMs, fromMs + shortestMs + lengthMs};
+}
+
+bool fails(Badness badness)
+{
+    return badness == Badness::FailNow || badness == Badness::FailLate
+            || badness == Badness::FailUnderLoad || badness == Badness::FailOneRoute
+            || badness == Badness::FailOneDataCentre;
+}
+
+bool isPartial(Badness badness)
+{
+    return badness == Badness::FailOneRoute || badness == Badness::SlowOneRoute
+            || badness == Badness::FailOneDataCentre || badness == Badness::SlowOneDataCentre;
+}
+
+void drawBadness(Scenario &scenario, Random &random)
+{
+    const Badness badness = scenario.badness;
+    if (fails(badness))
+        scenario.failRate
+                = isPartial(badness) ? between(random, 0.2, 0.8) : between(random, 0.08, 0.6);
+    else
+        scenario.slowFactor = between(random, 2.5, 8.0);
+    scenario.badRoute = static_cast<int>(
+            random.below(static_cast<std::uint64_t>(scenario.deployment.routes)));
+    scenario.badDataCentre = static_cast<int>(random.below(scenario.deployment.dataCentres.size()));
+    const double lateMs = static_cast<double>(scenario.moveMs)
+            + static_cast<double>(watchMs(scenario.moveMs)) / 3.0;
+    scenario.badFromMs = static_cast<std::int64_t>(
+            between(random, 0.3 * static_cast<double>(scenario.moveMs), lateMs));
+    scenario.badFromLoad = between(random, 0.1, 0.8);
+}
+
+void drawFaults(Scenario &scenario, Random &random)
+{
+    const std::int64_t wholeMs = scenario.moveMs + watchMs(scenario.moveMs);
+    scenario.lostReports = random.chance(0.5) ? between(random, 0.0, 0.1) : 0.0;
+    scenario.reportDelayMs = static_cast<std::int64_t>(between(random, 100, 500));
+    scenario.lostAnswers = random.chance(0.3) ? 0.3 : 0.0;
+    if (random.chance(0.2))
+        scenario.controllerGap = drawSpan(random, wholeMs, 1'000, 4'000);
+    if (random.chance(0.1))
+        scenario.platformOutage = drawSpan(random, wholeMs, 500, 3'000);
+    if (random.chance(0.1)) {
+        scenario.partition = drawSpan(random, wholeMs, 2'000, 20'000);
+        scenario.cutDataCentre
+                = static_cast<int>(random.below(scenario.deployment.dataCentres.size()));
+    }
+    if (random.chance(0.3)) {
+        scenario.loadChange = drawSpan(random, wholeMs, 5'000, 60'000);
+        scenario.loadStep = between(random, 0.5, 1.6);
+    }
+    scenario.hasOtherHosts = random.chance(0.5);
+}
+
+void drawCommonFault(Scenario &scenario, Random &random)
+{
+    scenario.commonFault = drawSpan(random, scenario.moveMs + watchMs(scenario.moveMs), 500, 8'000);
+    if (random.chance(0.5))
+        scenario.commonDataCentre
+                = static_cast<int>(random.below(scenario.deployment.dataCentres.size()));
+    if (random.chance(0.5))
+        scenario.commonFailRate = between(random, 0.1, 1.0);
+    else
+        scenario.commonSlowFactor = between(random, 2.0, 10.0);
+}
+
+/// The platform's record of the move.
+class Record
+{
+public:
+    Record(Move first, const Scenario &scenario) : scenario_(&scenario)
+    {
+        first.modRevision = ModRevision(1);
+        writes_.push_back({startMs, std::move(first)});
+    }
+
+    const Move &latest() const { return writes_.back().second; }
+    const std::vector<std::pair<std::int64_t, Move>> &writes() const { return writes_; }
+
+    /// Writes over the revision that `next` was made from; loses against any other write.
+    bool write(Move next, std::int64_t nowMs)
+    {
+        if (next.modRevision != latest().modRevision)
+            return false;
+        require(!isFinal(latest().state), "a final record stays as it is", *scenario_);
+        require(next.share <= latest().share || next.state != MoveState::TakenBack,
+                "a version taken back has no share", *scenario_);
+        require(decodeMove(encodeMove(next)).has_value(), "every record can be read", *scenario_);
+        next.modRevision = latest().modRevision.next();
+        writes_.emplace_back(nowMs, std::move(next));
+        return true;
+    }
+
+private:
+    const Scenario *scenario_;
+    std::vector<std::pair<std::int64_t, Move>> writes_;
+};
+
+using RouteSums = std::vector<std::array<OutcomeSums, 2>>;
+
+/// One node: what it knows of the record, its brake, and outcomes not reported yet.
+struct Node
+{
+    int dataCentre = 0;
+    std::int64_t reportOffsetMs = 0;
+    std::size_t knownWrite = 0;
+    LocalBrake brake;
+    bool isBraked = false;
+    /// Outcomes by the tick in which the call ends.
+    std::array<RouteSums, longestCallTicks> ends;
+    RouteSums unreported;
+};
+
+/// A report on its way to the controllers.
+struct Report
+{
+    std::int64_t arrivesAtMs = 0;
+    OutcomeBatch outcomes;
+};
+
+using Controller = std::variant<MoveController, ThresholdController>;
+
+Controller makeController(Judge judge)
+{
+    if (judge == Judge::Threshold)
+        return ThresholdController();
+    return MoveController();
+}
+
+/// One run.
+class Run
+{
+public:
+    explicit Run(const Scenario &scenario)
+        : scenario_(scenario), random_(scenario.seed), source_(scenario_, random_),
+          record_(firstRecord(scenario), scenario_), controller_(makeController(scenario.judge))
+    {
+        for (int i = 0; i < scenario_.deployment.nodes; ++i)
+            addNode(i);
+        figures_.startMs = startMs;
+        figures_.deadlineMs = startMs + scenario_.moveMs;
+        observe();
+    }
+
+    RunFigures run()
+    {
+        const std::int64_t endMs
+                = startMs + 2 * scenario_.moveMs + 3 * watchMs(scenario_.moveMs) + 10'000;
+        while (nowMs_ < endMs && !isOver())
+            step();
+        figures_.end = record_.latest().state;
+        figures_.fullShareAtMs = record_.latest().fullShareAtMs;
+        figures_.verdict = record_.latest().verdict;
+        return figures_;
+    }
+
+private:
+    static Move firstRecord(const Scenario &scenario)
+    {
+        return startMove(std::nullopt, {service, oldVersion, newVersion, startMs + scenario.moveMs},
+                         {EditId("start"), startMs})
+                .value();
+    }
+
+    void addNode(int index)
+    {
+        Node node;
+        node.dataCentre = index % static_cast<int>(scenario_.deployment.dataCentres.size());
+        node.reportOffsetMs = static_cast<std::int64_t>(random_.below(reportEveryMs / 100)) * 100;
+        const auto routes = static_cast<std::size_t>(scenario_.deployment.routes);
+        for (RouteSums &sums : node.ends)
+            sums.resize(routes);
+        node.unreported.resize(routes);
+        nodes_.push_back(std::move(node));
+    }
+
+    std::int64_t sinceStartMs() const { return nowMs_ - startMs; }
+
+    bool isOver() const
+    {
+        // After a take-back every connected node has to learn of it.
+        return isFinal(record_.latest().state)
+                && nowMs_ > record_.writes().back().first + 2 * longestRecordDelayMs;
+    }
+
+    bool isCut(int dataCentre) const
+    {
+        return dataCentre == scenario_.cutDataCentre && scenario_.partition.holds(sinceStartMs());
+    }
+
+    void step()
+    {
+        nowMs_ += tick.count();
+        tickIndex_ += 1;
+        for (Node &node : nodes_) {
+            learnRecord(node);
+            sendCalls(node);
+            endCalls(node);
+            report(node);
+        }
+        source_.endTick(tick);
+        deliverReports();
+        control();
+    }
+
+    void learnRecord(Node &node)
+    {
+        if (isCut(node.dataCentre))
+            return;
+        while (node.knownWrite + 1 < record_.writes().size()) {
+            const auto &[atMs, move] = record_.writes()[node.knownWrite + 1];
+            if (atMs + static_cast<std::int64_t>(random_.below(longestRecordDelayMs)) > nowMs_)
+                return;
+            node.knownWrite += 1;
+            node.brake.observe(move);
+        }
+    }
+
+    void sendCalls(Node &node)
+    {
+        const Move &known = record_.writes()[node.knownWrite].second;
+        const int calls = source_.drawCalls(sinceStartMs(), tick);
+        const bool isBraked = scenario_.judge == Judge::Sequential && node.brake.isBraked(service);
+        figures_.brakedNodes += isBraked && !node.isBraked ? 1 : 0;
+        node.isBraked = isBraked;
+        for (int i = 0; i < calls; ++i) {
+            const bool isNew = !isBraked && random_.below(1000) < known.share.value();
+            sendCall(node, isNew ? Side::New : Side::Old);
+        }
+    }
+
+    void sendCall(Node &node, Side side)
+    {
+        const int route = source_.drawRoute();
+        const CallOutcome outcome
+                = source_.drawOutcome(side, route, node.dataCentre, sinceStartMs());
+        figures_.calls += 1;
+        figures_.exposedCalls += outcome.isExposed ? 1 : 0;
+        if (side == Side::New && !isCut(node.dataCentre))
+            figures_.zeroAtMs = nowMs_;
+        noteTruth(outcome);
+        const auto ticks = static_cast<std::size_t>(outcome.latency.count() / 1000 / tick.count());
+        const std::size_t end
+                = (tickIndex_ + std::min(ticks, longestCallTicks - 1)) % longestCallTicks;
+        OutcomeSums &sums
+                = node.ends[end][static_cast<std::size_t>(route)][static_cast<std::size_t>(side)];
+        sums.calls += 1;
+        sums.failures += outcome.isFailure ? 1 : 0;
+        if (outcome.isCold)
+            sums.cold += 1;
+        else
+            sums.latencies[latencyBucket(outcome.latency)] += 1;
+    }
+
+    void noteTruth(const CallOutcome &outcome)
+    {
+        // Calls from before the onset of badness count for nothing.
+        trueLogOdds_ = std::max(0.0, trueLogOdds_ + outcome.trueLogOdds);
+        if (figures_.shownAtMs == 0 && trueLogOdds_ >= sureLogOdds)
+            figures_.shownAtMs = nowMs_;
+    }
+
+    void endCalls(Node &node)
+    {
+        RouteSums &ended = node.ends[tickIndex_ % longestCallTicks];
+        for (std::size_t route = 0; route < ended.size(); ++route) {
+            for (std::size_t side = 0; side < 2; ++side) {
+                node.unreported[route][side].add(ended[route][side]);
+                ended[route][side] = {};
+            }
+        }
+    }
+
+    void report(Node &node)
+    {
+        if (nowMs_ % reportEveryMs != node.reportOffsetMs)
+            return;
+        OutcomeBatch batch;
+        for (std::size_t route = 0; route < node.unreported.size(); ++route) {
+            for (std::size_t side = 0; side < 2; ++side) {
+                OutcomeSums &sums = node.unreported[route][side];
+                if (sums.calls > 0)
+                    batch[keyOf(node, route, side)] = sums;
+                sums = {};
+            }
+        }
+        if (scenario_.judge == Judge::Sequential)
+            node.brake.addEvidence(batch, nowMs_);
+        if (isCut(node.dataCentre) || random_.chance(scenario_.lostReports))
+            return;
+        const auto delay = static_cast<std::uint64_t>(scenario_.reportDelayMs);
+        reports_.push_back(
+                {nowMs_ + 20 + static_cast<std::int64_t>(random_.below(delay)), std::move(batch)});
+    }
+
+    OutcomeKey keyOf(const Node &node, std::size_t route, std::size_t side) const
+    {
+        const auto dataCentre = static_cast<std::size_t>(node.dataCentre);
+        return {service, side == 1 ? newVersion : oldVersion, RouteId("/r" + std::to_string(route)),
+                DataCentreId(scenario_.deployment.dataCentres[dataCentre])};
+    }
+
+    void deliverReports()
+    {
+        OutcomeBatch arrived;
+        std::erase_if(reports_, [&](const Report &report) {
+            if (report.arrivesAtMs > nowMs_)
+                return false;
+            mergeOutcomes(arrived, report.outcomes);
+            return true;
+        });
+        if (!scenario_.controllerGap.holds(sinceStartMs()))
+            std::visit([&](auto &controller) { controller.addEvidence(arrived, nowMs_); },
+                       controller_);
+    }
+
+    void observe()
+    {
+        std::visit([&](auto &controller) { controller.observe(record_.latest()); }, controller_);
+    }
+
+    void control()
+    {
+        const bool isGone = scenario_.controllerGap.holds(sinceStartMs());
+        if (isGone != wasGone_ && !isGone)
+            controller_ = makeController(scenario_.judge);
+        wasGone_ = isGone;
+        if (isGone || scenario_.platformOutage.holds(sinceStartMs()))
+            return;
+        observe();
+        const auto next = std::visit(
+                [&](auto &controller) { return controller.next(service, nowMs_); }, controller_);
+        if (!next)
+            return;
+        if (record_.write(*next, nowMs_) && !random_.chance(scenario_.lostAnswers))
+            observe();
+        noteRecord();
+    }
+
+    void noteRecord()
+    {
+        const Move &latest = record_.latest();
+        figures_.highestShare = std::max(figures_.highestShare, latest.share);
+        if (latest.state == MoveState::TakenBack)
+            figures_.takenBackAtMs = nowMs_;
+    }
+
+    Scenario scenario_;
+    Random random_;
+    CallSource source_;
+    Record record_;
+    Controller controller_;
+    std::vector<Node> nodes_;
+    std::vector<Report> reports_;
+    RunFigures figures_;
+    std::int64_t nowMs_ = startMs;
+    std::size_t tickIndex_ = 0;
+    double trueLogOdds_ = 0;
+    bool wasGone_ = false;
+};
+
+} // namespace
+} // namespace detail
+
+std::string_view badnessName(Badness badness)
+{
+    switch (badness) {
+    case Badness::None:
+        return "good";
+    case Badness::NoneCommonFault:
+        return "good-common-fault";
+    case Badness::FailNow:
+        return "fail-now";
+    case Badness::SlowNow:
+        return "slow-now";
+    case Badness::FailLate:
+        return "fail-late";
+    case Badness::SlowLate:
+        return "slow-late";
+    case Badness::FailUnderLoad:
+        return "fail-under-load";
+    case Badness::SlowUnderLoad:
+        return "slow-under-load";
+    case Badness::FailOneRoute:
+        return "fail-one-route";
+    case Badness::SlowOneRoute:
+        return "slow-one-route";
+    case Badness::FailOneDataCentre:
+        return "fail-one-dc";
+    case Badness::SlowOneDataCentre:
+        return "slow-one-dc";
+    }
+    return "unknown";
+}
+
+bool isGood(Badness badness)
+{
+    return badness == Badness::None || badness == Badness::NoneCommonFault;
+}
+
+bool isAtOnce(Badness badness)
+{
+    return badness == Badness::FailNow || badness == Badness::SlowNow || detail::isPartial(badness);
+}
+
+Deployment paperfold()
+{
+    return {"paperfold", {"akl-a", "akl-b", "hlz-a"}, 4, 14, 10, 4};
+}
+
+Deployment association()
+{
+    return {"association", {"tt-a", "tt-b", "tt-c", "tt-d"}, 4, 16, 12, 3};
+}
+
+Scenario drawScenario(const Deployment &deployment, Badness badness, std::uint64_t seed,
+                      bool lowTraffic)
+{
+    Random random(seed);
+    Scenario scenario;
+    scenario.deployment = deployment;
+    scenario.badness = badness;
+    scenario.seed = seed;
+    scenario.moveMs = static_cast<std::int64_t>(detail::betweenLog(random, 15'000, 90'000));
+    scenario.callRate
+            = lowTraffic ? detail::betweenLog(random, 1, 10) : detail::betweenLog(random, 60, 400);
+    if (!isGood(badness))
+        detail::drawBadness(scenario, random);
+    detail::drawFaults(scenario, random);
+    if (badness == Badness::NoneCommonFault)
+        detail::drawCommonFault(scenario, random);
+    return scenario;
+}
+
+RunFigures runMove(const Scenario &scenario)
+{
+    return detail::Run(scenario).run();
+}
+
+} // namespace cornelhead::simulation
