--- a/include/cornelhead/rollout/controller.h
+++ b/include/cornelhead/rollout/controller.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "cornelhead/rollout/judgement.h"
 #include "cornelhead/rollout/move.h"
 #include "cornelhead/rollout/outcome.h"
 
@@ -18,7 +19,7 @@
 class MoveController
 {
 public:
-    MoveController();
+    explicit MoveController(JudgementRules rules = JudgementRules::Current);
     ~MoveController();
     MoveController(MoveController &&) noexcept;
     MoveController &operator=(MoveController &&) noexcept;
--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -6,20 +6,27 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
+#include "cornelhead/rollout/outcome-events.h"
 #include "cornelhead/rollout/outcome.h"
 #include "cornelhead/rollout/sequential-test.h"
 
 namespace cornelhead {
 
+/// Which rules judge; the first ones are kept for comparison.
+enum class JudgementRules {
+    First, ///< Latencies bound by bound; at full share, the past alone convicts.
+    Current, ///< Latencies as a whole; the past raises a suspicion that a comparison confirms.
+};
+
 struct JudgementSettings
 {
     /// The probability that a good version is ever taken back.
     double falseAlarms = 0.004;
     /// Blocks in which badness may begin; more of them make each one cost more evidence.
     double expectedBlocks = 200;
+    JudgementRules rules = JudgementRules::Current;
 };
 
 /// Why a version is bad.
@@ -33,12 +40,6 @@
 
 namespace detail {
 
-/// Failures, shed calls, and answers slower than each latency bound.
-constexpr std::size_t failureEvent = 0;
-constexpr std::size_t shedEvent = 1;
-constexpr std::size_t firstLatencyEvent = 2;
-constexpr std::size_t eventKinds = firstLatencyEvent + latencyBuckets - 1;
-
 /// Names the calls that a test is about; an empty name stands for all.
 struct JudgementScope
 {
@@ -48,14 +49,8 @@
     friend auto operator<=>(const JudgementScope &, const JudgementScope &) = default;
 };
 
-/// Sums of both versions in one scope.
-struct VersionSums
-{
-    OutcomeSums newer;
-    OutcomeSums older;
-};
-
 using KindRatios = std::array<LogRatios, eventKinds>;
+using KindTests = std::array<SequentialTest, eventKinds>;
 using ScopeRatios = std::map<JudgementScope, KindRatios>;
 
 /// The calls of one route and data centre.
@@ -72,7 +67,12 @@
 struct JudgementTests
 {
     double weight = 0;
-    std::array<SequentialTest, eventKinds> kinds;
+    /// Against the old version over the same time.
+    KindTests concurrent;
+    /// Against the old version's past.
+    KindTests againstPast;
+    /// The sums of concurrent ratios since the stage began.
+    KindRatios stage{};
     /// The latest calls, for the text of a finding.
     std::vector<VersionSums> recent;
 };
@@ -93,16 +93,22 @@
              const OutcomeSums &sums);
     /// Takes the old version's recorded past, for when nothing of it was seen here.
     void recallPast(const OutcomeBatch &past);
-    /// Ends the block.  With `againstPast`, the new version is also compared with the past.
-    void closeBlock(bool againstPast);
+    /// Ends the block.  At full share, the new version is also compared with the past.
+    void closeBlock(bool isFullShare);
+    /// Expects badness from now on with more weight, after a suspicion; a few times at most.
+    void expectOnset();
 
     /// Returns the strongest evidence once it is enough to take the version back.
     std::optional<Finding> finding() const;
     /// Returns the odds against the new version so far; about 1 when nothing speaks against it.
     double odds() const;
-    /// Tells whether moderate badness at all calls would have shown since the last `startStage`.
+    /// Returns what differs most from the past when the odds of that are at least `leastOdds`.
+    ///
+    /// A fault of both versions differs from the past too, so this is a reason to compare again.
+    std::optional<Finding> suspicion(double leastOdds) const;
+    /// Tells whether badness would have shown since the last `startStage`.
     bool isCleared() const;
-    /// Starts to gather anew for `isCleared`.
+    /// Starts to gather anew for `isCleared` and `suspicion`.
     void startStage();
     /// Returns the old version's sums by route and data centre.
     OutcomeBatch past(const ServiceId &service, const VersionId &oldVersion) const;
@@ -110,27 +116,25 @@
     const detail::VersionSums &stage() const { return stage_; }
 
 private:
+    double kindWeight(std::size_t kind) const;
     detail::JudgementTests &tests(const detail::JudgementScope &scope);
-    void compare(const detail::JudgementScope &scope, detail::JudgementCell &cell,
-                 detail::ScopeRatios &sums);
-    void compareWithPast(const detail::JudgementScope &scope, detail::JudgementCell &cell,
-                         detail::ScopeRatios &sums);
-    const OutcomeSums &pastFor(const detail::JudgementScope &scope) const;
     void openRecent();
     void noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums);
-    void addToTests(const detail::ScopeRatios &sums);
-    std::string describe(const detail::JudgementScope &scope, std::size_t kind) const;
+    detail::KindRatios compare(const detail::JudgementCell &cell) const;
+    detail::KindRatios compareWithPast(const detail::JudgementCell &cell) const;
+    double drawOnsetWeight();
+    void addToTests(const detail::ScopeRatios &concurrent, const detail::ScopeRatios &past);
+    bool isScopeCleared(const detail::JudgementScope &scope,
+                        const detail::JudgementTests &tests) const;
+    Finding strongest(detail::KindTests detail::JudgementTests::*tests) const;
 
     JudgementSettings settings_;
     std::map<detail::JudgementScope, detail::JudgementCell> cells_;
     std::map<detail::JudgementScope, detail::JudgementTests> tests_;
     OutcomeSums wholePast_;
     detail::VersionSums stage_;
-    /// Evidence for moderate badness since the stage began, as a logarithm.
-    LogRatios stageRatios_{};
     std::size_t blocks_ = 0;
-    /// The last block was compared with the past.
-    bool isAgainstPast_ = false;
+    bool expectsOnset_ = false;
     std::size_t routes_ = 0;
     std::size_t dataCentres_ = 0;
     std::size_t pairs_ = 0;
--- a/include/cornelhead/rollout/move.h
+++ b/include/cornelhead/rollout/move.h
@@ -54,8 +54,10 @@
     std::int64_t startedAtMs = 0;
     /// The move is to have full share by then.
     std::int64_t deadlineMs = 0;
-    /// When the new version got every call; 0 before that.
+    /// When the new version got every call for the first time; 0 before that.
     std::int64_t fullShareAtMs = 0;
+    /// How often it was stepped back from full share to compare both versions again.
+    std::uint32_t rechecks = 0;
     /// The edit that wrote the record last.
     EditId edit;
     /// Why it was taken back, or how it ended.
--- /dev/null
+++ b/include/cornelhead/rollout/outcome-events.h
@@ -0,0 +1,44 @@
+// Counts what may speak against a version: failures, shed calls, slow answers.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <utility>
+
+#include "cornelhead/rollout/outcome.h"
+#include "cornelhead/rollout/sequential-test.h"
+
+namespace cornelhead::detail {
+
+/// Failures, shed calls, the whole of the latencies, and answers slower than each latency bound.
+constexpr std::size_t failureEvent = 0;
+constexpr std::size_t shedEvent = 1;
+constexpr std::size_t slowEvent = 2;
+constexpr std::size_t firstBoundEvent = 3;
+constexpr std::size_t eventKinds = firstBoundEvent + latencyBuckets - 1;
+
+/// Sums of both versions.
+struct VersionSums
+{
+    OutcomeSums newer;
+    OutcomeSums older;
+};
+
+/// Returns the calls that a server ran or that broke, all but those it shed.
+double answeredCalls(const OutcomeSums &sums);
+/// Returns the answers with a latency.
+double timedCalls(const OutcomeSums &sums);
+Tolerance toleranceOf(std::size_t kind);
+/// Splits calls by whether the event happened; not for `slowEvent`.
+ComparedCalls countEvents(const VersionSums &sums, std::size_t kind);
+/// Returns the old version's events and calls with the tolerance counted in.
+std::pair<double, double> toleratedEvents(const OutcomeSums &past, std::size_t kind);
+/// Returns the tolerated rate to expect after `past`.
+double expectedRate(const OutcomeSums &past, std::size_t kind);
+/// Tells whether the old version's past says enough of `kind` to test it.
+bool isWorthTesting(const OutcomeSums &past, std::size_t kind);
+/// Renders the numbers of both versions, such as "calls failed: 4 of 12 (33.3 %) of ...".
+std::string describeEvents(const VersionSums &sums, std::size_t kind, const std::string &oldWhen);
+
+} // namespace cornelhead::detail
--- a/include/cornelhead/rollout/pace.h
+++ b/include/cornelhead/rollout/pace.h
@@ -29,7 +29,12 @@
 PerMille dueShare(const PaceInput &input);
 /// Returns how long a controller gathers its own evidence before it raises a share.
 std::int64_t leastStageMs(std::int64_t moveMs);
-/// Returns how long a version is watched at full share, from the time that the move was given.
+/// The share that a version is stepped back to when it differs from the past at full share.
+constexpr PerMille recheckShare = PerMille(500);
+
+/// Returns how long both versions are compared again, the `rechecks`th time.
+std::int64_t recheckMs(std::uint32_t rechecks);
+/// Returns how long after its deadline, and after full share, a version is watched.
 std::int64_t watchMs(std::int64_t moveMs);
 
 } // namespace cornelhead
--- a/include/cornelhead/rollout/sequential-test.h
+++ b/include/cornelhead/rollout/sequential-test.h
@@ -55,6 +55,9 @@
 public:
     /// Takes the ratios of one block; `onsetWeight` is the prior weight of an onset at this block.
     void add(const LogRatios &ratios, double onsetWeight);
+    /// Like `add`, but onsets never run out: the mean of `value` is at most 1 plus the sum of all
+    /// weights given.
+    void addRenewed(const LogRatios &ratios, double onsetWeight);
     /// Returns the odds against the new version being good.
     double value() const;
 
--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -262,9 +262,11 @@
     std::cout << "deployment " << name << ", seed " << settled.seed << ", " << settled.runs
               << " runs of each kind\n";
     const Totals baseline = measureAll(settled, only, Judge::Threshold, false, "threshold");
-    const Totals low = measureAll(settled, only, Judge::Sequential, true, "low-traffic");
-    const Totals own = measureAll(settled, only, Judge::Sequential, false, "moves");
-    std::cout << "baseline " << baseline.text() << '\n';
+    const Totals first = measureAll(settled, only, Judge::First, false, "first");
+    const Totals low = measureAll(settled, only, Judge::Current, true, "low-traffic");
+    const Totals own = measureAll(settled, only, Judge::Current, false, "moves");
+    std::cout << "baseline-threshold " << baseline.text() << '\n';
+    std::cout << "first-judgement " << first.text() << '\n';
     std::cout << "low-traffic " << low.text() << '\n';
     std::cout << "moves " << own.text() << '\n';
     return 0;
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -17,6 +17,8 @@
 constexpr std::int64_t longestGapMs = 3'000;
 /// Odds from which a version is suspect: its share waits.
 constexpr double suspectOdds = 20.0;
+/// Odds from which a version at full share is compared with the old one again.
+constexpr double recheckOdds = 10.0;
 /// The probability that a good version is ever taken back by the controller.
 constexpr double controllerFalseAlarms = 0.004;
 /// The same for one node or data centre; there are many of them.
@@ -28,19 +30,20 @@
             && one.startedAtMs == other.startedAtMs;
 }
 
-JudgementSettings settingsFor(const Move &move, double falseAlarms)
+JudgementSettings settingsFor(const Move &move, JudgementSettings settings)
 {
     const std::int64_t moveMs = std::max<std::int64_t>(1, move.deadlineMs - move.startedAtMs);
     const auto wholeMs = static_cast<double>(moveMs + watchMs(moveMs));
-    return {falseAlarms, std::max(20.0, wholeMs / blockMs)};
+    settings.expectedBlocks = std::max(20.0, wholeMs / blockMs);
+    return settings;
 }
 
 /// One move with the evidence for and against it.
 class TrackedMove
 {
 public:
-    TrackedMove(Move move, double falseAlarms)
-        : move_(std::move(move)), judgement_(settingsFor(move_, falseAlarms))
+    TrackedMove(Move move, JudgementSettings settings)
+        : move_(std::move(move)), judgement_(settingsFor(move_, settings))
     {
         judgement_.recallPast(move_.past);
     }
@@ -53,6 +56,8 @@
     {
         if (move.share != move_.share)
             startStage(lastMs_);
+        if (move.rechecks > move_.rechecks)
+            judgement_.expectOnset();
         judgement_.recallPast(move.past);
         move_ = move;
     }
@@ -98,13 +103,13 @@
 class MoveBook
 {
 public:
-    explicit MoveBook(double falseAlarms) : falseAlarms_(falseAlarms) { }
+    explicit MoveBook(JudgementSettings settings) : settings_(settings) { }
 
     void observe(const Move &move)
     {
         const auto found = moves_.find(move.service);
         if (found == moves_.end()) {
-            moves_.try_emplace(move.service, move, falseAlarms_);
+            moves_.try_emplace(move.service, move, settings_);
             return;
         }
         if (move.modRevision <= found->second.move().modRevision)
@@ -112,7 +117,7 @@
         if (isSameMove(found->second.move(), move))
             found->second.update(move);
         else
-            found->second = TrackedMove(move, falseAlarms_);
+            found->second = TrackedMove(move, settings_);
     }
 
     void addEvidence(const OutcomeBatch &outcomes, std::int64_t nowMs)
@@ -133,7 +138,7 @@
     }
 
 private:
-    double falseAlarms_;
+    JudgementSettings settings_;
     std::map<ServiceId, TrackedMove> moves_;
 };
 
@@ -147,42 +152,37 @@
     return "new version: " + part(stage.newer) + "; old version: " + part(stage.older);
 }
 
-// Fenced by the revision of the record that it replaces.
-Move recordStep(const TrackedMove &tracked, std::int64_t nowMs, const std::string &text)
+Move stamp(Move next, std::int64_t nowMs)
 {
-    Move next = tracked.move();
     next.edit = EditId("controller-" + std::to_string(next.modRevision.value()) + "-"
                        + std::to_string(nowMs));
-    addMoveEvent(next, nowMs, text);
     return next;
 }
 
 Move takeBack(const TrackedMove &tracked, const Finding &finding, std::int64_t nowMs)
 {
-    Move next = recordStep(tracked, nowMs, "taken back");
+    Move next = stamp(tracked.move(), nowMs);
     next.state = MoveState::TakenBack;
     next.share = PerMille(0);
     next.refusedVersions.insert(next.newVersion);
     const auto odds = static_cast<std::uint64_t>(std::min(finding.odds, 1e9));
     next.verdict = "taken back: " + finding.text + "; odds " + std::to_string(odds) + " to 1";
-    next.events.back() = {nowMs, PerMille(0), next.verdict, {}};
+    addMoveEvent(next, nowMs, next.verdict);
     return next;
 }
 
 Move raise(const TrackedMove &tracked, PerMille share, std::int64_t nowMs)
 {
-    Move next = tracked.move();
+    Move next = stamp(tracked.move(), nowMs);
     next.share = share;
     if (share == fullShare) {
         next.state = MoveState::Watching;
-        next.fullShareAtMs = nowMs;
+        next.fullShareAtMs = next.fullShareAtMs > 0 ? next.fullShareAtMs : nowMs;
     }
     const OutcomeBatch past = tracked.judgement().past(next.service, next.oldVersion);
     for (const auto &[key, sums] : past)
         if (next.past[key].calls < sums.calls)
             next.past[key] = sums;
-    next.edit = EditId("controller-" + std::to_string(next.modRevision.value()) + "-"
-                       + std::to_string(nowMs));
     addMoveEvent(next, nowMs,
                  "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + "; "
                          + stageText(tracked.judgement().stage()));
@@ -191,25 +191,49 @@
 
 Move finish(const TrackedMove &tracked, std::int64_t nowMs)
 {
-    Move next = recordStep(tracked, nowMs, "done; " + stageText(tracked.judgement().stage()));
+    Move next = stamp(tracked.move(), nowMs);
     next.state = MoveState::Done;
     next.verdict = "done: nothing spoke against the new version until "
             + std::to_string((nowMs - next.fullShareAtMs) / 1000) + " s after full share";
+    addMoveEvent(next, nowMs, "done; " + stageText(tracked.judgement().stage()));
     return next;
 }
 
-std::optional<Move> nextStep(const TrackedMove &tracked, std::int64_t nowMs)
+Move stepBack(const TrackedMove &tracked, const Finding &suspicion, std::int64_t nowMs)
+{
+    Move next = tracked.move();
+    next.share = recheckShare;
+    next.state = MoveState::Running;
+    next.rechecks += 1;
+    next = stamp(std::move(next), nowMs);
+    addMoveEvent(next, nowMs, "stepped back to compare again: " + suspicion.text);
+    return next;
+}
+
+std::optional<Move> nextWhenWatching(const TrackedMove &tracked, std::int64_t nowMs)
 {
     const Move &move = tracked.move();
+    if (const auto suspicion = tracked.judgement().suspicion(recheckOdds))
+        return stepBack(tracked, *suspicion, nowMs);
+    const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
+    const std::int64_t endMs = std::max(move.fullShareAtMs, move.deadlineMs) + watch;
     const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
-    if (move.state == MoveState::Watching) {
-        const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
-        if (isSuspect || nowMs - move.fullShareAtMs < watch || tracked.stageMs(nowMs) < watch / 2)
+    if (isSuspect || nowMs < endMs || tracked.stageMs(nowMs) < watch / 2)
+        return std::nullopt;
+    return finish(tracked, nowMs);
+}
+
+std::optional<Move> nextWhenRunning(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
+    if (move.rechecks > 0) {
+        const std::int64_t wait = recheckMs(move.rechecks);
+        const bool isCleared = tracked.judgement().isCleared() && !isSuspect;
+        if (tracked.stageMs(nowMs) < (isCleared ? wait : 2 * wait) || isSuspect)
             return std::nullopt;
-        return finish(tracked, nowMs);
+        return raise(tracked, fullShare, nowMs);
     }
-    if (move.state != MoveState::Running)
-        return std::nullopt;
     const PerMille due
             = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
                         tracked.stageMs(nowMs), tracked.judgement().isCleared(), isSuspect});
@@ -218,15 +242,41 @@
     return raise(tracked, due, nowMs);
 }
 
+// A brake may rest on the past alone: calls then go to the old version, which gives the controller
+// the comparison that it needs.
+bool mustBrake(const Judgement &judgement)
+{
+    return judgement.finding() || judgement.suspicion(1.0 / brakeFalseAlarms);
+}
+
+std::optional<Move> nextStep(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    switch (tracked.move().state) {
+    case MoveState::Running:
+        return nextWhenRunning(tracked, nowMs);
+    case MoveState::Watching:
+        return nextWhenWatching(tracked, nowMs);
+    case MoveState::Paused:
+    case MoveState::Done:
+    case MoveState::TakenBack:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
 } // namespace
 } // namespace detail
 
 struct MoveController::Impl
 {
-    detail::MoveBook book{detail::controllerFalseAlarms};
+    detail::MoveBook book;
 };
 
-MoveController::MoveController() : impl_(std::make_unique<Impl>()) { }
+MoveController::MoveController(JudgementRules rules)
+    : impl_(new Impl{
+            detail::MoveBook({.falseAlarms = detail::controllerFalseAlarms, .rules = rules})})
+{ }
+
 MoveController::~MoveController() = default;
 MoveController::MoveController(MoveController &&) noexcept = default;
 MoveController &MoveController::operator=(MoveController &&) noexcept = default;
@@ -254,7 +304,7 @@
 
 struct LocalBrake::Impl
 {
-    detail::MoveBook book{detail::brakeFalseAlarms};
+    detail::MoveBook book{{.falseAlarms = detail::brakeFalseAlarms}};
     std::map<ServiceId, VersionId> braked;
 };
 
@@ -278,7 +328,7 @@
     impl_->book.addEvidence(outcomes, nowMs);
     for (const auto &[key, sums] : outcomes) {
         const detail::TrackedMove *tracked = impl_->book.find(key.service);
-        if (tracked && !isFinal(tracked->move().state) && tracked->judgement().finding())
+        if (tracked && !isFinal(tracked->move().state) && detail::mustBrake(tracked->judgement()))
             impl_->braked.insert_or_assign(key.service, tracked->move().newVersion);
     }
 }
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -2,129 +2,37 @@
 #include "cornelhead/rollout/judgement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdio>
-#include <numeric>
-#include <set>
+
+#include "cornelhead/rollout/latency-test.h"
 
 namespace cornelhead {
 namespace detail {
 namespace {
 
-/// A failure rate this much above the old version's is still good.
-constexpr double toleratedFailures = 0.005;
-/// Refused calls tell more of capacity than of the version.
-constexpr double toleratedShed = 0.1;
-constexpr double toleratedSlow = 0.02;
-/// Hosts differ in speed, so answers slower by this factor are still good.
-constexpr double toleratedSlowdown = 1.5;
 /// No single block decides alone: a crashed host fails many calls at once.
 constexpr double highestBlockRatio = 3.2;
-/// The prior weight of badness that is there from the first block.
-constexpr double firstOnsetWeight = 0.3;
+/// A suspicion costs little, so that a block may weigh more for it.
+constexpr double highestPastRatio = 6.0;
+/// The prior weight of badness that is there from the first block, and from each suspicion.
+constexpr double firstOnsetWeight = 0.25;
+constexpr double suspectedOnsetWeight = 0.1;
+/// The prior weight of badness that begins in any other block.
+constexpr double laterOnsetWeight = 0.45;
+constexpr double pastOnsetWeight = 0.1;
 /// Blocks that old calls wait for new ones, and the other way round.
 constexpr int longestPending = 40;
 constexpr std::size_t recentBlocks = 12;
-/// Latency bounds that the old version crosses this often are worth a test.
-constexpr double rareSlow = 0.005;
-constexpr double commonSlow = 0.6;
 constexpr double leastPastCalls = 30;
-/// How sure the judgement is that moderate badness would have shown.
+
+/// How sure the judgement is that badness would have shown.
 constexpr double clearedRatio = -2.0;
-constexpr std::size_t moderateEffect = 2;
+/// Of the effects tested for, the one that must have shown at all calls, and at a part of them.
+constexpr std::size_t wholeEffect = 1;
+constexpr std::size_t partEffect = 2;
 constexpr double leastStageCalls = 15;
-
-double sumLatencies(const OutcomeSums &sums)
-{
-    return static_cast<double>(
-            std::accumulate(sums.latencies.begin(), sums.latencies.end(), std::uint64_t(0)));
-}
-
-double answered(const OutcomeSums &sums)
-{
-    return static_cast<double>(sums.calls - std::min(sums.calls, sums.shed));
-}
-
-double slowerThan(const OutcomeSums &sums, std::size_t bound)
-{
-    double slow = 0;
-    for (std::size_t i = bound + 1; i < latencyBuckets; ++i)
-        slow += static_cast<double>(sums.latencies[i]);
-    return slow;
-}
-
-Tolerance toleranceOf(std::size_t kind)
-{
-    if (kind == failureEvent)
-        return {toleratedFailures, 0};
-    if (kind == shedEvent)
-        return {toleratedShed, 0};
-    return {toleratedSlow, std::log2(toleratedSlowdown)};
-}
-
-ComparedCalls countEvents(const VersionSums &sums, std::size_t kind)
-{
-    ComparedCalls calls;
-    const OutcomeSums &newer = sums.newer;
-    const OutcomeSums &older = sums.older;
-    if (kind == failureEvent) {
-        calls.newEvents = static_cast<double>(newer.failures);
-        calls.newOthers = std::max(0.0, answered(newer) - calls.newEvents);
-        calls.oldEvents = static_cast<double>(older.failures);
-        calls.oldOthers = std::max(0.0, answered(older) - calls.oldEvents);
-    } else if (kind == shedEvent) {
-        calls.newEvents = static_cast<double>(newer.shed);
-        calls.newOthers = answered(newer);
-        calls.oldEvents = static_cast<double>(older.shed);
-        calls.oldOthers = answered(older);
-    } else {
-        const std::size_t bound = kind - firstLatencyEvent;
-        calls.newEvents = slowerThan(newer, bound);
-        calls.newOthers = sumLatencies(newer) - calls.newEvents;
-        calls.oldEvents = slowerThan(older, bound);
-        calls.oldNear = static_cast<double>(older.latencies[bound]);
-        calls.oldOthers = sumLatencies(older) - calls.oldEvents - calls.oldNear;
-    }
-    return calls;
-}
-
-// The old version's events and calls, with the tolerance counted in.
-std::pair<double, double> toleratedEvents(const OutcomeSums &past, std::size_t kind)
-{
-    const ComparedCalls calls = countEvents({{}, past}, kind);
-    const Tolerance tolerance = toleranceOf(kind);
-    const double total = calls.oldEvents + calls.oldNear + calls.oldOthers;
-    const double events = calls.oldEvents + tolerance.nearWeight * calls.oldNear;
-    return {events + tolerance.extraRate * (total - events), total};
-}
-
-double expectedRate(const OutcomeSums &past, std::size_t kind)
-{
-    const auto [events, calls] = toleratedEvents(past, kind);
-    return (events + toleranceOf(kind).extraRate) / (calls + 1.0);
-}
-
-bool isWorthTesting(const OutcomeSums &past, std::size_t kind)
-{
-    if (kind < firstLatencyEvent)
-        return true;
-    const double calls = sumLatencies(past);
-    const double slow = slowerThan(past, kind - firstLatencyEvent);
-    if (calls < leastPastCalls)
-        return false;
-    // The first bound that the old version hardly ever crosses counts too.
-    const double atLeast = slow + static_cast<double>(past.latencies[kind - firstLatencyEvent]);
-    return slow < commonSlow * calls && atLeast > rareSlow * calls;
-}
-
-double kindWeight(std::size_t kind)
-{
-    if (kind == failureEvent)
-        return 0.6;
-    if (kind == shedEvent)
-        return 0.05;
-    return 0.35 / (latencyBuckets - 1);
-}
+/// Scopes with a smaller part of the calls need not be cleared.
+constexpr double smallPart = 0.05;
 
 // The weights of any number of members of one class of scopes sum to at most 1.
 double memberWeight(std::size_t index)
@@ -136,11 +44,10 @@
     return 0.5 / ((further + 1.0) * (further + 2.0));
 }
 
-std::vector<JudgementScope> scopesOf(const JudgementScope &cell)
+std::array<JudgementScope, 4> scopesOf(const JudgementScope &cell)
 {
-    std::vector<JudgementScope> scopes
-            = {{}, {cell.route, {}}, {{}, cell.dataCentre}, {cell.route, cell.dataCentre}};
-    return scopes;
+    return {JudgementScope{}, JudgementScope{cell.route, {}}, JudgementScope{{}, cell.dataCentre},
+            cell};
 }
 
 void capRatios(KindRatios &ratios, double highest)
@@ -162,27 +69,11 @@
     return sums.newer.calls > 0 && sums.older.calls >= std::min<std::uint64_t>(sums.newer.calls, 2);
 }
 
-std::string kindText(std::size_t kind)
-{
-    if (kind == failureEvent)
-        return "calls failed";
-    if (kind == shedEvent)
-        return "calls were refused as full";
-    const Microseconds bound = firstLatencyBound * (1 << (kind - firstLatencyEvent));
-    return "answers took longer than " + std::to_string(bound.count()) + " us";
-}
-
-std::string countText(double events, double calls)
-{
-    const double rate = calls > 0 ? events / calls : 0;
-    return std::to_string(static_cast<std::uint64_t>(events)) + " of "
-            + std::to_string(static_cast<std::uint64_t>(calls)) + " (" + renderPercent(rate) + ")";
-}
-
 std::string scopeText(const JudgementScope &scope)
 {
-    std::string text = scope.route.empty() ? "on all routes" : "on " + scope.route.value();
-    return text
+    const std::string route
+            = scope.route.empty() ? "on all routes" : "on route " + scope.route.value();
+    return route
             + (scope.dataCentre.empty() ? " in all data centres"
                                         : " in " + scope.dataCentre.value());
 }
@@ -211,21 +102,32 @@
 {
     for (const auto &[key, sums] : past) {
         detail::JudgementCell &cell = cells_[{key.route, key.dataCentre}];
-        if (cell.past.calls >= sums.calls)
-            continue;
-        cell.past = sums;
+        if (cell.past.calls < sums.calls)
+            cell.past = sums;
     }
     wholePast_ = {};
     for (const auto &[scope, cell] : cells_)
         wholePast_.add(cell.past);
 }
 
+double Judgement::kindWeight(std::size_t kind) const
+{
+    const bool isFirst = settings_.rules == JudgementRules::First;
+    if (kind == detail::failureEvent)
+        return 0.6;
+    if (kind == detail::shedEvent)
+        return 0.05;
+    if (kind == detail::slowEvent)
+        return isFirst ? 0.0 : 0.35;
+    return isFirst ? 0.35 / (latencyBuckets - 1) : 0.0;
+}
+
 detail::JudgementTests &Judgement::tests(const detail::JudgementScope &scope)
 {
+    constexpr double classWeight = 1.0 / 6.0;
     const auto [found, isNew] = tests_.try_emplace(scope);
     if (!isNew)
         return found->second;
-    constexpr double classWeight = 1.0 / 6.0;
     if (scope.route.empty() && scope.dataCentre.empty())
         found->second.weight = 3.0 * classWeight;
     else if (scope.dataCentre.empty())
@@ -237,102 +139,127 @@
     return found->second;
 }
 
-void Judgement::compare(const detail::JudgementScope &scope, detail::JudgementCell &cell,
-                        detail::ScopeRatios &sums)
+void Judgement::openRecent()
+{
+    for (const auto &[scope, cell] : cells_)
+        for (const detail::JudgementScope &wider : detail::scopesOf(scope))
+            tests(wider);
+    for (auto &[scope, scopeTests] : tests_) {
+        scopeTests.recent.emplace_back();
+        if (scopeTests.recent.size() > detail::recentBlocks)
+            scopeTests.recent.erase(scopeTests.recent.begin());
+    }
+}
+
+void Judgement::noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums)
+{
+    for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
+        detail::VersionSums &recent = tests(wider).recent.back();
+        recent.newer.add(sums.newer);
+        recent.older.add(sums.older);
+    }
+}
+
+detail::KindRatios Judgement::compare(const detail::JudgementCell &cell) const
 {
     detail::KindRatios ratios{};
-    for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
-        if (detail::isWorthTesting(cell.past, kind))
+    for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
+        if (kindWeight(kind) <= 0 || !detail::isWorthTesting(cell.past, kind))
+            continue;
+        if (kind == detail::slowEvent)
+            ratios[kind] = compareLatencies(cell.pending.newer, cell.pending.older,
+                                            LatencyProfile(cell.past));
+        else
             ratios[kind] = compareCalls(detail::countEvents(cell.pending, kind),
                                         detail::toleranceOf(kind),
                                         detail::expectedRate(cell.past, kind));
+    }
     detail::capRatios(ratios, detail::highestBlockRatio);
-    for (const detail::JudgementScope &wider : detail::scopesOf(scope))
-        detail::addRatios(sums[wider], ratios);
+    return ratios;
 }
 
-const OutcomeSums &Judgement::pastFor(const detail::JudgementScope &scope) const
+detail::KindRatios Judgement::compareWithPast(const detail::JudgementCell &cell) const
 {
-    const OutcomeSums &own = cells_.at(scope).past;
-    return static_cast<double>(own.calls) >= detail::leastPastCalls ? own : wholePast_;
-}
-
-void Judgement::compareWithPast(const detail::JudgementScope &scope, detail::JudgementCell &cell,
-                                detail::ScopeRatios &sums)
-{
-    const OutcomeSums &past = pastFor(scope);
+    const bool hasOwnPast = static_cast<double>(cell.past.calls) >= detail::leastPastCalls;
+    const OutcomeSums &past = hasOwnPast ? cell.past : wholePast_;
     detail::KindRatios ratios{};
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-        if (!detail::isWorthTesting(past, kind))
+        if (kindWeight(kind) <= 0 || !detail::isWorthTesting(past, kind))
             continue;
+        if (kind == detail::slowEvent) {
+            ratios[kind] = compareLatenciesWithPast(cell.pending.newer, LatencyProfile(past));
+            continue;
+        }
         const auto [events, calls] = detail::toleratedEvents(past, kind);
         const ComparedCalls compared = detail::countEvents(cell.pending, kind);
         ratios[kind]
                 = compareWithRate(compared.newEvents, compared.newOthers, upperRate(events, calls));
     }
-    detail::capRatios(ratios, detail::highestBlockRatio);
-    for (const detail::JudgementScope &wider : detail::scopesOf(scope))
-        detail::addRatios(sums[wider], ratios);
-}
-
-void Judgement::noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums)
-{
-    for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
-        auto &recent = tests(wider).recent;
-        recent.back().newer.add(sums.newer);
-        recent.back().older.add(sums.older);
-    }
-}
-
-void Judgement::addToTests(const detail::ScopeRatios &sums)
-{
-    const double onset = blocks_ == 1 ? detail::firstOnsetWeight
-                                      : (1.0 - detail::firstOnsetWeight) / settings_.expectedBlocks;
-    for (auto &[scope, scopeTests] : tests_) {
-        const auto found = sums.find(scope);
-        detail::KindRatios ratios = found == sums.end() ? detail::KindRatios{} : found->second;
-        detail::capRatios(ratios, detail::highestBlockRatio);
-        for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
-            scopeTests.kinds[kind].add(ratios[kind], onset);
-    }
-}
-
-void Judgement::openRecent()
-{
-    for (const auto &[scope, cell] : cells_)
-        for (const detail::JudgementScope &wider : detail::scopesOf(scope))
-            tests(wider);
-    for (auto &[scope, scopeTests] : tests_) {
-        scopeTests.recent.emplace_back();
-        if (scopeTests.recent.size() > detail::recentBlocks)
-            scopeTests.recent.erase(scopeTests.recent.begin());
-    }
+    detail::capRatios(ratios, detail::highestPastRatio);
+    return ratios;
 }
 
-void Judgement::closeBlock(bool againstPast)
+void Judgement::closeBlock(bool isFullShare)
 {
     blocks_ += 1;
-    isAgainstPast_ = againstPast;
     openRecent();
-    detail::ScopeRatios sums;
+    detail::ScopeRatios concurrent;
+    detail::ScopeRatios past;
     for (auto &[scope, cell] : cells_) {
         const bool both = detail::hasBoth(cell.pending);
         cell.pendingBlocks += 1;
-        if (!both && !againstPast && cell.pendingBlocks < detail::longestPending)
+        if (!both && !isFullShare && cell.pendingBlocks < detail::longestPending)
             continue;
         noteRecent(scope, cell.pending);
-        if (both)
-            compare(scope, cell, sums);
-        else if (againstPast && cell.pending.newer.calls > 0)
-            compareWithPast(scope, cell, sums);
+        const detail::KindRatios now = both ? compare(cell) : detail::KindRatios{};
+        const detail::KindRatios before
+                = isFullShare ? compareWithPast(cell) : detail::KindRatios{};
+        for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
+            detail::addRatios(concurrent[wider], now);
+            detail::addRatios(past[wider], before);
+        }
         cell.past.add(cell.pending.older);
         wholePast_.add(cell.pending.older);
         cell.pending = {};
         cell.pendingBlocks = 0;
     }
-    for (std::size_t i = 0; i < stageRatios_.size(); ++i)
-        stageRatios_[i] += sums[{}][detail::failureEvent][i];
-    addToTests(sums);
+    addToTests(concurrent, past);
+}
+
+void Judgement::expectOnset()
+{
+    expectsOnset_ = true;
+}
+
+double Judgement::drawOnsetWeight()
+{
+    if (blocks_ == 1)
+        return detail::firstOnsetWeight;
+    if (!expectsOnset_)
+        return detail::laterOnsetWeight / settings_.expectedBlocks;
+    expectsOnset_ = false;
+    return detail::suspectedOnsetWeight;
+}
+
+void Judgement::addToTests(const detail::ScopeRatios &concurrent, const detail::ScopeRatios &past)
+{
+    const double onset = drawOnsetWeight();
+    const bool isFirst = settings_.rules == JudgementRules::First;
+    for (auto &[scope, scopeTests] : tests_) {
+        const auto found = concurrent.find(scope);
+        detail::KindRatios now = found == concurrent.end() ? detail::KindRatios{} : found->second;
+        detail::addRatios(scopeTests.stage, now);
+        detail::KindRatios before
+                = found == concurrent.end() ? detail::KindRatios{} : past.at(scope);
+        if (isFirst)
+            detail::addRatios(now, before);
+        detail::capRatios(now, detail::highestBlockRatio);
+        detail::capRatios(before, detail::highestPastRatio);
+        for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
+            scopeTests.concurrent[kind].add(now[kind], onset);
+            scopeTests.againstPast[kind].addRenewed(before[kind], detail::pastOnsetWeight);
+        }
+    }
 }
 
 double Judgement::odds() const
@@ -342,42 +269,98 @@
     for (const auto &[scope, scopeTests] : tests_) {
         weight += scopeTests.weight;
         for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
-            sum += scopeTests.weight * detail::kindWeight(kind) * scopeTests.kinds[kind].value();
+            sum += scopeTests.weight * kindWeight(kind) * scopeTests.concurrent[kind].value();
     }
     // What no scope has used yet counts as evidence of 1.
     return sum + (1.0 - weight);
 }
 
-std::optional<Finding> Judgement::finding() const
+Finding Judgement::strongest(detail::KindTests detail::JudgementTests::*tests) const
 {
-    const double total = odds();
-    if (total < 1.0 / settings_.falseAlarms)
-        return std::nullopt;
-    double strongest = 0;
-    Finding finding{total, {}};
+    Finding finding;
+    const bool isPast = tests == &detail::JudgementTests::againstPast;
     for (const auto &[scope, scopeTests] : tests_) {
         for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
             const double odds
-                    = scopeTests.weight * detail::kindWeight(kind) * scopeTests.kinds[kind].value();
-            if (odds <= strongest)
+                    = scopeTests.weight * kindWeight(kind) * (scopeTests.*tests)[kind].value();
+            if (odds <= finding.odds)
                 continue;
-            strongest = odds;
-            finding.text = describe(scope, kind);
+            detail::VersionSums sums;
+            for (const detail::VersionSums &block : scopeTests.recent) {
+                sums.newer.add(block.newer);
+                sums.older.add(block.older);
+            }
+            if (isPast)
+                sums.older = wholePast_;
+            finding = {odds,
+                       detail::scopeText(scope) + ", "
+                               + detail::describeEvents(sums, kind,
+                                                        isPast ? "before" : "at that time")};
         }
     }
     return finding;
 }
 
+std::optional<Finding> Judgement::finding() const
+{
+    const double total = odds();
+    if (total < 1.0 / settings_.falseAlarms)
+        return std::nullopt;
+    Finding finding = strongest(&detail::JudgementTests::concurrent);
+    finding.odds = total;
+    return finding;
+}
+
+std::optional<Finding> Judgement::suspicion(double leastOdds) const
+{
+    double total = 0;
+    for (const auto &[scope, scopeTests] : tests_)
+        for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
+            total += scopeTests.weight * kindWeight(kind) * scopeTests.againstPast[kind].value();
+    if (total < leastOdds)
+        return std::nullopt;
+    Finding finding = strongest(&detail::JudgementTests::againstPast);
+    finding.odds = total;
+    return finding;
+}
+
+bool Judgement::isScopeCleared(const detail::JudgementScope &scope,
+                               const detail::JudgementTests &tests) const
+{
+    const bool isWhole = scope.route.empty() && scope.dataCentre.empty();
+    const std::size_t effect = isWhole ? detail::wholeEffect : detail::partEffect;
+    const bool hasLatencies = detail::isWorthTesting(wholePast_, detail::slowEvent)
+            && kindWeight(detail::slowEvent) > 0;
+    return tests.stage[detail::failureEvent][effect] <= detail::clearedRatio
+            && (!hasLatencies || tests.stage[detail::slowEvent][effect] <= detail::clearedRatio);
+}
+
 bool Judgement::isCleared() const
 {
-    return detail::answered(stage_.newer) >= detail::leastStageCalls
-            && stageRatios_[detail::moderateEffect] <= detail::clearedRatio;
+    if (detail::answeredCalls(stage_.newer) < detail::leastStageCalls)
+        return false;
+    std::map<detail::JudgementScope, double> calls;
+    for (const auto &[scope, cell] : cells_)
+        for (const detail::JudgementScope &wider : detail::scopesOf(scope))
+            calls[wider] += static_cast<double>(cell.past.calls);
+    const double all = static_cast<double>(wholePast_.calls);
+    for (const auto &[scope, scopeTests] : tests_) {
+        const bool isPair = !scope.route.empty() && !scope.dataCentre.empty();
+        if (isPair || calls[scope] < detail::smallPart * all)
+            continue;
+        if (!isScopeCleared(scope, scopeTests))
+            return false;
+    }
+    return true;
 }
 
 void Judgement::startStage()
 {
     stage_ = {};
-    stageRatios_ = {};
+    for (auto &[scope, scopeTests] : tests_) {
+        scopeTests.stage = {};
+        scopeTests.againstPast = {};
+    }
 }
 
 OutcomeBatch Judgement::past(const ServiceId &service, const VersionId &oldVersion) const
@@ -389,21 +372,4 @@
     return batch;
 }
 
-std::string Judgement::describe(const detail::JudgementScope &scope, std::size_t kind) const
-{
-    detail::VersionSums sums;
-    for (const detail::VersionSums &block : tests_.at(scope).recent) {
-        sums.newer.add(block.newer);
-        sums.older.add(block.older);
-    }
-    if (isAgainstPast_)
-        sums.older = wholePast_;
-    const ComparedCalls calls = detail::countEvents(sums, kind);
-    return detail::scopeText(scope) + ", " + detail::kindText(kind) + ": "
-            + detail::countText(calls.newEvents, calls.newEvents + calls.newOthers)
-            + " of the new version against "
-            + detail::countText(calls.oldEvents, calls.oldEvents + calls.oldNear + calls.oldOthers)
-            + (isAgainstPast_ ? " of the old version before" : " of the old version at that time");
-}
-
 } // namespace cornelhead
--- /dev/null
+++ b/src/rollout/latency-test.cc
@@ -0,0 +1,135 @@
+// Computes likelihood ratios of latency histograms.
+#include "cornelhead/rollout/latency-test.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cornelhead {
+namespace detail {
+namespace {
+
+/// Hosts differ in speed, so answers slower by this factor are still good.
+constexpr double toleratedSlowdown = 1.5;
+/// The part of answers that may take any time, as when a host stalls.
+constexpr double toleratedStrays = 0.02;
+constexpr double evenShare = 1.0 / latencyBuckets;
+/// Added to each bucket of the past, so that none is impossible.
+constexpr double smoothing = 0.3;
+/// Slowdowns tested for, in doublings beyond the tolerance; one for each effect.
+constexpr std::array<double, effectLogOdds.size()> effectShifts = {0.8, 1.6, 2.6};
+/// Slowdowns of both versions that a block may have, in doublings, with their prior weights.
+constexpr std::array commonShifts = {0.0, 1.0, 2.0, 3.5};
+constexpr std::array commonWeights = {0.97, 0.01, 0.01, 0.01};
+
+LatencyShares shiftShares(const LatencyShares &shares, double shift)
+{
+    LatencyShares shifted{};
+    const auto whole = static_cast<std::size_t>(shift);
+    const double part = shift - static_cast<double>(whole);
+    for (std::size_t i = 0; i < latencyBuckets; ++i) {
+        const std::size_t low = std::min(i + whole, latencyBuckets - 1);
+        const std::size_t high = std::min(low + 1, latencyBuckets - 1);
+        shifted[low] += (1.0 - part) * shares[i];
+        shifted[high] += part * shares[i];
+    }
+    return shifted;
+}
+
+double sum(const OutcomeSums &sums)
+{
+    double total = 0;
+    for (const std::uint64_t count : sums.latencies)
+        total += static_cast<double>(count);
+    return total;
+}
+
+// One old answer counts as the answer that a version slower by the tolerance would have given: it
+// stays, moves a bucket up, or strays, each with its probability.
+double toleratedMean(const LatencyShares &ratios, std::size_t bucket)
+{
+    const double up = std::log2(toleratedSlowdown);
+    const std::size_t above = std::min(bucket + 1, latencyBuckets - 1);
+    double stray = 0;
+    for (const double ratio : ratios)
+        stray += evenShare * ratio;
+    return (1.0 - toleratedStrays) * ((1.0 - up) * ratios[bucket] + up * ratios[above])
+            + toleratedStrays * stray;
+}
+
+double logRatio(const OutcomeSums &newer, const OutcomeSums &older, const LatencyShares &slower,
+                const LatencyShares &tolerated)
+{
+    const double newCalls = sum(newer);
+    const double oldCalls = sum(older);
+    LatencyShares shared{};
+    LatencyShares oldRatios{};
+    for (std::size_t i = 0; i < latencyBuckets; ++i) {
+        shared[i] = (newCalls * slower[i] + oldCalls * tolerated[i]) / (newCalls + oldCalls);
+        oldRatios[i] = tolerated[i] / shared[i];
+    }
+    double ratio = 0;
+    for (std::size_t i = 0; i < latencyBuckets; ++i) {
+        if (newer.latencies[i] > 0)
+            ratio += static_cast<double>(newer.latencies[i]) * std::log(slower[i] / shared[i]);
+        if (older.latencies[i] > 0)
+            ratio += static_cast<double>(older.latencies[i])
+                    * std::log(toleratedMean(oldRatios, i));
+    }
+    return ratio;
+}
+
+} // namespace
+} // namespace detail
+
+LatencyProfile::LatencyProfile(const OutcomeSums &past)
+{
+    LatencyShares shares{};
+    const double calls = detail::sum(past) + detail::smoothing * latencyBuckets;
+    for (std::size_t i = 0; i < latencyBuckets; ++i)
+        shares[i] = (static_cast<double>(past.latencies[i]) + detail::smoothing) / calls;
+    tolerated_ = detail::shiftShares(shares, std::log2(detail::toleratedSlowdown));
+}
+
+LatencyShares LatencyProfile::slowedBy(double shift) const
+{
+    LatencyShares shares = detail::shiftShares(tolerated_, shift);
+    for (double &share : shares)
+        share = (1.0 - detail::toleratedStrays) * share
+                + detail::toleratedStrays * detail::evenShare;
+    return shares;
+}
+
+LogRatios compareLatencies(const OutcomeSums &newer, const OutcomeSums &older,
+                           const LatencyProfile &profile)
+{
+    LogRatios ratios{};
+    if (detail::sum(newer) <= 0 || detail::sum(older) <= 0)
+        return ratios;
+    for (std::size_t i = 0; i < ratios.size(); ++i) {
+        double mixed = 0;
+        for (std::size_t j = 0; j < detail::commonShifts.size(); ++j) {
+            const double shift = detail::commonShifts[j];
+            mixed += detail::commonWeights[j]
+                    * std::exp(detail::logRatio(newer, older,
+                                                profile.slowedBy(shift + detail::effectShifts[i]),
+                                                profile.slowedBy(shift)));
+        }
+        ratios[i] = std::log(std::max(mixed, 1e-300));
+    }
+    return ratios;
+}
+
+LogRatios compareLatenciesWithPast(const OutcomeSums &newer, const LatencyProfile &profile)
+{
+    LogRatios ratios{};
+    const LatencyShares tolerated = profile.slowedBy(0);
+    for (std::size_t i = 0; i < ratios.size(); ++i) {
+        const LatencyShares slower = profile.slowedBy(detail::effectShifts[i]);
+        for (std::size_t bucket = 0; bucket < latencyBuckets; ++bucket)
+            ratios[i] += static_cast<double>(newer.latencies[bucket])
+                    * std::log(slower[bucket] / tolerated[bucket]);
+    }
+    return ratios;
+}
+
+} // namespace cornelhead
--- a/src/rollout/move.cc
+++ b/src/rollout/move.cc
@@ -75,6 +75,7 @@
     move.startedAtMs = json.at("started_at_ms").get<std::int64_t>();
     move.deadlineMs = json.at("deadline_ms").get<std::int64_t>();
     move.fullShareAtMs = json.at("full_share_at_ms").get<std::int64_t>();
+    move.rechecks = json.at("rechecks").get<std::uint32_t>();
     move.edit = EditId(json.at("edit").get<std::string>());
     move.verdict = json.at("verdict").get<std::string>();
     for (const Json &version : json.at("refused_versions"))
@@ -160,6 +161,7 @@
             {"started_at_ms", move.startedAtMs},
             {"deadline_ms", move.deadlineMs},
             {"full_share_at_ms", move.fullShareAtMs},
+            {"rechecks", move.rechecks},
             {"edit", move.edit.value()},
             {"verdict", move.verdict},
             {"refused_versions", detail::Json::array()},
--- /dev/null
+++ b/src/rollout/outcome-events.cc
@@ -0,0 +1,153 @@
+// Counts events of outcomes and renders them.
+#include "cornelhead/rollout/outcome-events.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "cornelhead/rollout/judgement.h"
+
+namespace cornelhead::detail {
+namespace {
+
+/// A failure rate this much above the old version's is still good.
+constexpr double toleratedFailures = 0.005;
+/// Refused calls tell more of capacity than of the version.
+constexpr double toleratedShed = 0.1;
+constexpr double toleratedSlow = 0.02;
+/// Hosts differ in speed, so answers slower by this factor are still good.
+constexpr double toleratedSlowdown = 1.5;
+/// Latency bounds that the old version crosses this often are worth a test.
+constexpr double rareSlow = 0.005;
+constexpr double commonSlow = 0.6;
+constexpr double leastPastCalls = 30;
+
+double slowerThan(const OutcomeSums &sums, std::size_t bound)
+{
+    double slow = 0;
+    for (std::size_t i = bound + 1; i < latencyBuckets; ++i)
+        slow += static_cast<double>(sums.latencies[i]);
+    return slow;
+}
+
+std::string countText(double events, double calls)
+{
+    const double rate = calls > 0 ? events / calls : 0;
+    return std::to_string(static_cast<std::uint64_t>(events)) + " of "
+            + std::to_string(static_cast<std::uint64_t>(calls)) + " (" + renderPercent(rate) + ")";
+}
+
+std::string kindText(std::size_t kind)
+{
+    if (kind == failureEvent)
+        return "calls failed";
+    if (kind == shedEvent)
+        return "calls were refused as full";
+    const Microseconds bound = firstLatencyBound * (1 << (kind - firstBoundEvent));
+    return "answers took longer than " + std::to_string(bound.count()) + " us";
+}
+
+// The bound that tells the two versions apart best.
+std::size_t tellingBound(const VersionSums &sums)
+{
+    std::size_t best = firstBoundEvent;
+    double widest = -1;
+    for (std::size_t kind = firstBoundEvent; kind < eventKinds; ++kind) {
+        const std::size_t bound = kind - firstBoundEvent;
+        const double gap = slowerThan(sums.newer, bound) / std::max(1.0, timedCalls(sums.newer))
+                - slowerThan(sums.older, bound) / std::max(1.0, timedCalls(sums.older));
+        if (gap <= widest)
+            continue;
+        widest = gap;
+        best = kind;
+    }
+    return best;
+}
+
+} // namespace
+
+double answeredCalls(const OutcomeSums &sums)
+{
+    return static_cast<double>(sums.calls - std::min(sums.calls, sums.shed));
+}
+
+double timedCalls(const OutcomeSums &sums)
+{
+    return static_cast<double>(
+            std::accumulate(sums.latencies.begin(), sums.latencies.end(), std::uint64_t(0)));
+}
+
+Tolerance toleranceOf(std::size_t kind)
+{
+    if (kind == failureEvent)
+        return {toleratedFailures, 0};
+    if (kind == shedEvent)
+        return {toleratedShed, 0};
+    return {toleratedSlow, std::log2(toleratedSlowdown)};
+}
+
+ComparedCalls countEvents(const VersionSums &sums, std::size_t kind)
+{
+    ComparedCalls calls;
+    const OutcomeSums &newer = sums.newer;
+    const OutcomeSums &older = sums.older;
+    if (kind == failureEvent) {
+        calls.newEvents = static_cast<double>(newer.failures);
+        calls.newOthers = std::max(0.0, answeredCalls(newer) - calls.newEvents);
+        calls.oldEvents = static_cast<double>(older.failures);
+        calls.oldOthers = std::max(0.0, answeredCalls(older) - calls.oldEvents);
+    } else if (kind == shedEvent) {
+        calls.newEvents = static_cast<double>(newer.shed);
+        calls.newOthers = answeredCalls(newer);
+        calls.oldEvents = static_cast<double>(older.shed);
+        calls.oldOthers = answeredCalls(older);
+    } else {
+        const std::size_t bound = kind - firstBoundEvent;
+        calls.newEvents = slowerThan(newer, bound);
+        calls.newOthers = timedCalls(newer) - calls.newEvents;
+        calls.oldEvents = slowerThan(older, bound);
+        calls.oldNear = static_cast<double>(older.latencies[bound]);
+        calls.oldOthers = timedCalls(older) - calls.oldEvents - calls.oldNear;
+    }
+    return calls;
+}
+
+std::pair<double, double> toleratedEvents(const OutcomeSums &past, std::size_t kind)
+{
+    const ComparedCalls calls = countEvents({{}, past}, kind);
+    const Tolerance tolerance = toleranceOf(kind);
+    const double total = calls.oldEvents + calls.oldNear + calls.oldOthers;
+    const double events = calls.oldEvents + tolerance.nearWeight * calls.oldNear;
+    return {events + tolerance.extraRate * (total - events), total};
+}
+
+double expectedRate(const OutcomeSums &past, std::size_t kind)
+{
+    const auto [events, calls] = toleratedEvents(past, kind);
+    return (events + toleranceOf(kind).extraRate) / (calls + 1.0);
+}
+
+bool isWorthTesting(const OutcomeSums &past, std::size_t kind)
+{
+    if (kind < slowEvent)
+        return true;
+    const double calls = timedCalls(past);
+    if (kind == slowEvent || calls < leastPastCalls)
+        return calls >= leastPastCalls;
+    const double slow = slowerThan(past, kind - firstBoundEvent);
+    // The first bound that the old version hardly ever crosses counts too.
+    const double atLeast = slow + static_cast<double>(past.latencies[kind - firstBoundEvent]);
+    return slow < commonSlow * calls && atLeast > rareSlow * calls;
+}
+
+std::string describeEvents(const VersionSums &sums, std::size_t kind, const std::string &oldWhen)
+{
+    const std::size_t shown = kind == slowEvent ? tellingBound(sums) : kind;
+    const ComparedCalls calls = countEvents(sums, shown);
+    return kindText(shown) + ": " + countText(calls.newEvents, calls.newEvents + calls.newOthers)
+            + " of the new version against "
+            + countText(calls.oldEvents, calls.oldEvents + calls.oldNear + calls.oldOthers)
+            + " of the old version " + oldWhen;
+}
+
+} // namespace cornelhead::detail
--- a/src/rollout/pace.cc
+++ b/src/rollout/pace.cc
@@ -28,6 +28,8 @@
 
 constexpr std::int64_t shortestStageMs = 500;
 constexpr std::int64_t longestStageMs = 10'000;
+constexpr std::int64_t firstRecheckMs = 3'000;
+constexpr std::uint32_t mostDoublings = 5;
 constexpr std::int64_t shortestWatchMs = 8'000;
 constexpr std::int64_t longestWatchMs = 900'000;
 
@@ -56,6 +58,14 @@
     return std::clamp(moveMs / 2, detail::shortestWatchMs, detail::longestWatchMs);
 }
 
+std::int64_t recheckMs(std::uint32_t rechecks)
+{
+    // Doubled each time, so that a long fault of both versions does not move the share for ever.
+    const std::uint32_t doublings
+            = std::min(rechecks > 0 ? rechecks - 1 : 0, detail::mostDoublings);
+    return detail::firstRecheckMs << doublings;
+}
+
 PerMille dueShare(const PaceInput &input)
 {
     // The first share is the bound for a version not judged, so it needs no evidence.
--- a/src/rollout/sequential-test.cc
+++ b/src/rollout/sequential-test.cc
@@ -96,8 +96,13 @@
 {
     const double weight = std::min(onsetWeight, unusedWeight_);
     unusedWeight_ -= weight;
+    addRenewed(ratios, weight);
+}
+
+void SequentialTest::addRenewed(const LogRatios &ratios, double onsetWeight)
+{
     for (std::size_t i = 0; i < running_.size(); ++i) {
-        running_[i] = (running_[i] + weight) * std::exp(ratios[i]);
+        running_[i] = (running_[i] + onsetWeight) * std::exp(ratios[i]);
         running_[i] = std::min(running_[i], detail::highestEvidence);
     }
 }
--- a/src/rollout/simulated-move.cc
+++ b/src/rollout/simulated-move.cc
@@ -25,8 +25,10 @@
 constexpr std::int64_t longestRecordDelayMs = 250;
 /// Ticks that a call may last.
 constexpr std::size_t longestCallTicks = 32;
-/// The odds at which a judge who knows the truth is sure, as a logarithm.
-constexpr double sureLogOdds = 5.5;
+/// The odds, as a logarithm, at which a judge is sure who knows how bad a version may be but not
+/// whether, how and where: 250 to 1, times failing or slow in all, one of four routes, or one of
+/// three data centres.
+const double sureLogOdds = std::log(250.0 * 2.0 * (1.0 + 4.0 + 3.0));
 
 const ServiceId service("bookings");
 const VersionId oldVersion("v1");
@@ -186,7 +188,7 @@
 {
     if (judge == Judge::Threshold)
         return ThresholdController();
-    return MoveController();
+    return MoveController(judge == Judge::First ? JudgementRules::First : JudgementRules::Current);
 }
 
 /// One run.
@@ -282,7 +284,7 @@
     {
         const Move &known = record_.writes()[node.knownWrite].second;
         const int calls = source_.drawCalls(sinceStartMs(), tick);
-        const bool isBraked = scenario_.judge == Judge::Sequential && node.brake.isBraked(service);
+        const bool isBraked = scenario_.judge != Judge::Threshold && node.brake.isBraked(service);
         figures_.brakedNodes += isBraked && !node.isBraked ? 1 : 0;
         node.isBraked = isBraked;
         for (int i = 0; i < calls; ++i) {
@@ -346,7 +348,7 @@
                 sums = {};
             }
         }
-        if (scenario_.judge == Judge::Sequential)
+        if (scenario_.judge != Judge::Threshold)
             node.brake.addEvidence(batch, nowMs_);
         if (isCut(node.dataCentre) || random_.chance(scenario_.lostReports))
             return;
--- a/src/rollout/simulated-move.h
+++ b/src/rollout/simulated-move.h
@@ -35,7 +35,8 @@
 
 /// Decides the moves of a run.
 enum class Judge {
-    Sequential, ///< The controller and the brakes.
+    Current, ///< The controller and the brakes.
+    First, ///< The same with the first rules.
     Threshold, ///< Fixed steps, and a threshold of failures.
 };
 
@@ -69,7 +70,7 @@
 {
     Deployment deployment;
     Badness badness = Badness::None;
-    Judge judge = Judge::Sequential;
+    Judge judge = Judge::Current;
     std::uint64_t seed = 0;
     std::int64_t moveMs = 0;
     /// Calls a second of the service over the whole fleet.
