Weigh scopes as they appear and tell badness under full load from common faults

Prior weights are given out block by block over the scopes known by then, and a version that differs from the past each time it has all calls, but not with fewer while the old version is as before, is taken back. Three steps instead of five, with time for another controller to take over before the deadline.

--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -66,7 +66,6 @@
 /// The tests of one scope.
 struct JudgementTests
 {
-    double weight = 0;
     /// Against the old version over the same time.
     KindTests concurrent;
     /// Against the old version's past.
@@ -108,7 +107,9 @@
     std::optional<Finding> suspicion(double leastOdds) const;
     /// Tells whether badness would have shown since the last `startStage`.
     bool isCleared() const;
-    /// Starts to gather anew for `isCleared` and `suspicion`.
+    /// Tells whether the old version has been as in its past since the last `startStage`.
+    bool isOldAsBefore() const;
+    /// Starts to gather anew for `isCleared`, `isOldAsBefore` and `suspicion`.
     void startStage();
     /// Returns the old version's sums by route and data centre.
     OutcomeBatch past(const ServiceId &service, const VersionId &oldVersion) const;
@@ -117,24 +118,32 @@
 
 private:
     double kindWeight(std::size_t kind) const;
-    detail::JudgementTests &tests(const detail::JudgementScope &scope);
+    double scopeWeight(const detail::JudgementScope &scope) const;
     void openRecent();
     void noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums);
+    void closeRest(detail::ScopeRatios &concurrent);
     detail::KindRatios compare(const detail::JudgementCell &cell) const;
     detail::KindRatios compareWithPast(const detail::JudgementCell &cell) const;
     double drawOnsetWeight();
     void addToTests(const detail::ScopeRatios &concurrent, const detail::ScopeRatios &past);
     bool isScopeCleared(const detail::JudgementScope &scope,
                         const detail::JudgementTests &tests) const;
+    double sumValues(detail::KindTests detail::JudgementTests::*tests) const;
     Finding strongest(detail::KindTests detail::JudgementTests::*tests) const;
 
     JudgementSettings settings_;
     std::map<detail::JudgementScope, detail::JudgementCell> cells_;
     std::map<detail::JudgementScope, detail::JudgementTests> tests_;
+    /// Calls of any route and data centre that waited too long in their cells.
+    detail::JudgementCell rest_;
     OutcomeSums wholePast_;
+    /// The old version before the stage.
+    OutcomeSums pastAtStage_;
     detail::VersionSums stage_;
     std::size_t blocks_ = 0;
     bool expectsOnset_ = false;
+    /// Prior weight that was given to tests so far; never above 1.
+    double givenWeight_ = 0;
     std::size_t routes_ = 0;
     std::size_t dataCentres_ = 0;
     std::size_t pairs_ = 0;
--- a/include/cornelhead/rollout/move.h
+++ b/include/cornelhead/rollout/move.h
@@ -58,6 +58,8 @@
     std::int64_t fullShareAtMs = 0;
     /// How often it was stepped back from full share to compare both versions again.
     std::uint32_t rechecks = 0;
+    /// How many of these found nothing wrong with either version.
+    std::uint32_t clearedRechecks = 0;
     /// The edit that wrote the record last.
     EditId edit;
     /// Why it was taken back, or how it ended.
--- a/include/cornelhead/rollout/sequential-test.h
+++ b/include/cornelhead/rollout/sequential-test.h
@@ -49,22 +49,18 @@
 
 /// Evidence that the new version is worse since some moment, averaged over moments and effects.
 ///
-/// Invariant: the mean of `value` is at most 1 while the new version is within the tolerance.
+/// Invariant: the mean of `value` is at most the sum of the weights given while the new version is
+/// within the tolerance.  Tests whose weights sum to 1 in all may be added up.
 class SequentialTest
 {
 public:
     /// Takes the ratios of one block; `onsetWeight` is the prior weight of an onset at this block.
     void add(const LogRatios &ratios, double onsetWeight);
-    /// Like `add`, but onsets never run out: the mean of `value` is at most 1 plus the sum of all
-    /// weights given.
-    void addRenewed(const LogRatios &ratios, double onsetWeight);
-    /// Returns the odds against the new version being good.
+    /// Returns the odds against the new version being good, times the weights given.
     double value() const;
 
 private:
     std::array<double, effectLogOdds.size()> running_{};
-    /// The prior weight of onsets still to come; with those given out it sums to 1.
-    double unusedWeight_ = 1.0;
 };
 
 } // namespace cornelhead
--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -24,6 +24,7 @@
   --runs N           Runs of each kind. [default: 200]
   --threads N        Runs at a time. [default: 2]
   --kind NAME        Only this kind; "all" for every one. [default: all]
+  --only-moves       Leave out the baselines and low traffic.
   --show             Print each run of a wrong verdict.
   --help             Show this text.
   --version          Show the version.
@@ -116,6 +117,7 @@
     /// Only runs in which a judge who knows the truth would have been sure.
     Proportion shownTakenBack;
     Proportion aboveFirstShare;
+    Proportion raisedAfterShown;
     Sample badSharePct;
     Sample exposedPct;
     Sample secondsToZero;
@@ -139,6 +141,7 @@
     badTakenBack.add(isTakenBack);
     if (run.shownAtMs > 0)
         shownTakenBack.add(isTakenBack);
+    raisedAfterShown.add(run.isRaisedAfterShown);
     exposedPct.values.push_back(100.0 * static_cast<double>(run.exposedCalls)
                                 / static_cast<double>(std::max<std::uint64_t>(1, run.calls)));
     if (isAtOnce(scenario.badness)) {
@@ -158,6 +161,7 @@
     badTakenBack.add(more.badTakenBack);
     shownTakenBack.add(more.shownTakenBack);
     aboveFirstShare.add(more.aboveFirstShare);
+    raisedAfterShown.add(more.raisedAfterShown);
     badSharePct.add(more.badSharePct);
     exposedPct.add(more.exposedPct);
     secondsToZero.add(more.secondsToZero);
@@ -207,16 +211,24 @@
     for (std::size_t i = 0; i < settled.runs; ++i) {
         totals.add(scenarios[i], figures[i]);
         const bool isWrong = isGood(kind) == (figures[i].end == MoveState::TakenBack);
-        if (settled.show && isWrong)
+        if (settled.show
+            && (isWrong || std::getenv("ALL")
+                || (isGood(kind)
+                    && !(figures[i].fullShareAtMs > 0
+                         && figures[i].fullShareAtMs <= figures[i].deadlineMs))))
             std::cout << "  wrong " << badnessName(kind) << " seed " << scenarios[i].seed << " end "
                       << moveStateName(figures[i].end) << " rate " << scenarios[i].callRate
                       << " fail " << scenarios[i].failRate << " slow " << scenarios[i].slowFactor
                       << " from " << scenarios[i].badFromMs << " move " << scenarios[i].moveMs
-                      << " shown " << figures[i].shownAtMs - figures[i].startMs << " gap "
-                      << scenarios[i].controllerGap.fromMs << " cut " << scenarios[i].cutDataCentre
-                      << " load " << scenarios[i].badFromLoad << " step "
-                      << scenarios[i].loadChange.fromMs << "x" << scenarios[i].loadStep << " "
-                      << figures[i].verdict << '\n';
+                      << " shown " << figures[i].shownAtMs - figures[i].startMs << " back "
+                      << figures[i].takenBackAtMs - figures[i].startMs << " zero "
+                      << figures[i].zeroAtMs - figures[i].startMs << " full "
+                      << figures[i].fullShareAtMs - figures[i].startMs << " gap "
+                      << scenarios[i].controllerGap.fromMs << "-" << scenarios[i].controllerGap.toMs
+                      << " outage " << scenarios[i].platformOutage.fromMs << " cut "
+                      << scenarios[i].cutDataCentre << " load " << scenarios[i].badFromLoad
+                      << " step " << scenarios[i].loadChange.fromMs << "x" << scenarios[i].loadStep
+                      << " " << figures[i].verdict << '\n';
     }
     return totals;
 }
@@ -238,6 +250,7 @@
             std::cout << "taken_back=" << totals.badTakenBack.text()
                       << " when_shown=" << totals.shownTakenBack.text()
                       << " above_5pct=" << totals.aboveFirstShare.text()
+                      << " raised_after_shown=" << totals.raisedAfterShown.text()
                       << " exposed=" << totals.exposedPct.mean()
                       << " to_zero_p50=" << totals.secondsToZero.quantile(0.5)
                       << " p99=" << totals.secondsToZero.quantile(0.99) << '\n';
@@ -261,6 +274,11 @@
     settings.exitOnFaults();
     std::cout << "deployment " << name << ", seed " << settled.seed << ", " << settled.runs
               << " runs of each kind\n";
+    if (settings.flag("--only-moves")) {
+        std::cout << "moves " << measureAll(settled, only, Judge::Current, false, "moves").text()
+                  << '\n';
+        return 0;
+    }
     const Totals baseline = measureAll(settled, only, Judge::Threshold, false, "threshold");
     const Totals first = measureAll(settled, only, Judge::First, false, "first");
     const Totals low = measureAll(settled, only, Judge::Current, true, "low-traffic");
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -16,9 +16,11 @@
 /// After a longer silence a controller counts as new, since its evidence has a hole.
 constexpr std::int64_t longestGapMs = 3'000;
 /// Odds from which a version is suspect: its share waits.
-constexpr double suspectOdds = 20.0;
+constexpr double suspectOdds = 4.0;
 /// Odds from which a version at full share is compared with the old one again.
 constexpr double recheckOdds = 10.0;
+/// Rechecks that find nothing, after which the next suspicion means badness under full load only.
+constexpr std::uint32_t mostClearedRechecks = 2;
 /// The probability that a good version is ever taken back by the controller.
 constexpr double controllerFalseAlarms = 0.004;
 /// The same for one node or data centre; there are many of them.
@@ -199,6 +201,14 @@
     return next;
 }
 
+Finding onlyAtFullShare(Finding suspicion)
+{
+    suspicion.text
+            += ", each time that it has all calls, and not with fewer, while the old version "
+               "was as before";
+    return suspicion;
+}
+
 Move stepBack(const TrackedMove &tracked, const Finding &suspicion, std::int64_t nowMs)
 {
     Move next = tracked.move();
@@ -213,7 +223,10 @@
 std::optional<Move> nextWhenWatching(const TrackedMove &tracked, std::int64_t nowMs)
 {
     const Move &move = tracked.move();
-    if (const auto suspicion = tracked.judgement().suspicion(recheckOdds))
+    const auto suspicion = tracked.judgement().suspicion(recheckOdds);
+    if (suspicion && move.clearedRechecks >= mostClearedRechecks)
+        return takeBack(tracked, onlyAtFullShare(*suspicion), nowMs);
+    if (suspicion)
         return stepBack(tracked, *suspicion, nowMs);
     const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
     const std::int64_t endMs = std::max(move.fullShareAtMs, move.deadlineMs) + watch;
@@ -230,9 +243,13 @@
     if (move.rechecks > 0) {
         const std::int64_t wait = recheckMs(move.rechecks);
         const bool isCleared = tracked.judgement().isCleared() && !isSuspect;
-        if (tracked.stageMs(nowMs) < (isCleared ? wait : 2 * wait) || isSuspect)
+        const std::int64_t longest
+                = std::max(2 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 4);
+        if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
             return std::nullopt;
-        return raise(tracked, fullShare, nowMs);
+        Move next = raise(tracked, fullShare, nowMs);
+        next.clearedRechecks += tracked.judgement().isOldAsBefore() ? 1 : 0;
+        return next;
     }
     const PerMille due
             = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -11,17 +11,23 @@
 namespace {
 
 /// No single block decides alone: a crashed host fails many calls at once.
-constexpr double highestBlockRatio = 3.2;
+constexpr double highestBlockRatio = 4.5;
 /// A suspicion costs little, so that a block may weigh more for it.
 constexpr double highestPastRatio = 6.0;
 /// The prior weight of badness that is there from the first block, and from each suspicion.
-constexpr double firstOnsetWeight = 0.25;
+constexpr double firstOnsetWeight = 0.35;
 constexpr double suspectedOnsetWeight = 0.1;
 /// The prior weight of badness that begins in any other block.
-constexpr double laterOnsetWeight = 0.45;
+constexpr double laterOnsetWeight = 0.35;
 constexpr double pastOnsetWeight = 0.1;
+/// Prior weights of badness at all calls, on one route, in one data centre, and on one route in one
+/// data centre.
+constexpr double allWeight = 0.4;
+constexpr double routesWeight = 0.3;
+constexpr double dataCentresWeight = 0.2;
+constexpr double pairsWeight = 0.1;
 /// Blocks that old calls wait for new ones, and the other way round.
-constexpr int longestPending = 40;
+constexpr int longestPending = 15;
 constexpr std::size_t recentBlocks = 12;
 constexpr double leastPastCalls = 30;
 
@@ -34,16 +40,6 @@
 /// Scopes with a smaller part of the calls need not be cleared.
 constexpr double smallPart = 0.05;
 
-// The weights of any number of members of one class of scopes sum to at most 1.
-double memberWeight(std::size_t index)
-{
-    constexpr std::size_t equalMembers = 8;
-    if (index < equalMembers)
-        return 0.5 / equalMembers;
-    const auto further = static_cast<double>(index - equalMembers);
-    return 0.5 / ((further + 1.0) * (further + 2.0));
-}
-
 std::array<JudgementScope, 4> scopesOf(const JudgementScope &cell)
 {
     return {JudgementScope{}, JudgementScope{cell.route, {}}, JudgementScope{{}, cell.dataCentre},
@@ -122,28 +118,36 @@
     return isFirst ? 0.35 / (latencyBuckets - 1) : 0.0;
 }
 
-detail::JudgementTests &Judgement::tests(const detail::JudgementScope &scope)
+// The weights of all scopes sum to 1 in each block, however many there are by then.
+double Judgement::scopeWeight(const detail::JudgementScope &scope) const
 {
-    constexpr double classWeight = 1.0 / 6.0;
-    const auto [found, isNew] = tests_.try_emplace(scope);
-    if (!isNew)
-        return found->second;
+    const auto each = [](double weight, std::size_t members) {
+        return weight / static_cast<double>(std::max<std::size_t>(1, members));
+    };
     if (scope.route.empty() && scope.dataCentre.empty())
-        found->second.weight = 3.0 * classWeight;
-    else if (scope.dataCentre.empty())
-        found->second.weight = classWeight * detail::memberWeight(routes_++);
-    else if (scope.route.empty())
-        found->second.weight = classWeight * detail::memberWeight(dataCentres_++);
-    else
-        found->second.weight = classWeight * detail::memberWeight(pairs_++);
-    return found->second;
+        return detail::allWeight;
+    if (scope.dataCentre.empty())
+        return each(detail::routesWeight, routes_);
+    if (scope.route.empty())
+        return each(detail::dataCentresWeight, dataCentres_);
+    return each(detail::pairsWeight, pairs_);
 }
 
 void Judgement::openRecent()
 {
     for (const auto &[scope, cell] : cells_)
         for (const detail::JudgementScope &wider : detail::scopesOf(scope))
-            tests(wider);
+            tests_.try_emplace(wider);
+    const auto count = [&](bool hasRoute, bool hasDataCentre) {
+        return static_cast<std::size_t>(
+                std::count_if(tests_.begin(), tests_.end(), [&](const auto &entry) {
+                    return entry.first.route.empty() != hasRoute
+                            && entry.first.dataCentre.empty() != hasDataCentre;
+                }));
+    };
+    routes_ = count(true, false);
+    dataCentres_ = count(false, true);
+    pairs_ = count(true, true);
     for (auto &[scope, scopeTests] : tests_) {
         scopeTests.recent.emplace_back();
         if (scopeTests.recent.size() > detail::recentBlocks)
@@ -154,7 +158,7 @@
 void Judgement::noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums)
 {
     for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
-        detail::VersionSums &recent = tests(wider).recent.back();
+        detail::VersionSums &recent = tests_.at(wider).recent.back();
         recent.newer.add(sums.newer);
         recent.older.add(sums.older);
     }
@@ -210,6 +214,10 @@
         cell.pendingBlocks += 1;
         if (!both && !isFullShare && cell.pendingBlocks < detail::longestPending)
             continue;
+        if (!both && !isFullShare) {
+            rest_.pending.newer.add(cell.pending.newer);
+            rest_.pending.older.add(cell.pending.older);
+        }
         noteRecent(scope, cell.pending);
         const detail::KindRatios now = both ? compare(cell) : detail::KindRatios{};
         const detail::KindRatios before
@@ -223,9 +231,20 @@
         cell.pending = {};
         cell.pendingBlocks = 0;
     }
+    closeRest(concurrent);
     addToTests(concurrent, past);
 }
 
+// With little traffic few cells see both versions in time; together they do.
+void Judgement::closeRest(detail::ScopeRatios &concurrent)
+{
+    if (!detail::hasBoth(rest_.pending))
+        return;
+    rest_.past = wholePast_;
+    detail::addRatios(concurrent[{}], compare(rest_));
+    rest_.pending = {};
+}
+
 void Judgement::expectOnset()
 {
     expectsOnset_ = true;
@@ -233,12 +252,15 @@
 
 double Judgement::drawOnsetWeight()
 {
+    double weight = detail::laterOnsetWeight / settings_.expectedBlocks;
     if (blocks_ == 1)
-        return detail::firstOnsetWeight;
-    if (!expectsOnset_)
-        return detail::laterOnsetWeight / settings_.expectedBlocks;
+        weight = detail::firstOnsetWeight;
+    else if (expectsOnset_)
+        weight = detail::suspectedOnsetWeight;
     expectsOnset_ = false;
-    return detail::suspectedOnsetWeight;
+    weight = std::min(weight, 1.0 - givenWeight_);
+    givenWeight_ += weight;
+    return weight;
 }
 
 void Judgement::addToTests(const detail::ScopeRatios &concurrent, const detail::ScopeRatios &past)
@@ -249,30 +271,31 @@
         const auto found = concurrent.find(scope);
         detail::KindRatios now = found == concurrent.end() ? detail::KindRatios{} : found->second;
         detail::addRatios(scopeTests.stage, now);
-        detail::KindRatios before
-                = found == concurrent.end() ? detail::KindRatios{} : past.at(scope);
+        detail::KindRatios before = past.contains(scope) ? past.at(scope) : detail::KindRatios{};
         if (isFirst)
             detail::addRatios(now, before);
         detail::capRatios(now, detail::highestBlockRatio);
         detail::capRatios(before, detail::highestPastRatio);
         for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-            scopeTests.concurrent[kind].add(now[kind], onset);
-            scopeTests.againstPast[kind].addRenewed(before[kind], detail::pastOnsetWeight);
+            const double weight = scopeWeight(scope) * kindWeight(kind);
+            scopeTests.concurrent[kind].add(now[kind], weight * onset);
+            scopeTests.againstPast[kind].add(before[kind], weight * detail::pastOnsetWeight);
         }
     }
 }
 
 double Judgement::odds() const
+{
+    return sumValues(&detail::JudgementTests::concurrent) + (1.0 - givenWeight_);
+}
+
+double Judgement::sumValues(detail::KindTests detail::JudgementTests::*tests) const
 {
     double sum = 0;
-    double weight = 0;
-    for (const auto &[scope, scopeTests] : tests_) {
-        weight += scopeTests.weight;
-        for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
-            sum += scopeTests.weight * kindWeight(kind) * scopeTests.concurrent[kind].value();
-    }
-    // What no scope has used yet counts as evidence of 1.
-    return sum + (1.0 - weight);
+    for (const auto &[scope, scopeTests] : tests_)
+        for (const SequentialTest &test : scopeTests.*tests)
+            sum += test.value();
+    return sum;
 }
 
 Finding Judgement::strongest(detail::KindTests detail::JudgementTests::*tests) const
@@ -281,8 +304,7 @@
     const bool isPast = tests == &detail::JudgementTests::againstPast;
     for (const auto &[scope, scopeTests] : tests_) {
         for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-            const double odds
-                    = scopeTests.weight * kindWeight(kind) * (scopeTests.*tests)[kind].value();
+            const double odds = (scopeTests.*tests)[kind].value();
             if (odds <= finding.odds)
                 continue;
             detail::VersionSums sums;
@@ -313,10 +335,7 @@
 
 std::optional<Finding> Judgement::suspicion(double leastOdds) const
 {
-    double total = 0;
-    for (const auto &[scope, scopeTests] : tests_)
-        for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
-            total += scopeTests.weight * kindWeight(kind) * scopeTests.againstPast[kind].value();
+    const double total = sumValues(&detail::JudgementTests::againstPast);
     if (total < leastOdds)
         return std::nullopt;
     Finding finding = strongest(&detail::JudgementTests::againstPast);
@@ -354,9 +373,31 @@
     return true;
 }
 
+bool Judgement::isOldAsBefore() const
+{
+    const detail::VersionSums stage{stage_.older, {}};
+    for (const std::size_t kind : {detail::failureEvent, detail::slowEvent}) {
+        if (!detail::isWorthTesting(pastAtStage_, kind))
+            continue;
+        LogRatios ratios{};
+        if (kind == detail::slowEvent) {
+            ratios = compareLatenciesWithPast(stage_.older, LatencyProfile(pastAtStage_));
+        } else {
+            const auto [events, calls] = detail::toleratedEvents(pastAtStage_, kind);
+            const ComparedCalls compared = detail::countEvents(stage, kind);
+            ratios = compareWithRate(compared.newEvents, compared.newOthers,
+                                     upperRate(events, calls));
+        }
+        if (ratios[detail::wholeEffect] > 0)
+            return false;
+    }
+    return true;
+}
+
 void Judgement::startStage()
 {
     stage_ = {};
+    pastAtStage_ = wholePast_;
     for (auto &[scope, scopeTests] : tests_) {
         scopeTests.stage = {};
         scopeTests.againstPast = {};
--- a/src/rollout/move.cc
+++ b/src/rollout/move.cc
@@ -76,6 +76,7 @@
     move.deadlineMs = json.at("deadline_ms").get<std::int64_t>();
     move.fullShareAtMs = json.at("full_share_at_ms").get<std::int64_t>();
     move.rechecks = json.at("rechecks").get<std::uint32_t>();
+    move.clearedRechecks = json.at("cleared_rechecks").get<std::uint32_t>();
     move.edit = EditId(json.at("edit").get<std::string>());
     move.verdict = json.at("verdict").get<std::string>();
     for (const Json &version : json.at("refused_versions"))
@@ -162,6 +163,7 @@
             {"deadline_ms", move.deadlineMs},
             {"full_share_at_ms", move.fullShareAtMs},
             {"rechecks", move.rechecks},
+            {"cleared_rechecks", move.clearedRechecks},
             {"edit", move.edit.value()},
             {"verdict", move.verdict},
             {"refused_versions", detail::Json::array()},
--- a/src/rollout/pace.cc
+++ b/src/rollout/pace.cc
@@ -21,14 +21,16 @@
 };
 
 constexpr std::array paceSteps = {
-        PaceStep{PerMille(150), 0.2, 0.50, 0.60}, PaceStep{PerMille(300), 0.3, 0.58, 0.70},
-        PaceStep{PerMille(500), 0.4, 0.66, 0.80}, PaceStep{PerMille(750), 0.5, 0.74, 0.88},
-        PaceStep{fullShare, 0.6, 0.82, 0.95},
+        PaceStep{PerMille(200), 0.15, 0.70, 0.80},
+        PaceStep{PerMille(500), 0.30, 0.80, 0.90},
+        PaceStep{fullShare, 0.45, 0.90, 1.0},
 };
 
+/// The time before the deadline that is left for another controller to take over.
+constexpr std::int64_t takeOverMs = 4'000;
 constexpr std::int64_t shortestStageMs = 500;
 constexpr std::int64_t longestStageMs = 10'000;
-constexpr std::int64_t firstRecheckMs = 3'000;
+constexpr std::int64_t firstRecheckMs = 2'000;
 constexpr std::uint32_t mostDoublings = 5;
 constexpr std::int64_t shortestWatchMs = 8'000;
 constexpr std::int64_t longestWatchMs = 900'000;
--- a/src/rollout/sequential-test.cc
+++ b/src/rollout/sequential-test.cc
@@ -93,13 +93,6 @@
 }
 
 void SequentialTest::add(const LogRatios &ratios, double onsetWeight)
-{
-    const double weight = std::min(onsetWeight, unusedWeight_);
-    unusedWeight_ -= weight;
-    addRenewed(ratios, weight);
-}
-
-void SequentialTest::addRenewed(const LogRatios &ratios, double onsetWeight)
 {
     for (std::size_t i = 0; i < running_.size(); ++i) {
         running_[i] = (running_[i] + onsetWeight) * std::exp(ratios[i]);
@@ -112,7 +105,7 @@
     double sum = 0;
     for (const double running : running_)
         sum += running;
-    return unusedWeight_ + sum / running_.size();
+    return sum / running_.size();
 }
 
 } // namespace cornelhead
--- a/src/rollout/simulated-calls.cc
+++ b/src/rollout/simulated-calls.cc
@@ -147,7 +147,7 @@
         outcome.isFailure = outcome.isFailure || fails;
         outcome.trueLogOdds = fails ? std::log(scenario_->failRate / baseFailRate_)
                                     : std::log1p(-scenario_->failRate);
-    } else if (outcome.isExposed && badFactor > 1.0) {
+    } else if (outcome.isExposed && badFactor > 1.0 && !outcome.isCold) {
         const double shift = std::log(badFactor) / detail::latencySpread;
         const double seen = noise / detail::latencySpread + shift;
         outcome.trueLogOdds = seen * shift - shift * shift / 2.0;
--- a/src/rollout/simulated-move.cc
+++ b/src/rollout/simulated-move.cc
@@ -404,6 +404,10 @@
     void noteRecord()
     {
         const Move &latest = record_.latest();
+        if (latest.share > figures_.lastShare && figures_.shownAtMs > 0
+            && nowMs_ > figures_.shownAtMs + 1'000)
+            figures_.isRaisedAfterShown = true;
+        figures_.lastShare = latest.share;
         figures_.highestShare = std::max(figures_.highestShare, latest.share);
         if (latest.state == MoveState::TakenBack)
             figures_.takenBackAtMs = nowMs_;
--- a/src/rollout/simulated-move.h
+++ b/src/rollout/simulated-move.h
@@ -121,6 +121,9 @@
     /// When the last connected node stopped sending calls to the new version.
     std::int64_t zeroAtMs = 0;
     PerMille highestShare;
+    PerMille lastShare;
+    /// The share was raised although the badness had shown a second before.
+    bool isRaisedAfterShown = false;
     std::uint64_t calls = 0;
     /// Calls that the new version answered while it was bad.
     std::uint64_t exposedCalls = 0;
