--- a/src/ctl/configuration-store.cc
+++ b/src/ctl/configuration-store.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/ctl/configuration-store.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <set>
 #include <utility>
@@ -83,15 +84,14 @@
 Result<void> writeHistory(const PlatformOperations &platform, const Manifest &past)
 {
     const std::string key = historyKey(past.revision);
-    const Result<ModRevision> put = platform.put(key, encodeManifest(past), {});
-    if (put || put.error().kind == ErrorKind::Conflict)
-        return {};
-    if (put.error().kind != ErrorKind::Unknown)
-        return tl::unexpected<Error>(put.error());
-    const Result<std::optional<KeyValue>> found = platform.get(key);
-    if (found && *found)
-        return {};
-    return tl::unexpected<Error>(found ? put.error() : found.error());
+    for (int i = 0; i < maxWriteTries; ++i) {
+        const Result<ModRevision> put = platform.put(key, encodeManifest(past), {});
+        if (put || put.error().kind == ErrorKind::Conflict)
+            return {};
+        if (put.error().kind != ErrorKind::Unknown)
+            return tl::unexpected<Error>(put.error());
+    }
+    return fail(ErrorKind::Unavailable, "the history could not be written", "repeat the command");
 }
 
 // Tells whether `edit` was accepted at `revision`, by the manifest in force or by the history.
@@ -306,7 +306,7 @@
         for (const Chunk &chunk : chunks_) {
             if (!known.insert(chunk.digest).second)
                 continue;
-            if (const Result<void> written = writeChunk(platform_, chunk); !written)
+            if (Result<void> written = writeChunk(platform_, chunk); !written)
                 return written;
             ++outcome_.chunksWritten;
             outcome_.bytesWritten += chunk.bytes.size();
--- a/src/ctl/report.cc
+++ b/src/ctl/report.cc
@@ -141,6 +141,7 @@
     for (const auto &[service, move] : table.moves)
         reports.insert_or_assign(service, ServiceReport{service, versionInForce(move), move});
     std::vector<ServiceReport> joined;
+    joined.reserve(reports.size());
     for (auto &[service, report] : reports)
         joined.push_back(std::move(report));
     return joined;
--- /dev/null
+++ b/test/ctl/configuration-store-test.cc
@@ -0,0 +1,248 @@
+// Tests apply and prune against lost answers, races and a platform that is away.
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+#include "config/sample.h"
+#include "cornelhead/base/random.h"
+#include "cornelhead/config/snapshot.h"
+#include "cornelhead/config/validation.h"
+#include "cornelhead/ctl/configuration-store.h"
+#include "ctl/fake-platform.h"
+
+namespace cornelhead {
+namespace {
+
+Declarations withBurst(std::uint32_t burst)
+{
+    Declarations all = sampleDeclarations();
+    all.plans[0].burst = burst;
+    return all;
+}
+
+ApplyRequest requestOf(Declarations declarations, const std::string &edit)
+{
+    return {std::move(declarations), "ana", EditId(edit), 1000, std::nullopt};
+}
+
+Manifest inForce(FakePlatform &platform)
+{
+    return readManifest(platform.operations()).value()->manifest;
+}
+
+bool holds(FakePlatform &platform, const Declarations &wanted)
+{
+    const auto read = readDeclarationsOf(platform.operations(), inForce(platform));
+    return read && *read == canonicalOrder(wanted);
+}
+
+// Gives the chosen fate to the first write of a key that begins with `prefix`.
+auto firstWrite(const std::string &prefix, WriteFate fate)
+{
+    return [=, isDone = false](const std::string &key) mutable {
+        if (isDone || !key.starts_with(prefix))
+            return WriteFate::Answered;
+        isDone = true;
+        return fate;
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configurationStore)
+
+BOOST_AUTO_TEST_CASE(applyIsIdempotentAndKeepsHistory)
+{
+    FakePlatform platform;
+    const PlatformOperations operations = platform.operations();
+    BOOST_TEST(applyDeclarations(operations, requestOf(withBurst(1), "e1"))->isNew);
+    const std::size_t bytes = platform.bytesPut;
+    const auto again = applyDeclarations(operations, requestOf(withBurst(1), "e2"));
+    BOOST_TEST(!again->isNew);
+    BOOST_TEST(again->manifest.revision.value() == 1u);
+    BOOST_TEST(platform.bytesPut == bytes);
+    BOOST_TEST(applyDeclarations(operations, requestOf(withBurst(2), "e3"))->isNew);
+    // Going back to older declarations is a newer revision.
+    BOOST_TEST(applyDeclarations(operations, requestOf(withBurst(1), "e4"))->isNew);
+    const auto history = readHistory(operations).value();
+    BOOST_REQUIRE(history.size() == 3u);
+    BOOST_TEST((history[0].edit == EditId("e1") && history[2].edit == EditId("e4")));
+    BOOST_TEST((history[0].digest == history[2].digest));
+    BOOST_TEST(holds(platform, withBurst(1)));
+}
+
+BOOST_AUTO_TEST_CASE(resolvesALostAnswerOfEachWrite)
+{
+    for (const WriteFate fate : {WriteFate::AnswerLost, WriteFate::RequestLost}) {
+        for (const char *prefix : {chunkPrefix, historyPrefix, manifestKey}) {
+            FakePlatform platform;
+            const PlatformOperations operations = platform.operations();
+            BOOST_REQUIRE(applyDeclarations(operations, requestOf(withBurst(1), "e1")));
+            platform.fate = firstWrite(prefix, fate);
+            const auto outcome = applyDeclarations(operations, requestOf(withBurst(2), "e2"));
+            BOOST_REQUIRE_MESSAGE(outcome.has_value(), prefix);
+            BOOST_TEST((outcome->isNew && inForce(platform).edit == EditId("e2")), prefix);
+            BOOST_TEST(readHistory(operations)->size() == 2u, prefix);
+            BOOST_TEST(holds(platform, withBurst(2)));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(finishesAfterALostAnswerThatANewerEditCovered)
+{
+    FakePlatform platform;
+    const PlatformOperations operations = platform.operations();
+    BOOST_REQUIRE(applyDeclarations(operations, requestOf(withBurst(1), "e1")));
+    platform.fate = firstWrite(manifestKey, WriteFate::AnswerLost);
+    bool isSent = false;
+    platform.before = [&](const std::string &operation, const std::string &key) {
+        if (isSent && operation == "get" && key == manifestKey) {
+            platform.before = nullptr;
+            BOOST_REQUIRE(applyDeclarations(operations, requestOf(withBurst(3), "e3")));
+        }
+        isSent = isSent || (operation == "put" && key == manifestKey);
+    };
+    const auto outcome = applyDeclarations(operations, requestOf(withBurst(2), "e2"));
+    BOOST_REQUIRE(outcome.has_value());
+    BOOST_TEST(outcome->manifest.revision.value() == 2u);
+    BOOST_TEST(inForce(platform).revision.value() == 3u);
+}
+
+BOOST_AUTO_TEST_CASE(saysUnknownWhenThePlatformVanishesAfterALostAnswer)
+{
+    FakePlatform platform;
+    const PlatformOperations operations = platform.operations();
+    BOOST_REQUIRE(applyDeclarations(operations, requestOf(withBurst(1), "e1")));
+    // The write of the manifest takes effect just before the platform goes away.
+    platform.fate = [&](const std::string &key) {
+        return key == manifestKey ? WriteFate::AnswerLost : WriteFate::Answered;
+    };
+    bool isSent = false;
+    platform.before = [&](const std::string &operation, const std::string &key) {
+        platform.isAway = isSent;
+        isSent = isSent || (operation == "put" && key == manifestKey);
+    };
+    const ApplyRequest request = requestOf(withBurst(2), "e2");
+    BOOST_TEST((applyDeclarations(operations, request).error().kind == ErrorKind::Unknown));
+    platform.before = nullptr;
+    platform.fate = nullptr;
+    platform.isAway = false;
+    const auto repeated = applyDeclarations(operations, request);
+    BOOST_TEST(!repeated->isNew);
+    BOOST_TEST(repeated->manifest.revision.value() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(saysUnavailableWhileNothingWasWritten)
+{
+    FakePlatform platform;
+    platform.isAway = true;
+    const auto outcome = applyDeclarations(platform.operations(), requestOf(withBurst(1), "e1"));
+    BOOST_TEST((outcome.error().kind == ErrorKind::Unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(aRaceEndsInOneAcceptedAndOneConflict)
+{
+    FakePlatform platform;
+    const PlatformOperations operations = platform.operations();
+    for (const std::string point : {chunkPrefix, historyPrefix, manifestKey}) {
+        for (const bool isSame : {false, true}) {
+            platform = FakePlatform();
+            BOOST_REQUIRE(applyDeclarations(operations, requestOf(withBurst(1), "e1")));
+            platform.before = [&](const std::string &operation, const std::string &key) {
+                if (operation != "put" || !key.starts_with(point))
+                    return;
+                platform.before = nullptr;
+                const auto other = applyDeclarations(operations,
+                                                     requestOf(withBurst(isSame ? 2 : 3), "other"));
+                BOOST_TEST(other->isNew);
+            };
+            const auto outcome = applyDeclarations(operations, requestOf(withBurst(2), "mine"));
+            BOOST_TEST((inForce(platform).edit == EditId("other")));
+            BOOST_TEST(holds(platform, withBurst(isSame ? 2 : 3)));
+            BOOST_REQUIRE(outcome.has_value() == isSame);
+            if (isSame)
+                BOOST_TEST(!outcome->isNew);
+            else
+                BOOST_TEST((outcome.error().kind == ErrorKind::Conflict));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusesAnotherBaseThanExpected)
+{
+    FakePlatform platform;
+    const PlatformOperations operations = platform.operations();
+    ApplyRequest request = requestOf(withBurst(1), "e1");
+    request.expectedRevision = Revision(0);
+    BOOST_REQUIRE(applyDeclarations(operations, request));
+    request = requestOf(withBurst(2), "e2");
+    request.expectedRevision = Revision(0);
+    BOOST_TEST((applyDeclarations(operations, request).error().kind == ErrorKind::Conflict));
+}
+
+BOOST_AUTO_TEST_CASE(neverReusesARevisionAfterTheManifestWasLost)
+{
+    FakePlatform platform;
+    const PlatformOperations operations = platform.operations();
+    for (std::uint32_t burst = 1; burst <= 3; ++burst)
+        BOOST_REQUIRE(applyDeclarations(operations,
+                                        requestOf(withBurst(burst), "e" + std::to_string(burst))));
+    platform.entries.erase(manifestKey);
+    const auto outcome = applyDeclarations(operations, requestOf(withBurst(9), "e9"));
+    BOOST_TEST(outcome->manifest.revision.value() == 4u);
+}
+
+BOOST_AUTO_TEST_CASE(pruneKeepsWhatKeptManifestsName)
+{
+    FakePlatform platform;
+    const PlatformOperations operations = platform.operations();
+    for (std::uint32_t burst = 1; burst <= 6; ++burst)
+        BOOST_REQUIRE(applyDeclarations(operations,
+                                        requestOf(withBurst(burst), "e" + std::to_string(burst))));
+    const PruneOutcome outcome = pruneHistory(operations, 2).value();
+    BOOST_TEST(outcome.manifestsRemoved == 3u);
+    BOOST_TEST(outcome.chunksRemoved == 3u);
+    const auto history = readHistory(operations).value();
+    BOOST_REQUIRE(history.size() == 3u);
+    for (const Manifest &manifest : history)
+        BOOST_TEST(readDeclarationsOf(operations, manifest).has_value());
+    BOOST_TEST(pruneHistory(operations, 2)->chunksRemoved == 0u);
+}
+
+// An apply that brings back old declarations needs the very chunks that prune removes.
+BOOST_AUTO_TEST_CASE(pruneNeverTakesAChunkFromARacingApply)
+{
+    const std::uint64_t seed = 20260301;
+    BOOST_TEST_MESSAGE("seed " << seed);
+    Random random(seed);
+    int applied = 0;
+    for (int round = 0; round < 2000; ++round) {
+        FakePlatform platform;
+        const PlatformOperations operations = platform.operations();
+        for (std::uint32_t burst = 1; burst <= 3; ++burst)
+            BOOST_REQUIRE(applyDeclarations(
+                    operations, requestOf(withBurst(burst), "e" + std::to_string(burst))));
+        // One runs whole between two steps of the other.
+        std::uint64_t steps = random.below(14);
+        const bool isApplyInside = random.chance(0.5);
+        const auto apply = [&] {
+            const auto done = applyDeclarations(operations, requestOf(withBurst(1), "back"));
+            applied += done && done->isNew ? 1 : 0;
+        };
+        const auto prune = [&] { static_cast<void>(pruneHistory(operations, 1)); };
+        platform.before = [&](const std::string &, const std::string &) {
+            if (steps-- != 0)
+                return;
+            platform.before = nullptr;
+            isApplyInside ? apply() : prune();
+        };
+        isApplyInside ? prune() : apply();
+        const auto read = readDeclarationsOf(operations, inForce(platform));
+        BOOST_REQUIRE_MESSAGE(read.has_value(), "round " << round);
+    }
+    BOOST_TEST(applied > 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- /dev/null
+++ b/test/ctl/fake-platform.h
@@ -0,0 +1,130 @@
+// A platform in memory whose answers can be lost, and beside which others may write.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "cornelhead/ctl/platform-operations.h"
+
+namespace cornelhead {
+
+/// What happens to one write.
+enum class WriteFate {
+    Answered,
+    AnswerLost, ///< The write takes effect, and its outcome is unknown to the caller.
+    RequestLost, ///< The write takes no effect, and its outcome is unknown to the caller.
+    Refused, ///< Nothing happens, and the caller knows.
+};
+
+class FakePlatform
+{
+public:
+    PlatformOperations operations()
+    {
+        return {[this](const std::string &key) { return get(key); },
+                [this](const std::string &prefix) { return list(prefix); },
+                [this](const std::string &key, const std::string &value, Expected expected) {
+                    return put(key, value, expected);
+                },
+                [this](const std::string &key, Expected expected) {
+                    return remove(key, expected);
+                }};
+    }
+
+    /// Decides the fate of each write.
+    std::function<WriteFate(const std::string &key)> fate;
+    /// Runs before each operation; may write by other operations of this platform.
+    std::function<void(const std::string &operation, const std::string &key)> before;
+    bool isAway = false;
+    std::map<std::string, KeyValue> entries;
+    std::size_t bytesPut = 0;
+
+private:
+    using Found = std::optional<KeyValue>;
+
+    Result<Found> get(const std::string &key)
+    {
+        tell("get", key);
+        if (isAway)
+            return away();
+        const auto found = entries.find(key);
+        return found == entries.end() ? Found() : Found(found->second);
+    }
+
+    Result<Listing> list(const std::string &prefix)
+    {
+        tell("list", prefix);
+        if (isAway)
+            return away();
+        Listing listing;
+        for (auto at = entries.lower_bound(prefix);
+             at != entries.end() && at->first.starts_with(prefix); ++at)
+            listing.entries.push_back(at->second);
+        listing.storeRevision = revision_;
+        return listing;
+    }
+
+    Result<ModRevision> put(const std::string &key, const std::string &value, Expected expected)
+    {
+        tell("put", key);
+        const WriteFate fateOfThis = fate ? fate(key) : WriteFate::Answered;
+        if (isAway || fateOfThis == WriteFate::Refused)
+            return away();
+        if (fateOfThis == WriteFate::RequestLost)
+            return lost();
+        const auto found = entries.find(key);
+        const ModRevision held = found == entries.end() ? ModRevision() : found->second.modRevision;
+        const bool isSwapped = held == expected.modRevision;
+        if (isSwapped) {
+            revision_ = revision_.next();
+            entries[key] = {key, value, revision_};
+            bytesPut += value.size();
+        }
+        if (fateOfThis == WriteFate::AnswerLost)
+            return lost();
+        if (!isSwapped)
+            return fail(ErrorKind::Conflict, "the key has another revision", "read it again");
+        return revision_;
+    }
+
+    Result<void> remove(const std::string &key, Expected expected)
+    {
+        tell("remove", key);
+        const auto found = entries.find(key);
+        if (found == entries.end())
+            return fail(ErrorKind::NotFound, "no such key", "");
+        if (found->second.modRevision != expected.modRevision)
+            return fail(ErrorKind::Conflict, "the key has another revision", "read it again");
+        entries.erase(found);
+        revision_ = revision_.next();
+        return {};
+    }
+
+    // A hook that calls operations itself is not called for those.
+    void tell(const std::string &operation, const std::string &key)
+    {
+        if (!before || isTelling_)
+            return;
+        isTelling_ = true;
+        // The hook may replace itself.
+        const auto hook = before;
+        hook(operation, key);
+        isTelling_ = false;
+    }
+
+    static tl::unexpected<Error> away()
+    {
+        return fail(ErrorKind::Unavailable, "the platform is away", "wait");
+    }
+
+    static tl::unexpected<Error> lost()
+    {
+        return fail(ErrorKind::Unknown, "the answer was lost", "read");
+    }
+
+    ModRevision revision_;
+    bool isTelling_ = false;
+};
+
+} // namespace cornelhead
