--- a/test/ctl/configuration-store-test.cc
+++ b/test/ctl/configuration-store-test.cc
@@ -1,6 +1,7 @@
 // Tests apply and prune against lost answers, races and a platform that is away.
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <set>
 
 #include "config/sample.h"
@@ -9,6 +10,7 @@
 #include "cornelhead/config/validation.h"
 #include "cornelhead/ctl/configuration-store.h"
 #include "ctl/fake-platform.h"
+#include "ctl/interleaving.h"
 
 namespace cornelhead {
 namespace {
@@ -212,35 +214,69 @@
 // An apply that brings back old declarations needs the very chunks that prune removes.
 BOOST_AUTO_TEST_CASE(pruneNeverTakesAChunkFromARacingApply)
 {
-    const std::uint64_t seed = 20260301;
-    BOOST_TEST_MESSAGE("seed " << seed);
-    Random random(seed);
-    int applied = 0;
-    for (int round = 0; round < 2000; ++round) {
+    constexpr std::uint64_t firstSeed = 20260301;
+    BOOST_TEST_MESSAGE("seeds from " << firstSeed);
+    std::size_t removed = 0;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + 1500; ++seed) {
         FakePlatform platform;
         const PlatformOperations operations = platform.operations();
         for (std::uint32_t burst = 1; burst <= 3; ++burst)
             BOOST_REQUIRE(applyDeclarations(
                     operations, requestOf(withBurst(burst), "e" + std::to_string(burst))));
-        // One runs whole between two steps of the other.
-        std::uint64_t steps = random.below(14);
-        const bool isApplyInside = random.chance(0.5);
-        const auto apply = [&] {
-            const auto done = applyDeclarations(operations, requestOf(withBurst(1), "back"));
-            applied += done && done->isNew ? 1 : 0;
+        Interleaving interleaving(seed);
+        platform.before = [&](const std::string &, const std::string &) { interleaving.step(); };
+        Result<ApplyOutcome> applied;
+        Result<PruneOutcome> pruned;
+        interleaving.run(
+                [&] { applied = applyDeclarations(operations, requestOf(withBurst(1), "back")); },
+                [&] { pruned = pruneHistory(operations, 1); });
+        platform.before = nullptr;
+        removed += pruned ? pruned->chunksRemoved : 0;
+        BOOST_REQUIRE_MESSAGE(applied.has_value(), "seed " << seed);
+        BOOST_REQUIRE_MESSAGE((inForce(platform).edit == EditId("back")), "seed " << seed);
+        BOOST_REQUIRE_MESSAGE(holds(platform, withBurst(1)), "seed " << seed);
+    }
+    BOOST_TEST(removed > 100);
+}
+
+// Two operators apply different declarations while answers of all kinds are lost.
+BOOST_AUTO_TEST_CASE(racingAppliesWithLostAnswersNeverLie)
+{
+    constexpr std::uint64_t firstSeed = 20260401;
+    BOOST_TEST_MESSAGE("seeds from " << firstSeed);
+    int conflicts = 0;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + 1500; ++seed) {
+        FakePlatform platform;
+        const PlatformOperations operations = platform.operations();
+        BOOST_REQUIRE(applyDeclarations(operations, requestOf(withBurst(1), "e1")));
+        Interleaving interleaving(seed);
+        Random random(seed);
+        platform.before = [&](const std::string &, const std::string &) { interleaving.step(); };
+        platform.fate = [&](const std::string &) {
+            return random.chance(0.6) ? WriteFate::Answered
+                                      : static_cast<WriteFate>(random.below(3));
         };
-        const auto prune = [&] { static_cast<void>(pruneHistory(operations, 1)); };
-        platform.before = [&](const std::string &, const std::string &) {
-            if (steps-- != 0)
-                return;
-            platform.before = nullptr;
-            isApplyInside ? apply() : prune();
+        std::array<Result<ApplyOutcome>, 2> outcomes;
+        const auto apply = [&](std::size_t i) {
+            const std::string edit = i == 0 ? "left" : "right";
+            outcomes.at(i) = applyDeclarations(
+                    operations, requestOf(withBurst(static_cast<std::uint32_t>(i) + 2), edit));
         };
-        isApplyInside ? prune() : apply();
-        const auto read = readDeclarationsOf(operations, inForce(platform));
-        BOOST_REQUIRE_MESSAGE(read.has_value(), "round " << round);
+        interleaving.run([&] { apply(0); }, [&] { apply(1); });
+        platform.before = nullptr;
+        std::set<EditId> accepted;
+        const std::vector<Manifest> history = readHistory(operations).value();
+        for (const Manifest &manifest : history)
+            BOOST_REQUIRE_MESSAGE(accepted.insert(manifest.edit).second, "seed " << seed);
+        for (std::size_t i = 0; i < 2; ++i) {
+            const bool isAccepted = accepted.contains(EditId(i == 0 ? "left" : "right"));
+            const auto &outcome = outcomes.at(i);
+            const bool isUnknown = !outcome && outcome.error().kind == ErrorKind::Unknown;
+            BOOST_REQUIRE_MESSAGE(isUnknown || isAccepted == outcome.has_value(), "seed " << seed);
+            conflicts += !outcome && outcome.error().kind == ErrorKind::Conflict ? 1 : 0;
+        }
     }
-    BOOST_TEST(applied > 1000);
+    BOOST_TEST(conflicts > 100);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/ctl/fake-platform.h
+++ b/test/ctl/fake-platform.h
@@ -34,7 +34,7 @@
 
     /// Decides the fate of each write.
     std::function<WriteFate(const std::string &key)> fate;
-    /// Runs before each operation; may write by other operations of this platform.
+    /// Runs before each operation.
     std::function<void(const std::string &operation, const std::string &key)> before;
     bool isAway = false;
     std::map<std::string, KeyValue> entries;
@@ -101,16 +101,12 @@
         return {};
     }
 
-    // A hook that calls operations itself is not called for those.
+    // The hook may replace itself, and may call operations once it has.
     void tell(const std::string &operation, const std::string &key)
     {
-        if (!before || isTelling_)
-            return;
-        isTelling_ = true;
-        // The hook may replace itself.
         const auto hook = before;
-        hook(operation, key);
-        isTelling_ = false;
+        if (hook)
+            hook(operation, key);
     }
 
     static tl::unexpected<Error> away()
@@ -124,7 +120,6 @@
     }
 
     ModRevision revision_;
-    bool isTelling_ = false;
 };
 
 } // namespace cornelhead
--- /dev/null
+++ b/test/ctl/interleaving.h
@@ -0,0 +1,62 @@
+// Runs two operators side by side, one platform operation at a time, in an order given by a seed.
+#pragma once
+
+#include <array>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include "cornelhead/base/random.h"
+
+namespace cornelhead {
+
+/// Lets one of two threads run at a time; each passes through `step` before every operation.
+class Interleaving
+{
+public:
+    explicit Interleaving(std::uint64_t seed) : random_(seed) { }
+
+    void run(const std::function<void()> &first, const std::function<void()> &second)
+    {
+        const auto body = [this](std::size_t self, const std::function<void()> &work) {
+            current = self;
+            waitForTurn();
+            work();
+            const std::lock_guard lock(mutex_);
+            isDone_[self] = true;
+            turn_ = 1 - self;
+            changed_.notify_all();
+        };
+        std::thread other(body, 1, second);
+        body(0, first);
+        other.join();
+    }
+
+    void step()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            const std::size_t next = random_.below(2);
+            turn_ = isDone_[next] ? 1 - next : next;
+            changed_.notify_all();
+        }
+        waitForTurn();
+    }
+
+private:
+    void waitForTurn()
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait(lock, [this] { return turn_ == current; });
+    }
+
+    inline static thread_local std::size_t current = 0;
+    Random random_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::array<bool, 2> isDone_{};
+    std::size_t turn_ = 0;
+};
+
+} // namespace cornelhead
