Send without delay on the net part's sockets

A 20,000-byte answer left evhttp in two writes, and Nagle's algorithm held the second until the peer's delayed acknowledgement. The proxy's own sockets were set already, so queueing and the proxy were ruled out by calling a backend server directly.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -4,6 +4,10 @@
 #include <utility>
 #include <vector>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -144,6 +148,14 @@
         call.output = evbuffer_add_cb(bufferevent_get_output(events), &onOutput, &call);
     }
 
+    // Else the end of a long request waits for a delayed acknowledgement.
+    static void sendWithoutDelay(const Call &call)
+    {
+        const int on = 1;
+        bufferevent *events = evhttp_connection_get_bufferevent(call.connection.get());
+        setsockopt(bufferevent_getfd(events), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    }
+
     static void unwatchOutput(Call &call)
     {
         bufferevent *events = evhttp_connection_get_bufferevent(call.connection.get());
@@ -181,6 +193,7 @@
     Impl::watchOutput(*call);
     evhttp_make_request(call->connection.get(), raw, detail::commandOf(request.method),
                         request.path.c_str());
+    Impl::sendWithoutDelay(*call);
 }
 
 void HttpClient::forget(const Address &address)
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -1,6 +1,8 @@
 // Implements the HTTP server over evhttp.
 #include "cornelhead/net/http.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -258,6 +260,10 @@
         return fail(ErrorKind::InvalidSetting, "cannot listen on " + address.toString(),
                     "choose an address of this host that is free");
     }
+    // Accepted sockets inherit it; else the end of a long answer waits for a delayed
+    // acknowledgement.
+    const int on = 1;
+    setsockopt(evhttp_bound_socket_get_fd(impl_->socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     return {};
 }
 
