--- a/include/cornelhead/standin/load-tally.h
+++ b/include/cornelhead/standin/load-tally.h
@@ -65,8 +65,13 @@
     std::uint64_t answeredUnseen = 0;
     /// Runs that the ledger saw.
     std::uint64_t runs = 0;
+    /// Describes the first broken promises, for finding their cause.
+    std::vector<std::string> faults;
 };
 
+/// The servers that ran each key, one entry a run.
+using KeyRuns = std::unordered_map<std::string, std::vector<std::string>>;
+
 /// One finished call.
 struct FinishedCall
 {
@@ -99,7 +104,7 @@
     void finish(const FinishedCall &call);
     void add(const LoadTally &other);
     /// Compares with the runs that the ledger saw of each key.
-    LoadSummary summarize(const std::unordered_map<std::string, std::uint32_t> &runs) const;
+    LoadSummary summarize(const KeyRuns &runs) const;
 
     const LatencyHistogram &throughNodes() const { return throughNodes_; }
     const LatencyHistogram &direct() const { return direct_; }
--- a/src/bin/cornelhead-load.cc
+++ b/src/bin/cornelhead-load.cc
@@ -160,8 +160,9 @@
 {
 public:
     explicit LoadRun(const ProgramSettings &program)
-        : program_(program),
-          ledger_(loop_, [this](const RunRecord &record) { ++runs_[record.key]; })
+        : program_(program), ledger_(loop_, [this](const RunRecord &record) {
+              runs_[record.key].push_back(record.server);
+          })
     { }
 
     int run()
@@ -216,7 +217,7 @@
     ProgramSettings program_;
     EventLoop loop_;
     LedgerReceiver ledger_;
-    std::unordered_map<std::string, std::uint32_t> runs_;
+    KeyRuns runs_;
     std::vector<std::unique_ptr<WorkerThread>> workers_;
     std::size_t finished_ = 0;
     bool isFinishing_ = false;
--- a/src/standin/load-tally.cc
+++ b/src/standin/load-tally.cc
@@ -13,6 +13,19 @@
 
 using nlohmann::json;
 
+constexpr std::size_t mostFaultsDescribed = 20;
+
+void describeFault(LoadSummary &summary, const std::string &kind, const std::string &key,
+                   const std::vector<std::string> &servers)
+{
+    if (summary.faults.size() >= mostFaultsDescribed)
+        return;
+    std::string text = kind + ": " + key + " ran at";
+    for (const std::string &server : servers)
+        text += " " + server;
+    summary.faults.push_back(std::move(text));
+}
+
 json quantilesOf(const LatencyHistogram &histogram)
 {
     return {{"count", histogram.count()},
@@ -129,22 +142,26 @@
         reasons_[reason] += count;
 }
 
-LoadSummary LoadTally::summarize(const std::unordered_map<std::string, std::uint32_t> &runs) const
+LoadSummary LoadTally::summarize(const KeyRuns &runs) const
 {
     LoadSummary summary = summary_;
     CORNELHEAD_CHECK(summary.sent
                      == summary.answered + summary.wrong + summary.refusedNotRun + summary.unknown
                              + summary.lost);
-    for (const auto &[key, count] : runs) {
-        summary.runs += count;
-        if (count > 1)
+    for (const auto &[key, servers] : runs) {
+        summary.runs += servers.size();
+        if (servers.size() > 1) {
             ++summary.doubled;
+            detail::describeFault(summary, "doubled", key, servers);
+        }
     }
     for (const auto &[key, word] : keys_) {
-        const bool wasRun = runs.contains(key);
+        const auto run = runs.find(key);
+        const bool wasRun = run != runs.end();
         if (wasRun && word.word == CallWord::NotRun) {
             ++summary.falseNotRun;
             summary.falseNotRunAtOnce += word.hasDoubt ? 0 : 1;
+            detail::describeFault(summary, "false not-run", key, run->second);
         }
         if (!wasRun && word.word == CallWord::Answered)
             ++summary.answeredUnseen;
@@ -178,6 +195,7 @@
                                {"resent", summary.resent},
                                {"answeredUnseen", summary.answeredUnseen},
                                {"runs", summary.runs},
+                               {"faults", summary.faults},
                                {"reasons", tally.reasons()},
                                {"throughNodesUs", detail::quantilesOf(tally.throughNodes())},
                                {"directUs", detail::quantilesOf(tally.direct())},
--- a/test/standin/load-test.cc
+++ b/test/standin/load-test.cc
@@ -13,7 +13,7 @@
     EventLoop loop;
     HttpServer server{loop, {}};
     LoadSettings settings;
-    std::unordered_map<std::string, std::uint32_t> runs;
+    KeyRuns runs;
 
     LoadFixture()
     {
@@ -42,7 +42,10 @@
         return HttpResponse{503, {{"Cornelhead-Run", run}, {"Cornelhead-Reason", "rate"}}, {}};
     }
 
-    void countRun(const HttpRequest &request) { ++runs[request.headers.at("Idempotency-Key")]; }
+    void countRun(const HttpRequest &request)
+    {
+        runs[request.headers.at("Idempotency-Key")].emplace_back("s");
+    }
 
     LoadSummary run(const HttpHandler &handler)
     {
@@ -88,7 +91,7 @@
     const LoadSummary summary = run([&](const HttpRequest &request, const Responder &responder) {
         countRun(request);
         // The first attempt gets no word, so the key is sent again.
-        if (runs[request.headers.at("Idempotency-Key")] == 1)
+        if (runs[request.headers.at("Idempotency-Key")].size() == 1)
             responder.drop();
         else
             responder.send(rightAnswer(request));
