--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -78,14 +78,14 @@
     Revision appliedRevision;
     bool isDraining = false;
 
-    Impl(EventLoop &loop_, const NodeSettings &settings_)
-        : loop(loop_), settings(settings_), self(detail::selfOf(settings_)),
-          platform(loop_, settings_.platform, settings_.platformTimeout, metrics),
-          distribution(loop_, platform, metrics, detail::distributionOf(settings_, self),
+    Impl(EventLoop &controlLoop, const NodeSettings &nodeSettings)
+        : loop(controlLoop), settings(nodeSettings), self(detail::selfOf(settings)),
+          platform(loop, settings.platform, settings.platformTimeout, metrics),
+          distribution(loop, platform, metrics, detail::distributionOf(settings, self),
                        distributionHandlers()),
-          proxy(detail::proxyOf(settings_, self), metrics),
-          rollout(loop_, platform, metrics, self.id, settings_.seed + 2),
-          admin(loop_, metrics, adminHandlers()),
+          proxy(detail::proxyOf(settings, self), metrics),
+          rollout(loop, platform, metrics, self.id, settings.seed + 2),
+          admin(loop, metrics, adminHandlers()),
           servers(SteadyClock(), detail::serverSilenceLimit, self)
     { }
 
@@ -183,9 +183,9 @@
 
     void publish()
     {
-        std::shared_ptr<const RoutingView> view = views.build();
+        const std::shared_ptr<const RoutingView> view = views.build();
         if (view)
-            proxy.setView(std::move(view));
+            proxy.setView(view);
     }
 
     std::string roleName(const DistributionStatus &state) const
