--- a/src/config/records.cc
+++ b/src/config/records.cc
@@ -1,6 +1,7 @@
 // Encodes and decodes single records and whole declarations as lines of JSON.
 #include "cornelhead/config/records.h"
 
+#include <algorithm>
 #include <array>
 #include <exception>
 #include <optional>
@@ -112,6 +113,12 @@
     return key;
 }
 
+bool isOrdered(const Plan &plan)
+{
+    return std::is_sorted(plan.services.begin(), plan.services.end())
+            && std::is_sorted(plan.routes.begin(), plan.routes.end());
+}
+
 // Throws what the JSON library throws.
 RecordKey readRecord(const Json &json, Declarations &into)
 {
@@ -197,7 +204,8 @@
     try {
         const RecordKey key = detail::readRecord(detail::Json::parse(line), read);
         // Only the canonical form is accepted, so that one digest stands for one content.
-        if (detail::encodeAppended(read, key.kind) != line)
+        const bool isOrdered = std::all_of(read.plans.begin(), read.plans.end(), detail::isOrdered);
+        if (!isOrdered || detail::encodeAppended(read, key.kind) != line)
             return detail::badRecord("it is not in canonical form");
         std::move(read.services.begin(), read.services.end(),
                   std::back_inserter(declarations.services));
--- a/support/parts.cmake
+++ b/support/parts.cmake
@@ -28,7 +28,8 @@
     target_include_directories(${name}-test PRIVATE ${CMAKE_SOURCE_DIR}/test)
     target_compile_definitions(${name}-test PRIVATE
         BOOST_TEST_DYN_LINK CORNELHEAD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-    target_link_libraries(${name}-test PRIVATE part-${name} Boost::unit_test_framework)
+    target_link_libraries(${name}-test PRIVATE
+        part-${name} Boost::unit_test_framework rapidcheck)
     add_test(NAME ${name} COMMAND ${name}-test)
 endfunction()
 
--- /dev/null
+++ b/test/config/generators.h
@@ -0,0 +1,105 @@
+// Generates valid declarations and damaged bytes.
+#pragma once
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include "cornelhead/base/random.h"
+#include "cornelhead/config/declarations.h"
+
+namespace cornelhead {
+
+inline std::string numberedName(const char *prefix, int number)
+{
+    return prefix + std::to_string(number);
+}
+
+/// Generates the numbers of some of the records that a list may hold.
+inline std::set<int> someNumbers(int most)
+{
+    const auto numbers = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, most));
+    return {numbers.begin(), numbers.end()};
+}
+
+inline Route generateRoute(const Service &service, int number)
+{
+    const std::string name = numberedName("r", number);
+    return Route{RouteId(service.id.value() + "/" + name),
+                 service.id,
+                 "/" + name,
+                 *rc::gen::element(CallPriority::High, CallPriority::Normal, CallPriority::Low),
+                 *rc::gen::element(Idempotency::Idempotent, Idempotency::Keyed),
+                 Milliseconds(*rc::gen::inRange(10, 300'000))};
+}
+
+/// Generates declarations without faults, drawn from few names so that two of them overlap.
+inline Declarations generateDeclarations()
+{
+    Declarations all;
+    for (const int number : someNumbers(5)) {
+        const Service service{ServiceId(numberedName("s", number)),
+                              VersionId(numberedName("v", *rc::gen::inRange(0, 3)))};
+        all.services.push_back(service);
+        for (const int route : someNumbers(4))
+            all.routes.push_back(generateRoute(service, route));
+    }
+    for (const int number : someNumbers(6)) {
+        Plan plan{PlanId(numberedName("p", number)), {}, {}, 1, 1, 1};
+        plan.ratePerSecond = *rc::gen::inRange<std::uint32_t>(1, 1'000'001);
+        plan.burst = *rc::gen::inRange<std::uint32_t>(1, 4);
+        for (const Service &service : all.services) {
+            if (*rc::gen::arbitrary<bool>())
+                plan.services.push_back(service.id);
+        }
+        for (const Route &route : all.routes) {
+            if (*rc::gen::arbitrary<bool>())
+                plan.routes.push_back(route.id);
+        }
+        all.plans.push_back(plan);
+    }
+    if (all.plans.empty())
+        return all;
+    for (const int number : someNumbers(50))
+        all.customers.push_back(
+                {CustomerId(numberedName("c", number)), (*rc::gen::elementOf(all.plans)).id});
+    return all;
+}
+
+template <typename T>
+void shuffle(std::vector<T> &items, Random &random)
+{
+    std::shuffle(items.begin(), items.end(), random.engine());
+}
+
+/// Damages bytes: flips, inserts, drops, doubles and moves pieces of them.
+inline std::string damage(std::string bytes, Random &random)
+{
+    const std::string special("\0\x04\n\t \"'{}[]:,-&*!|>#%@`?~\xff\xc3\x80", 30);
+    for (std::uint64_t i = 0; i <= random.below(4) && !bytes.empty(); ++i) {
+        const std::size_t at = random.below(bytes.size());
+        const std::size_t length = 1 + random.below(std::min<std::size_t>(40, bytes.size() - at));
+        switch (random.below(5)) {
+        case 0:
+            bytes[at] = static_cast<char>(random.below(256));
+            break;
+        case 1:
+            bytes.insert(at, 1 + random.below(3), special[random.below(special.size())]);
+            break;
+        case 2:
+            bytes.erase(at, length);
+            break;
+        case 3:
+            bytes.insert(random.below(bytes.size()), bytes.substr(at, length));
+            break;
+        default:
+            bytes.resize(at);
+        }
+    }
+    return bytes;
+}
+
+} // namespace cornelhead
--- a/test/config/manifest-test.cc
+++ b/test/config/manifest-test.cc
@@ -43,9 +43,12 @@
     const std::string blank = good.substr(0, good.size() - 2) + " }\n";
     const std::size_t lastLine = good.rfind('\n', good.size() - 2) + 1;
     const std::string twice = good + good.substr(lastLine);
+    std::string unordered = good;
+    const std::string names = R"("bookings","doorlist")";
+    unordered.replace(unordered.find(names), names.size(), R"("doorlist","bookings")");
     for (const std::string &bad :
          {std::string(), std::string("{}"), good.substr(0, good.size() - 1), blank, twice,
-          good + "{}\n", good + "\xff\n", good + "[[[[\n"}) {
+          unordered, good + "{}\n", good + "\xff\n", good + "[[[[\n"}) {
         const auto read = decodeDeclarations(bad);
         BOOST_REQUIRE(!read.has_value());
         BOOST_TEST((read.error().kind == ErrorKind::InvalidMessage));
