--- a/include/cornelhead/config/manifest.h
+++ b/include/cornelhead/config/manifest.h
@@ -52,9 +52,18 @@
 /// Reads canonical declarations.  Fails with `InvalidMessage`.
 Result<Declarations> decodeDeclarations(std::string_view bytes);
 
+/// How large chunks become: the mean is about the sum of both.
+struct ChunkSizes
+{
+    /// Keeps tiny chunks, and so long manifests, from arising by chance.
+    std::size_t leastBytes = 4 * 1024;
+    /// A boundary is expected this many bytes after the least size.
+    std::size_t meanBoundaryBytes = 12 * 1024;
+};
+
 /// Cuts canonical declarations at record boundaries chosen by content, so that a small edit changes
-/// few chunks.
-std::vector<Chunk> splitChunks(std::string_view encoded);
+/// few chunks.  Every writer has to use the same sizes, or no chunk is found again.
+std::vector<Chunk> splitChunks(std::string_view encoded, ChunkSizes sizes = {});
 /// Joins chunks and checks the digests of the manifest.  Fails with `InvalidMessage`.
 Result<std::string> joinChunks(const Manifest &manifest, const std::vector<Chunk> &chunks);
 
--- a/src/config/chunks.cc
+++ b/src/config/chunks.cc
@@ -9,15 +9,10 @@
 namespace cornelhead {
 namespace detail {
 
-// Keeps tiny chunks, and so long manifests, from arising by chance.
-constexpr std::size_t leastChunkBytes = 4 * 1024;
-// A boundary is expected this many bytes after the least size.
-constexpr std::uint64_t meanBoundaryBytes = 12 * 1024;
-
 // Depends on the record alone, so that boundaries stay where they are when others change.
-bool endsChunk(std::string_view line)
+bool endsChunk(std::string_view line, const ChunkSizes &sizes)
 {
-    return XXH3_64bits(line.data(), line.size()) % meanBoundaryBytes < line.size();
+    return XXH3_64bits(line.data(), line.size()) % sizes.meanBoundaryBytes < line.size();
 }
 
 Chunk makeChunk(std::string_view bytes)
@@ -32,7 +27,7 @@
 }
 
 // Returns how many bytes of `text` make up the next chunk.
-std::size_t chunkLength(std::string_view text)
+std::size_t chunkLength(std::string_view text, const ChunkSizes &sizes)
 {
     std::size_t length = 0;
     while (length < text.size()) {
@@ -41,7 +36,7 @@
         if (length > 0 && length + line.size() > maxChunkBytes)
             return length;
         length += line.size();
-        if (length >= leastChunkBytes && endsChunk(line))
+        if (length >= sizes.leastBytes && endsChunk(line, sizes))
             return length;
     }
     return length;
@@ -49,11 +44,11 @@
 
 } // namespace detail
 
-std::vector<Chunk> splitChunks(std::string_view encoded)
+std::vector<Chunk> splitChunks(std::string_view encoded, ChunkSizes sizes)
 {
     std::vector<Chunk> chunks;
     while (!encoded.empty()) {
-        const std::size_t length = detail::chunkLength(encoded);
+        const std::size_t length = detail::chunkLength(encoded, sizes);
         chunks.push_back(detail::makeChunk(encoded.substr(0, length)));
         encoded.remove_prefix(length);
     }
