--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cornelhead/rollout/move.h"
 #include "cornelhead/rollout/outcome-events.h"
 #include "cornelhead/rollout/outcome.h"
 #include "cornelhead/rollout/sequential-test.h"
@@ -61,6 +62,9 @@
     int pendingBlocks = 0;
     /// The old version so far.
     OutcomeSums past;
+    /// The old version before the stage, and both versions since.
+    OutcomeSums pastAtStage;
+    VersionSums stage;
 };
 
 /// The tests of one scope.
@@ -70,8 +74,6 @@
     KindTests concurrent;
     /// Against the old version's past.
     KindTests againstPast;
-    /// The sums of concurrent ratios since the stage began.
-    KindRatios stage{};
     /// The latest calls, for the text of a finding.
     std::vector<VersionSums> recent;
 };
@@ -94,8 +96,9 @@
     void recallPast(const OutcomeBatch &past);
     /// Ends the block.  At full share, the new version is also compared with the past.
     void closeBlock(bool isFullShare);
-    /// Expects badness from now on with more weight, after a suspicion; a few times at most.
-    void expectOnset();
+    /// Starts the comparison after a suspicion: expects badness with more weight, a few times at
+    /// most, and skips blocks in which quick answers come in before slow ones of the same time.
+    void startRecheck();
 
     /// Returns the strongest evidence once it is enough to take the version back.
     std::optional<Finding> finding() const;
@@ -107,6 +110,12 @@
     std::optional<Finding> suspicion(double leastOdds) const;
     /// Tells whether badness would have shown since the last `startStage`.
     bool isCleared() const;
+    /// Tells whether the new version gets far fewer calls than `share` promises, in all or in one
+    /// data centre, over the last blocks.
+    bool isShunned(PerMille share) const;
+    JudgementRules rules() const { return settings_.rules; }
+    /// Tells whether the new version ever answered.
+    bool hasSeenNew() const { return newCalls_ > 0; }
     /// Tells whether the old version has been as in its past since the last `startStage`.
     bool isOldAsBefore() const;
     /// Starts to gather anew for `isCleared`, `isOldAsBefore` and `suspicion`.
@@ -123,11 +132,13 @@
     void noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums);
     void closeRest(detail::ScopeRatios &concurrent);
     detail::KindRatios compare(const detail::JudgementCell &cell) const;
-    detail::KindRatios compareWithPast(const detail::JudgementCell &cell) const;
+    detail::KindRatios compareWithPast(const detail::JudgementCell &cell,
+                                       const OutcomeSums &routePast) const;
+    void skipKinds(detail::KindRatios &ratios) const;
     double drawOnsetWeight();
     void addToTests(const detail::ScopeRatios &concurrent, const detail::ScopeRatios &past);
-    bool isScopeCleared(const detail::JudgementScope &scope,
-                        const detail::JudgementTests &tests) const;
+    bool isCleared(const detail::JudgementScope &scope, const OutcomeSums &past,
+                   const OutcomeSums &stage) const;
     double sumValues(detail::KindTests detail::JudgementTests::*tests) const;
     Finding strongest(detail::KindTests detail::JudgementTests::*tests) const;
 
@@ -137,11 +148,13 @@
     /// Calls of any route and data centre that waited too long in their cells.
     detail::JudgementCell rest_;
     OutcomeSums wholePast_;
-    /// The old version before the stage.
-    OutcomeSums pastAtStage_;
     detail::VersionSums stage_;
+    std::uint64_t newCalls_ = 0;
     std::size_t blocks_ = 0;
     bool expectsOnset_ = false;
+    /// Blocks in which failures, and latencies, are not compared yet.
+    std::size_t skippedFailureBlocks_ = 0;
+    std::size_t skippedSlowBlocks_ = 0;
     /// Prior weight that was given to tests so far; never above 1.
     double givenWeight_ = 0;
     std::size_t routes_ = 0;
--- a/include/cornelhead/rollout/pace.h
+++ b/include/cornelhead/rollout/pace.h
@@ -30,7 +30,7 @@
 /// Returns how long a controller gathers its own evidence before it raises a share.
 std::int64_t leastStageMs(std::int64_t moveMs);
 /// The share that a version is stepped back to when it differs from the past at full share.
-constexpr PerMille recheckShare = PerMille(700);
+constexpr PerMille recheckShare = PerMille(500);
 
 /// Returns how long both versions are compared again, the `rechecks`th time.
 std::int64_t recheckMs(std::uint32_t rechecks);
--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -189,6 +189,29 @@
     bool show = false;
 };
 
+bool isWrong(const Scenario &scenario, const RunFigures &run)
+{
+    if (!isGood(scenario.badness))
+        return run.end != MoveState::TakenBack;
+    return run.end == MoveState::TakenBack || run.fullShareAtMs == 0
+            || run.fullShareAtMs > run.deadlineMs;
+}
+
+void showRun(const Scenario &scenario, const RunFigures &run)
+{
+    std::cout << "  wrong " << badnessName(scenario.badness) << " seed " << scenario.seed << ": "
+              << moveStateName(run.end) << ", " << scenario.callRate << " calls/s, fail "
+              << scenario.failRate << ", slow " << scenario.slowFactor << ", under load "
+              << scenario.badFromLoad << ", cut " << scenario.cutDataCentre << ", controller gap "
+              << scenario.controllerGap.fromMs << " to " << scenario.controllerGap.toMs
+              << ", common " << scenario.commonFault.fromMs << " to " << scenario.commonFault.toMs
+              << ", load step " << scenario.loadStep << ", move " << scenario.moveMs << ", shown "
+              << run.shownAtMs - run.startMs << '\n';
+    for (const MoveEvent &event : run.record.events)
+        std::cout << "    " << event.atMs - run.startMs << " ms, " << event.share.value() << ": "
+                  << event.text << '\n';
+}
+
 Totals measure(const Settled &settled, Badness kind, Judge judge, bool lowTraffic)
 {
     std::vector<Scenario> scenarios(settled.runs);
@@ -210,25 +233,8 @@
     Totals totals;
     for (std::size_t i = 0; i < settled.runs; ++i) {
         totals.add(scenarios[i], figures[i]);
-        const bool isWrong = isGood(kind) == (figures[i].end == MoveState::TakenBack);
-        if (settled.show
-            && (isWrong || std::getenv("ALL")
-                || (isGood(kind)
-                    && !(figures[i].fullShareAtMs > 0
-                         && figures[i].fullShareAtMs <= figures[i].deadlineMs))))
-            std::cout << "  wrong " << badnessName(kind) << " seed " << scenarios[i].seed << " end "
-                      << moveStateName(figures[i].end) << " rate " << scenarios[i].callRate
-                      << " fail " << scenarios[i].failRate << " slow " << scenarios[i].slowFactor
-                      << " from " << scenarios[i].badFromMs << " move " << scenarios[i].moveMs
-                      << " shown " << figures[i].shownAtMs - figures[i].startMs << " back "
-                      << figures[i].takenBackAtMs - figures[i].startMs << " zero "
-                      << figures[i].zeroAtMs - figures[i].startMs << " full "
-                      << figures[i].fullShareAtMs - figures[i].startMs << " gap "
-                      << scenarios[i].controllerGap.fromMs << "-" << scenarios[i].controllerGap.toMs
-                      << " outage " << scenarios[i].platformOutage.fromMs << " cut "
-                      << scenarios[i].cutDataCentre << " load " << scenarios[i].badFromLoad
-                      << " step " << scenarios[i].loadChange.fromMs << "x" << scenarios[i].loadStep
-                      << " " << figures[i].verdict << '\n';
+        if (settled.show && isWrong(scenarios[i], figures[i]))
+            showRun(scenarios[i], figures[i]);
     }
     return totals;
 }
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -15,10 +15,14 @@
 constexpr std::int64_t blockMs = 300;
 /// After a longer silence a controller counts as new, since its evidence has a hole.
 constexpr std::int64_t longestGapMs = 3'000;
+/// The time in which every node learns of a share and its reports arrive, with room to spare.
+constexpr std::int64_t settledMs = 5'000;
 /// Odds from which a version is suspect: its share waits.
-constexpr double suspectOdds = 4.0;
+constexpr double suspectOdds = 10.0;
 /// Odds from which a version at full share is compared with the old one again.
 constexpr double recheckOdds = 10.0;
+/// Odds at which badness under full load only is certain enough to take a version back.
+constexpr double fullLoadOdds = 250.0;
 /// Rechecks that find nothing, after which the next suspicion means badness under full load only.
 constexpr std::uint32_t mostClearedRechecks = 2;
 /// The probability that a good version is ever taken back by the controller.
@@ -59,7 +63,7 @@
         if (move.share != move_.share)
             startStage(lastMs_);
         if (move.rechecks > move_.rechecks)
-            judgement_.expectOnset();
+            judgement_.startRecheck();
         judgement_.recallPast(move.past);
         move_ = move;
     }
@@ -220,22 +224,35 @@
     return next;
 }
 
-std::optional<Move> nextWhenWatching(const TrackedMove &tracked, std::int64_t nowMs)
+std::optional<Move> finishIfWatched(const TrackedMove &tracked, std::int64_t nowMs)
 {
     const Move &move = tracked.move();
-    const auto suspicion = tracked.judgement().suspicion(recheckOdds);
-    if (suspicion && move.clearedRechecks >= mostClearedRechecks)
-        return takeBack(tracked, onlyAtFullShare(*suspicion), nowMs);
-    if (suspicion)
-        return stepBack(tracked, *suspicion, nowMs);
     const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
     const std::int64_t endMs = std::max(move.fullShareAtMs, move.deadlineMs) + watch;
     const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
-    if (isSuspect || nowMs < endMs || tracked.stageMs(nowMs) < watch / 2)
+    // After each suspicion it has to do well for longer.
+    const std::int64_t leastMs
+            = move.rechecks == 0 ? watch / 2 : watch * std::min<std::int64_t>(move.rechecks + 1, 4);
+    if (isSuspect || nowMs < endMs || tracked.stageMs(nowMs) < leastMs)
         return std::nullopt;
     return finish(tracked, nowMs);
 }
 
+std::optional<Move> nextWhenWatching(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    if (tracked.judgement().rules() == JudgementRules::First)
+        return finishIfWatched(tracked, nowMs);
+    const bool isFullLoadOnly = move.clearedRechecks >= mostClearedRechecks;
+    const auto suspicion
+            = tracked.judgement().suspicion(isFullLoadOnly ? fullLoadOdds : recheckOdds);
+    if (suspicion && isFullLoadOnly)
+        return takeBack(tracked, onlyAtFullShare(*suspicion), nowMs);
+    if (suspicion)
+        return stepBack(tracked, *suspicion, nowMs);
+    return finishIfWatched(tracked, nowMs);
+}
+
 std::optional<Move> nextWhenRunning(const TrackedMove &tracked, std::int64_t nowMs)
 {
     const Move &move = tracked.move();
@@ -244,7 +261,7 @@
         const std::int64_t wait = recheckMs(move.rechecks);
         const bool isCleared = tracked.judgement().isCleared() && !isSuspect;
         const std::int64_t longest
-                = std::max(2 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 4);
+                = std::max(4 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 2);
         if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
             return std::nullopt;
         Move next = raise(tracked, fullShare, nowMs);
@@ -266,8 +283,27 @@
     return judgement.finding() || judgement.suspicion(1.0 / brakeFalseAlarms);
 }
 
+// Nodes that braked the version hide it from the controller, so that calls which the share promises
+// and that never come are evidence too.
+std::optional<Move> nextWhenShunned(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
+    const bool isLate = nowMs >= move.deadlineMs + watch;
+    if (!tracked.judgement().hasSeenNew() && !isLate)
+        return std::nullopt;
+    const Finding finding{fullLoadOdds,
+                          tracked.judgement().hasSeenNew()
+                                  ? "the nodes stopped sending it calls, on their own evidence"
+                                  : "it never got the calls of its share; no server of it answers"};
+    return takeBack(tracked, finding, nowMs);
+}
+
 std::optional<Move> nextStep(const TrackedMove &tracked, std::int64_t nowMs)
 {
+    const bool isSettled = tracked.stageMs(nowMs) >= settledMs;
+    if (isSettled && tracked.judgement().isShunned(tracked.move().share))
+        return nextWhenShunned(tracked, nowMs);
     switch (tracked.move().state) {
     case MoveState::Running:
         return nextWhenRunning(tracked, nowMs);
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -12,8 +12,8 @@
 
 /// No single block decides alone: a crashed host fails many calls at once.
 constexpr double highestBlockRatio = 4.5;
-/// A suspicion costs little, so that a block may weigh more for it.
-constexpr double highestPastRatio = 6.0;
+/// A host that stalls slows many calls at once.
+constexpr double highestPastRatio = 3.0;
 /// The prior weight of badness that is there from the first block, and from each suspicion.
 constexpr double firstOnsetWeight = 0.35;
 constexpr double suspectedOnsetWeight = 0.1;
@@ -27,12 +27,17 @@
 constexpr double dataCentresWeight = 0.2;
 constexpr double pairsWeight = 0.1;
 /// Blocks that old calls wait for new ones, and the other way round.
+/// After a step back, blocks until failures and most slow answers of both versions come in evenly.
+constexpr std::size_t recheckFailureBlocks = 2;
+constexpr std::size_t recheckSlowBlocks = 5;
 constexpr int longestPending = 15;
 constexpr std::size_t recentBlocks = 12;
-constexpr double leastPastCalls = 30;
+constexpr double leastPastCalls = 100;
 
 /// How sure the judgement is that badness would have shown.
 constexpr double clearedRatio = -2.0;
+/// How sure it is that the old version is not as before.
+constexpr double changedRatio = 3.0;
 /// Of the effects tested for, the one that must have shown at all calls, and at a part of them.
 constexpr std::size_t wholeEffect = 1;
 constexpr std::size_t partEffect = 2;
@@ -65,6 +70,24 @@
     return sums.newer.calls > 0 && sums.older.calls >= std::min<std::uint64_t>(sums.newer.calls, 2);
 }
 
+// The rate of a part, drawn towards the rate of the whole where the part has few calls.
+double pastRate(const OutcomeSums &part, const OutcomeSums &whole, std::size_t kind)
+{
+    constexpr double wholeCalls = 100;
+    const auto [events, calls] = toleratedEvents(part, kind);
+    const auto [allEvents, allCalls] = toleratedEvents(whole, kind);
+    return (events + wholeCalls * upperRate(allEvents, allCalls)) / (calls + wholeCalls);
+}
+
+LogRatios ratiosToPast(const OutcomeSums &now, const OutcomeSums &past, const OutcomeSums &whole,
+                       std::size_t kind)
+{
+    if (kind == slowEvent)
+        return compareLatenciesWithPast(now, LatencyProfile(past));
+    const ComparedCalls compared = countEvents({now, {}}, kind);
+    return compareWithRate(compared.newEvents, compared.newOthers, pastRate(past, whole, kind));
+}
+
 std::string scopeText(const JudgementScope &scope)
 {
     const std::string route
@@ -91,7 +114,9 @@
 {
     detail::JudgementCell &cell = cells_[{route, dataCentre}];
     (isNew ? cell.pending.newer : cell.pending.older).add(sums);
+    (isNew ? cell.stage.newer : cell.stage.older).add(sums);
     (isNew ? stage_.newer : stage_.older).add(sums);
+    newCalls_ += isNew ? sums.calls : 0;
 }
 
 void Judgement::recallPast(const OutcomeBatch &past)
@@ -182,23 +207,15 @@
     return ratios;
 }
 
-detail::KindRatios Judgement::compareWithPast(const detail::JudgementCell &cell) const
+detail::KindRatios Judgement::compareWithPast(const detail::JudgementCell &cell,
+                                              const OutcomeSums &routePast) const
 {
     const bool hasOwnPast = static_cast<double>(cell.past.calls) >= detail::leastPastCalls;
-    const OutcomeSums &past = hasOwnPast ? cell.past : wholePast_;
+    const OutcomeSums &past = hasOwnPast ? cell.past : routePast;
     detail::KindRatios ratios{};
-    for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-        if (kindWeight(kind) <= 0 || !detail::isWorthTesting(past, kind))
-            continue;
-        if (kind == detail::slowEvent) {
-            ratios[kind] = compareLatenciesWithPast(cell.pending.newer, LatencyProfile(past));
-            continue;
-        }
-        const auto [events, calls] = detail::toleratedEvents(past, kind);
-        const ComparedCalls compared = detail::countEvents(cell.pending, kind);
-        ratios[kind]
-                = compareWithRate(compared.newEvents, compared.newOthers, upperRate(events, calls));
-    }
+    for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
+        if (kindWeight(kind) > 0 && detail::isWorthTesting(past, kind))
+            ratios[kind] = detail::ratiosToPast(cell.pending.newer, past, wholePast_, kind);
     detail::capRatios(ratios, detail::highestPastRatio);
     return ratios;
 }
@@ -209,6 +226,9 @@
     openRecent();
     detail::ScopeRatios concurrent;
     detail::ScopeRatios past;
+    std::map<RouteId, OutcomeSums> routePasts;
+    for (const auto &[scope, cell] : cells_)
+        routePasts[scope.route].add(cell.past);
     for (auto &[scope, cell] : cells_) {
         const bool both = detail::hasBoth(cell.pending);
         cell.pendingBlocks += 1;
@@ -220,8 +240,9 @@
         }
         noteRecent(scope, cell.pending);
         const detail::KindRatios now = both ? compare(cell) : detail::KindRatios{};
-        const detail::KindRatios before
-                = isFullShare ? compareWithPast(cell) : detail::KindRatios{};
+        const detail::KindRatios before = isFullShare
+                ? compareWithPast(cell, routePasts[scope.route])
+                : detail::KindRatios{};
         for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
             detail::addRatios(concurrent[wider], now);
             detail::addRatios(past[wider], before);
@@ -233,6 +254,8 @@
     }
     closeRest(concurrent);
     addToTests(concurrent, past);
+    skippedFailureBlocks_ -= std::min<std::size_t>(1, skippedFailureBlocks_);
+    skippedSlowBlocks_ -= std::min<std::size_t>(1, skippedSlowBlocks_);
 }
 
 // With little traffic few cells see both versions in time; together they do.
@@ -245,9 +268,20 @@
     rest_.pending = {};
 }
 
-void Judgement::expectOnset()
+void Judgement::startRecheck()
 {
     expectsOnset_ = true;
+    skippedFailureBlocks_ = detail::recheckFailureBlocks;
+    skippedSlowBlocks_ = detail::recheckSlowBlocks;
+}
+
+void Judgement::skipKinds(detail::KindRatios &ratios) const
+{
+    for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
+        const bool isSlow = kind >= detail::slowEvent;
+        if ((isSlow ? skippedSlowBlocks_ : skippedFailureBlocks_) > 0)
+            ratios[kind] = {};
+    }
 }
 
 double Judgement::drawOnsetWeight()
@@ -270,10 +304,10 @@
     for (auto &[scope, scopeTests] : tests_) {
         const auto found = concurrent.find(scope);
         detail::KindRatios now = found == concurrent.end() ? detail::KindRatios{} : found->second;
-        detail::addRatios(scopeTests.stage, now);
         detail::KindRatios before = past.contains(scope) ? past.at(scope) : detail::KindRatios{};
         if (isFirst)
             detail::addRatios(now, before);
+        skipKinds(now);
         detail::capRatios(now, detail::highestBlockRatio);
         detail::capRatios(before, detail::highestPastRatio);
         for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
@@ -343,65 +377,93 @@
     return finding;
 }
 
-bool Judgement::isScopeCleared(const detail::JudgementScope &scope,
-                               const detail::JudgementTests &tests) const
+// Known-rate ratios: absence of badness tells little when the common rate is left open.
+bool Judgement::isCleared(const detail::JudgementScope &scope, const OutcomeSums &past,
+                          const OutcomeSums &stage) const
 {
     const bool isWhole = scope.route.empty() && scope.dataCentre.empty();
     const std::size_t effect = isWhole ? detail::wholeEffect : detail::partEffect;
-    const bool hasLatencies = detail::isWorthTesting(wholePast_, detail::slowEvent)
-            && kindWeight(detail::slowEvent) > 0;
-    return tests.stage[detail::failureEvent][effect] <= detail::clearedRatio
-            && (!hasLatencies || tests.stage[detail::slowEvent][effect] <= detail::clearedRatio);
+    for (const std::size_t kind : {detail::failureEvent, detail::slowEvent}) {
+        if (detail::isWorthTesting(past, kind)
+            && detail::ratiosToPast(stage, past, wholePast_, kind)[effect] > detail::clearedRatio)
+            return false;
+    }
+    return true;
 }
 
 bool Judgement::isCleared() const
 {
     if (detail::answeredCalls(stage_.newer) < detail::leastStageCalls)
         return false;
-    std::map<detail::JudgementScope, double> calls;
-    for (const auto &[scope, cell] : cells_)
-        for (const detail::JudgementScope &wider : detail::scopesOf(scope))
-            calls[wider] += static_cast<double>(cell.past.calls);
+    std::map<detail::JudgementScope, std::pair<OutcomeSums, OutcomeSums>> sums;
+    for (const auto &[scope, cell] : cells_) {
+        for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
+            sums[wider].first.add(cell.past);
+            sums[wider].second.add(cell.stage.newer);
+        }
+    }
     const double all = static_cast<double>(wholePast_.calls);
-    for (const auto &[scope, scopeTests] : tests_) {
+    return std::all_of(sums.begin(), sums.end(), [&](const auto &entry) {
+        const auto &[scope, pastAndStage] = entry;
         const bool isPair = !scope.route.empty() && !scope.dataCentre.empty();
-        if (isPair || calls[scope] < detail::smallPart * all)
-            continue;
-        if (!isScopeCleared(scope, scopeTests))
+        const bool isSmall
+                = static_cast<double>(pastAndStage.first.calls) < detail::smallPart * all;
+        return isPair || isSmall || isCleared(scope, pastAndStage.first, pastAndStage.second);
+    });
+}
+
+bool Judgement::isShunned(PerMille share) const
+{
+    constexpr double leastExpected = 30;
+    constexpr double leastPart = 1.0 / 3.0;
+    const double part = static_cast<double>(share.value()) / static_cast<double>(fullShare.value());
+    return std::any_of(tests_.begin(), tests_.end(), [&](const auto &entry) {
+        if (!entry.first.route.empty())
             return false;
-    }
-    return true;
+        detail::VersionSums sums;
+        for (const detail::VersionSums &block : entry.second.recent) {
+            sums.newer.add(block.newer);
+            sums.older.add(block.older);
+        }
+        const double expected = part * static_cast<double>(sums.newer.calls + sums.older.calls);
+        return expected >= leastExpected
+                && static_cast<double>(sums.newer.calls) < leastPart * expected;
+    });
 }
 
 bool Judgement::isOldAsBefore() const
 {
-    const detail::VersionSums stage{stage_.older, {}};
-    for (const std::size_t kind : {detail::failureEvent, detail::slowEvent}) {
-        if (!detail::isWorthTesting(pastAtStage_, kind))
-            continue;
-        LogRatios ratios{};
-        if (kind == detail::slowEvent) {
-            ratios = compareLatenciesWithPast(stage_.older, LatencyProfile(pastAtStage_));
-        } else {
-            const auto [events, calls] = detail::toleratedEvents(pastAtStage_, kind);
-            const ComparedCalls compared = detail::countEvents(stage, kind);
-            ratios = compareWithRate(compared.newEvents, compared.newOthers,
-                                     upperRate(events, calls));
-        }
-        if (ratios[detail::wholeEffect] > 0)
-            return false;
+    std::map<detail::JudgementScope, LogRatios> failures;
+    std::map<detail::JudgementScope, LogRatios> slow;
+    for (const auto &[scope, cell] : cells_) {
+        const auto add = [&](std::map<detail::JudgementScope, LogRatios> &to, std::size_t kind) {
+            if (!detail::isWorthTesting(cell.pastAtStage, kind))
+                return;
+            const LogRatios ratios
+                    = detail::ratiosToPast(cell.stage.older, cell.pastAtStage, wholePast_, kind);
+            for (const detail::JudgementScope &wider : detail::scopesOf(scope))
+                for (std::size_t i = 0; i < ratios.size(); ++i)
+                    to[wider][i] += ratios[i];
+        };
+        add(failures, detail::failureEvent);
+        add(slow, detail::slowEvent);
     }
-    return true;
+    const auto isAsBefore = [](const auto &entry) {
+        return entry.second[detail::wholeEffect] <= detail::changedRatio;
+    };
+    return std::all_of(failures.begin(), failures.end(), isAsBefore)
+            && std::all_of(slow.begin(), slow.end(), isAsBefore);
 }
 
 void Judgement::startStage()
 {
     stage_ = {};
-    pastAtStage_ = wholePast_;
-    for (auto &[scope, scopeTests] : tests_) {
-        scopeTests.stage = {};
-        scopeTests.againstPast = {};
+    for (auto &[scope, cell] : cells_) {
+        cell.stage = {};
+        cell.pastAtStage = cell.past;
     }
+    for (auto &[scope, scopeTests] : tests_)
+        scopeTests.againstPast = {};
 }
 
 OutcomeBatch Judgement::past(const ServiceId &service, const VersionId &oldVersion) const
--- a/src/rollout/pace.cc
+++ b/src/rollout/pace.cc
@@ -21,9 +21,9 @@
 };
 
 constexpr std::array paceSteps = {
-        PaceStep{PerMille(200), 0.15, 0.70, 0.80},
-        PaceStep{PerMille(500), 0.30, 0.80, 0.90},
-        PaceStep{fullShare, 0.45, 0.90, 1.0},
+        PaceStep{PerMille(200), 0.15, 0.70, 0.75},
+        PaceStep{PerMille(500), 0.30, 0.80, 0.85},
+        PaceStep{fullShare, 0.45, 0.90, 0.95},
 };
 
 /// The time before the deadline that is left for another controller to take over.
@@ -37,9 +37,10 @@
 
 bool isDue(const PaceStep &step, const PaceInput &input)
 {
-    const auto moveMs
-            = static_cast<double>(std::max<std::int64_t>(1, input.deadlineMs - input.startedAtMs));
-    const double part = static_cast<double>(input.nowMs - input.startedAtMs) / moveMs;
+    const std::int64_t moveMs = std::max<std::int64_t>(1, input.deadlineMs - input.startedAtMs);
+    const std::int64_t raisingMs = moveMs - std::min(takeOverMs, moveMs / 4);
+    const double part = static_cast<double>(input.nowMs - input.startedAtMs)
+            / static_cast<double>(std::max<std::int64_t>(1, raisingMs));
     if (part >= step.forced)
         return true;
     if (input.isSuspect)
--- a/src/rollout/simulated-move.cc
+++ b/src/rollout/simulated-move.cc
@@ -215,6 +215,7 @@
         figures_.end = record_.latest().state;
         figures_.fullShareAtMs = record_.latest().fullShareAtMs;
         figures_.verdict = record_.latest().verdict;
+        figures_.record = record_.latest();
         return figures_;
     }
 
--- a/src/rollout/simulated-move.h
+++ b/src/rollout/simulated-move.h
@@ -130,6 +130,8 @@
     /// Nodes that braked a version.
     int brakedNodes = 0;
     std::string verdict;
+    /// The last record.
+    Move record;
 };
 
 /// Runs one move to its end.  Aborts when a promise about the record is broken.
--- a/test/rollout/controller-test.cc
+++ b/test/rollout/controller-test.cc
@@ -153,6 +153,7 @@
 BOOST_AUTO_TEST_CASE(aControllerThatTookOverGathersItsOwnEvidenceFirst)
 {
     Fixture fixture(60'000);
+    fixture.callsPerTick = 1;
     fixture.run(30'000);
     const std::uint64_t share = fixture.record.share.value();
     BOOST_REQUIRE(share < 1000);
