--- a/include/cornelhead/rollout/pace.h
+++ b/include/cornelhead/rollout/pace.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string_view>
 
 #include "cornelhead/rollout/move.h"
 
@@ -25,8 +27,24 @@
     bool isSuspect = false;
 };
 
-/// Returns the share to have now; never below `input.share`.
-PerMille dueShare(const PaceInput &input);
+/// Why a share is raised.
+enum class PaceReason {
+    Start, ///< The first share needs no evidence.
+    Cleared, ///< Badness would have shown.
+    Deadline, ///< There is no more time to wait for evidence.
+};
+
+std::string_view paceReasonName(PaceReason reason);
+
+/// A share to have now.
+struct PaceDecision
+{
+    PerMille share;
+    PaceReason reason = PaceReason::Start;
+};
+
+/// Returns the share to raise to now, or nothing while the present one stays.
+std::optional<PaceDecision> dueShare(const PaceInput &input);
 /// Returns how long a controller gathers its own evidence before it raises a share.
 std::int64_t leastStageMs(std::int64_t moveMs);
 /// The share that a version is stepped back to when it differs from the past at full share.
--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cornelhead/base/settings.h"
+#include "cornelhead/rollout/pace.h"
 #include "rollout/simulated-move.h"
 
 namespace cornelhead::simulation {
@@ -118,6 +119,8 @@
     Proportion shownTakenBack;
     Proportion aboveFirstShare;
     Proportion raisedAfterShown;
+    /// The judgement raised the share of a version that was bad at once, not the deadline.
+    Proportion clearedWrongly;
     Sample badSharePct;
     Sample exposedPct;
     Sample secondsToZero;
@@ -128,6 +131,14 @@
     std::string text() const;
 };
 
+bool isClearedWrongly(const Move &move)
+{
+    const std::string reason(paceReasonName(PaceReason::Cleared));
+    return std::any_of(move.events.begin(), move.events.end(), [&](const MoveEvent &event) {
+        return event.text.find(reason) != std::string::npos;
+    });
+}
+
 void Totals::add(const Scenario &scenario, const RunFigures &run)
 {
     const bool isTakenBack = run.end == MoveState::TakenBack;
@@ -146,6 +157,7 @@
                                 / static_cast<double>(std::max<std::uint64_t>(1, run.calls)));
     if (isAtOnce(scenario.badness)) {
         aboveFirstShare.add(run.highestShare > PerMille(50));
+        clearedWrongly.add(isClearedWrongly(run.record));
         badSharePct.values.push_back(static_cast<double>(run.highestShare.value()) / 10.0);
     }
     if (isTakenBack && run.shownAtMs > 0)
@@ -162,6 +174,7 @@
     shownTakenBack.add(more.shownTakenBack);
     aboveFirstShare.add(more.aboveFirstShare);
     raisedAfterShown.add(more.raisedAfterShown);
+    clearedWrongly.add(more.clearedWrongly);
     badSharePct.add(more.badSharePct);
     exposedPct.add(more.exposedPct);
     secondsToZero.add(more.secondsToZero);
@@ -256,6 +269,7 @@
             std::cout << "taken_back=" << totals.badTakenBack.text()
                       << " when_shown=" << totals.shownTakenBack.text()
                       << " above_5pct=" << totals.aboveFirstShare.text()
+                      << " cleared_wrongly=" << totals.clearedWrongly.text()
                       << " raised_after_shown=" << totals.raisedAfterShown.text()
                       << " exposed=" << totals.exposedPct.mean()
                       << " to_zero_p50=" << totals.secondsToZero.quantile(0.5)
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -177,7 +177,8 @@
     return next;
 }
 
-Move raise(const TrackedMove &tracked, PerMille share, std::int64_t nowMs)
+Move raise(const TrackedMove &tracked, PerMille share, std::string_view reason,
+           std::int64_t nowMs)
 {
     Move next = stamp(tracked.move(), nowMs);
     next.share = share;
@@ -190,8 +191,8 @@
         if (next.past[key].calls < sums.calls)
             next.past[key] = sums;
     addMoveEvent(next, nowMs,
-                 "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + "; "
-                         + stageText(tracked.judgement().stage()));
+                 "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + ", "
+                         + std::string(reason) + "; " + stageText(tracked.judgement().stage()));
     return next;
 }
 
@@ -264,16 +265,15 @@
                 = std::max(4 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 2);
         if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
             return std::nullopt;
-        Move next = raise(tracked, fullShare, nowMs);
+        Move next = raise(tracked, fullShare, isCleared ? "nothing found" : "not enough to decide", nowMs);
         next.clearedRechecks += tracked.judgement().isOldAsBefore() ? 1 : 0;
         return next;
     }
-    const PerMille due
-            = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
-                        tracked.stageMs(nowMs), tracked.judgement().isCleared(), isSuspect});
-    if (due <= move.share)
+    const auto due = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
+                               tracked.stageMs(nowMs), tracked.judgement().isCleared(), isSuspect});
+    if (!due)
         return std::nullopt;
-    return raise(tracked, due, nowMs);
+    return raise(tracked, due->share, paceReasonName(due->reason), nowMs);
 }
 
 // A brake may rest on the past alone: calls then go to the old version, which gives the controller
--- a/src/rollout/pace.cc
+++ b/src/rollout/pace.cc
@@ -35,17 +35,17 @@
 constexpr std::int64_t shortestWatchMs = 8'000;
 constexpr std::int64_t longestWatchMs = 900'000;
 
-bool isDue(const PaceStep &step, const PaceInput &input)
+std::optional<PaceReason> reasonFor(const PaceStep &step, const PaceInput &input)
 {
     const std::int64_t moveMs = std::max<std::int64_t>(1, input.deadlineMs - input.startedAtMs);
     const std::int64_t raisingMs = moveMs - std::min(takeOverMs, moveMs / 4);
     const double part = static_cast<double>(input.nowMs - input.startedAtMs)
             / static_cast<double>(std::max<std::int64_t>(1, raisingMs));
-    if (part >= step.forced)
-        return true;
-    if (input.isSuspect)
-        return false;
-    return part >= step.latest || (part >= step.earliest && input.isCleared);
+    if (part >= step.earliest && input.isCleared && !input.isSuspect)
+        return PaceReason::Cleared;
+    if (part >= (input.isSuspect ? step.forced : step.latest))
+        return PaceReason::Deadline;
+    return std::nullopt;
 }
 
 } // namespace
@@ -69,17 +69,35 @@
     return detail::firstRecheckMs << doublings;
 }
 
-PerMille dueShare(const PaceInput &input)
+std::string_view paceReasonName(PaceReason reason)
+{
+    switch (reason) {
+    case PaceReason::Start:
+        return "to begin";
+    case PaceReason::Cleared:
+        return "badness would have shown";
+    case PaceReason::Deadline:
+        return "by the deadline";
+    }
+    return "unknown";
+}
+
+std::optional<PaceDecision> dueShare(const PaceInput &input)
 {
     // The first share is the bound for a version not judged, so it needs no evidence.
     if (input.share < firstShare)
-        return firstShare;
+        return PaceDecision{firstShare, PaceReason::Start};
     if (input.stageMs < leastStageMs(input.deadlineMs - input.startedAtMs))
-        return input.share;
-    for (const detail::PaceStep &step : detail::paceSteps)
-        if (step.share > input.share)
-            return detail::isDue(step, input) ? step.share : input.share;
-    return input.share;
+        return std::nullopt;
+    const auto step = std::find_if(
+            detail::paceSteps.begin(), detail::paceSteps.end(),
+            [&](const detail::PaceStep &candidate) { return candidate.share > input.share; });
+    if (step == detail::paceSteps.end())
+        return std::nullopt;
+    const auto reason = detail::reasonFor(*step, input);
+    if (!reason)
+        return std::nullopt;
+    return PaceDecision{step->share, *reason};
 }
 
 } // namespace cornelhead
--- a/src/rollout/simulated-calls.cc
+++ b/src/rollout/simulated-calls.cc
@@ -18,6 +18,8 @@
 /// The chance of a stall in one call, and its length.
 constexpr double stallChance = 0.0002;
 constexpr std::int64_t longestStallMs = 400;
+/// Until a crashed server is no longer picked.
+constexpr std::int64_t crashMs = 300;
 constexpr double rateSmoothing = 0.1;
 constexpr double longestLatencyMs = 3'000;
 
@@ -118,7 +120,8 @@
 void CallSource::addCommonFault(CallOutcome &outcome, double &slow, int dataCentre,
                                 std::int64_t sinceStartMs)
 {
-    if (!scenario_->commonFault.holds(sinceStartMs))
+    if (!scenario_->commonFault.holds(sinceStartMs)
+        && !scenario_->secondCommonFault.holds(sinceStartMs))
         return;
     if (scenario_->commonDataCentre >= 0 && scenario_->commonDataCentre != dataCentre)
         return;
@@ -152,6 +155,11 @@
         const double seen = noise / detail::latencySpread + shift;
         outcome.trueLogOdds = seen * shift - shift * shift / 2.0;
     }
+    if (scenario_->crashAtMs > 0 && (side == Side::New) == scenario_->isNewCrash
+        && &server == version.servers.data())
+        outcome.isFailure = outcome.isFailure
+                || (scenario_->crashAtMs <= sinceStartMs
+                    && sinceStartMs < scenario_->crashAtMs + detail::crashMs);
     addCommonFault(outcome, slow, dataCentre, sinceStartMs);
     if (random_->chance(detail::stallChance))
         server.stalledUntilMs
--- a/src/rollout/simulated-move.cc
+++ b/src/rollout/simulated-move.cc
@@ -114,11 +114,18 @@
         scenario.loadStep = between(random, 0.5, 1.6);
     }
     scenario.hasOtherHosts = random.chance(0.5);
+    if (random.chance(0.2)) {
+        scenario.crashAtMs = drawSpan(random, wholeMs, 1, 2).fromMs + 1;
+        scenario.isNewCrash = random.chance(0.5);
+    }
 }
 
 void drawCommonFault(Scenario &scenario, Random &random)
 {
     scenario.commonFault = drawSpan(random, scenario.moveMs + watchMs(scenario.moveMs), 500, 8'000);
+    if (random.chance(0.3))
+        scenario.secondCommonFault
+                = drawSpan(random, scenario.moveMs + watchMs(scenario.moveMs), 500, 8'000);
     if (random.chance(0.5))
         scenario.commonDataCentre
                 = static_cast<int>(random.below(scenario.deployment.dataCentres.size()));
--- a/src/rollout/simulated-move.h
+++ b/src/rollout/simulated-move.h
@@ -84,6 +84,7 @@
     double badFromLoad = 0;
     /// A fault of both versions: in one data centre, or in all when it is negative.
     Span commonFault;
+    Span secondCommonFault;
     int commonDataCentre = -1;
     double commonFailRate = 0;
     double commonSlowFactor = 1;
@@ -101,6 +102,9 @@
     int cutDataCentre = -1;
     /// Hosts of the new version differ from those of the old one.
     bool hasOtherHosts = false;
+    /// One server of one version crashes and takes the calls that it holds with it.
+    std::int64_t crashAtMs = 0;
+    bool isNewCrash = false;
 };
 
 /// Draws a scenario.  `lowTraffic` gives a service with a few calls a second.
