--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cornelhead/base/settings.h"
+#include "cornelhead/rollout/pace.h"
 #include "rollout/simulated-move.h"
 
 namespace cornelhead::simulation {
@@ -118,6 +119,8 @@
     Proportion shownTakenBack;
     Proportion aboveFirstShare;
     Proportion raisedAfterShown;
+    /// The judgement raised the share of a version that was bad at once, not the deadline.
+    Proportion clearedWrongly;
     Sample badSharePct;
     Sample exposedPct;
     Sample secondsToZero;
@@ -128,6 +131,14 @@
     std::string text() const;
 };
 
+bool isClearedWrongly(const Move &move)
+{
+    const std::string reason(paceReasonName(PaceReason::Cleared));
+    return std::any_of(move.events.begin(), move.events.end(), [&](const MoveEvent &event) {
+        return event.text.find(reason) != std::string::npos;
+    });
+}
+
 void Totals::add(const Scenario &scenario, const RunFigures &run)
 {
     const bool isTakenBack = run.end == MoveState::TakenBack;
@@ -146,6 +157,7 @@
                                 / static_cast<double>(std::max<std::uint64_t>(1, run.calls)));
     if (isAtOnce(scenario.badness)) {
         aboveFirstShare.add(run.highestShare > PerMille(50));
+        clearedWrongly.add(isClearedWrongly(run.record));
         badSharePct.values.push_back(static_cast<double>(run.highestShare.value()) / 10.0);
     }
     if (isTakenBack && run.shownAtMs > 0)
@@ -162,6 +174,7 @@
     shownTakenBack.add(more.shownTakenBack);
     aboveFirstShare.add(more.aboveFirstShare);
     raisedAfterShown.add(more.raisedAfterShown);
+    clearedWrongly.add(more.clearedWrongly);
     badSharePct.add(more.badSharePct);
     exposedPct.add(more.exposedPct);
     secondsToZero.add(more.secondsToZero);
@@ -189,6 +202,29 @@
     bool show = false;
 };
 
+bool isWrong(const Scenario &scenario, const RunFigures &run)
+{
+    if (!isGood(scenario.badness))
+        return run.end != MoveState::TakenBack;
+    return run.end == MoveState::TakenBack || run.fullShareAtMs == 0
+            || run.fullShareAtMs > run.deadlineMs;
+}
+
+void showRun(const Scenario &scenario, const RunFigures &run)
+{
+    std::cout << "  wrong " << badnessName(scenario.badness) << " seed " << scenario.seed << ": "
+              << moveStateName(run.end) << ", " << scenario.callRate << " calls/s, fail "
+              << scenario.failRate << ", slow " << scenario.slowFactor << ", under load "
+              << scenario.badFromLoad << ", cut " << scenario.cutDataCentre << ", controller gap "
+              << scenario.controllerGap.fromMs << " to " << scenario.controllerGap.toMs
+              << ", common " << scenario.commonFault.fromMs << " to " << scenario.commonFault.toMs
+              << ", load step " << scenario.loadStep << ", move " << scenario.moveMs << ", shown "
+              << run.shownAtMs - run.startMs << '\n';
+    for (const MoveEvent &event : run.record.events)
+        std::cout << "    " << event.atMs - run.startMs << " ms, " << event.share.value() << ": "
+                  << event.text << '\n';
+}
+
 Totals measure(const Settled &settled, Badness kind, Judge judge, bool lowTraffic)
 {
     std::vector<Scenario> scenarios(settled.runs);
@@ -210,25 +246,8 @@
     Totals totals;
     for (std::size_t i = 0; i < settled.runs; ++i) {
         totals.add(scenarios[i], figures[i]);
-        const bool isWrong = isGood(kind) == (figures[i].end == MoveState::TakenBack);
-        if (settled.show
-            && (isWrong || std::getenv("ALL")
-                || (isGood(kind)
-                    && !(figures[i].fullShareAtMs > 0
-                         && figures[i].fullShareAtMs <= figures[i].deadlineMs))))
-            std::cout << "  wrong " << badnessName(kind) << " seed " << scenarios[i].seed << " end "
-                      << moveStateName(figures[i].end) << " rate " << scenarios[i].callRate
-                      << " fail " << scenarios[i].failRate << " slow " << scenarios[i].slowFactor
-                      << " from " << scenarios[i].badFromMs << " move " << scenarios[i].moveMs
-                      << " shown " << figures[i].shownAtMs - figures[i].startMs << " back "
-                      << figures[i].takenBackAtMs - figures[i].startMs << " zero "
-                      << figures[i].zeroAtMs - figures[i].startMs << " full "
-                      << figures[i].fullShareAtMs - figures[i].startMs << " gap "
-                      << scenarios[i].controllerGap.fromMs << "-" << scenarios[i].controllerGap.toMs
-                      << " outage " << scenarios[i].platformOutage.fromMs << " cut "
-                      << scenarios[i].cutDataCentre << " load " << scenarios[i].badFromLoad
-                      << " step " << scenarios[i].loadChange.fromMs << "x" << scenarios[i].loadStep
-                      << " " << figures[i].verdict << '\n';
+        if (settled.show && isWrong(scenarios[i], figures[i]))
+            showRun(scenarios[i], figures[i]);
     }
     return totals;
 }
@@ -250,6 +269,7 @@
             std::cout << "taken_back=" << totals.badTakenBack.text()
                       << " when_shown=" << totals.shownTakenBack.text()
                       << " above_5pct=" << totals.aboveFirstShare.text()
+                      << " cleared_wrongly=" << totals.clearedWrongly.text()
                       << " raised_after_shown=" << totals.raisedAfterShown.text()
                       << " exposed=" << totals.exposedPct.mean()
                       << " to_zero_p50=" << totals.secondsToZero.quantile(0.5)
