Run calls with an idempotency key at one home

The node where a keyed call arrives sends it on to the key's home, which runs it, remembers its answer, and keeps waiting for a late one. Refusals of keyed calls say not-run only where the home knows that no call with the key was run; entry nodes therefore ask the home to refuse. ProxySettings takes the fleet's data centres and the keys' retention.

--- a/include/cornelhead/proxy/answer.h
+++ b/include/cornelhead/proxy/answer.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <string>
 
+#include "cornelhead/routing/key-memory.h"
 #include "cornelhead/routing/refusal.h"
 
 struct evhttp_request;
@@ -31,6 +32,12 @@
 /// Passes a whole answer on; moves its body.  `caller` is invalid afterwards.
 void sendAnswer(evhttp_request *caller, evhttp_request *answer, AfterAnswer after);
 
+/// Sends an answer that was kept.  `caller` is invalid afterwards.
+void sendRemembered(evhttp_request *caller, const RememberedAnswer &answer, AfterAnswer after);
+
+/// Copies an answer for keeping, its body included.
+RememberedAnswer copyAnswer(evhttp_request *answer);
+
 /// Starts passing on an answer whose body follows in chunks.
 void startAnswer(evhttp_request *caller, evhttp_request *answer, AfterAnswer after);
 
--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <variant>
 
 #include <event2/http.h>
@@ -56,8 +57,8 @@
     /// To be filled before `send`.
     evkeyvalq *headers();
     evbuffer *body();
-    /// A buffered answer with a body beyond `bytes` counts as broken.
-    void limitBody(std::size_t bytes);
+    /// An answer with a longer body counts as broken; nothing sets no limit.
+    void limitBody(std::optional<std::size_t> bytes);
     void send(evhttp_cmd_type method, const char *uri);
 
     /// Closes the connection and calls no handler any more.
@@ -95,4 +96,10 @@
     bool wasSent_ = false;
 };
 
+/// Tells whether an answer's body is in chunks or longer than `bytes`.
+bool isLongAnswer(evhttp_request *answer, std::size_t bytes);
+
+/// Copies the end-to-end headers and the body of a caller's request, which keeps its own.
+void copyRequest(evhttp_request *from, Attempt &to);
+
 } // namespace cornelhead::detail
--- a/include/cornelhead/proxy/call.h
+++ b/include/cornelhead/proxy/call.h
@@ -1,38 +1,44 @@
-// One caller's call from admission to its answer: choice, attempts, retries and the answer.
+// One call at the node that runs it: choice of server, attempts, retries and the answer.
 #pragma once
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "cornelhead/proxy/attempt.h"
+#include "cornelhead/proxy/caller.h"
+#include "cornelhead/proxy/key-ticket.h"
 #include "cornelhead/proxy/request-head.h"
-#include "cornelhead/proxy/worker-state.h"
 #include "cornelhead/routing/admission.h"
 #include "cornelhead/routing/view.h"
 
 namespace cornelhead::detail {
 
-/// An admitted call with a place in its customer's limits, which it gives back at its end.
+/// An admitted call, and what it holds until its end.
+struct CallOrigin
+{
+    RequestHead head;
+    Admission admission;
+    /// Keeps what `admission` points into.
+    std::shared_ptr<const RoutingView> view;
+    TimePoint arrived{};
+    LimitPlace limit;
+    /// Null unless the call may run at most once.
+    std::unique_ptr<KeyTicket> ticket;
+};
+
+/// Runs a call at backend servers.
 ///
-/// Invariant: the caller gets exactly one answer, and none after the attempts have ended.
-class Call
+/// A call with a ticket outlives its caller: once it may be running at a server, only the server's
+/// answer, a broken connection or `lateAnswerLimit` ends it.
+///
+/// Invariant: a server is charged with at most one attempt of the call at a time.
+class Call : public ActiveCall
 {
 public:
-    struct Origin
-    {
-        evhttp_request *caller = nullptr;
-        RequestHead head;
-        Admission admission;
-        /// Keeps what `admission` points into.
-        std::shared_ptr<const RoutingView> view;
-        TimePoint arrived{};
-    };
-
-    Call(WorkerState &worker, Origin origin);
-    ~Call();
-    Call(const Call &) = delete;
-    Call &operator=(const Call &) = delete;
+    Call(WorkerState &worker, evhttp_request *caller, CallOrigin origin);
+    ~Call() override;
 
     /// Makes the first attempt; may end the call at once.
     void start();
@@ -42,6 +48,7 @@
     ServerBook::Record chooseServer();
     void send(const ServerBook::Record &server);
     void fillRequest(Attempt &attempt) const;
+    std::string targetUri() const;
     AttemptHandlers handlers();
 
     void onEnd(const AttemptEnd &end);
@@ -52,31 +59,30 @@
     bool retryAfter(AttemptFailure failure);
     void onDeadline();
     void onCallerGone();
+    void onTooLate();
 
     bool isStreamed(evhttp_request *answer);
     void onChunk(evbuffer *chunk);
-    void cutStream();
 
+    bool maySurviveCaller() const;
+    void waitForLateAnswer();
+    void cancelAttempt(ServerResult result);
     void endAttempt(ServerResult result);
     void recordOutcome(OutcomeKind kind);
     void refuse(RefusalReason reason);
-    void refuseAfter(AttemptFailure failure);
     void finish();
-    void watchCaller();
-    void watchStreamedCaller();
-    evhttp_request *takeCaller();
     void startDeadline(Milliseconds allowed);
     Milliseconds remaining() const;
     RunProof runProof() const;
-    Attempt *current() const { return attempts_.empty() ? nullptr : attempts_.back().get(); }
+    Attempt &current() const { return *attempts_.back(); }
 
     WorkerState &worker_;
-    Origin origin_;
+    Caller caller_;
+    CallOrigin origin_;
     TimePoint deadline_{};
     TimePoint attemptStarted_{};
-    Timer deadlineTimer_;
-    std::unique_ptr<event, EventDeleter> callerGone_;
-    // All attempts so far; only the last one is running.
+    Timer timer_;
+    // All attempts so far; only the last one may be running.
     std::vector<std::unique_ptr<Attempt>> attempts_;
     std::vector<ServerBook::Record> tried_;
     // The server of the running attempt, or null.
@@ -84,8 +90,6 @@
     std::optional<AttemptFailure> lastFailure_;
     // True once an attempt ended without proof that it was not run.
     bool mayHaveRun_ = false;
-    bool isStreaming_ = false;
-    bool isOver_ = false;
 };
 
 } // namespace cornelhead::detail
--- /dev/null
+++ b/include/cornelhead/proxy/overloaded.h
@@ -0,0 +1,15 @@
+// Makes one visitor of a std::variant from several lambdas.
+#pragma once
+
+namespace cornelhead::detail {
+
+///     std::visit(Overloaded{[](int) { }, [](double) { }}, value);
+template <typename... Handlers>
+struct Overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+} // namespace cornelhead::detail
--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -3,8 +3,10 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "cornelhead/base/address.h"
+#include "cornelhead/base/clock.h"
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/membership/endpoint.h"
 #include "cornelhead/rollout/outcome.h"
@@ -18,6 +20,11 @@
     Address listen;
     std::uint32_t workers = 1;
     std::uint64_t seed = 0;
+    /// All data centres of the fleet; those seen later are added.  They fix where keys live, so
+    /// all nodes should be told the same ones.
+    std::vector<DataCentreId> dataCentres;
+    /// How long an idempotency key is remembered after its call has ended.
+    Milliseconds keyRetention = Milliseconds(300'000);
 };
 
 /// Owns the worker threads.  All functions are safe to call from any thread.
--- /dev/null
+++ b/include/cornelhead/proxy/sent-on-call.h
@@ -0,0 +1,50 @@
+// One keyed call at the node where it arrived, sent on to the home of its key.
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "cornelhead/proxy/attempt.h"
+#include "cornelhead/proxy/caller.h"
+#include "cornelhead/proxy/request-head.h"
+
+namespace cornelhead::detail {
+
+/// What a sent-on call holds until its end.
+struct SentOnOrigin
+{
+    RequestHead head;
+    NodeInfo home;
+    Milliseconds allowed{};
+    /// The refusal that the home is asked to make, unless it remembers the key.
+    std::optional<RefusalReason> refusal;
+    LimitPlace limit;
+};
+
+/// Passes a call to its home and the home's answer back.  Says `not-run` only where the home does.
+class SentOnCall : public ActiveCall
+{
+public:
+    SentOnCall(WorkerState &worker, evhttp_request *caller, SentOnOrigin origin);
+    ~SentOnCall() override;
+
+    void start();
+
+private:
+    AttemptHandlers handlers();
+    void fillRequest();
+    void onEnd(const AttemptEnd &end);
+    void onFailure(AttemptFailure failure);
+    void onDeadline();
+    void stop(RefusalReason reason);
+    void refuse(RefusalReason reason);
+    void finish();
+
+    WorkerState &worker_;
+    Caller caller_;
+    SentOnOrigin origin_;
+    Attempt attempt_;
+    Timer timer_;
+};
+
+} // namespace cornelhead::detail
--- a/include/cornelhead/proxy/worker-state.h
+++ b/include/cornelhead/proxy/worker-state.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <mutex>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cornelhead/base/random.h"
@@ -13,19 +14,27 @@
 #include "cornelhead/proxy/outcome-recorder.h"
 #include "cornelhead/proxy/proxy.h"
 #include "cornelhead/proxy/upstream-pool.h"
+#include "cornelhead/routing/home-keys.h"
 #include "cornelhead/routing/limits.h"
 #include "cornelhead/routing/retry.h"
 #include "cornelhead/routing/server-choice.h"
 
 namespace cornelhead::detail {
 
-class Call;
+/// A call that a worker is busy with.
+class ActiveCall
+{
+public:
+    ActiveCall() = default;
+    virtual ~ActiveCall() = default;
+    ActiveCall(const ActiveCall &) = delete;
+    ActiveCall &operator=(const ActiveCall &) = delete;
+};
 
 /// What all workers of a node share.
 struct NodeState
 {
-    NodeState(ProxySettings from, Metrics &metrics) : settings(std::move(from)), counters(metrics)
-    { }
+    NodeState(ProxySettings from, Metrics &metrics);
 
     const ProxySettings settings;
     ProxyCounters counters;
@@ -34,16 +43,51 @@
     std::mutex limitsMutex;
     // Guarded by limitsMutex.
     CustomerLimits limits;
+
+    std::mutex keysMutex;
+    // Guarded by keysMutex.
+    HomeKeys keys;
+};
+
+/// A place in a customer's limits, given back on destruction.
+class LimitPlace
+{
+public:
+    LimitPlace() = default;
+    LimitPlace(NodeState &node, CustomerId customer) : node_(&node), customer_(std::move(customer))
+    { }
+    ~LimitPlace() { release(); }
+    LimitPlace(LimitPlace &&other) noexcept
+        : node_(std::exchange(other.node_, nullptr)), customer_(std::move(other.customer_))
+    { }
+    LimitPlace &operator=(LimitPlace &&other) noexcept;
+
+    void release();
+
+private:
+    NodeState *node_ = nullptr;
+    CustomerId customer_;
 };
 
+/// Returns the present moment on both clocks.
+Moment presentMoment();
+
 /// What one worker owns.
 struct WorkerState
 {
     WorkerState(NodeState &shared, std::uint64_t seed);
     ~WorkerState();
 
+    /// Owns `call` from now on and returns it.
+    template <typename T>
+    T &startCall(std::unique_ptr<T> call)
+    {
+        T &started = *call;
+        calls.emplace(&started, std::move(call));
+        return started;
+    }
     /// Keeps `call` until `dropEnded`.
-    void endCall(Call *call);
+    void endCall(ActiveCall *call);
     /// Drops calls that have ended; never called from inside a call.
     void dropEnded();
     AfterAnswer afterAnswer() const
@@ -61,8 +105,8 @@
     bool isDraining = false;
     // Invariant: a call is in exactly one of the two; evhttp may still use the connections of an
     // ended one until its callback returns.
-    std::unordered_map<Call *, std::unique_ptr<Call>> calls;
-    std::vector<std::unique_ptr<Call>> ended;
+    std::unordered_map<ActiveCall *, std::unique_ptr<ActiveCall>> calls;
+    std::vector<std::unique_ptr<ActiveCall>> ended;
 };
 
 } // namespace cornelhead::detail
--- a/include/cornelhead/proxy/worker.h
+++ b/include/cornelhead/proxy/worker.h
@@ -5,9 +5,8 @@
 #include <memory>
 #include <thread>
 
+#include "cornelhead/proxy/dispatcher.h"
 #include "cornelhead/proxy/worker-state.h"
-#include "cornelhead/routing/admission.h"
-#include "cornelhead/routing/view.h"
 
 struct evhttp_bound_socket;
 
@@ -34,9 +33,6 @@
 
 private:
     void applyView(std::shared_ptr<const RoutingView> view);
-    void onRequest(evhttp_request *caller);
-    LimitResult takeLimits(const Admission &admission, TimePoint time);
-    void refuse(evhttp_request *caller, RefusalReason reason);
     void onTick();
     void startDrain(std::function<void()> done);
     void stopAccepting();
@@ -46,11 +42,11 @@
     WorkerState state_;
     ListenerHandle listener_;
     evhttp_bound_socket *socket_ = nullptr;
-    std::shared_ptr<const RoutingView> view_;
+    Dispatcher dispatcher_;
     Timer tick_;
     Timer drainTimer_;
     std::function<void()> drained_;
-    TimePoint lastRequest_{};
+    TimePoint drainStarted_{};
     std::thread thread_;
 };
 
--- a/include/cornelhead/routing/refusal.h
+++ b/include/cornelhead/routing/refusal.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string_view>
 
 namespace cornelhead {
@@ -61,6 +62,9 @@
 
 const RefusalFacts &refusalFacts(RefusalReason reason);
 
+/// Finds a reason by its name; nothing for another name.
+std::optional<RefusalReason> refusalReasonOf(std::string_view name);
+
 /// Returns "not-run" or "unknown".
 std::string_view runProofName(RunProof proof);
 
--- a/src/proxy/answer.cc
+++ b/src/proxy/answer.cc
@@ -1,6 +1,7 @@
 // Implements the writing of answers.
 #include "cornelhead/proxy/answer.h"
 
+#include <sys/queue.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -94,6 +95,35 @@
                       evhttp_request_get_input_buffer(answer));
 }
 
+void sendRemembered(evhttp_request *caller, const RememberedAnswer &answer, AfterAnswer after)
+{
+    evkeyvalq *headers = evhttp_request_get_output_headers(caller);
+    for (const HeaderField &field : answer.headers)
+        evhttp_add_header(headers, field.name.c_str(), field.value.c_str());
+    addClose(headers, after);
+    const BufferHandle body(evbuffer_new());
+    evbuffer_add(body.get(), answer.body.data(), answer.body.size());
+    evhttp_send_reply(caller, answer.status, answer.phrase.c_str(), body.get());
+}
+
+RememberedAnswer copyAnswer(evhttp_request *answer)
+{
+    RememberedAnswer copy;
+    copy.status = evhttp_request_get_response_code(answer);
+    const char *phrase = evhttp_request_get_response_code_line(answer);
+    copy.phrase = phrase ? phrase : "";
+    evkeyvalq kept{};
+    TAILQ_INIT(&kept);
+    copyEndToEndHeaders(evhttp_request_get_input_headers(answer), &kept);
+    for (const evkeyval *entry = kept.tqh_first; entry; entry = entry->next.tqe_next)
+        copy.headers.push_back(HeaderField{entry->key, entry->value});
+    evhttp_clear_headers(&kept);
+    evbuffer *body = evhttp_request_get_input_buffer(answer);
+    copy.body.resize(evbuffer_get_length(body));
+    evbuffer_copyout(body, copy.body.data(), copy.body.size());
+    return copy;
+}
+
 void startAnswer(evhttp_request *caller, evhttp_request *answer, AfterAnswer after)
 {
     copyAnswerHead(caller, answer, after);
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -5,7 +5,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <string_view>
+#include <cstdlib>
+#include <string>
+#include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -20,6 +22,7 @@
 
 constexpr int noContent = 204;
 constexpr int notModified = 304;
+constexpr int decimal = 10;
 
 // Says whether the end of the answer is marked, so that a cut one is noticed.
 bool statesItsEnd(evhttp_request *raw)
@@ -67,9 +70,11 @@
     return evhttp_request_get_output_buffer(raw_);
 }
 
-void Attempt::limitBody(std::size_t bytes)
+void Attempt::limitBody(std::optional<std::size_t> bytes)
 {
-    evhttp_connection_set_max_body_size(connection_.get(), static_cast<ev_ssize_t>(bytes));
+    // A negative size lifts the limit that an earlier call on the connection has set.
+    evhttp_connection_set_max_body_size(connection_.get(),
+                                        bytes ? static_cast<ev_ssize_t>(*bytes) : -1);
 }
 
 void Attempt::send(evhttp_cmd_type method, const char *uri)
@@ -186,4 +191,25 @@
     handlers_.onEnd(end);
 }
 
+bool isLongAnswer(evhttp_request *answer, std::size_t bytes)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(answer);
+    if (evhttp_find_header(headers, "Transfer-Encoding"))
+        return true;
+    const char *length = evhttp_find_header(headers, "Content-Length");
+    return length && std::strtoull(length, nullptr, decimal) > bytes;
+}
+
+void copyRequest(evhttp_request *from, Attempt &to)
+{
+    copyEndToEndHeaders(evhttp_request_get_input_headers(from), to.headers());
+    evbuffer *body = evhttp_request_get_input_buffer(from);
+    const std::size_t size = evbuffer_get_length(body);
+    if (size == 0)
+        return;
+    // evhttp states no length for a body of GET or DELETE.
+    evhttp_add_header(to.headers(), "Content-Length", std::to_string(size).c_str());
+    evbuffer_add_buffer_reference(to.body(), body);
+}
+
 } // namespace cornelhead::detail
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -1,16 +1,13 @@
-// Implements the life of a call.
+// Implements the life of a call at the node that runs it.
 #include "cornelhead/proxy/call.h"
 
 #include <algorithm>
-#include <string>
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
 #include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 
 #include "cornelhead/base/check.h"
+#include "cornelhead/proxy/overloaded.h"
 #include "cornelhead/routing/version-choice.h"
 
 namespace cornelhead::detail {
@@ -19,9 +16,10 @@
 
 // A longer answer is passed on while it is read.
 constexpr std::size_t maxBufferedAnswer = 64 * 1024;
-// A caller that reads slower than the server answers makes the proxy hold at most this, plus one
-// chunk.
-constexpr std::size_t maxUnsentAnswer = 256 * 1024;
+// An answer that is kept whole for its key may be this long.
+constexpr std::size_t maxKeyedAnswer = 4 * 1024 * 1024;
+// How long a keyed call waits for its answer after its caller was told that it is unknown.
+constexpr Milliseconds lateAnswerLimit = Milliseconds(10'000);
 constexpr int firstServerError = 500;
 constexpr int shedStatus = 503;
 
@@ -39,31 +37,38 @@
     return findHeader(headers, runHeader) == runProofName(RunProof::NotRun);
 }
 
-std::size_t statedLength(evhttp_request *answer)
-{
-    const evkeyvalq *headers = evhttp_request_get_input_headers(answer);
-    const std::string length(findHeader(headers, "Content-Length"));
-    return length.empty() ? 0 : std::strtoull(length.c_str(), nullptr, 10);
-}
-
 bool isError(evhttp_request *answer)
 {
     return evhttp_request_get_response_code(answer) >= firstServerError;
 }
 
-template <typename... Handlers>
-struct Overloaded : Handlers...
+RefusalReason reasonAfter(AttemptFailure failure)
 {
-    using Handlers::operator()...;
-};
-template <typename... Handlers>
-Overloaded(Handlers...) -> Overloaded<Handlers...>;
+    switch (failure) {
+    case AttemptFailure::NotSent:
+        return RefusalReason::ConnectFailed;
+    case AttemptFailure::RefusedNotRun:
+        return RefusalReason::Shed;
+    case AttemptFailure::Broken:
+        return RefusalReason::BrokenConnection;
+    case AttemptFailure::Silent:
+        break;
+    }
+    return RefusalReason::Timeout;
+}
 
 } // namespace
 
-Call::Call(WorkerState &worker, Origin origin) : worker_(worker), origin_(std::move(origin)) { }
+Call::Call(WorkerState &worker, evhttp_request *caller, CallOrigin origin)
+    : worker_(worker), caller_(worker, caller), origin_(std::move(origin))
+{
+    worker_.node.counters.inFlight.add(1);
+}
 
-Call::~Call() = default;
+Call::~Call()
+{
+    worker_.node.counters.inFlight.add(-1);
+}
 
 Milliseconds Call::remaining() const
 {
@@ -77,7 +82,6 @@
 
 void Call::start()
 {
-    worker_.node.counters.inFlight.add(1);
     const Milliseconds timeout = origin_.admission.route->timeout;
     const Milliseconds allowed = std::min(timeout, origin_.head.deadline.value_or(timeout));
     deadline_ = origin_.arrived + allowed;
@@ -87,45 +91,13 @@
         return;
     }
     startDeadline(allowed);
-    watchCaller();
+    caller_.watch([this] { onCallerGone(); });
     attempt();
 }
 
 void Call::startDeadline(Milliseconds allowed)
 {
-    deadlineTimer_ = worker_.loop.after(allowed, [this] { onDeadline(); });
-}
-
-void Call::watchCaller()
-{
-    evhttp_connection *connection = evhttp_request_get_connection(origin_.caller);
-    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-    const auto gone
-            = [](evutil_socket_t, short, void *arg) { static_cast<Call *>(arg)->onCallerGone(); };
-    callerGone_.reset(event_new(worker_.loop.base(), fd, EV_CLOSED, gone, this));
-    event_add(callerGone_.get(), nullptr);
-}
-
-void Call::watchStreamedCaller()
-{
-    // While evhttp writes, it may find the connection closed and free it before our event fires.
-    const auto closed = [](evhttp_connection *, void *arg) {
-        auto *call = static_cast<Call *>(arg);
-        call->callerGone_.reset();
-        call->onCallerGone();
-    };
-    evhttp_connection *connection = evhttp_request_get_connection(origin_.caller);
-    evhttp_connection_set_closecb(connection, closed, this);
-}
-
-evhttp_request *Call::takeCaller()
-{
-    callerGone_.reset();
-    evhttp_request *caller = std::exchange(origin_.caller, nullptr);
-    evhttp_connection *connection = evhttp_request_get_connection(caller);
-    if (isStreaming_ && connection)
-        evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    return caller;
+    timer_ = worker_.loop.after(allowed, [this] { onDeadline(); });
 }
 
 ServerBook::Record Call::chooseServer()
@@ -151,10 +123,8 @@
     const ServerBook::Record server = chooseServer();
     if (server)
         send(server);
-    else if (lastFailure_)
-        refuseAfter(*lastFailure_);
     else
-        refuse(RefusalReason::NoServer);
+        refuse(lastFailure_ ? reasonAfter(*lastFailure_) : RefusalReason::NoServer);
 }
 
 void Call::send(const ServerBook::Record &server)
@@ -164,29 +134,28 @@
     ServerBook::begin(*server);
     attempts_.push_back(std::make_unique<Attempt>(worker_.loop, worker_.pool,
                                                   server->endpoint.address, handlers()));
-    Attempt &attempt = *attempts_.back();
+    Attempt &attempt = current();
     fillRequest(attempt);
+    // May end the attempt, and the call, before it returns.
+    attempt.send(evhttp_request_get_command(caller_.request()), targetUri().c_str());
+}
+
+std::string Call::targetUri() const
+{
     std::string uri(splitPath(origin_.head.path).rest);
     if (origin_.head.query)
         uri.append("?").append(origin_.head.query);
-    // May end the attempt, and the call, before it returns.
-    attempt.send(evhttp_request_get_command(origin_.caller), uri.c_str());
+    return uri;
 }
 
 void Call::fillRequest(Attempt &attempt) const
 {
+    copyRequest(caller_.request(), attempt);
     evkeyvalq *headers = attempt.headers();
-    copyEndToEndHeaders(evhttp_request_get_input_headers(origin_.caller), headers);
     const auto left = std::max(Milliseconds(1), remaining());
     evhttp_add_header(headers, deadlineHeader, std::to_string(left.count()).c_str());
     evhttp_add_header(headers, depthHeader, std::to_string(origin_.head.depth + 1).c_str());
-    evbuffer *body = evhttp_request_get_input_buffer(origin_.caller);
-    const std::size_t size = evbuffer_get_length(body);
-    if (size == 0)
-        return;
-    // evhttp states no length for a body of GET or DELETE.
-    evhttp_add_header(headers, "Content-Length", std::to_string(size).c_str());
-    evbuffer_add_buffer_reference(attempt.body(), body);
+    attempt.limitBody(origin_.ticket ? std::optional(maxKeyedAnswer) : std::nullopt);
 }
 
 AttemptHandlers Call::handlers()
@@ -200,14 +169,11 @@
 
 bool Call::isStreamed(evhttp_request *answer)
 {
-    const evkeyvalq *headers = evhttp_request_get_input_headers(answer);
-    const bool isChunked = evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
-    if (isRefusalBeforeRun(answer) || (!isChunked && statedLength(answer) <= maxBufferedAnswer))
+    // The answer to a keyed call is kept, so it is read whole.
+    if (origin_.ticket || isRefusalBeforeRun(answer) || !isLongAnswer(answer, maxBufferedAnswer))
         return false;
-    isStreaming_ = true;
-    watchStreamedCaller();
-    startAnswer(origin_.caller, answer, worker_.afterAnswer());
     recordOutcome(isError(answer) ? OutcomeKind::Failed : OutcomeKind::Answered);
+    caller_.startStream(answer, [this] { current().resume(); });
     return true;
 }
 
@@ -215,15 +181,8 @@
 {
     // Each chunk is progress, so a long answer may take longer than the call's deadline.
     startDeadline(origin_.admission.route->timeout);
-    const auto drained = [](evhttp_connection *, void *arg) {
-        if (Attempt *attempt = static_cast<Call *>(arg)->current())
-            attempt->resume();
-    };
-    evhttp_send_reply_chunk_with_cb(origin_.caller, chunk, drained, this);
-    evhttp_connection *caller = evhttp_request_get_connection(origin_.caller);
-    evbuffer *unsent = bufferevent_get_output(evhttp_connection_get_bufferevent(caller));
-    if (evbuffer_get_length(unsent) > maxUnsentAnswer)
-        current()->pause();
+    if (caller_.sendChunk(chunk))
+        current().pause();
 }
 
 void Call::onEnd(const AttemptEnd &end)
@@ -244,16 +203,19 @@
     const bool hasFailed = isError(answer);
     recordOutcome(hasFailed ? OutcomeKind::Failed : OutcomeKind::Answered);
     endAttempt(hasFailed ? ServerResult::Failed : ServerResult::Answered);
-    worker_.node.counters.answers.add();
-    sendAnswer(takeCaller(), answer, worker_.afterAnswer());
+    if (origin_.ticket)
+        origin_.ticket->settleAnswered(answer);
+    if (caller_.isAnswered())
+        worker_.node.counters.lateAnswersKept.add();
+    else
+        caller_.answer(answer);
     finish();
 }
 
 void Call::onStreamEnd()
 {
     endAttempt(ServerResult::Answered);
-    worker_.node.counters.answers.add();
-    evhttp_send_reply_end(takeCaller());
+    caller_.endStream();
     finish();
 }
 
@@ -272,20 +234,24 @@
     const bool isShed = failure == AttemptFailure::RefusedNotRun;
     if (isShed)
         recordOutcome(OutcomeKind::Shed);
-    else if (failure != AttemptFailure::NotSent && !isStreaming_)
+    else if (failure != AttemptFailure::NotSent)
         recordOutcome(OutcomeKind::Failed);
     tried_.push_back(server_);
     endAttempt(isShed ? ServerResult::Shed : ServerResult::Failed);
-    if (isStreaming_)
-        cutStream();
-    else if (retryAfter(failure))
+    if (caller_.isStreaming()) {
+        caller_.cutStream();
+        finish();
+    } else if (retryAfter(failure)) {
         attempt();
-    else
-        refuseAfter(failure);
+    } else {
+        refuse(reasonAfter(failure));
+    }
 }
 
 bool Call::retryAfter(AttemptFailure failure)
 {
+    if (caller_.isAnswered())
+        return false;
     ProxyCounters &counters = worker_.node.counters;
     const auto attempts = static_cast<std::uint32_t>(attempts_.size());
     const RetryDecision decision = decideRetry(
@@ -302,29 +268,15 @@
     return true;
 }
 
-void Call::cutStream()
+bool Call::maySurviveCaller() const
 {
-    worker_.node.counters.cutAnswers.add();
-    cutAnswer(takeCaller());
-    finish();
+    return origin_.ticket && server_ && current().wasSent();
 }
 
-void Call::refuseAfter(AttemptFailure failure)
+void Call::waitForLateAnswer()
 {
-    switch (failure) {
-    case AttemptFailure::NotSent:
-        refuse(RefusalReason::ConnectFailed);
-        return;
-    case AttemptFailure::RefusedNotRun:
-        refuse(RefusalReason::Shed);
-        return;
-    case AttemptFailure::Broken:
-        refuse(RefusalReason::BrokenConnection);
-        return;
-    case AttemptFailure::Silent:
-        refuse(RefusalReason::Timeout);
-        return;
-    }
+    mayHaveRun_ = true;
+    timer_ = worker_.loop.after(lateAnswerLimit, [this] { onTooLate(); });
 }
 
 void Call::onDeadline()
@@ -333,34 +285,57 @@
         refuse(RefusalReason::Deadline);
         return;
     }
-    const bool wasSent = current()->wasSent();
-    mayHaveRun_ = mayHaveRun_ || wasSent;
-    current()->cancel();
-    if (!isStreaming_)
-        recordOutcome(OutcomeKind::Failed);
-    endAttempt(ServerResult::Silent);
-    if (isStreaming_)
-        cutStream();
-    else
-        refuse(wasSent ? RefusalReason::Timeout : RefusalReason::ConnectFailed);
+    recordOutcome(OutcomeKind::Failed);
+    if (maySurviveCaller()) {
+        waitForLateAnswer();
+        caller_.refuse(Refusal{RefusalReason::Timeout, RunProof::Unknown});
+        return;
+    }
+    const bool wasSent = current().wasSent();
+    cancelAttempt(ServerResult::Silent);
+    if (caller_.isStreaming()) {
+        caller_.cutStream();
+        finish();
+        return;
+    }
+    refuse(wasSent ? RefusalReason::Timeout : RefusalReason::ConnectFailed);
 }
 
 void Call::onCallerGone()
 {
-    worker_.node.counters.callersGone.add();
-    if (server_) {
-        mayHaveRun_ = mayHaveRun_ || current()->wasSent();
-        current()->cancel();
-        endAttempt(ServerResult::Neutral);
+    if (maySurviveCaller()) {
+        waitForLateAnswer();
+        caller_.refuse(Refusal{RefusalReason::Cancelled, RunProof::Unknown});
+        return;
     }
-    if (isStreaming_)
-        cutStream();
-    else
-        refuse(RefusalReason::Cancelled);
+    if (server_)
+        cancelAttempt(ServerResult::Neutral);
+    if (caller_.isStreaming()) {
+        caller_.cutStream();
+        finish();
+        return;
+    }
+    refuse(RefusalReason::Cancelled);
+}
+
+void Call::onTooLate()
+{
+    cancelAttempt(ServerResult::Silent);
+    refuse(RefusalReason::Timeout);
+}
+
+void Call::cancelAttempt(ServerResult result)
+{
+    mayHaveRun_ = mayHaveRun_ || current().wasSent();
+    current().cancel();
+    endAttempt(result);
 }
 
 void Call::recordOutcome(OutcomeKind kind)
 {
+    // A late answer was counted when its deadline passed, a streamed one when it began.
+    if (caller_.isAnswered() || caller_.isStreaming())
+        return;
     const auto latency = now(SteadyClock()) - attemptStarted_;
     worker_.outcomes.add(OutcomeSample{server_->endpoint.service, server_->endpoint.version,
                                        origin_.admission.route->id, kind,
@@ -377,25 +352,19 @@
 
 void Call::refuse(RefusalReason reason)
 {
-    const Refusal refusal{reason, runProof()};
-    worker_.node.counters.refusal(refusal.reason, refusal.run).add();
-    sendRefusal(takeCaller(), refusal, worker_.node.refusalBodies, worker_.afterAnswer());
+    if (origin_.ticket)
+        origin_.ticket->settle(runProof());
+    if (!caller_.isAnswered())
+        caller_.refuse(Refusal{reason, runProof()});
     finish();
 }
 
 void Call::finish()
 {
-    CORNELHEAD_CHECK(!isOver_ && !server_ && !origin_.caller);
-    isOver_ = true;
-    deadlineTimer_ = Timer();
-    callerGone_.reset();
-    const TimePoint time = now(SteadyClock());
-    worker_.node.counters.inFlight.add(-1);
-    worker_.node.counters.duration.record(time - origin_.arrived);
-    {
-        const std::lock_guard lock(worker_.node.limitsMutex);
-        worker_.node.limits.release(origin_.admission.customer->id);
-    }
+    CORNELHEAD_CHECK(!server_ && caller_.isAnswered());
+    timer_ = Timer();
+    origin_.limit.release();
+    worker_.node.counters.duration.record(now(SteadyClock()) - origin_.arrived);
     worker_.endCall(this);
 }
 
--- /dev/null
+++ b/src/proxy/caller.cc
@@ -0,0 +1,122 @@
+// Implements the caller's side.
+#include "cornelhead/proxy/caller.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "cornelhead/base/check.h"
+
+namespace cornelhead::detail {
+
+namespace {
+
+// A caller that reads slower than the server answers makes the proxy hold at most this, plus one
+// read.
+constexpr std::size_t maxUnsentAnswer = 256 * 1024;
+
+} // namespace
+
+Caller::Caller(WorkerState &worker, evhttp_request *request)
+    : worker_(worker), request_(request) { }
+
+Caller::~Caller()
+{
+    // evhttp frees an unanswered request with its connection.
+    if (request_)
+        take();
+}
+
+bool Caller::hasHungUp() const
+{
+    evhttp_connection *connection = evhttp_request_get_connection(request_);
+    return !connection || hasPeerClosed(connection);
+}
+
+void Caller::watch(std::function<void()> onGone)
+{
+    onGone_ = std::move(onGone);
+    evhttp_connection *connection = evhttp_request_get_connection(request_);
+    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+    const auto closed
+            = [](evutil_socket_t, short, void *arg) { static_cast<Caller *>(arg)->gone(); };
+    // evhttp does not read while a request waits for its answer, so it would not notice.
+    closed_.reset(event_new(worker_.loop.base(), fd, EV_CLOSED, closed, this));
+    event_add(closed_.get(), nullptr);
+}
+
+void Caller::gone()
+{
+    closed_.reset();
+    worker_.node.counters.callersGone.add();
+    if (const auto onGone = std::exchange(onGone_, nullptr))
+        onGone();
+}
+
+evhttp_request *Caller::take()
+{
+    CORNELHEAD_CHECK(request_);
+    closed_.reset();
+    evhttp_request *request = std::exchange(request_, nullptr);
+    evhttp_connection *connection = evhttp_request_get_connection(request);
+    if (isStreaming_ && connection)
+        evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    return request;
+}
+
+void Caller::refuse(const Refusal &refusal)
+{
+    worker_.node.counters.refusal(refusal.reason, refusal.run).add();
+    // After a malformed request the beginning of the next one cannot be trusted.
+    const bool isMalformed = refusal.reason == RefusalReason::BadRequest;
+    sendRefusal(take(), refusal, worker_.node.refusalBodies,
+                isMalformed ? AfterAnswer::Close : worker_.afterAnswer());
+}
+
+void Caller::answer(evhttp_request *answer)
+{
+    worker_.node.counters.answers.add();
+    sendAnswer(take(), answer, worker_.afterAnswer());
+}
+
+void Caller::answer(const RememberedAnswer &answer)
+{
+    worker_.node.counters.answers.add();
+    worker_.node.counters.keyedRemembered.add();
+    sendRemembered(take(), answer, worker_.afterAnswer());
+}
+
+void Caller::startStream(evhttp_request *answer, std::function<void()> onDrained)
+{
+    isStreaming_ = true;
+    onDrained_ = std::move(onDrained);
+    // While evhttp writes, it may find the connection closed and free it before our event fires.
+    const auto closed = [](evhttp_connection *, void *arg) { static_cast<Caller *>(arg)->gone(); };
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request_), closed, this);
+    startAnswer(request_, answer, worker_.afterAnswer());
+}
+
+bool Caller::sendChunk(evbuffer *chunk)
+{
+    const auto drained
+            = [](evhttp_connection *, void *arg) { static_cast<Caller *>(arg)->onDrained_(); };
+    evhttp_send_reply_chunk_with_cb(request_, chunk, drained, this);
+    evhttp_connection *connection = evhttp_request_get_connection(request_);
+    evbuffer *unsent = bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    return evbuffer_get_length(unsent) > maxUnsentAnswer;
+}
+
+void Caller::endStream()
+{
+    worker_.node.counters.answers.add();
+    evhttp_send_reply_end(take());
+}
+
+void Caller::cutStream()
+{
+    worker_.node.counters.cutAnswers.add();
+    cutAnswer(take());
+}
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/src/proxy/key-ticket.cc
@@ -0,0 +1,43 @@
+// Implements the settling of keys.
+#include "cornelhead/proxy/key-ticket.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+namespace cornelhead::detail {
+
+namespace {
+
+// A longer answer is passed on but not kept.
+constexpr std::size_t maxKeptAnswer = 64 * 1024;
+
+} // namespace
+
+KeyTicket::~KeyTicket()
+{
+    settle(RunProof::Unknown);
+}
+
+void KeyTicket::settle(RunProof proof)
+{
+    if (std::exchange(isSettled_, true))
+        return;
+    const std::lock_guard lock(node_.keysMutex);
+    if (proof == RunProof::NotRun)
+        node_.keys.memory().finishNotRun(key_);
+    else
+        node_.keys.memory().finishUnknown(key_, now(SteadyClock()));
+}
+
+void KeyTicket::settleAnswered(evhttp_request *answer)
+{
+    if (std::exchange(isSettled_, true))
+        return;
+    std::shared_ptr<const RememberedAnswer> kept;
+    if (evbuffer_get_length(evhttp_request_get_input_buffer(answer)) <= maxKeptAnswer)
+        kept = std::make_shared<RememberedAnswer>(copyAnswer(answer));
+    const std::lock_guard lock(node_.keysMutex);
+    node_.keys.memory().finishAnswered(key_, std::move(kept), now(SteadyClock()));
+}
+
+} // namespace cornelhead::detail
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -41,6 +41,10 @@
 
 void Proxy::setView(const std::shared_ptr<const RoutingView> &view)
 {
+    {
+        const std::lock_guard lock(impl_->node.keysMutex);
+        impl_->node.keys.observe(view->endpoints->nodes, wallClockMs());
+    }
     for (const auto &worker : impl_->workers)
         worker->setView(view);
 }
--- /dev/null
+++ b/src/proxy/sent-on-call.cc
@@ -0,0 +1,128 @@
+// Implements the passing of keyed calls to their home.
+#include "cornelhead/proxy/sent-on-call.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include "cornelhead/proxy/overloaded.h"
+
+namespace cornelhead::detail {
+
+namespace {
+
+constexpr std::size_t maxBufferedAnswer = 64 * 1024;
+
+} // namespace
+
+SentOnCall::SentOnCall(WorkerState &worker, evhttp_request *caller, SentOnOrigin origin)
+    : worker_(worker), caller_(worker, caller), origin_(std::move(origin)),
+      attempt_(worker.loop, worker.pool, origin_.home.proxy, handlers())
+{
+    worker_.node.counters.inFlight.add(1);
+    worker_.node.counters.keyedSentOn.add();
+}
+
+SentOnCall::~SentOnCall()
+{
+    worker_.node.counters.inFlight.add(-1);
+}
+
+AttemptHandlers SentOnCall::handlers()
+{
+    AttemptHandlers handlers;
+    handlers.onHead = [this](evhttp_request *answer) {
+        if (!isLongAnswer(answer, maxBufferedAnswer))
+            return false;
+        caller_.startStream(answer, [this] { attempt_.resume(); });
+        return true;
+    };
+    handlers.onChunk = [this](evbuffer *chunk) {
+        if (caller_.sendChunk(chunk))
+            attempt_.pause();
+    };
+    handlers.onEnd = [this](const AttemptEnd &end) { onEnd(end); };
+    return handlers;
+}
+
+void SentOnCall::start()
+{
+    timer_ = worker_.loop.after(origin_.allowed, [this] { onDeadline(); });
+    caller_.watch([this] { stop(RefusalReason::Cancelled); });
+    fillRequest();
+    std::string uri(origin_.head.path);
+    if (origin_.head.query)
+        uri.append("?").append(origin_.head.query);
+    // May end the call before it returns.
+    attempt_.send(evhttp_request_get_command(caller_.request()), uri.c_str());
+}
+
+void SentOnCall::fillRequest()
+{
+    evkeyvalq *headers = attempt_.headers();
+    copyRequest(caller_.request(), attempt_);
+    evhttp_add_header(headers, homeHeader, origin_.home.id.value().c_str());
+    evhttp_add_header(headers, deadlineHeader, std::to_string(origin_.allowed.count()).c_str());
+    evhttp_add_header(headers, depthHeader, std::to_string(origin_.head.depth).c_str());
+    if (origin_.refusal)
+        evhttp_add_header(headers, refuseHeader, refusalFacts(*origin_.refusal).name.data());
+    attempt_.limitBody(std::nullopt);
+}
+
+void SentOnCall::onEnd(const AttemptEnd &end)
+{
+    const Overloaded visitor{
+            [this](const WholeAnswer &whole) {
+                caller_.answer(whole.raw);
+                finish();
+            },
+            [this](const StreamEnd &) {
+                caller_.endStream();
+                finish();
+            },
+            [this](const UnboundedAnswer &) { refuse(RefusalReason::UnboundedAnswer); },
+            [this](AttemptFailure failure) { onFailure(failure); }};
+    std::visit(visitor, end);
+}
+
+void SentOnCall::onFailure(AttemptFailure failure)
+{
+    if (caller_.isStreaming()) {
+        caller_.cutStream();
+        finish();
+        return;
+    }
+    const bool isNotSent = failure == AttemptFailure::NotSent;
+    refuse(isNotSent ? RefusalReason::HomeUnreachable : RefusalReason::BrokenConnection);
+}
+
+void SentOnCall::onDeadline()
+{
+    stop(attempt_.wasSent() ? RefusalReason::Timeout : RefusalReason::HomeUnreachable);
+}
+
+void SentOnCall::stop(RefusalReason reason)
+{
+    attempt_.cancel();
+    if (caller_.isStreaming()) {
+        caller_.cutStream();
+        finish();
+        return;
+    }
+    refuse(reason);
+}
+
+void SentOnCall::refuse(RefusalReason reason)
+{
+    // An earlier call with the key may have been run, which only its home can tell.
+    caller_.refuse(Refusal{origin_.refusal.value_or(reason), RunProof::Unknown});
+    finish();
+}
+
+void SentOnCall::finish()
+{
+    timer_ = Timer();
+    origin_.limit.release();
+    worker_.endCall(this);
+}
+
+} // namespace cornelhead::detail
--- a/src/proxy/worker.cc
+++ b/src/proxy/worker.cc
@@ -3,14 +3,12 @@
 
 #include <poll.h>
 
+#include <algorithm>
+
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/util.h>
 
-#include "cornelhead/proxy/call.h"
-#include "cornelhead/proxy/request-head.h"
-#include "cornelhead/routing/admission.h"
-
 namespace cornelhead::detail {
 
 namespace {
@@ -29,7 +27,7 @@
 
 } // namespace
 
-Worker::Worker(NodeState &node, std::uint64_t seed) : state_(node, seed)
+Worker::Worker(NodeState &node, std::uint64_t seed) : state_(node, seed), dispatcher_(state_)
 {
     listener_.reset(evhttp_new(state_.loop.base()));
     evhttp *listener = listener_.get();
@@ -39,7 +37,7 @@
     evhttp_set_allowed_methods(listener, allowedMethods);
     evhttp_set_default_content_type(listener, nullptr);
     const auto serve = [](evhttp_request *caller, void *arg) {
-        static_cast<Worker *>(arg)->onRequest(caller);
+        static_cast<Worker *>(arg)->dispatcher_.onRequest(caller);
     };
     evhttp_set_gencb(listener, serve, this);
 }
@@ -82,57 +80,7 @@
 {
     const auto nodes = static_cast<std::uint32_t>(view->endpoints->nodes.size());
     state_.servers.update(*view->endpoints, ConnectionSplit{nodes, state_.node.settings.workers});
-    view_ = std::move(view);
-}
-
-LimitResult Worker::takeLimits(const Admission &admission, TimePoint time)
-{
-    const std::lock_guard lock(state_.node.limitsMutex);
-    return state_.node.limits.take(admission.customer->id, *admission.plan, time);
-}
-
-void Worker::refuse(evhttp_request *caller, RefusalReason reason)
-{
-    const Refusal refusal{reason, RunProof::NotRun};
-    state_.node.counters.refusal(refusal.reason, refusal.run).add();
-    // After a malformed request the next one's beginning cannot be trusted.
-    const bool isMalformed = reason == RefusalReason::BadRequest;
-    sendRefusal(caller, refusal, state_.node.refusalBodies,
-                isMalformed ? AfterAnswer::Close : state_.afterAnswer());
-}
-
-void Worker::onRequest(evhttp_request *caller)
-{
-    state_.dropEnded();
-    state_.node.counters.calls.add();
-    const TimePoint time = now(SteadyClock());
-    lastRequest_ = time;
-    const auto head = readRequestHead(caller);
-    if (!head) {
-        refuse(caller, head.error());
-        return;
-    }
-    if (!view_) {
-        refuse(caller, RefusalReason::NotReady);
-        return;
-    }
-    const auto admission = admit(*view_->config, CallHead{head->customer, head->path, head->key});
-    if (!admission) {
-        refuse(caller, admission.error());
-        return;
-    }
-    const LimitResult limit = takeLimits(*admission, time);
-    if (limit != LimitResult::Admitted) {
-        refuse(caller,
-               limit == LimitResult::RateExceeded ? RefusalReason::Rate
-                                                  : RefusalReason::Concurrency);
-        return;
-    }
-    auto owned
-            = std::make_unique<Call>(state_, Call::Origin{caller, *head, *admission, view_, time});
-    Call *call = owned.get();
-    state_.calls.emplace(call, std::move(owned));
-    call->start();
+    dispatcher_.setView(std::move(view));
 }
 
 void Worker::onTick()
@@ -140,8 +88,12 @@
     state_.dropEnded();
     const TimePoint time = now(SteadyClock());
     state_.pool.closeIdle(time - upstreamIdleLimit);
-    const std::lock_guard lock(state_.node.limitsMutex);
-    state_.node.limits.forgetQuiet(time - quietCustomerLimit);
+    {
+        const std::lock_guard lock(state_.node.limitsMutex);
+        state_.node.limits.forgetQuiet(time - quietCustomerLimit);
+    }
+    const std::lock_guard lock(state_.node.keysMutex);
+    state_.node.keys.tick(presentMoment());
 }
 
 void Worker::drain(std::function<void()> done)
@@ -153,7 +105,7 @@
 {
     state_.isDraining = true;
     drained_ = std::move(done);
-    lastRequest_ = now(SteadyClock());
+    drainStarted_ = now(SteadyClock());
     drainTimer_ = state_.loop.every(drainPoll, [this] { checkDrained(); });
     stopAccepting();
 }
@@ -173,7 +125,8 @@
 
 void Worker::checkDrained()
 {
-    const bool isQuiet = now(SteadyClock()) - lastRequest_ >= drainQuiet;
+    const TimePoint quietSince = std::max(drainStarted_, dispatcher_.lastRequest());
+    const bool isQuiet = now(SteadyClock()) - quietSince >= drainQuiet;
     if (socket_ || !state_.calls.empty() || !isQuiet)
         return;
     drainTimer_ = Timer();
--- a/src/routing/refusal.cc
+++ b/src/routing/refusal.cc
@@ -68,6 +68,15 @@
     return detail::refusalTable[static_cast<std::size_t>(reason)];
 }
 
+std::optional<RefusalReason> refusalReasonOf(std::string_view name)
+{
+    for (std::size_t i = 0; i < refusalReasonCount; ++i) {
+        if (detail::refusalTable[i].name == name)
+            return static_cast<RefusalReason>(i);
+    }
+    return std::nullopt;
+}
+
 std::string_view runProofName(RunProof proof)
 {
     return proof == RunProof::NotRun ? "not-run" : "unknown";
--- a/test/proxy/proxy-fixture.h
+++ b/test/proxy/proxy-fixture.h
@@ -90,18 +90,21 @@
 class ProxyFixture
 {
 public:
-    ProxyFixture() : proxy(makeSettings(address), metrics)
+    explicit ProxyFixture(const std::string &node = "node-1", std::int64_t startedAtMs = 0)
+        : self(makeSelf(node, startedAtMs)), address(self.proxy), proxy(makeSettings(self), metrics)
     {
         BOOST_REQUIRE(proxy.start().has_value());
     }
 
-    void publish(const std::vector<Endpoint> &servers, MoveTable moves = {})
+    void publish(const std::vector<Endpoint> &servers, const std::vector<NodeInfo> &others = {},
+                 MoveTable moves = {})
     {
         auto endpoints = std::make_shared<EndpointTable>();
         for (const Endpoint &server : servers)
             endpoints->servers[server.service].push_back(server);
-        const NodeInfo self = makeSettings(address).self;
         endpoints->nodes.emplace(self.id, self);
+        for (const NodeInfo &node : others)
+            endpoints->nodes.emplace(node.id, node);
         proxy.setView(std::make_shared<RoutingView>(
                 RoutingView{Snapshot::build(Revision(1), sampleDeclarations()).value(),
                             std::make_shared<MoveTable>(std::move(moves)), std::move(endpoints)}));
@@ -116,13 +119,16 @@
     {
         return call(HttpRequest{HttpMethod::Get, path, {}, std::move(headers), ""});
     }
-    HttpResponse book(const std::string &key) const
+    HttpResponse book(const std::string &key, const std::string &seat = "seat 4",
+                      const std::string &deadlineMs = "5000") const
     {
         return call(HttpRequest{HttpMethod::Post,
                                 "/bookings/book",
                                 {},
-                                {{"Cornelhead-Customer", "wellington"}, {"Idempotency-Key", key}},
-                                "seat 4"});
+                                {{"Cornelhead-Customer", "wellington"},
+                                 {"Idempotency-Key", key},
+                                 {"Cornelhead-Deadline-Ms", deadlineMs}},
+                                seat});
     }
     std::uint64_t refusals(const std::string &reason, const std::string &run)
     {
@@ -130,18 +136,26 @@
                 .value();
     }
 
-    Address address{"127.0.0.1", freePort()};
+    const NodeInfo self;
+    const Address address;
     Metrics metrics;
     Proxy proxy;
 
 private:
-    static ProxySettings makeSettings(const Address &listen)
+    static NodeInfo makeSelf(const std::string &node, std::int64_t startedAtMs)
+    {
+        NodeInfo self;
+        self.id = NodeId(node);
+        self.dataCentre = DataCentreId("akl-a");
+        self.proxy = Address{"127.0.0.1", freePort()};
+        self.startedAtMs = startedAtMs;
+        return self;
+    }
+    static ProxySettings makeSettings(const NodeInfo &self)
     {
         ProxySettings settings;
-        settings.self.id = NodeId("node-1");
-        settings.self.dataCentre = DataCentreId("akl-a");
-        settings.self.proxy = listen;
-        settings.listen = listen;
+        settings.self = self;
+        settings.listen = self.proxy;
         return settings;
     }
 };
--- a/test/proxy/proxy-test.cc
+++ b/test/proxy/proxy-test.cc
@@ -75,13 +75,7 @@
     });
     const TestBackend other("s2", echo);
     publish({silent.endpoint()});
-    const HttpResponse response = call(HttpRequest{HttpMethod::Post,
-                                                   "/bookings/book",
-                                                   {},
-                                                   {{"Cornelhead-Customer", "wellington"},
-                                                    {"Idempotency-Key", "k"},
-                                                    {"Cornelhead-Deadline-Ms", "100"}},
-                                                   "seat 4"});
+    const HttpResponse response = book("k", "seat 4", "100");
     BOOST_TEST(response.status == 504);
     BOOST_TEST(response.headers.at("Cornelhead-Run") == "unknown");
     BOOST_TEST(silent.runs == 1);
