--- a/src/rollout/sequential-test.cc
+++ b/src/rollout/sequential-test.cc
@@ -6,6 +6,7 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 constexpr double lowestRate = 0.002;
 constexpr double highestRate = 0.97;
@@ -48,6 +49,7 @@
             * std::log(tolerance.extraRate * event + (1.0 - tolerance.extraRate) * other);
 }
 
+} // namespace
 } // namespace detail
 
 LogRatios compareCalls(const ComparedCalls &calls, const Tolerance &tolerance,
@@ -92,10 +94,8 @@
 
 void SequentialTest::add(const LogRatios &ratios, double onsetWeight)
 {
-    const double weight = std::min(onsetWeight, unusedWeight_);
-    unusedWeight_ -= weight;
     for (std::size_t i = 0; i < running_.size(); ++i) {
-        running_[i] = (running_[i] + weight) * std::exp(ratios[i]);
+        running_[i] = (running_[i] + onsetWeight) * std::exp(ratios[i]);
         running_[i] = std::min(running_[i], detail::highestEvidence);
     }
 }
@@ -105,7 +105,7 @@
     double sum = 0;
     for (const double running : running_)
         sum += running;
-    return unusedWeight_ + sum / running_.size();
+    return sum / running_.size();
 }
 
 } // namespace cornelhead
