--- a/include/cornelhead/distribution/agent.h
+++ b/include/cornelhead/distribution/agent.h
@@ -108,6 +108,8 @@
     bool draining_ = false;
     /// Records are complete once a relay sent all it knew, or this node is a relay itself.
     bool recordsComplete_ = false;
+    /// Came before the records that it may route to, and waits for them.
+    std::optional<inner::Config> early_;
     OutcomeBatch outcomes_;
     std::shared_ptr<const EndpointTable> handedOver_;
     TimePoint nextHeartbeat_;
--- a/include/cornelhead/distribution/relay.h
+++ b/include/cornelhead/distribution/relay.h
@@ -55,8 +55,8 @@
     void queueRecord(const NodeRecord &record);
     /// Sends what is queued without waiting for the batch.
     void flushRecords();
-    /// Asks one subscriber of this data centre to take a vacant slot.
-    void invite();
+    /// Asks one subscriber of each data centre that has fewer relays than `slots` to take a slot.
+    void inviteWhereVacant(std::uint32_t slots);
 
     std::size_t subscribers() const { return subscribers_.size(); }
 
@@ -90,6 +90,7 @@
     void onPull(LinkId link, Subscription &subscription, const inner::Pull &pull);
     void pullConfig(LinkId link, const Subscription &subscription);
     void dropSilent();
+    void invite(const DataCentreId &dataCentre);
     void sendToAll(const FramePtr &frame);
 
     NodeState *state_;
--- a/include/cornelhead/membership/endpoint-registry.h
+++ b/include/cornelhead/membership/endpoint-registry.h
@@ -68,7 +68,8 @@
     void heard(const NodeId &node);
     const NodeRecord *find(const NodeId &node) const;
 
-    /// Marks nodes of this data centre gone whose silence lasted; returns their records.
+    /// Marks nodes gone whose silence lasted; returns their records.  Judges nodes attached here,
+    /// and those of this data centre whose caretaker is lost.
     ///
     /// `caretakers` are the relays heard of now, this node among them.
     std::vector<NodeRecord> expire(const std::set<NodeId> &caretakers);
@@ -77,6 +78,8 @@
 
     /// Notes whether a data centre can be reached; tells whether that is news.
     bool setReachable(const DataCentreId &dataCentre, bool reachable);
+    /// Returns the data centres of which some node lives in the care of one of `caretakers`.
+    std::set<DataCentreId> caredFor(const std::set<NodeId> &caretakers) const;
     const std::set<DataCentreId> &unreachable() const { return unreachable_; }
 
     /// Returns a number that is equal for registries with equal living records of `dataCentre`.
@@ -106,6 +109,7 @@
     };
 
     void buryEarlierRuns(const NodeInfo &info);
+    bool hasLaterRun(const NodeInfo &info) const;
     // Adds a living record to the hash of its data centre, or takes it out.
     void toggleHash(const NodeRecord &record);
     void bury(Entry &entry);
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -222,9 +222,7 @@
     if (role_ != Role::Relay || !watcher_.isReachable() || now(clock_) < nextInvite_)
         return;
     nextInvite_ = now(clock_) + detail::inviteInterval + random_.jitter(detail::inviteInterval);
-    const std::size_t held = countRelays(state_.directory, settings_.self.dataCentre);
-    if (held > 0 && held < settings_.relaysPerDataCentre)
-        relay_.invite();
+    relay_.inviteWhereVacant(settings_.relaysPerDataCentre);
 }
 
 void Agent::becomeRelay(Role role)
@@ -359,6 +357,10 @@
 void Agent::onConfigFrame(std::optional<LinkId> link, const inner::Config &wire)
 {
     state_.config.raiseFloor(Revision(wire.floor()));
+    if (!recordsComplete_) {
+        early_ = wire;
+        return;
+    }
     const EncodedConfig config{Revision(wire.revision()), Digest(wire.digest()),
                                std::make_shared<const std::string>(wire.whole())};
     const Result<bool> taken = takeConfig(config);
@@ -433,9 +435,12 @@
     }
     if (records.replace())
         state_.registry.retainOnly(named);
-    recordsComplete_ |= records.complete();
-    if (records.complete())
-        flushEndpoints();
+    if (!records.complete())
+        return;
+    recordsComplete_ = true;
+    flushEndpoints();
+    if (early_)
+        onConfigFrame(subscriber_.attached(), *std::exchange(early_, std::nullopt));
 }
 
 void Agent::takeRecord(const NodeRecord &record, bool firstHand)
--- a/src/distribution/exchange.cc
+++ b/src/distribution/exchange.cc
@@ -19,6 +19,8 @@
 /// A data centre without a word for so long is taken as cut off.
 constexpr Milliseconds cutAfter = Milliseconds(3000);
 constexpr int peerMissedHeartbeats = 3;
+/// A link whose other end did not tell who it is by then is dropped.
+constexpr Milliseconds welcomeTimeout = Milliseconds(1000);
 
 } // namespace detail
 
@@ -458,7 +460,9 @@
 {
     std::vector<LinkId> silent;
     for (const auto &[link, peer] : links_) {
-        if (now(clock_) - peer.heard >= heartbeat_ * detail::peerMissedHeartbeats)
+        const bool isMute = now(clock_) - peer.heard >= heartbeat_ * detail::peerMissedHeartbeats;
+        const bool isUnknown = !peer.info && now(clock_) - peer.opened >= detail::welcomeTimeout;
+        if (isMute || isUnknown)
             silent.push_back(link);
     }
     for (const LinkId link : silent) {
@@ -470,12 +474,15 @@
 void Exchange::checkReachability()
 {
     const TimePoint time = now(clock_);
+    std::set<NodeId> caretakers = livePeers();
+    caretakers.insert(state_->self.id);
+    const std::set<DataCentreId> near = state_->registry.caredFor(caretakers);
     bool changed = false;
     for (const DataCentreId &dataCentre : state_->registry.dataCentres()) {
         const auto heard = lastHeard_.find(dataCentre);
         const TimePoint last = heard == lastHeard_.end() ? started_ : heard->second;
-        const bool reachable
-                = dataCentre == state_->self.dataCentre || time - last < detail::cutAfter;
+        const bool reachable = dataCentre == state_->self.dataCentre || near.contains(dataCentre)
+                || time - last < detail::cutAfter;
         changed |= state_->registry.setReachable(dataCentre, reachable);
     }
     if (changed)
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -182,15 +182,24 @@
         queued_[record.info.id] = record;
 }
 
-void Relay::invite()
+void Relay::inviteWhereVacant(std::uint32_t slots)
+{
+    std::set<DataCentreId> vacant;
+    for (const auto &[link, subscription] : subscribers_) {
+        if (countRelays(state_->directory, subscription.dataCentre) < slots)
+            vacant.insert(subscription.dataCentre);
+    }
+    for (const DataCentreId &dataCentre : vacant)
+        invite(dataCentre);
+}
+
+void Relay::invite(const DataCentreId &dataCentre)
 {
     std::vector<LinkId> eligible;
     for (const auto &[link, subscription] : subscribers_) {
-        if (subscription.dataCentre == state_->self.dataCentre)
+        if (subscription.dataCentre == dataCentre)
             eligible.push_back(link);
     }
-    if (eligible.empty())
-        return;
     auto frame = std::make_shared<inner::Frame>();
     frame->mutable_invite();
     network_->send(eligible[random_->below(eligible.size())], frame);
--- a/src/membership/endpoint-registry.cc
+++ b/src/membership/endpoint-registry.cc
@@ -31,14 +31,24 @@
             return false;
         toggleHash(held);
     }
-    entries_[record.info.id] = Entry{record, time, time, std::nullopt};
+    Entry &entry = entries_[record.info.id] = Entry{record, time, time, std::nullopt};
     toggleHash(record);
-    if (!record.gone)
+    if (!record.gone && hasLaterRun(record.info))
+        bury(entry);
+    else if (!record.gone)
         buryEarlierRuns(record.info);
     table_ = nullptr;
     return true;
 }
 
+bool EndpointRegistry::hasLaterRun(const NodeInfo &info) const
+{
+    return std::any_of(entries_.begin(), entries_.end(), [&](const auto &item) {
+        const NodeInfo &other = item.second.record.info;
+        return other.inner == info.inner && other.startedAtMs > info.startedAtMs;
+    });
+}
+
 void EndpointRegistry::buryEarlierRuns(const NodeInfo &info)
 {
     for (auto &[id, entry] : entries_) {
@@ -98,7 +108,8 @@
 {
     std::vector<Entry *> silent;
     for (auto &[id, entry] : entries_) {
-        if (entry.record.gone || id == self_ || entry.record.info.dataCentre != dataCentre_)
+        const bool isNear = entry.record.info.dataCentre == dataCentre_;
+        if (entry.record.gone || id == self_ || (!isNear && entry.record.caretaker != self_))
             continue;
         if (silentSince(entry, caretakers))
             silent.push_back(&entry);
@@ -170,6 +181,16 @@
     return true;
 }
 
+std::set<DataCentreId> EndpointRegistry::caredFor(const std::set<NodeId> &caretakers) const
+{
+    std::set<DataCentreId> found;
+    for (const auto &[id, entry] : entries_) {
+        if (!entry.record.gone && caretakers.contains(entry.record.caretaker))
+            found.insert(entry.record.info.dataCentre);
+    }
+    return found;
+}
+
 std::uint64_t EndpointRegistry::hash(const DataCentreId &dataCentre) const
 {
     const auto found = hashes_.find(dataCentre);
--- a/test/distribution/fleet.cc
+++ b/test/distribution/fleet.cc
@@ -403,8 +403,10 @@
     const std::vector<Chunk> chunks = splitChunks(encoded);
     for (const Chunk &chunk : chunks)
         manifest.chunks.push_back(chunk.digest);
+    if (!writeManifest(manifest, chunks))
+        return false;
     bad_.insert(manifest.revision);
-    return writeManifest(manifest, chunks);
+    return true;
 }
 
 // What must hold
@@ -503,7 +505,8 @@
             found.push_back(node.info.id.value() + " knows " + std::to_string(held.size()) + " of "
                             + std::to_string(expected.size()) + " servers");
         if (node.table && !node.table->unreachable.empty())
-            found.push_back(node.info.id.value() + " takes a data centre as cut off");
+            found.push_back(node.info.id.value() + " takes "
+                            + node.table->unreachable.begin()->value() + " as cut off");
     }
     return found;
 }
--- /dev/null
+++ b/test/distribution/random-run-test.cc
@@ -0,0 +1,246 @@
+// Long random runs of the real decisions, with two faults at once.
+//
+// CORNELHEAD_RANDOM_RUNS sets how many seeds are run, CORNELHEAD_RANDOM_SEED the first of them and
+// CORNELHEAD_RANDOM_ROUNDS the rounds of each.
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+#include "cornelhead/base/log.h"
+#include "distribution/fleet.h"
+
+namespace cornelhead {
+
+using test::Fleet;
+
+namespace {
+
+/// From the end of the last fault until every node acts on the newest configuration.
+constexpr Milliseconds configBound = Milliseconds(3000);
+/// Until all agree on the living servers: a mass silence is believed after 30 s.
+constexpr Milliseconds wholeBound = Milliseconds(45000);
+
+std::uint64_t setting(const char *name, std::uint64_t standard)
+{
+    const char *text = std::getenv(name);
+    return text ? std::strtoull(text, nullptr, 10) : standard;
+}
+
+class RandomRun
+{
+public:
+    explicit RandomRun(std::uint64_t seed) : random_(seed), fleet_(3, 5, seed) { }
+
+    void start()
+    {
+        fleet_.edit();
+        restartAll();
+        fleet_.run(Milliseconds(10000));
+    }
+
+    /// Returns what is wrong after one round of faults and recovery.
+    std::vector<std::string> round()
+    {
+        trail_.clear();
+        fault();
+        if (random_.chance(0.6))
+            fault();
+        live(random_.jitter(Milliseconds(12000)));
+        heal();
+        fleet_.edit();
+        fleet_.run(configBound);
+        if (!behind().empty())
+            return behind();
+        fleet_.run(wholeBound);
+        if (!fleet_.tally().broken.empty())
+            return fleet_.tally().broken;
+        if (std::getenv("DBG") && !fleet_.differences().empty()) {
+            for (std::size_t i = 0; i < fleet_.size(); ++i)
+                if (fleet_.isRelay(i) || i == 0)
+                    std::cerr << i << "\n" << fleet_.metrics(i).render();
+            for (std::size_t i = 0; i < fleet_.size(); ++i) {
+                std::cerr << "N" << i << (fleet_.isRelay(i) ? "R " : "  ");
+                for (auto &r : fleet_.agent(i).state().registry.all())
+                    if (r.gone ? false : true)
+                        std::cerr << r.info.id.value().substr(5) << ":" << r.sequence.value() << "@"
+                                  << (r.caretaker.empty() ? "" : r.caretaker.value().substr(5))
+                                  << "#" << r.servers.size() << " ";
+                std::cerr << "\n";
+            }
+            for (auto &d : fleet_.differences())
+                std::cerr << d << "\n";
+        }
+        return fleet_.differences();
+    }
+
+    const std::string &trail() const { return trail_; }
+    Fleet &fleet() { return fleet_; }
+
+private:
+    void note(const std::string &what) { trail_ += what + "; "; }
+
+    std::vector<std::string> behind() const
+    {
+        std::vector<std::string> found;
+        for (const std::string &difference : fleet_.differences()) {
+            if (difference.find(" is at revision ") != std::string::npos)
+                found.push_back(difference);
+        }
+        return found;
+    }
+
+    std::size_t anyNode() { return random_.below(fleet_.size()); }
+    std::size_t anyDataCentre() { return random_.below(3); }
+
+    void killSome(double share, bool relaysOnly)
+    {
+        for (std::size_t i = 0; i < fleet_.size(); ++i) {
+            if (random_.chance(share) && (!relaysOnly || fleet_.isRelay(i)))
+                fleet_.kill(i, random_.chance(0.7));
+        }
+    }
+
+    void killDataCentre()
+    {
+        const std::size_t dataCentre = anyDataCentre();
+        for (std::size_t i = 0; i < fleet_.size(); ++i) {
+            if (fleet_.dataCentreOf(i) == dataCentre)
+                fleet_.kill(i, random_.chance(0.5));
+        }
+    }
+
+    void cutDataCentre()
+    {
+        const std::size_t dataCentre = anyDataCentre();
+        for (std::size_t other = 0; other < 3; ++other) {
+            if (other != dataCentre && random_.chance(0.7))
+                fleet_.cut(dataCentre, other, true);
+        }
+        if (random_.chance(0.7))
+            fleet_.cutPlatform(dataCentre, true);
+    }
+
+    void pauseSome()
+    {
+        for (int i = 0; i < 3; ++i)
+            fleet_.pause(anyNode(), Milliseconds(500) + random_.jitter(Milliseconds(8000)));
+        for (std::size_t i = 0; i < fleet_.size(); ++i) {
+            if (fleet_.isRelay(i) && random_.chance(0.3))
+                fleet_.pause(i, Milliseconds(4000) + random_.jitter(Milliseconds(4000)));
+        }
+    }
+
+    void fault()
+    {
+        switch (random_.below(8)) {
+        case 0:
+            note("kill relays");
+            killSome(1.0, true);
+            break;
+        case 1:
+            note("kill a herd");
+            killSome(0.3 + 0.7 * random_.unit(), false);
+            break;
+        case 2:
+            note("kill a data centre");
+            killDataCentre();
+            break;
+        case 3:
+            note("platform away");
+            fleet_.setPlatformAway(true);
+            break;
+        case 4:
+            note("cut a data centre");
+            cutDataCentre();
+            break;
+        case 5:
+            note("pause processes");
+            pauseSome();
+            break;
+        case 6:
+            note("lossy frames and silent links");
+            fleet_.setFrameFaults({0.05, 0.05, 0.1});
+            fleet_.silenceLinks(0.5);
+            break;
+        default:
+            note("lost answers");
+            fleet_.setLostAnswers(0.3);
+            break;
+        }
+    }
+
+    // Edits, single kills and restarts go on during the faults.
+    void live(Milliseconds duration)
+    {
+        for (Milliseconds passed(0); passed < duration; passed += Milliseconds(200)) {
+            if (random_.chance(0.3))
+                fleet_.edit();
+            if (random_.chance(0.03))
+                fleet_.editBadly();
+            if (random_.chance(0.05))
+                fleet_.kill(anyNode(), random_.chance(0.7));
+            if (random_.chance(0.4))
+                fleet_.start(anyNode());
+            fleet_.run(Milliseconds(200));
+        }
+    }
+
+    void heal()
+    {
+        fleet_.setPlatformAway(false);
+        fleet_.setLostAnswers(0);
+        fleet_.setFrameFaults({});
+        for (std::size_t left = 0; left < 3; ++left) {
+            fleet_.cutPlatform(left, false);
+            for (std::size_t right = 0; right < 3; ++right)
+                fleet_.cut(left, right, false);
+        }
+        for (std::size_t i = 0; i < fleet_.size(); ++i)
+            fleet_.pause(i, Milliseconds(0));
+        restartAll();
+    }
+
+    void restartAll()
+    {
+        for (std::size_t i = 0; i < fleet_.size(); ++i)
+            fleet_.start(i);
+    }
+
+    Random random_;
+    Fleet fleet_;
+    std::string trail_;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(randomRun)
+
+BOOST_AUTO_TEST_CASE(holdsItsInvariantsUnderTwoFaultsAtOnce)
+{
+    BOOST_REQUIRE(configureLogging("error").has_value());
+    const std::uint64_t first = setting("CORNELHEAD_RANDOM_SEED", 1);
+    const std::uint64_t runs = setting("CORNELHEAD_RANDOM_RUNS", 10);
+    const std::uint64_t rounds = setting("CORNELHEAD_RANDOM_ROUNDS", 6);
+    std::uint64_t floorsLost = 0;
+    for (std::uint64_t seed = first; seed < first + runs; ++seed) {
+        RandomRun run(seed);
+        run.start();
+        for (std::uint64_t round = 0; round < rounds; ++round) {
+            const std::vector<std::string> wrong = run.round();
+            const std::string what = wrong.empty() ? "" : wrong.front();
+            BOOST_TEST(wrong.empty(),
+                       "seed " << seed << " round " << round << " (" << run.trail() << "): " << what
+                               << ", " << wrong.size() << " in all");
+            if (!wrong.empty())
+                break;
+        }
+        floorsLost += run.fleet().tally().floorsLost;
+    }
+    BOOST_TEST_MESSAGE("seeds " << first << " to " << first + runs - 1 << ", " << rounds
+                                << " rounds each; floors lost beyond the promise: " << floorsLost);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
