--- a/include/cornelhead/distribution/agent.h
+++ b/include/cornelhead/distribution/agent.h
@@ -68,8 +68,9 @@
     void considerContest();
     void considerActing();
     void considerVacancy();
-    bool mayAct() const;
-    std::vector<Address> actingCandidates() const;
+    bool mayAct(const std::vector<Address> &candidates) const;
+    std::vector<Address> actingCandidates(Microseconds detached) const;
+    bool hasLivingRelayNearby() const;
     bool servesOthers() const { return role_ != Role::Subscriber; }
 
     // What arrives, from wherever.
@@ -83,7 +84,7 @@
     void takeRecords(const inner::Records &records);
     void takeRecord(const NodeRecord &record, bool firstHand);
     void takeRelays(const RelayDirectory &directory);
-    void takeReachability(const inner::Reachability &wire);
+    void takeReachability(const inner::Heartbeat &heartbeat);
     void takeOutcomes(const OutcomeBatch &batch);
     void refuse(std::optional<LinkId> link, const EncodedConfig &config, const Error &error);
 
--- a/include/cornelhead/distribution/node-state.h
+++ b/include/cornelhead/distribution/node-state.h
@@ -49,7 +49,6 @@
 /// Renders all records, to be merged with or put in place of those of the receiver.
 FramePtr allRecordsFrame(const EndpointRegistry &registry, bool replace);
 FramePtr relaysFrame(const RelayDirectory &directory);
-FramePtr reachabilityFrame(const std::set<DataCentreId> &unreachable);
 FramePtr heartbeatFrame(RecordSequence sequence);
 /// Renders a heartbeat with what the sender has told all its subscribers.
 FramePtr relayHeartbeatFrame(const NodeState &state, std::uint64_t recordsHash);
--- a/include/cornelhead/distribution/relay-election.h
+++ b/include/cornelhead/distribution/relay-election.h
@@ -59,14 +59,21 @@
 
 private:
     enum class Phase { Idle, Contending, Holding, Resigned };
+    /// A slot to take, and what it must hold still.
+    struct Slot
+    {
+        std::string key;
+        Expected expected;
+    };
 
     void list();
     void onListing(const Result<Listing> &listing);
     RelayDirectory readDirectory(const Listing &listing) const;
     std::optional<std::string> ownSlot(const RelayDirectory &directory) const;
-    std::optional<std::string> vacantSlot(const RelayDirectory &directory);
-    void grant(const std::string &slot);
-    void write(const std::string &slot);
+    std::optional<Slot> formerSlot(const Listing &listing) const;
+    std::optional<Slot> vacantSlot(const RelayDirectory &directory);
+    void grant(const Slot &slot);
+    void write(const Slot &slot);
     void onWritten(const std::string &slot, const Result<ModRevision> &written);
     void hold(const std::string &slot);
     void renew();
--- a/include/cornelhead/distribution/relay.h
+++ b/include/cornelhead/distribution/relay.h
@@ -50,7 +50,8 @@
     void publishConfig();
     void publishMoves(const std::vector<Move> &moves);
     void publishRelays();
-    void publishReachability();
+    /// Tells all subscribers at once what a heartbeat tells.
+    void publishHeartbeat();
     /// Adds a record to the next batch.
     void queueRecord(const NodeRecord &record);
     /// Sends what is queued without waiting for the batch.
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -16,10 +16,12 @@
 /// Spreads the first contests of nodes that start together.
 constexpr Milliseconds contestJitter = Milliseconds(500);
 /// A node without a relay for so long looks for a vacant slot.
-constexpr Milliseconds contestAfter = Milliseconds(1000);
-/// A node without relay and platform for so long may act as a relay itself.
-constexpr Milliseconds actAfter = Milliseconds(3000);
+constexpr Milliseconds contestAfter = Milliseconds(500);
+/// A node that found no relay for so long may act as one, though the slots are taken.
+constexpr Milliseconds actAfter = Milliseconds(1000);
+/// How many nodes of a data centre may act; doubles with each further second without a relay.
 constexpr std::size_t actingNodes = 3;
+constexpr std::size_t mostActingNodes = 64;
 constexpr int missedBeforeGone = 3;
 
 RegistryTiming registryTiming(const DistributionSettings &settings)
@@ -87,7 +89,7 @@
             = [this](const inner::Config &config) { onConfigFrame(std::nullopt, config); };
     handlers.onRelays = [this](const RelayDirectory &directory) { takeRelays(directory); };
     handlers.onOutcomes = [this](const OutcomeBatch &batch) { takeOutcomes(batch); };
-    handlers.onReachability = [this] { relay_.publishReachability(); };
+    handlers.onReachability = [this] { relay_.publishHeartbeat(); };
     handlers.isPlatformReachable = [this] { return watcher_.isReachable(); };
     handlers.isPlatformUndecided = [this] { return watcher_.isUndecided(); };
     return handlers;
@@ -114,7 +116,7 @@
     handlers.onElected = [this] { becomeRelay(Role::Relay); };
     handlers.onLost = [this] { becomeSubscriber(); };
     handlers.onFull = [this] {
-        if (role_ == Role::Acting)
+        if (role_ == Role::Acting && hasLivingRelayNearby())
             becomeSubscriber();
     };
     handlers.onRelays = [this](const RelayDirectory &directory) { takeRelays(directory); };
@@ -169,18 +171,27 @@
     if (role_ == Role::Relay || now(clock_) < contestFrom_)
         return;
     if (role_ == Role::Acting) {
-        if (watcher_.isReachable())
+        const bool vacant = countRelays(state_.directory, settings_.self.dataCentre)
+                < settings_.relaysPerDataCentre;
+        if (watcher_.isReachable() && vacant)
+            election_.contendNow();
+        else if (watcher_.isReachable())
             election_.contend();
         return;
     }
     const auto since = subscriber_.detachedSince();
     const bool knowsNobody = settings_.seeds.empty() && state_.directory.relays.empty();
-    if (since && (knowsNobody || now(clock_) - *since >= detail::contestAfter))
+    const bool foundNobody
+            = since && now(clock_) - *since >= detail::contestAfter && subscriber_.isExhausted();
+    if (since && (knowsNobody || foundNobody))
         election_.contend();
 }
 
-std::vector<Address> Agent::actingCandidates() const
+std::vector<Address> Agent::actingCandidates(Microseconds detached) const
 {
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(detached).count();
+    const std::size_t wanted
+            = std::min(detail::actingNodes << std::min<long>(seconds, 8), detail::mostActingNodes);
     std::vector<std::pair<std::uint64_t, Address>> ranked;
     const std::string key = "acting/" + settings_.self.dataCentre.value();
     for (const auto &[id, info] : state_.registry.table()->nodes) {
@@ -189,19 +200,28 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<Address> candidates;
-    for (std::size_t i = 0; i < std::min(detail::actingNodes, ranked.size()); ++i)
+    for (std::size_t i = 0; i < std::min(wanted, ranked.size()); ++i)
         candidates.push_back(ranked[i].second);
     return candidates;
 }
 
-bool Agent::mayAct() const
+bool Agent::hasLivingRelayNearby() const
+{
+    const std::set<NodeId> living = exchange_.livePeers();
+    const auto &relays = state_.directory.relays;
+    return std::any_of(relays.begin(), relays.end(), [&](const auto &entry) {
+        return entry.second.dataCentre == settings_.self.dataCentre
+                && living.contains(entry.second.id);
+    });
+}
+
+bool Agent::mayAct(const std::vector<Address> &candidates) const
 {
     const Address &self = settings_.self.inner;
     const std::vector<Address> &seeds = settings_.seeds;
     if (std::find(seeds.begin(), seeds.end(), self) != seeds.end())
         return true;
     // A node that knows no other must not think itself the first.
-    const std::vector<Address> candidates = actingCandidates();
     return candidates.size() > 1
             && std::find(candidates.begin(), candidates.end(), self) != candidates.end();
 }
@@ -211,9 +231,10 @@
     const auto since = subscriber_.detachedSince();
     if (role_ != Role::Subscriber || !since)
         return;
-    subscriber_.setNeighbours(actingCandidates());
-    const bool alone = now(clock_) - *since >= detail::actAfter;
-    if (alone && !election_.isPlatformReachable() && mayAct())
+    const Microseconds detached = now(clock_) - *since;
+    const std::vector<Address> candidates = actingCandidates(detached);
+    subscriber_.setNeighbours(candidates);
+    if (detached >= detail::actAfter && subscriber_.isExhausted() && mayAct(candidates))
         becomeRelay(Role::Acting);
 }
 
@@ -234,11 +255,11 @@
     CORNELHEAD_LOG(INFO, "relay") << "Serves subscribers.";
     subscriber_.stop();
     recordsComplete_ = true;
-    std::vector<Address> extra = settings_.seeds;
-    for (const Address &candidate : actingCandidates())
-        extra.push_back(candidate);
-    if (role == Role::Acting)
-        exchange_.setExtraPeers(extra);
+    if (role == Role::Acting) {
+        std::vector<Address> extra = actingCandidates(Microseconds(0));
+        extra.insert(extra.end(), settings_.seeds.begin(), settings_.seeds.end());
+        exchange_.setExtraPeers(std::move(extra));
+    }
     nextInvite_ = now(clock_) + detail::inviteInterval;
     relay_.start();
     exchange_.start();
@@ -315,9 +336,6 @@
         if (const Result<RelayDirectory> directory = fromWire(frame.relays()))
             takeRelays(*directory);
         break;
-    case inner::Frame::kReachability:
-        takeReachability(frame.reachability());
-        break;
     case inner::Frame::kHeartbeat:
         onRelayHeartbeat(link, frame.heartbeat());
         break;
@@ -337,6 +355,7 @@
 
 void Agent::onRelayHeartbeat(LinkId link, const inner::Heartbeat &heartbeat)
 {
+    takeReachability(heartbeat);
     const std::optional<inner::Pull> pull = reconciler_.onHeartbeat(heartbeat);
     if (!pull)
         return;
@@ -471,10 +490,10 @@
         relay_.publishRelays();
 }
 
-void Agent::takeReachability(const inner::Reachability &wire)
+void Agent::takeReachability(const inner::Heartbeat &heartbeat)
 {
     std::set<DataCentreId> unreachable;
-    for (const std::string &name : wire.unreachable())
+    for (const std::string &name : heartbeat.unreachable())
         unreachable.insert(DataCentreId(name));
     for (const DataCentreId &dataCentre : state_.registry.dataCentres())
         state_.registry.setReachable(dataCentre, !unreachable.contains(dataCentre));
--- a/src/distribution/node-state.cc
+++ b/src/distribution/node-state.cc
@@ -71,15 +71,6 @@
     return frame;
 }
 
-FramePtr reachabilityFrame(const std::set<DataCentreId> &unreachable)
-{
-    auto frame = std::make_shared<inner::Frame>();
-    frame->mutable_reachability();
-    for (const DataCentreId &dataCentre : unreachable)
-        frame->mutable_reachability()->add_unreachable(dataCentre.value());
-    return frame;
-}
-
 FramePtr heartbeatFrame(RecordSequence sequence)
 {
     auto frame = std::make_shared<inner::Frame>();
@@ -95,6 +86,8 @@
     heartbeat->set_moves_hash(state.moves.hash());
     heartbeat->set_records_hash(recordsHash);
     heartbeat->set_relays_revision(state.directory.storeRevision.value());
+    for (const DataCentreId &dataCentre : state.registry.unreachable())
+        heartbeat->add_unreachable(dataCentre.value());
     return frame;
 }
 
--- a/src/distribution/relay-election.cc
+++ b/src/distribution/relay-election.cc
@@ -66,6 +66,16 @@
     return directory;
 }
 
+std::optional<RelayElection::Slot> RelayElection::formerSlot(const Listing &listing) const
+{
+    for (const KeyValue &entry : listing.entries) {
+        const Result<NodeInfo> info = decodeNodeInfo(entry.value);
+        if (info && info->inner == settings_.self.inner && info->id != settings_.self.id)
+            return Slot{entry.key, Expected{entry.modRevision}};
+    }
+    return std::nullopt;
+}
+
 std::optional<std::string> RelayElection::ownSlot(const RelayDirectory &directory) const
 {
     for (const auto &[key, info] : directory.relays) {
@@ -75,7 +85,7 @@
     return std::nullopt;
 }
 
-std::optional<std::string> RelayElection::vacantSlot(const RelayDirectory &directory)
+std::optional<RelayElection::Slot> RelayElection::vacantSlot(const RelayDirectory &directory)
 {
     std::vector<std::string> vacant;
     for (std::uint32_t slot = 0; slot < settings_.slots; ++slot) {
@@ -85,7 +95,7 @@
     }
     if (vacant.empty())
         return std::nullopt;
-    return vacant[random_->below(vacant.size())];
+    return Slot{vacant[random_->below(vacant.size())], Expected{}};
 }
 
 void RelayElection::onListing(const Result<Listing> &listing)
@@ -103,6 +113,9 @@
     if (const auto own = ownSlot(directory); own && lease_) {
         heldSince_ = directory.storeRevision;
         hold(*own);
+    } else if (const auto former = formerSlot(*listing)) {
+        // An earlier run at this address has ended, so that its lease need not be waited for.
+        grant(*former);
     } else if (const auto slot = vacantSlot(directory)) {
         grant(*slot);
     } else {
@@ -114,7 +127,7 @@
     }
 }
 
-void RelayElection::grant(const std::string &slot)
+void RelayElection::grant(const Slot &slot)
 {
     platform_->grantLease(settings_.lease,
                           guarded<LeaseId>([this, slot](const Result<LeaseId> &lease) {
@@ -127,11 +140,11 @@
                           }));
 }
 
-void RelayElection::write(const std::string &slot)
+void RelayElection::write(const Slot &slot)
 {
-    platform_->put(slot, encodeNodeInfo(settings_.self), Expected{ModRevision(0)}, lease_,
+    platform_->put(slot.key, encodeNodeInfo(settings_.self), slot.expected, lease_,
                    guarded<ModRevision>([this, slot](const Result<ModRevision> &written) {
-                       onWritten(slot, written);
+                       onWritten(slot.key, written);
                    }));
 }
 
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -92,7 +92,6 @@
 {
     sendWelcome(link, true);
     network_->send(link, relaysFrame(state_->directory));
-    network_->send(link, reachabilityFrame(state_->registry.unreachable()));
     network_->send(link, allRecordsFrame(state_->registry, false));
     network_->send(link, movesFrame(*state_->moves.table()));
     Subscription &subscription = subscribers_.at(link);
@@ -170,10 +169,10 @@
         sendToAll(relaysFrame(state_->directory));
 }
 
-void Relay::publishReachability()
+void Relay::publishHeartbeat()
 {
     if (!subscribers_.empty())
-        sendToAll(reachabilityFrame(state_->registry.unreachable()));
+        sendToAll(relayHeartbeatFrame(*state_, sentHash_));
 }
 
 void Relay::queueRecord(const NodeRecord &record)
@@ -315,7 +314,7 @@
         flushRecords();
     if (now(clock_) >= nextHeartbeat_) {
         nextHeartbeat_ = now(clock_) + heartbeat_;
-        sendToAll(relayHeartbeatFrame(*state_, sentHash_));
+        publishHeartbeat();
         dropSilent();
     }
 }
--- a/src/distribution/subscriber.cc
+++ b/src/distribution/subscriber.cc
@@ -10,7 +10,7 @@
 
 constexpr Milliseconds firstCandidateRetry = Milliseconds(250);
 constexpr Milliseconds lastCandidateRetry = Milliseconds(5000);
-constexpr Milliseconds welcomeTimeout = Milliseconds(1000);
+constexpr Milliseconds welcomeTimeout = Milliseconds(500);
 /// Spreads a herd that lost the same relay.
 constexpr Milliseconds failoverJitter = Milliseconds(50);
 /// Spreads the return to a relay that came back.
