--- a/include/cornelhead/distribution/agent.h
+++ b/include/cornelhead/distribution/agent.h
@@ -68,8 +68,9 @@
     void considerContest();
     void considerActing();
     void considerVacancy();
-    bool mayAct() const;
-    std::vector<Address> actingCandidates() const;
+    bool mayAct(const std::vector<Address> &candidates) const;
+    std::vector<Address> actingCandidates(Microseconds detached) const;
+    bool hasLivingRelayNearby() const;
     bool servesOthers() const { return role_ != Role::Subscriber; }
 
     // What arrives, from wherever.
@@ -83,7 +84,7 @@
     void takeRecords(const inner::Records &records);
     void takeRecord(const NodeRecord &record, bool firstHand);
     void takeRelays(const RelayDirectory &directory);
-    void takeReachability(const inner::Reachability &wire);
+    void takeReachability(const inner::Heartbeat &heartbeat);
     void takeOutcomes(const OutcomeBatch &batch);
     void refuse(std::optional<LinkId> link, const EncodedConfig &config, const Error &error);
 
@@ -108,6 +109,8 @@
     bool draining_ = false;
     /// Records are complete once a relay sent all it knew, or this node is a relay itself.
     bool recordsComplete_ = false;
+    /// Came before the records that it may route to, and waits for them.
+    std::optional<inner::Config> early_;
     OutcomeBatch outcomes_;
     std::shared_ptr<const EndpointTable> handedOver_;
     TimePoint nextHeartbeat_;
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -92,7 +92,6 @@
 {
     sendWelcome(link, true);
     network_->send(link, relaysFrame(state_->directory));
-    network_->send(link, reachabilityFrame(state_->registry.unreachable()));
     network_->send(link, allRecordsFrame(state_->registry, false));
     network_->send(link, movesFrame(*state_->moves.table()));
     Subscription &subscription = subscribers_.at(link);
@@ -170,10 +169,10 @@
         sendToAll(relaysFrame(state_->directory));
 }
 
-void Relay::publishReachability()
+void Relay::publishHeartbeat()
 {
     if (!subscribers_.empty())
-        sendToAll(reachabilityFrame(state_->registry.unreachable()));
+        sendToAll(relayHeartbeatFrame(*state_, sentHash_));
 }
 
 void Relay::queueRecord(const NodeRecord &record)
@@ -182,15 +181,24 @@
         queued_[record.info.id] = record;
 }
 
-void Relay::invite()
+void Relay::inviteWhereVacant(std::uint32_t slots)
+{
+    std::set<DataCentreId> vacant;
+    for (const auto &[link, subscription] : subscribers_) {
+        if (countRelays(state_->directory, subscription.dataCentre) < slots)
+            vacant.insert(subscription.dataCentre);
+    }
+    for (const DataCentreId &dataCentre : vacant)
+        invite(dataCentre);
+}
+
+void Relay::invite(const DataCentreId &dataCentre)
 {
     std::vector<LinkId> eligible;
     for (const auto &[link, subscription] : subscribers_) {
-        if (subscription.dataCentre == state_->self.dataCentre)
+        if (subscription.dataCentre == dataCentre)
             eligible.push_back(link);
     }
-    if (eligible.empty())
-        return;
     auto frame = std::make_shared<inner::Frame>();
     frame->mutable_invite();
     network_->send(eligible[random_->below(eligible.size())], frame);
@@ -306,7 +314,7 @@
         flushRecords();
     if (now(clock_) >= nextHeartbeat_) {
         nextHeartbeat_ = now(clock_) + heartbeat_;
-        sendToAll(relayHeartbeatFrame(*state_, sentHash_));
+        publishHeartbeat();
         dropSilent();
     }
 }
