--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -87,7 +87,9 @@
           rollout(loop, platform, metrics, self.id, settings.seed + 2),
           admin(loop, metrics, adminHandlers()),
           servers(SteadyClock(), detail::serverSilenceLimit, self)
-    { }
+    {
+        platform.setDataCentre(self.dataCentre);
+    }
 
     DistributionHandlers distributionHandlers()
     {
