--- a/include/cornelhead/standin/load-tally.h
+++ b/include/cornelhead/standin/load-tally.h
@@ -15,12 +15,18 @@
 /// The last word that a caller heard of its call.
 enum class CallWord { Answered, Wrong, NotRun, Unknown, Lost };
 
+/// When a caller sends a call again.
+enum class ResendRule {
+    Careful, ///< After no word or, for keyed calls, `unknown`; later and elsewhere.
+    Naive, ///< After everything but a success, at once; the baseline of measurements.
+};
+
 /// Follows one call over its attempts.
 class CallCourse
 {
 public:
-    explicit CallCourse(bool isKeyed, std::uint32_t resends)
-        : isKeyed_(isKeyed), resendsLeft_(resends)
+    CallCourse(bool isKeyed, std::uint32_t resends, ResendRule rule)
+        : isKeyed_(isKeyed), resendsLeft_(resends), rule_(rule)
     { }
 
     /// Takes the result of an attempt; true when the call should be sent again.
@@ -33,8 +39,11 @@
     bool hasDoubt() const { return hasDoubt_; }
 
 private:
+    bool isHopeful() const;
+
     bool isKeyed_;
     std::uint32_t resendsLeft_;
+    ResendRule rule_;
     AttemptResult last_ = AttemptResult::Broken;
     // A typed refusal stays the word where later attempts hear nothing.
     bool hasRefusal_ = false;
--- a/include/cornelhead/standin/load-worker.h
+++ b/include/cornelhead/standin/load-worker.h
@@ -26,6 +26,8 @@
     double rate = 100;
     /// Attempts after the first, at another node where there is one.
     std::uint32_t resends = 3;
+    /// A naive caller also takes its targets in turn.
+    ResendRule rule = ResendRule::Careful;
     Milliseconds deadline{2000};
     std::uint64_t seed = 1;
 };
@@ -63,6 +65,7 @@
     LoadSettings settings_;
     HttpClient http_;
     Random random_;
+    std::size_t nextTarget_ = 0;
     TimePoint startedAt_;
     TimePoint due_;
     std::unique_ptr<detail::Pacer> pacer_;
--- a/src/bin/cornelhead-load.cc
+++ b/src/bin/cornelhead-load.cc
@@ -32,6 +32,8 @@
   --seconds N               Ends after so many seconds; 0 sends until it is stopped [default: 10].
   --workers N               Threads that send [default: 1].
   --resends N               Attempts after the first, with the same key [default: 3].
+  --naive                   Takes targets in turn and sends again at once whatever did not succeed,
+                            as callers without cornelhead may; the baseline of measurements.
   --deadline DURATION       Deadline of each attempt [default: 2s].
   --ledger ADDR             Receives the servers' records of runs by UDP.
   --output FORMAT           One of text, json [default: text].
@@ -107,6 +109,8 @@
     program.workers = static_cast<std::uint32_t>(settings.integer("--workers", 1, mostWorkers));
     program.load.resends
             = static_cast<std::uint32_t>(settings.integer("--resends", 0, mostResends));
+    if (settings.flag("--naive"))
+        program.load.rule = ResendRule::Naive;
     program.load.deadline = settings.duration("--deadline", Milliseconds(1), longestDeadline);
     program.load.seed = settings.integer("--seed", 0, UINT64_MAX);
     if (settings.has("--ledger"))
--- a/src/standin/load-tally.cc
+++ b/src/standin/load-tally.cc
@@ -57,6 +57,22 @@
 
 } // namespace detail
 
+bool CallCourse::isHopeful() const
+{
+    switch (last_) {
+    case AttemptResult::Right:
+    case AttemptResult::Wrong:
+        return false;
+    case AttemptResult::Broken:
+    case AttemptResult::Unreachable:
+        return true;
+    case AttemptResult::Unknown:
+        return isKeyed_ || rule_ == ResendRule::Naive;
+    default:
+        return rule_ == ResendRule::Naive;
+    }
+}
+
 bool CallCourse::takeResult(AttemptResult result)
 {
     last_ = result;
@@ -65,9 +81,7 @@
         hasRefusal_ = true;
         refusal_ = result == AttemptResult::NotRun ? CallWord::NotRun : CallWord::Unknown;
     }
-    const bool isHopeful = result == AttemptResult::Broken || result == AttemptResult::Unreachable
-            || (result == AttemptResult::Unknown && isKeyed_);
-    if (!isHopeful || resendsLeft_ == 0)
+    if (!isHopeful() || resendsLeft_ == 0)
         return false;
     hasDoubt_ = hasDoubt_ || mayHaveRun;
     --resendsLeft_;
--- a/src/standin/load-worker.cc
+++ b/src/standin/load-worker.cc
@@ -116,8 +116,8 @@
     calls_.push_front(Call{&kind,
                            ExpectedAnswer{kind.service.value(), kind.path, kind.customer.value(),
                                           std::move(key), id, kind.answerBytes},
-                           CallCourse(kind.isKeyed(), settings_.resends), now(SteadyClock()), false,
-                           0, 0, Timer()});
+                           CallCourse(kind.isKeyed(), settings_.resends, settings_.rule),
+                           now(SteadyClock()), false, 0, 0, Timer()});
     chooseTarget(calls_.front());
     tally_.countSent();
     sendAttempt(calls_.begin());
@@ -127,7 +127,7 @@
 {
     const bool canDirect = settings_.direct.contains(call.kind->service);
     call.isDirect = settings_.nodes.empty() || (canDirect && random_.chance(0.5));
-    call.target = random_.engine()();
+    call.target = settings_.rule == ResendRule::Naive ? nextTarget_++ : random_.engine()();
 }
 
 void LoadWorker::sendAttempt(CallHandle call)
@@ -168,6 +168,10 @@
     }
     tally_.countResent();
     ++call->target;
+    if (settings_.rule == ResendRule::Naive) {
+        sendAttempt(call);
+        return;
+    }
     const Milliseconds delay = detail::resendDelay * (1U << std::min(call->attempts++, 6U));
     call->resend = loop_->after(delay + random_.jitter(delay), [this, call] { sendAttempt(call); });
 }
--- a/test/standin/load-test.cc
+++ b/test/standin/load-test.cc
@@ -158,6 +158,17 @@
     BOOST_TEST(summary.doubled == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(naiveCallersRunKeysTwice)
+{
+    settings.rule = ResendRule::Naive;
+    const LoadSummary summary = run([&](const HttpRequest &request, const Responder &responder) {
+        countRun(request);
+        responder.send(HttpResponse{500, {{"Cornelhead-Server", "s"}}, {}});
+    });
+    BOOST_TEST(summary.failed == summary.sent);
+    BOOST_TEST(summary.doubled == summary.sent);
+}
+
 BOOST_AUTO_TEST_CASE(refusesBadMixes)
 {
     for (const char *line : {"GET kiri bookings", "PUT kiri bookings /a 1", "GET kiri b a 1",
