--- a/support/parts.cmake
+++ b/support/parts.cmake
@@ -78,3 +78,11 @@
         target_compile_options(part-protocol PRIVATE -Wno-all -Wno-extra -Wno-pedantic)
     endif()
 endif()
+
+# Whole-process tests run the programs from the build folder.
+file(GLOB e2e_scripts CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/e2e/*.sh)
+foreach(script IN LISTS e2e_scripts)
+    get_filename_component(name ${script} NAME_WE)
+    add_test(NAME e2e-${name} COMMAND ${script})
+    set_tests_properties(e2e-${name} PROPERTIES ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR}")
+endforeach()
