--- a/test/ctl/configuration-store-test.cc
+++ b/test/ctl/configuration-store-test.cc
@@ -194,6 +194,23 @@
     BOOST_TEST(outcome->manifest.revision.value() == 4u);
 }
 
+BOOST_AUTO_TEST_CASE(aListBeyondOneValueIsStoredAndEditedInParts)
+{
+    FakePlatform platform;
+    const PlatformOperations operations = platform.operations();
+    Declarations all = sampleDeclarations();
+    for (int i = 0; i < 40'000; ++i)
+        all.customers.push_back({CustomerId("customer-" + std::to_string(i)), PlanId("attendee")});
+    BOOST_REQUIRE(applyDeclarations(operations, requestOf(all, "e1")));
+    const std::size_t whole = platform.bytesPut;
+    BOOST_TEST(whole > 1024u * 1024u);
+    all.customers[20'000].plan = PlanId("franchisee");
+    const auto outcome = applyDeclarations(operations, requestOf(all, "e2"));
+    BOOST_TEST(outcome->chunksWritten <= 2u);
+    BOOST_TEST(platform.bytesPut - whole < whole / 10);
+    BOOST_TEST(holds(platform, all));
+}
+
 BOOST_AUTO_TEST_CASE(pruneKeepsWhatKeptManifestsName)
 {
     FakePlatform platform;
--- a/test/ctl/fake-platform.h
+++ b/test/ctl/fake-platform.h
@@ -41,6 +41,8 @@
     std::size_t bytesPut = 0;
 
 private:
+    static constexpr std::size_t maxValueBytes = 1024 * 1024;
+
     using Found = std::optional<KeyValue>;
 
     Result<Found> get(const std::string &key)
@@ -71,6 +73,8 @@
         const WriteFate fateOfThis = fate ? fate(key) : WriteFate::Answered;
         if (isAway || fateOfThis == WriteFate::Refused)
             return away();
+        if (value.size() > maxValueBytes)
+            return fail(ErrorKind::TooLarge, "the value is too large", "split it");
         if (fateOfThis == WriteFate::RequestLost)
             return lost();
         const auto found = entries.find(key);
