--- a/include/cornelhead/ctl/configuration-store.h
+++ b/include/cornelhead/ctl/configuration-store.h
@@ -27,6 +27,17 @@
 /// Reads all accepted manifests that are still kept, the oldest first; the last is in force.
 Result<std::vector<Manifest>> readHistory(const PlatformOperations &platform);
 
+/// Why a node did not act on an accepted revision.
+struct NodeRefusal
+{
+    NodeId node;
+    std::string reason;
+};
+
+/// Reads what nodes wrote about a revision that they refused; each reason is there once.
+Result<std::vector<NodeRefusal>> readRefusals(const PlatformOperations &platform,
+                                              Revision revision);
+
 /// Asks for declarations to be put in force.
 struct ApplyRequest
 {
@@ -64,7 +75,8 @@
     std::size_t manifestsRemoved = 0;
 };
 
-/// Removes past manifests but the last `keep`, and all chunks that no kept manifest names.
+/// Removes past manifests but the last `keep`, with the refusals of their revisions, and all chunks
+/// that no kept manifest names.
 ///
 /// Safe beside a racing `applyDeclarations`: writing the manifest again, unchanged, makes every
 /// apply that began before start anew, and one that begins later writes again the old chunks that
--- a/src/ctl/configuration-store.cc
+++ b/src/ctl/configuration-store.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "cornelhead/base/check.h"
 #include "cornelhead/base/digest.h"
 
@@ -380,6 +382,28 @@
     return manifests;
 }
 
+Result<std::vector<NodeRefusal>> readRefusals(const PlatformOperations &platform, Revision revision)
+{
+    const Result<std::optional<KeyValue>> found
+            = platform.get(nackPrefix + std::to_string(revision.value()));
+    if (!found)
+        return tl::unexpected<Error>(found.error());
+    std::vector<NodeRefusal> refusals;
+    if (!*found)
+        return refusals;
+    try {
+        const nlohmann::json json = nlohmann::json::parse((*found)->value);
+        for (const nlohmann::json &refusal : json.at("refusals"))
+            refusals.push_back({NodeId(refusal.at("node").get<std::string>()),
+                                refusal.at("reason").get<std::string>()});
+    } catch (const nlohmann::json::exception &error) {
+        return fail(ErrorKind::InvalidMessage,
+                    std::string("the refusals cannot be read: ") + error.what(),
+                    "use a cornelheadctl of the nodes' release");
+    }
+    return refusals;
+}
+
 Result<ApplyOutcome> applyDeclarations(const PlatformOperations &platform,
                                        const ApplyRequest &request)
 {
--- a/src/ctl/prune.cc
+++ b/src/ctl/prune.cc
@@ -37,6 +37,7 @@
 {
     std::vector<Manifest> kept;
     std::vector<ListedKey> dropped;
+    std::set<std::string> droppedRefusalKeys;
 };
 
 Result<SplitHistory> splitHistory(const PlatformOperations &platform, std::size_t keep)
@@ -56,10 +57,13 @@
     });
     SplitHistory split;
     for (std::size_t i = 0; i < all.size(); ++i) {
-        if (i < keep)
+        if (i < keep) {
             split.kept.push_back(std::move(all[i].first));
-        else
+        } else {
+            const std::uint64_t revision = all[i].first.revision.value();
+            split.droppedRefusalKeys.insert(nackPrefix + std::to_string(revision));
             split.dropped.push_back(std::move(all[i].second));
+        }
     }
     return split;
 }
@@ -92,6 +96,20 @@
     return removed;
 }
 
+Result<void> removeRefusals(const PlatformOperations &platform, const std::set<std::string> &keys)
+{
+    const Result<Listing> listing = platform.list(nackPrefix);
+    if (!listing)
+        return tl::unexpected<Error>(listing.error());
+    std::vector<ListedKey> dropped;
+    for (const KeyValue &entry : listing->entries) {
+        if (keys.contains(entry.key))
+            dropped.push_back({entry.key, entry.modRevision});
+    }
+    const Result<std::size_t> removed = removeUnchanged(platform, dropped);
+    return removed ? Result<void>() : tl::unexpected<Error>(removed.error());
+}
+
 std::set<std::string> namedChunkKeys(const SplitHistory &history, const Manifest &inForce)
 {
     std::set<std::string> named;
@@ -125,7 +143,10 @@
 
     const std::set<std::string> named = detail::namedChunkKeys(*history, (*inForce)->manifest);
     std::erase_if(*chunks, [&](const auto &listed) { return named.contains(listed.key); });
-    // Manifests go first, so that none is left whose chunks are gone.
+    if (const Result<void> done = detail::removeRefusals(platform, history->droppedRefusalKeys);
+        !done)
+        return tl::unexpected<Error>(done.error());
+    // Manifests go before chunks, so that none is left whose chunks are gone.
     const Result<std::size_t> manifests = detail::removeUnchanged(platform, history->dropped);
     if (!manifests)
         return tl::unexpected<Error>(manifests.error());
--- a/src/ctl/status-command.cc
+++ b/src/ctl/status-command.cc
@@ -110,6 +110,31 @@
             {"digest", manifest.digest.value()}};
 }
 
+Json refusalsToJson(const std::vector<NodeRefusal> &refusals)
+{
+    Json list = Json::array();
+    for (const NodeRefusal &refusal : refusals)
+        list.push_back({{"node", refusal.node.value()}, {"reason", refusal.reason}});
+    return list;
+}
+
+std::string refusalsToText(const std::vector<NodeRefusal> &refusals)
+{
+    std::string text;
+    for (const NodeRefusal &refusal : refusals)
+        text += "refused by " + refusal.node.value() + ": " + refusal.reason + "\n";
+    return text;
+}
+
+// Without the platform nothing is known of refusals, and the status says so already.
+std::vector<NodeRefusal> refusalsOf(const std::optional<StoredManifest> &manifest,
+                                    const PlatformOperations &platform)
+{
+    if (!manifest)
+        return {};
+    return readRefusals(platform, manifest->manifest.revision).value_or(std::vector<NodeRefusal>());
+}
+
 } // namespace
 
 // With the platform away the nodes are still shown, but nothing tells whether they are behind.
@@ -127,11 +152,15 @@
         addRow(table, status, isInForce);
         nodes.push_back(nodeToJson(status, isInForce));
     }
-    output.write({{"platform", platformToJson(inForce)}, {"nodes", std::move(nodes)}},
-                 platformLine(inForce) + (command.nodes.empty() ? "" : table.render()));
+    const std::vector<NodeRefusal> refusals = refusalsOf(manifest, context.platform);
+    output.write({{"platform", platformToJson(inForce)},
+                  {"refusals", refusalsToJson(refusals)},
+                  {"nodes", std::move(nodes)}},
+                 platformLine(inForce) + refusalsToText(refusals)
+                         + (command.nodes.empty() ? "" : table.render()));
     if (!inForce)
         return exitCodeOf(inForce.error());
-    return isAllInForce ? ExitCode::Ok : ExitCode::Refused;
+    return isAllInForce && refusals.empty() ? ExitCode::Ok : ExitCode::Refused;
 }
 
 } // namespace cornelhead::detail
--- a/test/ctl/commands-test.cc
+++ b/test/ctl/commands-test.cc
@@ -173,6 +173,10 @@
     BOOST_TEST(ana.json()["nodes"][1]["role"] == "relay");
     for (const char *bad : {R"({"revision":0,"digest":""})", "[]", "\xff", R"({"revision":"x"})"})
         BOOST_TEST(isCode(answer(bad), ExitCode::Refused));
+    const std::string refusal = R"({"revision":1,"refusals":[{"node":"n1","reason":"too large"}]})";
+    BOOST_REQUIRE(ana.platform.operations().put(std::string(nackPrefix) + "1", refusal, {}));
+    BOOST_TEST(isCode(answer(good), ExitCode::Refused));
+    BOOST_TEST(ana.json()["refusals"][0]["reason"] == "too large");
     ana.node = fail(ErrorKind::Unavailable, "cannot connect", "start it");
     BOOST_TEST(isCode(ana.run(status), ExitCode::Refused));
     BOOST_TEST(ana.json()["nodes"][0]["problem"] == "cannot connect");
--- a/test/ctl/configuration-store-test.cc
+++ b/test/ctl/configuration-store-test.cc
@@ -218,7 +218,11 @@
     for (std::uint32_t burst = 1; burst <= 6; ++burst)
         BOOST_REQUIRE(applyDeclarations(operations,
                                         requestOf(withBurst(burst), "e" + std::to_string(burst))));
+    for (const char *revision : {"2", "5"})
+        BOOST_REQUIRE(operations.put(std::string(nackPrefix) + revision, "{}", {}));
     const PruneOutcome outcome = pruneHistory(operations, 2).value();
+    BOOST_TEST(!platform.entries.contains(std::string(nackPrefix) + "2"));
+    BOOST_TEST(platform.entries.contains(std::string(nackPrefix) + "5"));
     BOOST_TEST(outcome.manifestsRemoved == 3u);
     BOOST_TEST(outcome.chunksRemoved == 3u);
     const auto history = readHistory(operations).value();
