Make the latency test monotone, tolerate more within one data centre, and let no burst decide

Cause, found at 3,000 calls/s: answers faster than the profile could speak for or against a version, because strays made the likelihood ratio rise again at its low end; a crash of 300 ms is reported over more than a second; in a data centre with one server the host makes the difference, not the version. Ruled out: too few blocks for onsets, and the cap of a block.

--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -27,6 +27,8 @@
     double falseAlarms = 0.004;
     /// Blocks in which badness may begin; more of them make each one cost more evidence.
     double expectedBlocks = 200;
+    /// Blocks that the evidence has to span, so that one crash or stall decides nothing.
+    std::size_t leastBlocks = 5;
     JudgementRules rules = JudgementRules::Current;
 };
 
@@ -74,6 +76,8 @@
     KindTests concurrent;
     /// Against the old version's past.
     KindTests againstPast;
+    /// The logarithm of the odds that nodes keep calls from the new version.
+    double shunned = 0;
     /// The latest calls, for the text of a finding.
     std::vector<VersionSums> recent;
 };
@@ -94,8 +98,9 @@
              const OutcomeSums &sums);
     /// Takes the old version's recorded past, for when nothing of it was seen here.
     void recallPast(const OutcomeBatch &past);
-    /// Ends the block.  At full share, the new version is also compared with the past.
-    void closeBlock(bool isFullShare);
+    /// Ends a block in which the new version had `share` of the calls.  At full share, it is also
+    /// compared with the past.
+    void closeBlock(PerMille share);
     /// Starts the comparison after a suspicion: expects badness with more weight, a few times at
     /// most, and skips blocks in which quick answers come in before slow ones of the same time.
     void startRecheck();
@@ -110,9 +115,9 @@
     std::optional<Finding> suspicion(double leastOdds) const;
     /// Tells whether badness would have shown since the last `startStage`.
     bool isCleared() const;
-    /// Tells whether the new version gets far fewer calls than `share` promises, in all or in one
-    /// data centre, over the last blocks.
-    bool isShunned(PerMille share) const;
+    /// Tells whether the new version gets far fewer calls than its share promises, in all or in one
+    /// data centre.
+    bool isShunned() const;
     JudgementRules rules() const { return settings_.rules; }
     /// Tells whether the new version ever answered.
     bool hasSeenNew() const { return newCalls_ > 0; }
@@ -127,6 +132,7 @@
 
 private:
     double kindWeight(std::size_t kind) const;
+    double testWeight(const detail::JudgementScope &scope, std::size_t kind) const;
     double scopeWeight(const detail::JudgementScope &scope) const;
     void openRecent();
     void noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums);
@@ -134,6 +140,7 @@
     detail::KindRatios compare(const detail::JudgementCell &cell) const;
     detail::KindRatios compareWithPast(const detail::JudgementCell &cell,
                                        const OutcomeSums &routePast) const;
+    void countMissingCalls(PerMille share);
     void skipKinds(detail::KindRatios &ratios) const;
     double drawOnsetWeight();
     void addToTests(const detail::ScopeRatios &concurrent, const detail::ScopeRatios &past);
@@ -151,6 +158,9 @@
     detail::VersionSums stage_;
     std::uint64_t newCalls_ = 0;
     std::size_t blocks_ = 0;
+    std::size_t stageBlocks_ = 0;
+    /// The last block after which nothing spoke against the new version.
+    std::size_t lastGoodBlock_ = 0;
     bool expectsOnset_ = false;
     /// Blocks in which failures, and latencies, are not compared yet.
     std::size_t skippedFailureBlocks_ = 0;
--- a/include/cornelhead/rollout/latency-test.h
+++ b/include/cornelhead/rollout/latency-test.h
@@ -19,12 +19,17 @@
 class LatencyProfile
 {
 public:
-    explicit LatencyProfile(const OutcomeSums &past);
+    /// Counts answers slower by `toleratedSlowdown` as good.
+    LatencyProfile(const OutcomeSums &past, double toleratedSlowdown);
 
     /// Returns the probabilities of buckets when every answer takes `2^shift` times as long.
     LatencyShares slowedBy(double shift) const;
 
+    /// Returns the tolerated slowdown in doublings, from 0 to 1.
+    double toleratedShift() const { return toleratedShift_; }
+
 private:
+    double toleratedShift_ = 0;
     LatencyShares tolerated_{};
 };
 
--- a/include/cornelhead/rollout/outcome-events.h
+++ b/include/cornelhead/rollout/outcome-events.h
@@ -11,11 +11,13 @@
 
 namespace cornelhead::detail {
 
-/// Failures, shed calls, the whole of the latencies, and answers slower than each latency bound.
+/// Failures, shed calls, the whole of the latencies over several data centres and within one, and
+/// answers slower than each latency bound.
 constexpr std::size_t failureEvent = 0;
 constexpr std::size_t shedEvent = 1;
 constexpr std::size_t slowEvent = 2;
-constexpr std::size_t firstBoundEvent = 3;
+constexpr std::size_t slowHereEvent = 3;
+constexpr std::size_t firstBoundEvent = 4;
 constexpr std::size_t eventKinds = firstBoundEvent + latencyBuckets - 1;
 
 /// Sums of both versions.
@@ -30,7 +32,13 @@
 /// Returns the answers with a latency.
 double timedCalls(const OutcomeSums &sums);
 Tolerance toleranceOf(std::size_t kind);
-/// Splits calls by whether the event happened; not for `slowEvent`.
+/// Tells whether `kind` is about the whole of the latencies.
+bool isSlowEvent(std::size_t kind);
+/// Returns the factor by which the new version's answers may be slower.
+///
+/// Within one data centre a few hosts make the difference, so more is tolerated there.
+double toleratedSlowdown(std::size_t kind);
+/// Splits calls by whether the event happened; not when `isSlowEvent`.
 ComparedCalls countEvents(const VersionSums &sums, std::size_t kind);
 /// Returns the old version's events and calls with the tolerance counted in.
 std::pair<double, double> toleratedEvents(const OutcomeSums &past, std::size_t kind);
--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <cstdio>
 #include <iostream>
+#include <limits>
 #include <optional>
 #include <string>
 #include <thread>
@@ -26,6 +27,8 @@
   --threads N        Runs at a time. [default: 2]
   --kind NAME        Only this kind; "all" for every one. [default: all]
   --only-moves       Leave out the baselines and low traffic.
+  --call-rate N      Calls a second of every run, in place of 60 to 400.
+  --replay SEED      Run only the scenario of that seed and --kind, and print its record.
   --show             Print each run of a wrong verdict.
   --help             Show this text.
   --version          Show the version.
@@ -200,6 +203,8 @@
     std::size_t runs = 0;
     std::size_t threads = 0;
     bool show = false;
+    /// Of every run; 0 lets each draw its own.
+    std::uint64_t callRate = 0;
 };
 
 bool isWrong(const Scenario &scenario, const RunFigures &run)
@@ -212,7 +217,7 @@
 
 void showRun(const Scenario &scenario, const RunFigures &run)
 {
-    std::cout << "  wrong " << badnessName(scenario.badness) << " seed " << scenario.seed << ": "
+    std::cout << "  run " << badnessName(scenario.badness) << " seed " << scenario.seed << ": "
               << moveStateName(run.end) << ", " << scenario.callRate << " calls/s, fail "
               << scenario.failRate << ", slow " << scenario.slowFactor << ", under load "
               << scenario.badFromLoad << ", cut " << scenario.cutDataCentre << ", controller gap "
@@ -234,6 +239,8 @@
                 = settled.seed * 1'000'003 + i * 64 + static_cast<std::uint64_t>(kind);
         scenarios[i] = drawScenario(settled.deployment, kind, seed, lowTraffic);
         scenarios[i].judge = judge;
+        if (settled.callRate > 0 && !lowTraffic)
+            scenarios[i].callRate = static_cast<double>(settled.callRate);
     }
     std::vector<std::thread> threads;
     for (std::size_t t = 0; t < settled.threads; ++t)
@@ -280,6 +287,17 @@
     return all;
 }
 
+int replay(const Settled &settled, const std::string &only, std::uint64_t seed)
+{
+    for (const Badness kind : allKinds) {
+        if (only != badnessName(kind))
+            continue;
+        const Scenario scenario = drawScenario(settled.deployment, kind, seed, false);
+        showRun(scenario, runMove(scenario));
+    }
+    return 0;
+}
+
 int runMeasure(int argc, const char *const *argv)
 {
     Settings settings = Settings::parseOrExit(usage, argc, argv);
@@ -291,7 +309,15 @@
     settled.threads = static_cast<std::size_t>(settings.integer("--threads", 1, 64));
     settled.show = settings.flag("--show");
     const std::string only = settings.text("--kind");
+    if (settings.has("--call-rate"))
+        settled.callRate = settings.integer("--call-rate", 1, 100'000);
+    const std::uint64_t replayed
+            = settings.has("--replay")
+            ? settings.integer("--replay", 0, std::numeric_limits<std::uint64_t>::max())
+            : 0;
     settings.exitOnFaults();
+    if (settings.has("--replay"))
+        return replay(settled, only, replayed);
     std::cout << "deployment " << name << ", seed " << settled.seed << ", " << settled.runs
               << " runs of each kind\n";
     if (settings.flag("--only-moves")) {
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -15,8 +15,6 @@
 constexpr std::int64_t blockMs = 300;
 /// After a longer silence a controller counts as new, since its evidence has a hole.
 constexpr std::int64_t longestGapMs = 3'000;
-/// The time in which every node learns of a share and its reports arrive, with room to spare.
-constexpr std::int64_t settledMs = 5'000;
 /// Odds from which a version is suspect: its share waits.
 constexpr double suspectOdds = 10.0;
 /// Odds from which a version at full share is compared with the old one again.
@@ -85,7 +83,7 @@
         if (nowMs - blockStartMs_ < blockMs)
             return;
         blockStartMs_ = nowMs;
-        judgement_.closeBlock(move_.share == fullShare);
+        judgement_.closeBlock(move_.share);
     }
 
     /// Returns how long evidence was gathered at the present share without a hole.
@@ -301,8 +299,7 @@
 
 std::optional<Move> nextStep(const TrackedMove &tracked, std::int64_t nowMs)
 {
-    const bool isSettled = tracked.stageMs(nowMs) >= settledMs;
-    if (isSettled && tracked.judgement().isShunned(tracked.move().share))
+    if (tracked.judgement().isShunned())
         return nextWhenShunned(tracked, nowMs);
     switch (tracked.move().state) {
     case MoveState::Running:
@@ -357,7 +354,7 @@
 
 struct LocalBrake::Impl
 {
-    detail::MoveBook book{{.falseAlarms = detail::brakeFalseAlarms}};
+    detail::MoveBook book{{.falseAlarms = detail::brakeFalseAlarms, .leastBlocks = 3}};
     std::map<ServiceId, VersionId> braked;
 };
 
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/rollout/judgement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 #include "cornelhead/rollout/latency-test.h"
@@ -10,6 +11,8 @@
 namespace detail {
 namespace {
 
+/// Odds below which nothing speaks against a version.
+constexpr double goodOdds = 3.0;
 /// No single block decides alone: a crashed host fails many calls at once.
 constexpr double highestBlockRatio = 4.5;
 /// A host that stalls slows many calls at once.
@@ -30,6 +33,11 @@
 /// After a step back, blocks until failures and most slow answers of both versions come in evenly.
 constexpr std::size_t recheckFailureBlocks = 2;
 constexpr std::size_t recheckSlowBlocks = 5;
+/// Blocks after a change of share until every node has learned of it and reported.
+constexpr std::size_t settledBlocks = 17;
+/// The part of its share that a version which nodes braked may still get, and how sure that is.
+constexpr double shunnedPart = 0.1;
+constexpr double shunnedRatio = 9.2;
 constexpr int longestPending = 15;
 constexpr std::size_t recentBlocks = 12;
 constexpr double leastPastCalls = 100;
@@ -82,8 +90,8 @@
 LogRatios ratiosToPast(const OutcomeSums &now, const OutcomeSums &past, const OutcomeSums &whole,
                        std::size_t kind)
 {
-    if (kind == slowEvent)
-        return compareLatenciesWithPast(now, LatencyProfile(past));
+    if (isSlowEvent(kind))
+        return compareLatenciesWithPast(now, LatencyProfile(past, toleratedSlowdown(kind)));
     const ComparedCalls compared = countEvents({now, {}}, kind);
     return compareWithRate(compared.newEvents, compared.newOthers, pastRate(past, whole, kind));
 }
@@ -138,11 +146,18 @@
         return 0.6;
     if (kind == detail::shedEvent)
         return 0.05;
-    if (kind == detail::slowEvent)
+    if (detail::isSlowEvent(kind))
         return isFirst ? 0.0 : 0.35;
     return isFirst ? 0.35 / (latencyBuckets - 1) : 0.0;
 }
 
+double Judgement::testWeight(const detail::JudgementScope &scope, std::size_t kind) const
+{
+    const bool isHere = !scope.dataCentre.empty();
+    const std::size_t other = isHere ? detail::slowEvent : detail::slowHereEvent;
+    return kind == other ? 0.0 : scopeWeight(scope) * kindWeight(kind);
+}
+
 // The weights of all scopes sum to 1 in each block, however many there are by then.
 double Judgement::scopeWeight(const detail::JudgementScope &scope) const
 {
@@ -195,9 +210,10 @@
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
         if (kindWeight(kind) <= 0 || !detail::isWorthTesting(cell.past, kind))
             continue;
-        if (kind == detail::slowEvent)
-            ratios[kind] = compareLatencies(cell.pending.newer, cell.pending.older,
-                                            LatencyProfile(cell.past));
+        if (detail::isSlowEvent(kind))
+            ratios[kind] = compareLatencies(
+                    cell.pending.newer, cell.pending.older,
+                    LatencyProfile(cell.past, detail::toleratedSlowdown(kind)));
         else
             ratios[kind] = compareCalls(detail::countEvents(cell.pending, kind),
                                         detail::toleranceOf(kind),
@@ -220,9 +236,11 @@
     return ratios;
 }
 
-void Judgement::closeBlock(bool isFullShare)
+void Judgement::closeBlock(PerMille share)
 {
+    const bool isFullShare = share == fullShare;
     blocks_ += 1;
+    stageBlocks_ += 1;
     openRecent();
     detail::ScopeRatios concurrent;
     detail::ScopeRatios past;
@@ -254,6 +272,9 @@
     }
     closeRest(concurrent);
     addToTests(concurrent, past);
+    if (odds() < detail::goodOdds)
+        lastGoodBlock_ = blocks_;
+    countMissingCalls(share);
     skippedFailureBlocks_ -= std::min<std::size_t>(1, skippedFailureBlocks_);
     skippedSlowBlocks_ -= std::min<std::size_t>(1, skippedSlowBlocks_);
 }
@@ -311,7 +332,7 @@
         detail::capRatios(now, detail::highestBlockRatio);
         detail::capRatios(before, detail::highestPastRatio);
         for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-            const double weight = scopeWeight(scope) * kindWeight(kind);
+            const double weight = testWeight(scope, kind);
             scopeTests.concurrent[kind].add(now[kind], weight * onset);
             scopeTests.againstPast[kind].add(before[kind], weight * detail::pastOnsetWeight);
         }
@@ -360,7 +381,7 @@
 std::optional<Finding> Judgement::finding() const
 {
     const double total = odds();
-    if (total < 1.0 / settings_.falseAlarms)
+    if (total < 1.0 / settings_.falseAlarms || blocks_ < lastGoodBlock_ + settings_.leastBlocks)
         return std::nullopt;
     Finding finding = strongest(&detail::JudgementTests::concurrent);
     finding.odds = total;
@@ -383,7 +404,9 @@
 {
     const bool isWhole = scope.route.empty() && scope.dataCentre.empty();
     const std::size_t effect = isWhole ? detail::wholeEffect : detail::partEffect;
-    for (const std::size_t kind : {detail::failureEvent, detail::slowEvent}) {
+    const std::size_t slow
+            = scope.dataCentre.empty() ? detail::slowEvent : detail::slowHereEvent;
+    for (const std::size_t kind : {detail::failureEvent, slow}) {
         if (detail::isWorthTesting(past, kind)
             && detail::ratiosToPast(stage, past, wholePast_, kind)[effect] > detail::clearedRatio)
             return false;
@@ -412,22 +435,28 @@
     });
 }
 
-bool Judgement::isShunned(PerMille share) const
+// A sequential test of "a tenth of its share" over "its share", which starts anew at 0.
+void Judgement::countMissingCalls(PerMille share)
 {
-    constexpr double leastExpected = 30;
-    constexpr double leastPart = 1.0 / 3.0;
+    if (stageBlocks_ < detail::settledBlocks)
+        return;
     const double part = static_cast<double>(share.value()) / static_cast<double>(fullShare.value());
-    return std::any_of(tests_.begin(), tests_.end(), [&](const auto &entry) {
-        if (!entry.first.route.empty())
-            return false;
-        detail::VersionSums sums;
-        for (const detail::VersionSums &block : entry.second.recent) {
-            sums.newer.add(block.newer);
-            sums.older.add(block.older);
-        }
-        const double expected = part * static_cast<double>(sums.newer.calls + sums.older.calls);
-        return expected >= leastExpected
-                && static_cast<double>(sums.newer.calls) < leastPart * expected;
+    for (auto &[scope, scopeTests] : tests_) {
+        if (!scope.route.empty())
+            continue;
+        const detail::VersionSums &block = scopeTests.recent.back();
+        const auto newCalls = static_cast<double>(block.newer.calls);
+        const double expected = part * (newCalls + static_cast<double>(block.older.calls));
+        scopeTests.shunned
+                = std::max(0.0, scopeTests.shunned + (1.0 - detail::shunnedPart) * expected
+                                        + newCalls * std::log(detail::shunnedPart));
+    }
+}
+
+bool Judgement::isShunned() const
+{
+    return std::any_of(tests_.begin(), tests_.end(), [](const auto &entry) {
+        return entry.second.shunned >= detail::shunnedRatio;
     });
 }
 
@@ -458,12 +487,15 @@
 void Judgement::startStage()
 {
     stage_ = {};
+    stageBlocks_ = 0;
     for (auto &[scope, cell] : cells_) {
         cell.stage = {};
         cell.pastAtStage = cell.past;
     }
-    for (auto &[scope, scopeTests] : tests_)
+    for (auto &[scope, scopeTests] : tests_) {
         scopeTests.againstPast = {};
+        scopeTests.shunned = 0;
+    }
 }
 
 OutcomeBatch Judgement::past(const ServiceId &service, const VersionId &oldVersion) const
--- a/src/rollout/latency-test.cc
+++ b/src/rollout/latency-test.cc
@@ -8,8 +8,6 @@
 namespace detail {
 namespace {
 
-/// Hosts differ in speed, so answers slower by this factor are still good.
-constexpr double toleratedSlowdown = 1.5;
 /// The part of answers that may take any time, as when a host stalls.
 constexpr double toleratedStrays = 0.02;
 constexpr double evenShare = 1.0 / latencyBuckets;
@@ -45,9 +43,8 @@
 
 // One old answer counts as the answer that a version slower by the tolerance would have given: it
 // stays, moves a bucket up, or strays, each with its probability.
-double toleratedMean(const LatencyShares &ratios, std::size_t bucket)
+double toleratedMean(const LatencyShares &ratios, std::size_t bucket, double up)
 {
-    const double up = std::log2(toleratedSlowdown);
     const std::size_t above = std::min(bucket + 1, latencyBuckets - 1);
     double stray = 0;
     for (const double ratio : ratios)
@@ -56,8 +53,30 @@
             + toleratedStrays * stray;
 }
 
+// The distribution of a version that is slower than tolerated.  Its ratio to the tolerated one must
+// not fall with the latency: else answers faster than the profile could speak against a version.
+LatencyShares slowerShares(const LatencyProfile &profile, double common, double effect)
+{
+    const LatencyShares tolerated = profile.slowedBy(common);
+    const LatencyShares slowed = profile.slowedBy(common + effect);
+    LatencyShares ratios{};
+    for (std::size_t i = 0; i < latencyBuckets; ++i)
+        ratios[i] = slowed[i] / tolerated[i];
+    const auto peak = std::max_element(ratios.begin(), ratios.end());
+    std::fill(peak, ratios.end(), *peak);
+    for (auto ratio = peak; ratio != ratios.begin(); --ratio)
+        *(ratio - 1) = std::min(*(ratio - 1), *ratio);
+    double total = 0;
+    for (std::size_t i = 0; i < latencyBuckets; ++i)
+        total += ratios[i] * tolerated[i];
+    LatencyShares shares{};
+    for (std::size_t i = 0; i < latencyBuckets; ++i)
+        shares[i] = ratios[i] * tolerated[i] / total;
+    return shares;
+}
+
 double logRatio(const OutcomeSums &newer, const OutcomeSums &older, const LatencyShares &slower,
-                const LatencyShares &tolerated)
+                const LatencyShares &tolerated, double toleratedShift)
 {
     const double newCalls = sum(newer);
     const double oldCalls = sum(older);
@@ -73,7 +92,7 @@
             ratio += static_cast<double>(newer.latencies[i]) * std::log(slower[i] / shared[i]);
         if (older.latencies[i] > 0)
             ratio += static_cast<double>(older.latencies[i])
-                    * std::log(toleratedMean(oldRatios, i));
+                    * std::log(toleratedMean(oldRatios, i, toleratedShift));
     }
     return ratio;
 }
@@ -81,13 +100,14 @@
 } // namespace
 } // namespace detail
 
-LatencyProfile::LatencyProfile(const OutcomeSums &past)
+LatencyProfile::LatencyProfile(const OutcomeSums &past, double toleratedSlowdown)
+    : toleratedShift_(std::log2(toleratedSlowdown))
 {
     LatencyShares shares{};
     const double calls = detail::sum(past) + detail::smoothing * latencyBuckets;
     for (std::size_t i = 0; i < latencyBuckets; ++i)
         shares[i] = (static_cast<double>(past.latencies[i]) + detail::smoothing) / calls;
-    tolerated_ = detail::shiftShares(shares, std::log2(detail::toleratedSlowdown));
+    tolerated_ = detail::shiftShares(shares, toleratedShift_);
 }
 
 LatencyShares LatencyProfile::slowedBy(double shift) const
@@ -111,8 +131,9 @@
             const double shift = detail::commonShifts[j];
             mixed += detail::commonWeights[j]
                     * std::exp(detail::logRatio(newer, older,
-                                                profile.slowedBy(shift + detail::effectShifts[i]),
-                                                profile.slowedBy(shift)));
+                                                detail::slowerShares(profile, shift,
+                                                                     detail::effectShifts[i]),
+                                                profile.slowedBy(shift), profile.toleratedShift()));
         }
         ratios[i] = std::log(std::max(mixed, 1e-300));
     }
@@ -124,7 +145,7 @@
     LogRatios ratios{};
     const LatencyShares tolerated = profile.slowedBy(0);
     for (std::size_t i = 0; i < ratios.size(); ++i) {
-        const LatencyShares slower = profile.slowedBy(detail::effectShifts[i]);
+        const LatencyShares slower = detail::slowerShares(profile, 0, detail::effectShifts[i]);
         for (std::size_t bucket = 0; bucket < latencyBuckets; ++bucket)
             ratios[i] += static_cast<double>(newer.latencies[bucket])
                     * std::log(slower[bucket] / tolerated[bucket]);
--- a/src/rollout/outcome-events.cc
+++ b/src/rollout/outcome-events.cc
@@ -15,8 +15,9 @@
 /// Refused calls tell more of capacity than of the version.
 constexpr double toleratedShed = 0.1;
 constexpr double toleratedSlow = 0.02;
-/// Hosts differ in speed, so answers slower by this factor are still good.
-constexpr double toleratedSlowdown = 1.5;
+/// Hosts differ in speed, so answers slower by these factors are still good.
+constexpr double toleratedAnywhere = 1.5;
+constexpr double toleratedHere = 2.0;
 /// Latency bounds that the old version crosses this often are worth a test.
 constexpr double rareSlow = 0.005;
 constexpr double commonSlow = 0.6;
@@ -77,13 +78,23 @@
             std::accumulate(sums.latencies.begin(), sums.latencies.end(), std::uint64_t(0)));
 }
 
+bool isSlowEvent(std::size_t kind)
+{
+    return kind == slowEvent || kind == slowHereEvent;
+}
+
+double toleratedSlowdown(std::size_t kind)
+{
+    return kind == slowHereEvent ? toleratedHere : toleratedAnywhere;
+}
+
 Tolerance toleranceOf(std::size_t kind)
 {
     if (kind == failureEvent)
         return {toleratedFailures, 0};
     if (kind == shedEvent)
         return {toleratedShed, 0};
-    return {toleratedSlow, std::log2(toleratedSlowdown)};
+    return {toleratedSlow, std::log2(toleratedSlowdown(kind))};
 }
 
 ComparedCalls countEvents(const VersionSums &sums, std::size_t kind)
@@ -132,7 +143,7 @@
     if (kind < slowEvent)
         return true;
     const double calls = timedCalls(past);
-    if (kind == slowEvent || calls < leastPastCalls)
+    if (isSlowEvent(kind) || calls < leastPastCalls)
         return calls >= leastPastCalls;
     const double slow = slowerThan(past, kind - firstBoundEvent);
     // The first bound that the old version hardly ever crosses counts too.
@@ -142,7 +153,7 @@
 
 std::string describeEvents(const VersionSums &sums, std::size_t kind, const std::string &oldWhen)
 {
-    const std::size_t shown = kind == slowEvent ? tellingBound(sums) : kind;
+    const std::size_t shown = isSlowEvent(kind) ? tellingBound(sums) : kind;
     const ComparedCalls calls = countEvents(sums, shown);
     return kindText(shown) + ": " + countText(calls.newEvents, calls.newEvents + calls.newOthers)
             + " of the new version against "
--- a/src/rollout/simulated-calls.cc
+++ b/src/rollout/simulated-calls.cc
@@ -20,6 +20,9 @@
 constexpr std::int64_t longestStallMs = 400;
 /// Until a crashed server is no longer picked.
 constexpr std::int64_t crashMs = 300;
+/// What a version may do and still be good, as the docs promise.
+constexpr double toleratedFailures = 0.005;
+constexpr double toleratedSlowdown = 1.5;
 constexpr double rateSmoothing = 0.1;
 constexpr double longestLatencyMs = 3'000;
 
@@ -148,10 +151,12 @@
     if (outcome.isExposed && scenario_->failRate > 0) {
         const bool fails = random_->chance(scenario_->failRate);
         outcome.isFailure = outcome.isFailure || fails;
-        outcome.trueLogOdds = fails ? std::log(scenario_->failRate / baseFailRate_)
-                                    : std::log1p(-scenario_->failRate);
+        const double tolerated = baseFailRate_ + detail::toleratedFailures;
+        outcome.trueLogOdds = fails
+                ? std::log(scenario_->failRate / tolerated)
+                : std::log((1.0 - scenario_->failRate) / (1.0 - tolerated));
     } else if (outcome.isExposed && badFactor > 1.0 && !outcome.isCold) {
-        const double shift = std::log(badFactor) / detail::latencySpread;
+        const double shift = std::log(badFactor / detail::toleratedSlowdown) / detail::latencySpread;
         const double seen = noise / detail::latencySpread + shift;
         outcome.trueLogOdds = seen * shift - shift * shift / 2.0;
     }
