--- a/test/distribution/fleet.cc
+++ b/test/distribution/fleet.cc
@@ -128,6 +128,14 @@
     nodes_[node].pausedUntil = now(clock_) + duration;
 }
 
+void Fleet::runUntilNobodyPauses()
+{
+    TimePoint end = now(clock_);
+    for (const Node &node : nodes_)
+        end = std::max(end, node.pausedUntil);
+    run(std::chrono::ceil<Milliseconds>(end - now(clock_)));
+}
+
 void Fleet::cut(std::size_t left, std::size_t right, bool isCut)
 {
     const auto pair = std::minmax(left, right);
--- a/test/distribution/random-run-test.cc
+++ b/test/distribution/random-run-test.cc
@@ -179,8 +179,7 @@
             for (std::size_t right = 0; right < 3; ++right)
                 fleet_.cut(left, right, false);
         }
-        for (std::size_t i = 0; i < fleet_.size(); ++i)
-            fleet_.pause(i, Milliseconds(0));
+        fleet_.runUntilNobodyPauses();
         restartAll();
     }
 
