--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -10,12 +10,21 @@
 
 namespace cornelhead {
 namespace detail {
+namespace {
 
 constexpr std::int64_t blockMs = 300;
 /// After a longer silence a controller counts as new, since its evidence has a hole.
 constexpr std::int64_t longestGapMs = 3'000;
+/// The time in which every node learns of a share and its reports arrive, with room to spare.
+constexpr std::int64_t settledMs = 5'000;
 /// Odds from which a version is suspect: its share waits.
-constexpr double suspectOdds = 20.0;
+constexpr double suspectOdds = 10.0;
+/// Odds from which a version at full share is compared with the old one again.
+constexpr double recheckOdds = 10.0;
+/// Odds at which badness under full load only is certain enough to take a version back.
+constexpr double fullLoadOdds = 250.0;
+/// Rechecks that find nothing, after which the next suspicion means badness under full load only.
+constexpr std::uint32_t mostClearedRechecks = 2;
 /// The probability that a good version is ever taken back by the controller.
 constexpr double controllerFalseAlarms = 0.004;
 /// The same for one node or data centre; there are many of them.
@@ -27,19 +36,20 @@
             && one.startedAtMs == other.startedAtMs;
 }
 
-JudgementSettings settingsFor(const Move &move, double falseAlarms)
+JudgementSettings settingsFor(const Move &move, JudgementSettings settings)
 {
     const std::int64_t moveMs = std::max<std::int64_t>(1, move.deadlineMs - move.startedAtMs);
     const auto wholeMs = static_cast<double>(moveMs + watchMs(moveMs));
-    return {falseAlarms, std::max(20.0, wholeMs / blockMs)};
+    settings.expectedBlocks = std::max(20.0, wholeMs / blockMs);
+    return settings;
 }
 
 /// One move with the evidence for and against it.
 class TrackedMove
 {
 public:
-    TrackedMove(Move move, double falseAlarms)
-        : move_(std::move(move)), judgement_(settingsFor(move_, falseAlarms))
+    TrackedMove(Move move, JudgementSettings settings)
+        : move_(std::move(move)), judgement_(settingsFor(move_, settings))
     {
         judgement_.recallPast(move_.past);
     }
@@ -52,6 +62,8 @@
     {
         if (move.share != move_.share)
             startStage(lastMs_);
+        if (move.rechecks > move_.rechecks)
+            judgement_.startRecheck();
         judgement_.recallPast(move.past);
         move_ = move;
     }
@@ -97,13 +109,13 @@
 class MoveBook
 {
 public:
-    explicit MoveBook(double falseAlarms) : falseAlarms_(falseAlarms) { }
+    explicit MoveBook(JudgementSettings settings) : settings_(settings) { }
 
     void observe(const Move &move)
     {
         const auto found = moves_.find(move.service);
         if (found == moves_.end()) {
-            moves_.try_emplace(move.service, move, falseAlarms_);
+            moves_.try_emplace(move.service, move, settings_);
             return;
         }
         if (move.modRevision <= found->second.move().modRevision)
@@ -111,7 +123,7 @@
         if (isSameMove(found->second.move(), move))
             found->second.update(move);
         else
-            found->second = TrackedMove(move, falseAlarms_);
+            found->second = TrackedMove(move, settings_);
     }
 
     void addEvidence(const OutcomeBatch &outcomes, std::int64_t nowMs)
@@ -132,7 +144,7 @@
     }
 
 private:
-    double falseAlarms_;
+    JudgementSettings settings_;
     std::map<ServiceId, TrackedMove> moves_;
 };
 
@@ -146,85 +158,178 @@
     return "new version: " + part(stage.newer) + "; old version: " + part(stage.older);
 }
 
-// Fenced by the revision of the record that it replaces.
-Move recordStep(const TrackedMove &tracked, std::int64_t nowMs, const std::string &text)
+Move stamp(Move next, std::int64_t nowMs)
 {
-    Move next = tracked.move();
     next.edit = EditId("controller-" + std::to_string(next.modRevision.value()) + "-"
                        + std::to_string(nowMs));
-    addMoveEvent(next, nowMs, text);
     return next;
 }
 
 Move takeBack(const TrackedMove &tracked, const Finding &finding, std::int64_t nowMs)
 {
-    Move next = recordStep(tracked, nowMs, "taken back");
+    Move next = stamp(tracked.move(), nowMs);
     next.state = MoveState::TakenBack;
     next.share = PerMille(0);
     next.refusedVersions.insert(next.newVersion);
     const auto odds = static_cast<std::uint64_t>(std::min(finding.odds, 1e9));
     next.verdict = "taken back: " + finding.text + "; odds " + std::to_string(odds) + " to 1";
-    next.events.back() = {nowMs, PerMille(0), next.verdict, {}};
+    addMoveEvent(next, nowMs, next.verdict);
     return next;
 }
 
-Move raise(const TrackedMove &tracked, PerMille share, std::int64_t nowMs)
+Move raise(const TrackedMove &tracked, PerMille share, std::string_view reason,
+           std::int64_t nowMs)
 {
-    Move next = tracked.move();
+    Move next = stamp(tracked.move(), nowMs);
     next.share = share;
     if (share == fullShare) {
         next.state = MoveState::Watching;
-        next.fullShareAtMs = nowMs;
+        next.fullShareAtMs = next.fullShareAtMs > 0 ? next.fullShareAtMs : nowMs;
     }
     const OutcomeBatch past = tracked.judgement().past(next.service, next.oldVersion);
     for (const auto &[key, sums] : past)
         if (next.past[key].calls < sums.calls)
             next.past[key] = sums;
-    next.edit = EditId("controller-" + std::to_string(next.modRevision.value()) + "-"
-                       + std::to_string(nowMs));
     addMoveEvent(next, nowMs,
-                 "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + "; "
-                         + stageText(tracked.judgement().stage()));
+                 "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + ", "
+                         + std::string(reason) + "; " + stageText(tracked.judgement().stage()));
     return next;
 }
 
 Move finish(const TrackedMove &tracked, std::int64_t nowMs)
 {
-    Move next = recordStep(tracked, nowMs, "done; " + stageText(tracked.judgement().stage()));
+    Move next = stamp(tracked.move(), nowMs);
     next.state = MoveState::Done;
     next.verdict = "done: nothing spoke against the new version until "
             + std::to_string((nowMs - next.fullShareAtMs) / 1000) + " s after full share";
+    addMoveEvent(next, nowMs, "done; " + stageText(tracked.judgement().stage()));
     return next;
 }
 
-std::optional<Move> nextStep(const TrackedMove &tracked, std::int64_t nowMs)
+Finding onlyAtFullShare(Finding suspicion)
+{
+    suspicion.text
+            += ", each time that it has all calls, and not with fewer, while the old version "
+               "was as before";
+    return suspicion;
+}
+
+Move stepBack(const TrackedMove &tracked, const Finding &suspicion, std::int64_t nowMs)
+{
+    Move next = tracked.move();
+    next.share = recheckShare;
+    next.state = MoveState::Running;
+    next.rechecks += 1;
+    next = stamp(std::move(next), nowMs);
+    addMoveEvent(next, nowMs, "stepped back to compare again: " + suspicion.text);
+    return next;
+}
+
+std::optional<Move> finishIfWatched(const TrackedMove &tracked, std::int64_t nowMs)
 {
     const Move &move = tracked.move();
+    const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
+    const std::int64_t endMs = std::max(move.fullShareAtMs, move.deadlineMs) + watch;
     const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
-    if (move.state == MoveState::Watching) {
-        const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
-        if (isSuspect || nowMs - move.fullShareAtMs < watch || tracked.stageMs(nowMs) < watch / 2)
+    // After each suspicion it has to do well for longer.
+    const std::int64_t leastMs
+            = move.rechecks == 0 ? watch / 2 : watch * std::min<std::int64_t>(move.rechecks + 1, 4);
+    if (isSuspect || nowMs < endMs || tracked.stageMs(nowMs) < leastMs)
+        return std::nullopt;
+    return finish(tracked, nowMs);
+}
+
+std::optional<Move> nextWhenWatching(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    if (tracked.judgement().rules() == JudgementRules::First)
+        return finishIfWatched(tracked, nowMs);
+    const bool isFullLoadOnly = move.clearedRechecks >= mostClearedRechecks;
+    const auto suspicion
+            = tracked.judgement().suspicion(isFullLoadOnly ? fullLoadOdds : recheckOdds);
+    if (suspicion && isFullLoadOnly)
+        return takeBack(tracked, onlyAtFullShare(*suspicion), nowMs);
+    if (suspicion)
+        return stepBack(tracked, *suspicion, nowMs);
+    return finishIfWatched(tracked, nowMs);
+}
+
+std::optional<Move> nextWhenRunning(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
+    if (move.rechecks > 0) {
+        const std::int64_t wait = recheckMs(move.rechecks);
+        const bool isCleared = tracked.judgement().isCleared() && !isSuspect;
+        const std::int64_t longest
+                = std::max(4 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 2);
+        if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
             return std::nullopt;
-        return finish(tracked, nowMs);
+        Move next = raise(tracked, fullShare, isCleared ? "nothing found" : "not enough to decide", nowMs);
+        next.clearedRechecks += tracked.judgement().isOldAsBefore() ? 1 : 0;
+        return next;
     }
-    if (move.state != MoveState::Running)
+    const auto due = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
+                               tracked.stageMs(nowMs), tracked.judgement().isCleared(), isSuspect});
+    if (!due)
+        return std::nullopt;
+    return raise(tracked, due->share, paceReasonName(due->reason), nowMs);
+}
+
+// A brake may rest on the past alone: calls then go to the old version, which gives the controller
+// the comparison that it needs.
+bool mustBrake(const Judgement &judgement)
+{
+    return judgement.finding() || judgement.suspicion(1.0 / brakeFalseAlarms);
+}
+
+// Nodes that braked the version hide it from the controller, so that calls which the share promises
+// and that never come are evidence too.
+std::optional<Move> nextWhenShunned(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    const std::int64_t watch = watchMs(move.deadlineMs - move.startedAtMs);
+    const bool isLate = nowMs >= move.deadlineMs + watch;
+    if (!tracked.judgement().hasSeenNew() && !isLate)
         return std::nullopt;
-    const PerMille due
-            = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
-                        tracked.stageMs(nowMs), tracked.judgement().isCleared(), isSuspect});
-    if (due <= move.share)
+    const Finding finding{fullLoadOdds,
+                          tracked.judgement().hasSeenNew()
+                                  ? "the nodes stopped sending it calls, on their own evidence"
+                                  : "it never got the calls of its share; no server of it answers"};
+    return takeBack(tracked, finding, nowMs);
+}
+
+std::optional<Move> nextStep(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const bool isSettled = tracked.stageMs(nowMs) >= settledMs;
+    if (isSettled && tracked.judgement().isShunned(tracked.move().share))
+        return nextWhenShunned(tracked, nowMs);
+    switch (tracked.move().state) {
+    case MoveState::Running:
+        return nextWhenRunning(tracked, nowMs);
+    case MoveState::Watching:
+        return nextWhenWatching(tracked, nowMs);
+    case MoveState::Paused:
+    case MoveState::Done:
+    case MoveState::TakenBack:
         return std::nullopt;
-    return raise(tracked, due, nowMs);
+    }
+    return std::nullopt;
 }
 
+} // namespace
 } // namespace detail
 
 struct MoveController::Impl
 {
-    detail::MoveBook book{detail::controllerFalseAlarms};
+    detail::MoveBook book;
 };
 
-MoveController::MoveController() : impl_(std::make_unique<Impl>()) { }
+MoveController::MoveController(JudgementRules rules)
+    : impl_(new Impl{
+            detail::MoveBook({.falseAlarms = detail::controllerFalseAlarms, .rules = rules})})
+{ }
+
 MoveController::~MoveController() = default;
 MoveController::MoveController(MoveController &&) noexcept = default;
 MoveController &MoveController::operator=(MoveController &&) noexcept = default;
@@ -252,7 +357,7 @@
 
 struct LocalBrake::Impl
 {
-    detail::MoveBook book{detail::brakeFalseAlarms};
+    detail::MoveBook book{{.falseAlarms = detail::brakeFalseAlarms}};
     std::map<ServiceId, VersionId> braked;
 };
 
@@ -276,7 +381,7 @@
     impl_->book.addEvidence(outcomes, nowMs);
     for (const auto &[key, sums] : outcomes) {
         const detail::TrackedMove *tracked = impl_->book.find(key.service);
-        if (tracked && !isFinal(tracked->move().state) && tracked->judgement().finding())
+        if (tracked && !isFinal(tracked->move().state) && detail::mustBrake(tracked->judgement()))
             impl_->braked.insert_or_assign(key.service, tracked->move().newVersion);
     }
 }
--- a/src/routing/refusal.cc
+++ b/src/routing/refusal.cc
@@ -50,6 +50,8 @@
          "use a fresh key for each request"},
         {"answer-forgotten", 409,
          "the call with this key was run; its answer was too large to keep", "read the state"},
+        {"key-expired", 409, "the key is older than what is remembered",
+         "read the state, then send with a fresh key"},
         {"home-young", 503, "the key may be older than the node that keeps it",
          "read the state, then send with a fresh key"},
         {"home-moved", 503, "another node keeps this key now", "resend with the same key later"},
@@ -66,6 +68,15 @@
     return detail::refusalTable[static_cast<std::size_t>(reason)];
 }
 
+std::optional<RefusalReason> refusalReasonOf(std::string_view name)
+{
+    for (std::size_t i = 0; i < refusalReasonCount; ++i) {
+        if (detail::refusalTable[i].name == name)
+            return static_cast<RefusalReason>(i);
+    }
+    return std::nullopt;
+}
+
 std::string_view runProofName(RunProof proof)
 {
     return proof == RunProof::NotRun ? "not-run" : "unknown";
