Try relays again sooner after an outage in which all of them died

Candidates are tried again after 1.5 s at most in place of 5 s; the platform's calls keep their longer back-off.

--- a/src/distribution/subscriber.cc
+++ b/src/distribution/subscriber.cc
@@ -9,7 +9,7 @@
 namespace detail {
 
 constexpr Milliseconds firstCandidateRetry = Milliseconds(250);
-constexpr Milliseconds lastCandidateRetry = Milliseconds(5000);
+constexpr Milliseconds lastCandidateRetry = Milliseconds(1500);
 constexpr Milliseconds welcomeTimeout = Milliseconds(500);
 /// Spreads a herd that lost the same relay.
 constexpr Milliseconds failoverJitter = Milliseconds(50);
