--- a/include/cornelhead/distribution/agent.h
+++ b/include/cornelhead/distribution/agent.h
@@ -80,13 +80,15 @@
     void onRelayPull(LinkId link, const inner::Pull &pull);
     void onConfigFrame(std::optional<LinkId> link, const inner::Config &wire);
     Result<bool> takeConfig(const EncodedConfig &config);
+    Result<bool> takeDelta(const inner::Config &wire);
+    void spreadConfig();
     void takeMoves(const std::vector<Move> &moves);
     void takeRecords(const inner::Records &records);
     void takeRecord(const NodeRecord &record, bool firstHand);
     void takeRelays(const RelayDirectory &directory);
     void takeReachability(const inner::Heartbeat &heartbeat);
     void takeOutcomes(const OutcomeBatch &batch);
-    void refuse(std::optional<LinkId> link, const EncodedConfig &config, const Error &error);
+    void refuse(std::optional<LinkId> link, const inner::Config &wire, const Error &error);
 
     // What this node tells.
     FramePtr makeHello(inner::LinkRole role);
--- a/include/cornelhead/distribution/config-store.h
+++ b/include/cornelhead/distribution/config-store.h
@@ -19,6 +19,14 @@
     std::shared_ptr<const std::string> bytes;
 };
 
+/// What leads from the configuration before to the one in force.
+struct EncodedDelta
+{
+    Revision baseRevision;
+    Digest baseDigest;
+    std::string bytes;
+};
+
 /// Replaces the configuration whole, forwards only, and never with one below the floor.
 ///
 /// Invariants: the revision in force never goes down; it is never below the floor; the bytes in
@@ -39,18 +47,31 @@
     /// wrong digest, `InvalidDeclaration` for content that cannot be applied.
     Result<bool> offer(const EncodedConfig &config);
 
+    /// Builds the configuration from the one in force, and then does as `offer`.
+    ///
+    /// Fails with `NotFound` when the one in force is not the base, and as `offer` otherwise.
+    Result<bool> offerDelta(Revision revision, const Digest &digest, std::string_view delta);
+    /// Returns the change from the configuration before, or nothing when it would save no bytes.
+    const std::optional<EncodedDelta> &delta();
+
     Revision revision() const { return current_.revision; }
     const EncodedConfig &current() const { return current_; }
     const std::shared_ptr<const Snapshot> &snapshot() const { return snapshot_; }
 
 private:
     Result<void> checkOrder(const EncodedConfig &config) const;
+    Result<std::shared_ptr<const Snapshot>> patch(Revision revision, const Digest &digest,
+                                                  std::string_view bytes) const;
     Result<std::shared_ptr<const Snapshot>> compile(const EncodedConfig &config) const;
     void swap(const EncodedConfig &config, std::shared_ptr<const Snapshot> snapshot);
 
     Revision floor_;
     EncodedConfig current_;
     std::shared_ptr<const Snapshot> snapshot_;
+    std::shared_ptr<const Snapshot> previous_;
+    // Worked out when a relay first asks for it.
+    bool deltaKnown_ = false;
+    std::optional<EncodedDelta> delta_;
     Counter *revertsRefused_;
     Counter *partialRefused_;
     Counter *danglingRefused_;
--- a/include/cornelhead/distribution/node-state.h
+++ b/include/cornelhead/distribution/node-state.h
@@ -44,6 +44,7 @@
 
 /// These render what the state holds.
 FramePtr configFrame(const EncodedConfig &config, Revision floor, bool confirmed);
+FramePtr deltaFrame(const EncodedConfig &config, const EncodedDelta &delta, Revision floor);
 FramePtr movesFrame(const MoveTable &table);
 FramePtr recordsFrame(const std::vector<NodeRecord> &records);
 /// Renders all records, to be merged with or put in place of those of the receiver.
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -24,6 +24,12 @@
 constexpr std::size_t mostActingNodes = 64;
 constexpr int missedBeforeGone = 3;
 
+EncodedConfig readConfig(const inner::Config &wire)
+{
+    return {Revision(wire.revision()), Digest(wire.digest()),
+            std::make_shared<const std::string>(wire.whole())};
+}
+
 RegistryTiming registryTiming(const DistributionSettings &settings)
 {
     RegistryTiming timing;
@@ -99,8 +105,11 @@
 {
     WatcherHandlers handlers;
     handlers.onConfig = [this](const EncodedConfig &config) {
-        if (const Result<bool> taken = takeConfig(config); !taken)
-            refuse(std::nullopt, config, taken.error());
+        const Result<bool> taken = takeConfig(config);
+        inner::Config wire;
+        wire.set_revision(config.revision.value());
+        if (!taken)
+            refuse(std::nullopt, wire, taken.error());
     };
     handlers.onMoves = [this](const std::vector<Move> &moves) { takeMoves(moves); };
     handlers.onRelays = [this](const RelayDirectory &directory) {
@@ -380,50 +389,63 @@
         early_ = wire;
         return;
     }
-    const EncodedConfig config{Revision(wire.revision()), Digest(wire.digest()),
-                               std::make_shared<const std::string>(wire.whole())};
-    const Result<bool> taken = takeConfig(config);
+    const Result<bool> taken
+            = wire.delta().empty() ? takeConfig(detail::readConfig(wire)) : takeDelta(wire);
     if (!taken) {
-        refuse(link, config, taken.error());
+        refuse(link, wire, taken.error());
         return;
     }
     if (!link)
         return;
     auto frame = std::make_shared<inner::Frame>();
-    frame->mutable_ack()->set_revision(config.revision.value());
+    frame->mutable_ack()->set_revision(wire.revision());
     network_.send(*link, frame);
 }
 
 Result<bool> Agent::takeConfig(const EncodedConfig &config)
 {
     Result<bool> taken = state_.config.offer(config);
-    if (!taken || !*taken)
-        return taken;
-    state_.floors.raise(settings_.self.inner, config.revision);
+    if (taken && *taken)
+        spreadConfig();
+    return taken;
+}
+
+Result<bool> Agent::takeDelta(const inner::Config &wire)
+{
+    Result<bool> taken = state_.config.offerDelta(Revision(wire.revision()), Digest(wire.digest()),
+                                                  wire.delta());
+    if (taken && *taken)
+        spreadConfig();
+    return taken;
+}
+
+void Agent::spreadConfig()
+{
+    state_.floors.raise(settings_.self.inner, state_.config.revision());
     // Make before break: what the configuration may route to comes first.
     flushEndpoints();
     handlers_.onConfig(state_.config.snapshot());
     relay_.publishConfig();
     exchange_.publishSummary();
-    return taken;
 }
 
-void Agent::refuse(std::optional<LinkId> link, const EncodedConfig &config, const Error &error)
+void Agent::refuse(std::optional<LinkId> link, const inner::Config &wire, const Error &error)
 {
     CORNELHEAD_LOG(WARNING, "config")
-            << "Revision " << config.revision.value() << " refused: " << error.describe();
+            << "Revision " << wire.revision() << " refused: " << error.describe();
     if (error.kind == ErrorKind::Stale)
         return;
     if (!link) {
-        nacks_.write({config.revision, settings_.self.id, error.describe()});
+        nacks_.write({Revision(wire.revision()), settings_.self.id, error.describe()});
         return;
     }
     auto frame = std::make_shared<inner::Frame>();
     inner::Nack *nack = frame->mutable_nack();
-    nack->set_revision(config.revision.value());
-    nack->set_digest(config.digest.value());
+    nack->set_revision(wire.revision());
+    nack->set_digest(wire.digest());
     nack->set_reason(error.describe());
     nack->set_node(settings_.self.id.value());
+    nack->set_want_whole(!wire.delta().empty());
     network_.send(*link, frame);
 }
 
--- a/src/distribution/config-store.cc
+++ b/src/distribution/config-store.cc
@@ -4,6 +4,7 @@
 #include "cornelhead/base/check.h"
 #include "cornelhead/base/digest.h"
 #include "cornelhead/base/log.h"
+#include "cornelhead/config/delta.h"
 #include "cornelhead/config/manifest.h"
 
 namespace cornelhead {
@@ -71,12 +72,64 @@
     return true;
 }
 
+Result<std::shared_ptr<const Snapshot>> ConfigStore::patch(Revision revision, const Digest &digest,
+                                                           std::string_view bytes) const
+{
+    const Result<Delta> delta = decodeDelta(bytes);
+    if (!delta)
+        return tl::unexpected(delta.error());
+    if (!snapshot_ || delta->baseDigest != current_.digest)
+        return fail(ErrorKind::NotFound, "the base of the delta is not in force here",
+                    "send the whole configuration");
+    auto snapshot = applyDelta(*snapshot_, *delta, revision);
+    if (snapshot && (*snapshot)->digest() != digest)
+        return fail(ErrorKind::InvalidMessage, "the delta does not give the stated digest",
+                    "send the whole configuration");
+    return snapshot;
+}
+
+Result<bool> ConfigStore::offerDelta(Revision revision, const Digest &digest,
+                                     std::string_view delta)
+{
+    EncodedConfig config{revision, digest, nullptr};
+    if (snapshot_ && revision == current_.revision && digest == current_.digest)
+        return false;
+    if (const Result<void> order = checkOrder(config); !order) {
+        revertsRefused_->add();
+        return tl::unexpected(order.error());
+    }
+    Result<std::shared_ptr<const Snapshot>> snapshot = patch(revision, digest, delta);
+    if (!snapshot) {
+        partialRefused_->add();
+        return tl::unexpected(snapshot.error());
+    }
+    config.bytes
+            = std::make_shared<const std::string>(encodeDeclarations((*snapshot)->declarations()));
+    swap(config, std::move(*snapshot));
+    return true;
+}
+
+const std::optional<EncodedDelta> &ConfigStore::delta()
+{
+    if (deltaKnown_ || !previous_)
+        return delta_;
+    deltaKnown_ = true;
+    std::string bytes
+            = encodeDelta(makeDelta(previous_->declarations(), snapshot_->declarations()));
+    if (bytes.size() < current_.bytes->size())
+        delta_ = EncodedDelta{previous_->revision(), previous_->digest(), std::move(bytes)};
+    return delta_;
+}
+
 void ConfigStore::swap(const EncodedConfig &config, std::shared_ptr<const Snapshot> snapshot)
 {
     CORNELHEAD_CHECK(config.revision >= current_.revision);
     CORNELHEAD_CHECK(config.revision >= floor_);
     CORNELHEAD_CHECK(snapshot->digest() == config.digest);
     current_ = config;
+    previous_ = snapshot_;
+    deltaKnown_ = false;
+    delta_.reset();
     snapshot_ = std::move(snapshot);
     revisionGauge_->set(static_cast<std::int64_t>(config.revision.value()));
     CORNELHEAD_LOG(INFO, "config") << "Revision " << config.revision.value() << " is in force.";
--- a/src/distribution/node-state.cc
+++ b/src/distribution/node-state.cc
@@ -37,6 +37,19 @@
     return frame;
 }
 
+FramePtr deltaFrame(const EncodedConfig &config, const EncodedDelta &delta, Revision floor)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Config *out = frame->mutable_config();
+    out->set_revision(config.revision.value());
+    out->set_digest(config.digest.value());
+    out->set_base_revision(delta.baseRevision.value());
+    out->set_base_digest(delta.baseDigest.value());
+    out->set_delta(delta.bytes);
+    out->set_floor(floor.value());
+    return frame;
+}
+
 FramePtr movesFrame(const MoveTable &table)
 {
     auto frame = std::make_shared<inner::Frame>();
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -135,11 +135,17 @@
         return;
     if (config.revision <= subscription.sent || config.revision < subscription.floor)
         return;
+    // What was sent before arrives before, since a link keeps its order.
+    const std::optional<EncodedDelta> &delta = state_->config.delta();
+    const bool isOnBase = delta && subscription.sent == delta->baseRevision;
     subscription.sent = config.revision;
     // Noted before it is sent: from then on the address may act on it.
     state_->floors.raise(subscription.address, config.revision);
     state_->floors.raise(subscription.dataCentre, config.revision);
-    network_->send(link, configFrame(config, subscription.floor, subscription.confirmed));
+    const Revision floor = subscription.floor;
+    network_->send(link,
+                   isOnBase ? deltaFrame(config, *delta, floor)
+                            : configFrame(config, floor, subscription.confirmed));
 }
 
 void Relay::publishConfig()
@@ -245,7 +251,7 @@
 void Relay::onNack(LinkId link, Subscription &subscription, const inner::Nack &nack)
 {
     if (nack.want_whole()) {
-        subscription.sent = subscription.acked;
+        subscription.sent = Revision(0);
         sendConfig(link, subscription);
         return;
     }
@@ -268,7 +274,7 @@
 void Relay::onPull(LinkId link, Subscription &subscription, const inner::Pull &pull)
 {
     if (pull.config()) {
-        subscription.sent = Revision(pull.held_revision());
+        subscription.sent = Revision(0);
         sendConfig(link, subscription);
     }
     if (pull.moves())
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -177,8 +177,7 @@
     return next;
 }
 
-Move raise(const TrackedMove &tracked, PerMille share, std::string_view reason,
-           std::int64_t nowMs)
+Move raise(const TrackedMove &tracked, PerMille share, std::string_view reason, std::int64_t nowMs)
 {
     Move next = stamp(tracked.move(), nowMs);
     next.share = share;
@@ -265,7 +264,8 @@
                 = std::max(4 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 2);
         if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
             return std::nullopt;
-        Move next = raise(tracked, fullShare, isCleared ? "nothing found" : "not enough to decide", nowMs);
+        Move next = raise(tracked, fullShare, isCleared ? "nothing found" : "not enough to decide",
+                          nowMs);
         next.clearedRechecks += tracked.judgement().isOldAsBefore() ? 1 : 0;
         return next;
     }
