--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -43,13 +43,21 @@
     std::function<void(const AttemptEnd &)> onEnd;
 };
 
+/// What connection an attempt wants.
+struct ConnectionNeed
+{
+    Address to;
+    /// A pooled connection that was idle since before it is not good enough.
+    TimePoint idleSince{};
+};
+
 /// Sends one request and waits for its answer.
 ///
 /// Must not be destroyed inside its own handlers, as evhttp still uses the connection there.
 class Attempt
 {
 public:
-    Attempt(EventLoop &loop, UpstreamPool &pool, Address to, AttemptHandlers handlers);
+    Attempt(EventLoop &loop, UpstreamPool &pool, ConnectionNeed need, AttemptHandlers handlers);
     ~Attempt();
     Attempt(const Attempt &) = delete;
     Attempt &operator=(const Attempt &) = delete;
@@ -96,6 +104,9 @@
     bool wasSent_ = false;
 };
 
+/// Returns the need of a call; one that must not be sent twice uses fresh connections only.
+ConnectionNeed connectionNeed(const Address &to, bool mustNotFail);
+
 /// Tells whether an answer's body is in chunks or longer than `bytes`.
 bool isLongAnswer(evhttp_request *answer, std::size_t bytes);
 
--- a/include/cornelhead/proxy/call.h
+++ b/include/cornelhead/proxy/call.h
@@ -32,64 +32,89 @@
 ///
 /// A call with a ticket outlives its caller: once it may be running at a server, only the server's
 /// answer, a broken connection or `lateAnswerLimit` ends it.
-///
-/// Invariant: a server is charged with at most one attempt of the call at a time.
 class Call : public ActiveCall
 {
 public:
     Call(WorkerState &worker, evhttp_request *caller, CallOrigin origin);
     ~Call() override;
 
-    /// Makes the first attempt; may end the call at once.
+    /// Makes the first attempt or waits for a server; may end the call at once.
     void start();
+    /// Makes the first attempt of a call that waited.  Returns false when no server is free.
+    bool startFromQueue();
+    /// Refuses a call that waited for a server.
+    void refuseOverload();
 
 private:
+    // One attempt at one server.
+    struct Trial
+    {
+        ServerBook::Record server;
+        TimePoint started{};
+        bool isRunning = true;
+        std::unique_ptr<Attempt> attempt;
+    };
+
     void attempt();
-    ServerBook::Record chooseServer();
+    ServerChoice chooseServer() const;
+    void waitForServer();
     void send(const ServerBook::Record &server);
     void fillRequest(Attempt &attempt) const;
     std::string targetUri() const;
-    AttemptHandlers handlers();
+    AttemptHandlers handlers(Trial &trial);
+
+    void onEnd(Trial &trial, const AttemptEnd &end);
+    void onWhole(Trial &trial, evhttp_request *answer);
+    void onStreamEnd(Trial &trial);
+    void onUnbounded(Trial &trial);
+    void onFailure(Trial &trial, AttemptFailure failure);
+    bool isStreamed(Trial &trial, evhttp_request *answer);
+    void onChunk(Trial &trial, evbuffer *chunk);
 
-    void onEnd(const AttemptEnd &end);
-    void onWhole(evhttp_request *answer);
-    void onStreamEnd();
-    void onUnbounded();
-    void onFailure(AttemptFailure failure);
+    void goOnAfter(AttemptFailure failure);
     bool retryAfter(AttemptFailure failure);
+    bool isPoison(const Trial &trial, AttemptFailure failure);
+    void clearSuspicion();
+
+    void setTimer();
+    void onTimer();
     void onDeadline();
+    ServerBook::Record chooseOther(const Trial &trial);
+    void hedge(const Trial &first);
+    void giveUp(Trial &trial);
     void onCallerGone();
     void onTooLate();
 
-    bool isStreamed(evhttp_request *answer);
-    void onChunk(evbuffer *chunk);
-
     bool maySurviveCaller() const;
     void waitForLateAnswer();
-    void cancelAttempt(ServerResult result);
-    void endAttempt(ServerResult result);
-    void recordOutcome(OutcomeKind kind);
+    void cancelTrial(Trial &trial, ServerResult result);
+    void cancelTrials(ServerResult result);
+    void endTrial(Trial &trial, ServerResult result);
+    void recordOutcome(const Trial &trial, OutcomeKind kind);
     void refuse(RefusalReason reason);
     void finish();
-    void startDeadline(Milliseconds allowed);
+    Trial *running() const;
+    bool wasSent() const;
     Milliseconds remaining() const;
     RunProof runProof() const;
-    Attempt &current() const { return *attempts_.back(); }
 
     WorkerState &worker_;
     Caller caller_;
     CallOrigin origin_;
     TimePoint deadline_{};
-    TimePoint attemptStarted_{};
+    // Decides between versions; the same for all attempts, so that waiting skews no share.
+    const double draw_;
     Timer timer_;
-    // All attempts so far; only the last one may be running.
-    std::vector<std::unique_ptr<Attempt>> attempts_;
+    // When the running attempt is to be hedged or given up.
+    std::optional<TimePoint> hedgeAt_;
+    std::optional<TimePoint> giveUpAt_;
+    // All attempts so far; at most two are running.
+    std::vector<std::unique_ptr<Trial>> trials_;
     std::vector<ServerBook::Record> tried_;
-    // The server of the running attempt, or null.
-    ServerBook::Record server_;
     std::optional<AttemptFailure> lastFailure_;
     // True once an attempt ended without proof that it was not run.
     bool mayHaveRun_ = false;
+    bool isWaiting_ = false;
 };
 
 } // namespace cornelhead::detail
--- a/include/cornelhead/proxy/counters.h
+++ b/include/cornelhead/proxy/counters.h
@@ -26,6 +26,7 @@
     Counter &answers;
     Counter &retriesOverBudget;
     Counter &retriesNotAllowed;
+    Counter &hedges;
     Counter &ejections;
     Counter &connectionsOpened;
     Counter &cutAnswers;
--- a/include/cornelhead/proxy/dispatcher.h
+++ b/include/cornelhead/proxy/dispatcher.h
@@ -41,6 +41,7 @@
     void sendOn(evhttp_request *request, const RequestHead &head, Decision decision,
                 const NodeInfo &home);
     void runHere(evhttp_request *request, const RequestHead &head, Decision decision);
+    bool isPoison(evhttp_request *request);
     void refuse(evhttp_request *request, const Refusal &refusal);
 
     WorkerState &worker_;
--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -10,6 +10,7 @@
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/membership/endpoint.h"
 #include "cornelhead/rollout/outcome.h"
+#include "cornelhead/routing/poison.h"
 #include "cornelhead/routing/view.h"
 
 namespace cornelhead {
@@ -42,6 +43,11 @@
     void setView(const std::shared_ptr<const RoutingView> &view);
     /// Takes the outcomes of finished calls since the last take.
     OutcomeBatch takeOutcomes();
+    /// Takes the deaths of servers under a request that this node saw since the last take, to be
+    /// told to the other nodes of the data centre.
+    std::vector<SuspectedDeath> takeSuspectedDeaths();
+    /// Notes deaths that other nodes of the data centre saw.
+    void addSuspectedDeaths(const std::vector<SuspectedDeath> &deaths);
     /// Stops accepting, lets calls end, then calls `done` from a worker thread.
     void drain(const std::function<void()> &done);
 
--- a/include/cornelhead/proxy/request-head.h
+++ b/include/cornelhead/proxy/request-head.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "cornelhead/base/clock.h"
+#include "cornelhead/routing/poison.h"
 #include "cornelhead/routing/refusal.h"
 
 struct evhttp_request;
@@ -51,6 +52,12 @@
 /// Reads the head.  Fails with `BadRequest` for shapes that two readers could frame differently.
 tl::expected<RequestHead, RefusalReason> readRequestHead(evhttp_request *request);
 
+/// Returns the request's body without copying it, unless it lies in several pieces.
+std::string_view bodyOf(evhttp_request *request);
+
+/// Returns the fingerprint of what the request asks for.
+Fingerprint requestFingerprint(evhttp_request *request);
+
 /// Copies the headers that may pass to the next hop.
 void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to);
 
--- a/include/cornelhead/proxy/upstream-pool.h
+++ b/include/cornelhead/proxy/upstream-pool.h
@@ -21,12 +21,15 @@
 public:
     UpstreamPool(event_base *base, Counter &opened) : base_(base), opened_(opened) { }
 
-    /// Returns the connection used last, or a new one that is not connected yet.
-    UpstreamHandle take(const Address &to);
+    /// Returns the connection used last, or a new one that is not connected yet.  One that was
+    /// idle since before `idleSince` is not used.
+    UpstreamHandle take(const Address &to, TimePoint idleSince);
     /// Tells whether another call may use the connection.
     static bool isReusable(evhttp_connection *connection);
     /// Takes back a reusable connection.
     void give(const Address &to, UpstreamHandle connection, TimePoint now);
+    /// Closes what was idle to `to` since `before`.
+    void dropIdle(const Address &to, TimePoint before);
     /// Closes what was idle since `before`, ahead of the server's own limit.
     void closeIdle(TimePoint before);
 
--- a/include/cornelhead/proxy/worker-state.h
+++ b/include/cornelhead/proxy/worker-state.h
@@ -1,8 +1,11 @@
 // What the calls of one worker share; touched by the worker's thread only, unless said otherwise.
 #pragma once
 
+#include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -14,13 +17,17 @@
 #include "cornelhead/proxy/outcome-recorder.h"
 #include "cornelhead/proxy/proxy.h"
 #include "cornelhead/proxy/upstream-pool.h"
+#include "cornelhead/routing/call-queue.h"
 #include "cornelhead/routing/home-keys.h"
 #include "cornelhead/routing/limits.h"
+#include "cornelhead/routing/poison.h"
 #include "cornelhead/routing/retry.h"
 #include "cornelhead/routing/server-choice.h"
 
 namespace cornelhead::detail {
 
+class Call;
+
 /// A call that a worker is busy with.
 class ActiveCall
 {
@@ -31,6 +38,29 @@
     ActiveCall &operator=(const ActiveCall &) = delete;
 };
 
+/// The node's memory of poisoned requests, for all workers.
+class SharedPoison
+{
+public:
+    /// Cheap enough to ask for each call.
+    bool hasSuspects() const { return hasSuspects_.load(std::memory_order_relaxed); }
+    bool noteDeath(const SuspectedDeath &death, TimePoint time);
+    void noteAnswer(Fingerprint request);
+    bool isRefused(Fingerprint request, TimePoint time);
+    void expire(TimePoint time);
+    /// Takes the deaths that this node saw, for the other nodes of its data centre.
+    std::vector<SuspectedDeath> takeDeaths();
+    /// Notes a death that another node saw.
+    void addDeath(const SuspectedDeath &death, TimePoint time);
+
+private:
+    std::atomic<bool> hasSuspects_ = false;
+    std::mutex mutex_;
+    // Guarded by mutex_.
+    PoisonBook book_;
+    std::vector<SuspectedDeath> deaths_;
+};
+
 /// What all workers of a node share.
 struct NodeState
 {
@@ -44,6 +74,8 @@
     // Guarded by limitsMutex.
     CustomerLimits limits;
 
+    SharedPoison poison;
+
     std::mutex keysMutex;
     // Guarded by keysMutex.
     HomeKeys keys;
@@ -86,6 +118,12 @@
         calls.emplace(&started, std::move(call));
         return started;
     }
+    /// Queues a call until a server of `service` is free.
+    void wait(const ServiceId &service, const CallQueue<Call *>::Waiting &waiting);
+    void stopWaiting(const ServiceId &service, Call *call);
+    /// Starts waiting calls of `service` soon, outside of the present call.
+    void wakeWaiting(const ServiceId &service);
+    void wakeAllWaiting();
     /// Keeps `call` until `dropEnded`.
     void endCall(ActiveCall *call);
     /// Drops calls that have ended; never called from inside a call.
@@ -103,10 +141,17 @@
     OutcomeRecorder outcomes;
     Random random;
     bool isDraining = false;
+    // Invariant: holds running calls only.
+    std::map<ServiceId, CallQueue<Call *>> queues;
+    std::set<ServiceId> woken;
     // Invariant: a call is in exactly one of the two; evhttp may still use the connections of an
     // ended one until its callback returns.
     std::unordered_map<ActiveCall *, std::unique_ptr<ActiveCall>> calls;
     std::vector<std::unique_ptr<ActiveCall>> ended;
+
+private:
+    void startWaiting();
+    void startWaiting(CallQueue<Call *> &queue);
 };
 
 } // namespace cornelhead::detail
--- a/include/cornelhead/routing/retry.h
+++ b/include/cornelhead/routing/retry.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "cornelhead/base/clock.h"
 #include "cornelhead/config/declarations.h"
@@ -41,6 +42,19 @@
 /// A retry needs at least this much time to be of use.
 constexpr Milliseconds minRetryTime = Milliseconds(2);
 
+/// How long an attempt may stay without an answer before the call looks elsewhere.
+struct Patience
+{
+    /// After it another server is asked as well; nothing where calls may not be hedged.
+    std::optional<Microseconds> hedgeAfter;
+    /// After it the connection counts as silent; nothing where the call must wait.
+    std::optional<Microseconds> giveUpAfter;
+};
+
+/// Returns the patience with an attempt at a server whose smoothed latency is `latency`, 0 for an
+/// unknown one.
+Patience patienceWith(const Route &route, Microseconds latency, Milliseconds remaining);
+
 /// Decides without regard to the budget, which is asked next.
 RetryDecision decideRetry(const RetryQuestion &question);
 
@@ -55,12 +69,16 @@
     void addCall(std::uint32_t depth);
     /// Takes one retry, if there is one left.
     bool take();
+    /// Takes one hedged attempt, if enough is left for retries after it.
+    bool takeForHedge();
 
 private:
     // Invariant: 0 <= tokens_ <= maxTokens.
     double tokens_ = maxTokens;
 
     static constexpr double maxTokens = 10.0;
+    // Hedges leave this much for retries, which are needed more.
+    static constexpr double reservedTokens = 5.0;
 };
 
 /// Returns the retries that one call at `depth` earns.
--- a/include/cornelhead/routing/server-choice.h
+++ b/include/cornelhead/routing/server-choice.h
@@ -23,6 +23,12 @@
     std::uint32_t inFlight = 0;
     /// Calls that this worker may have in flight, from the server's connections.
     std::uint32_t connectionShare = 1;
+    /// Calls that this worker keeps in flight at most; falls when the server is overloaded.
+    /// Invariant: between 1 and `connectionShare`.
+    double limit = 1.0;
+    TimePoint limitLowered{};
+    /// The least smoothed latency lately, which the server shows when it has little to do.
+    double leastLatencyUs = 0.0;
     /// Smoothed latency; 0 until the first answer.
     double latencyUs = 0.0;
     std::uint32_t failuresInRow = 0;
@@ -34,6 +40,15 @@
     TimePoint lastAnswer{};
 };
 
+/// What a choice of server gave.
+struct ServerChoice
+{
+    /// Null when no server can take the call.
+    std::shared_ptr<ServerRecord> server;
+    /// Tells whether a server may take it once another call has ended.
+    bool isWorthWaiting = false;
+};
+
 /// How a call at a server ended, for the choice of later servers.
 enum class ServerResult {
     Answered,
@@ -64,9 +79,9 @@
     /// Takes the servers announced now; what is known of a run that stays is kept.
     void update(const EndpointTable &table, ConnectionSplit split);
 
-    /// Picks a server for a call, or null.  `tried` are servers that this call has failed at.
-    Record choose(const ServiceId &service, const VersionId &version,
-                  const std::vector<Record> &tried, TimePoint now, Random &random) const;
+    /// Picks a server for a call.  `tried` are servers that this call has failed at.
+    ServerChoice choose(const ServiceId &service, const VersionId &version,
+                        const std::vector<Record> &tried, TimePoint now, Random &random) const;
     /// Counts a call as in flight.
     static void begin(ServerRecord &server);
     /// Ends a call that was sent `latency` ago and learns from it.  Returns whether the server was
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -23,6 +23,8 @@
 constexpr int noContent = 204;
 constexpr int notModified = 304;
 constexpr int decimal = 10;
+// Connections idle for longer may have been lost by something between the two ends.
+constexpr Milliseconds freshLimit = Milliseconds(1000);
 
 // Says whether the end of the answer is marked, so that a cut one is noticed.
 bool statesItsEnd(evhttp_request *raw)
@@ -37,9 +39,9 @@
 
 } // namespace
 
-Attempt::Attempt(EventLoop &loop, UpstreamPool &pool, Address to, AttemptHandlers handlers)
-    : pool_(pool), to_(std::move(to)), handlers_(std::move(handlers)), connection_(pool.take(to_)),
-      raw_(evhttp_request_new(&Attempt::onDone, this))
+Attempt::Attempt(EventLoop &loop, UpstreamPool &pool, ConnectionNeed need, AttemptHandlers handlers)
+    : pool_(pool), to_(std::move(need.to)), handlers_(std::move(handlers)),
+      connection_(pool.take(to_, need.idleSince)), raw_(evhttp_request_new(&Attempt::onDone, this))
 {
     evhttp_request_set_header_cb(raw_, &Attempt::onHeadRead);
     // Reading is stopped outside of evhttp's own callback, which starts it again at its end.
@@ -191,6 +193,11 @@
     handlers_.onEnd(end);
 }
 
+ConnectionNeed connectionNeed(const Address &to, bool mustNotFail)
+{
+    return ConnectionNeed{to, mustNotFail ? now(SteadyClock()) - freshLimit : TimePoint{}};
+}
+
 bool isLongAnswer(evhttp_request *answer, std::size_t bytes)
 {
     const evkeyvalq *headers = evhttp_request_get_input_headers(answer);
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -20,6 +20,8 @@
 constexpr std::size_t maxKeyedAnswer = 4 * 1024 * 1024;
 // How long a keyed call waits for its answer after its caller was told that it is unknown.
 constexpr Milliseconds lateAnswerLimit = Milliseconds(10'000);
+// A call waits this long for a free server at most, and no longer than half of its time.
+constexpr Milliseconds maxQueueTime = Milliseconds(500);
 constexpr int firstServerError = 500;
 constexpr int shedStatus = 503;
 
@@ -57,10 +59,22 @@
     return RefusalReason::Timeout;
 }
 
+ServerResult resultOf(AttemptFailure failure)
+{
+    return failure == AttemptFailure::RefusedNotRun ? ServerResult::Shed : ServerResult::Failed;
+}
+
+// Rounds up, so that a timer never fires before its time.
+Milliseconds timerDelay(Microseconds wait)
+{
+    return std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(wait));
+}
+
 } // namespace
 
 Call::Call(WorkerState &worker, evhttp_request *caller, CallOrigin origin)
-    : worker_(worker), caller_(worker, caller), origin_(std::move(origin))
+    : worker_(worker), caller_(worker, caller), origin_(std::move(origin)),
+      draw_(worker.random.unit())
 {
     worker_.node.counters.inFlight.add(1);
 }
@@ -80,6 +94,22 @@
     return mayHaveRun_ ? RunProof::Unknown : RunProof::NotRun;
 }
 
+Call::Trial *Call::running() const
+{
+    for (const auto &trial : trials_) {
+        if (trial->isRunning)
+            return trial.get();
+    }
+    return nullptr;
+}
+
+bool Call::wasSent() const
+{
+    return std::any_of(trials_.begin(), trials_.end(), [](const auto &trial) {
+        return trial->isRunning && trial->attempt->wasSent();
+    });
+}
+
 void Call::start()
 {
     const Milliseconds timeout = origin_.admission.route->timeout;
@@ -90,54 +120,85 @@
         refuse(RefusalReason::Deadline);
         return;
     }
-    startDeadline(allowed);
     caller_.watch([this] { onCallerGone(); });
     attempt();
 }
 
-void Call::startDeadline(Milliseconds allowed)
-{
-    timer_ = worker_.loop.after(allowed, [this] { onDeadline(); });
-}
-
-ServerBook::Record Call::chooseServer()
+ServerChoice Call::chooseServer() const
 {
     const Admission &admission = origin_.admission;
     const ServiceId &service = admission.service->id;
     const Move *move = findMove(*origin_.view->moves, service);
-    const VersionChoice choice = chooseVersion(*admission.service, move, worker_.random.unit());
+    const VersionChoice versions = chooseVersion(*admission.service, move, draw_);
     const TimePoint time = now(SteadyClock());
-    for (const VersionId *version : {choice.first, choice.second}) {
-        if (!version)
+    ServerChoice best;
+    for (const VersionId *version : {versions.first, versions.second}) {
+        if (!version || best.server)
             continue;
-        ServerBook::Record found
-                = worker_.servers.choose(service, *version, tried_, time, worker_.random);
-        if (found)
-            return found;
+        const bool wasWorthWaiting = best.isWorthWaiting;
+        best = worker_.servers.choose(service, *version, tried_, time, worker_.random);
+        best.isWorthWaiting = best.isWorthWaiting || wasWorthWaiting;
     }
-    return nullptr;
+    return best;
 }
 
 void Call::attempt()
 {
-    const ServerBook::Record server = chooseServer();
-    if (server)
-        send(server);
+    const ServerChoice choice = chooseServer();
+    if (choice.server)
+        send(choice.server);
+    else if (choice.isWorthWaiting && trials_.empty())
+        waitForServer();
     else
         refuse(lastFailure_ ? reasonAfter(*lastFailure_) : RefusalReason::NoServer);
 }
 
+void Call::waitForServer()
+{
+    isWaiting_ = true;
+    const Microseconds most = std::min<Microseconds>(maxQueueTime, remaining() / 2);
+    const TimePoint startBy = now(SteadyClock()) + most;
+    timer_ = worker_.loop.after(timerDelay(most), [this] { refuseOverload(); });
+    worker_.wait(origin_.admission.service->id, {this, origin_.admission.route->priority, startBy});
+}
+
+bool Call::startFromQueue()
+{
+    const ServerChoice choice = chooseServer();
+    if (!choice.server)
+        return false;
+    isWaiting_ = false;
+    send(choice.server);
+    return true;
+}
+
+void Call::refuseOverload()
+{
+    refuse(RefusalReason::Overload);
+}
+
 void Call::send(const ServerBook::Record &server)
 {
-    server_ = server;
-    attemptStarted_ = now(SteadyClock());
+    trials_.push_back(std::make_unique<Trial>());
+    Trial &trial = *trials_.back();
+    trial.server = server;
+    trial.started = now(SteadyClock());
+    trial.attempt = std::make_unique<Attempt>(
+            worker_.loop, worker_.pool,
+            connectionNeed(server->endpoint.address, origin_.ticket != nullptr), handlers(trial));
     ServerBook::begin(*server);
-    attempts_.push_back(std::make_unique<Attempt>(worker_.loop, worker_.pool,
-                                                  server->endpoint.address, handlers()));
-    Attempt &attempt = current();
-    fillRequest(attempt);
+    fillRequest(*trial.attempt);
+    const auto latency = Microseconds(static_cast<std::int64_t>(server->latencyUs));
+    const Patience patience = patienceWith(*origin_.admission.route, latency, remaining());
+    hedgeAt_.reset();
+    giveUpAt_.reset();
+    if (patience.hedgeAfter && trials_.size() == 1)
+        hedgeAt_ = trial.started + *patience.hedgeAfter;
+    if (patience.giveUpAfter && server->endpoint.state == ServerState::Serving)
+        giveUpAt_ = trial.started + *patience.giveUpAfter;
+    setTimer();
     // May end the attempt, and the call, before it returns.
-    attempt.send(evhttp_request_get_command(caller_.request()), targetUri().c_str());
+    trial.attempt->send(evhttp_request_get_command(caller_.request()), targetUri().c_str());
 }
 
 std::string Call::targetUri() const
@@ -158,51 +219,118 @@
     attempt.limitBody(origin_.ticket ? std::optional(maxKeyedAnswer) : std::nullopt);
 }
 
-AttemptHandlers Call::handlers()
+AttemptHandlers Call::handlers(Trial &trial)
 {
     AttemptHandlers handlers;
-    handlers.onHead = [this](evhttp_request *answer) { return isStreamed(answer); };
-    handlers.onChunk = [this](evbuffer *chunk) { onChunk(chunk); };
-    handlers.onEnd = [this](const AttemptEnd &end) { onEnd(end); };
+    handlers.onHead = [this, &trial](evhttp_request *answer) { return isStreamed(trial, answer); };
+    handlers.onChunk = [this, &trial](evbuffer *chunk) { onChunk(trial, chunk); };
+    handlers.onEnd = [this, &trial](const AttemptEnd &end) { onEnd(trial, end); };
     return handlers;
 }
 
-bool Call::isStreamed(evhttp_request *answer)
+void Call::setTimer()
+{
+    TimePoint next = deadline_;
+    for (const auto &point : {hedgeAt_, giveUpAt_})
+        next = std::min(next, point.value_or(next));
+    timer_ = worker_.loop.after(timerDelay(next - now(SteadyClock())), [this] { onTimer(); });
+}
+
+void Call::onTimer()
+{
+    const TimePoint time = now(SteadyClock());
+    Trial *trial = running();
+    if (time >= deadline_) {
+        onDeadline();
+    } else if (trial && hedgeAt_ && time >= *hedgeAt_) {
+        hedgeAt_.reset();
+        hedge(*trial);
+    } else if (trial && giveUpAt_ && time >= *giveUpAt_) {
+        giveUpAt_.reset();
+        giveUp(*trial);
+    } else {
+        setTimer();
+    }
+}
+
+ServerBook::Record Call::chooseOther(const Trial &trial)
+{
+    tried_.push_back(trial.server);
+    const ServerChoice choice = chooseServer();
+    tried_.pop_back();
+    return choice.server;
+}
+
+void Call::hedge(const Trial &first)
+{
+    const ServerBook::Record other = chooseOther(first);
+    if (!other || !worker_.retries.takeForHedge()) {
+        setTimer();
+        return;
+    }
+    worker_.node.counters.hedges.add();
+    send(other);
+}
+
+// The attempt has shown no sign of life for far longer than its server usually takes.
+void Call::giveUp(Trial &trial)
+{
+    const ServerBook::Record other = chooseOther(trial);
+    if (!other || !retryAfter(AttemptFailure::Silent)) {
+        setTimer();
+        return;
+    }
+    lastFailure_ = AttemptFailure::Silent;
+    recordOutcome(trial, OutcomeKind::Failed);
+    tried_.push_back(trial.server);
+    cancelTrials(ServerResult::Silent);
+    send(other);
+}
+
+bool Call::isStreamed(Trial &trial, evhttp_request *answer)
 {
     // The answer to a keyed call is kept, so it is read whole.
     if (origin_.ticket || isRefusalBeforeRun(answer) || !isLongAnswer(answer, maxBufferedAnswer))
         return false;
-    recordOutcome(isError(answer) ? OutcomeKind::Failed : OutcomeKind::Answered);
-    caller_.startStream(answer, [this] { current().resume(); });
+    recordOutcome(trial, isError(answer) ? OutcomeKind::Failed : OutcomeKind::Answered);
+    trial.isRunning = false;
+    cancelTrials(ServerResult::Neutral);
+    trial.isRunning = true;
+    hedgeAt_.reset();
+    giveUpAt_.reset();
+    caller_.startStream(answer, [&trial] { trial.attempt->resume(); });
     return true;
 }
 
-void Call::onChunk(evbuffer *chunk)
+void Call::onChunk(Trial &trial, evbuffer *chunk)
 {
-    // Each chunk is progress, so a long answer may take longer than the call's deadline.
-    startDeadline(origin_.admission.route->timeout);
+    // Each chunk is progress, so a long answer may take longer than the call's first deadline.
+    deadline_ = now(SteadyClock()) + origin_.admission.route->timeout;
+    setTimer();
     if (caller_.sendChunk(chunk))
-        current().pause();
+        trial.attempt->pause();
 }
 
-void Call::onEnd(const AttemptEnd &end)
+void Call::onEnd(Trial &trial, const AttemptEnd &end)
 {
-    const Overloaded visitor{[this](const WholeAnswer &whole) { onWhole(whole.raw); },
-                             [this](const StreamEnd &) { onStreamEnd(); },
-                             [this](const UnboundedAnswer &) { onUnbounded(); },
-                             [this](AttemptFailure failure) { onFailure(failure); }};
+    const Overloaded visitor{[&](const WholeAnswer &whole) { onWhole(trial, whole.raw); },
+                             [&](const StreamEnd &) { onStreamEnd(trial); },
+                             [&](const UnboundedAnswer &) { onUnbounded(trial); },
+                             [&](AttemptFailure failure) { onFailure(trial, failure); }};
     std::visit(visitor, end);
 }
 
-void Call::onWhole(evhttp_request *answer)
+void Call::onWhole(Trial &trial, evhttp_request *answer)
 {
     if (isRefusalBeforeRun(answer)) {
-        onFailure(AttemptFailure::RefusedNotRun);
+        onFailure(trial, AttemptFailure::RefusedNotRun);
         return;
     }
     const bool hasFailed = isError(answer);
-    recordOutcome(hasFailed ? OutcomeKind::Failed : OutcomeKind::Answered);
-    endAttempt(hasFailed ? ServerResult::Failed : ServerResult::Answered);
+    recordOutcome(trial, hasFailed ? OutcomeKind::Failed : OutcomeKind::Answered);
+    endTrial(trial, hasFailed ? ServerResult::Failed : ServerResult::Answered);
+    cancelTrials(ServerResult::Neutral);
+    clearSuspicion();
     if (origin_.ticket)
         origin_.ticket->settleAnswered(answer);
     if (caller_.isAnswered())
@@ -212,40 +340,54 @@
     finish();
 }
 
-void Call::onStreamEnd()
+void Call::onStreamEnd(Trial &trial)
 {
-    endAttempt(ServerResult::Answered);
+    endTrial(trial, ServerResult::Answered);
+    clearSuspicion();
     caller_.endStream();
     finish();
 }
 
-void Call::onUnbounded()
+void Call::onUnbounded(Trial &trial)
 {
     mayHaveRun_ = true;
-    recordOutcome(OutcomeKind::Failed);
-    endAttempt(ServerResult::Failed);
+    recordOutcome(trial, OutcomeKind::Failed);
+    endTrial(trial, ServerResult::Failed);
+    cancelTrials(ServerResult::Neutral);
     refuse(RefusalReason::UnboundedAnswer);
 }
 
-void Call::onFailure(AttemptFailure failure)
+void Call::onFailure(Trial &trial, AttemptFailure failure)
 {
     lastFailure_ = failure;
     mayHaveRun_ = mayHaveRun_ || !provesNotRun(failure);
-    const bool isShed = failure == AttemptFailure::RefusedNotRun;
-    if (isShed)
-        recordOutcome(OutcomeKind::Shed);
+    if (failure == AttemptFailure::RefusedNotRun)
+        recordOutcome(trial, OutcomeKind::Shed);
     else if (failure != AttemptFailure::NotSent)
-        recordOutcome(OutcomeKind::Failed);
-    tried_.push_back(server_);
-    endAttempt(isShed ? ServerResult::Shed : ServerResult::Failed);
+        recordOutcome(trial, OutcomeKind::Failed);
+    tried_.push_back(trial.server);
+    endTrial(trial, resultOf(failure));
     if (caller_.isStreaming()) {
         caller_.cutStream();
         finish();
-    } else if (retryAfter(failure)) {
+        return;
+    }
+    if (isPoison(trial, failure)) {
+        cancelTrials(ServerResult::Neutral);
+        refuse(RefusalReason::Poison);
+        return;
+    }
+    // A hedged attempt may still bring the answer.
+    if (!running())
+        goOnAfter(failure);
+}
+
+void Call::goOnAfter(AttemptFailure failure)
+{
+    if (retryAfter(failure))
         attempt();
-    } else {
+    else
         refuse(reasonAfter(failure));
-    }
 }
 
 bool Call::retryAfter(AttemptFailure failure)
@@ -253,7 +395,7 @@
     if (caller_.isAnswered())
         return false;
     ProxyCounters &counters = worker_.node.counters;
-    const auto attempts = static_cast<std::uint32_t>(attempts_.size());
+    const auto attempts = static_cast<std::uint32_t>(trials_.size());
     const RetryDecision decision = decideRetry(
             RetryQuestion{origin_.admission.route->idempotency, failure, attempts, remaining()});
     if (decision == RetryDecision::NotAllowed)
@@ -268,9 +410,25 @@
     return true;
 }
 
+bool Call::isPoison(const Trial &trial, AttemptFailure failure)
+{
+    if (failure != AttemptFailure::Broken || caller_.isAnswered())
+        return false;
+    const TimePoint time = now(SteadyClock());
+    const SuspectedDeath death{requestFingerprint(caller_.request()), trial.server->endpoint.id,
+                               time - trial.started, Microseconds(0)};
+    return worker_.node.poison.noteDeath(death, time);
+}
+
+void Call::clearSuspicion()
+{
+    if (worker_.node.poison.hasSuspects() && !caller_.isAnswered())
+        worker_.node.poison.noteAnswer(requestFingerprint(caller_.request()));
+}
+
 bool Call::maySurviveCaller() const
 {
-    return origin_.ticket && server_ && current().wasSent();
+    return origin_.ticket && wasSent();
 }
 
 void Call::waitForLateAnswer()
@@ -281,24 +439,25 @@
 
 void Call::onDeadline()
 {
-    if (!server_) {
+    Trial *trial = running();
+    if (!trial) {
         refuse(RefusalReason::Deadline);
         return;
     }
-    recordOutcome(OutcomeKind::Failed);
+    recordOutcome(*trial, OutcomeKind::Failed);
     if (maySurviveCaller()) {
         waitForLateAnswer();
         caller_.refuse(Refusal{RefusalReason::Timeout, RunProof::Unknown});
         return;
     }
-    const bool wasSent = current().wasSent();
-    cancelAttempt(ServerResult::Silent);
+    const bool mayRun = wasSent();
+    cancelTrials(ServerResult::Silent);
     if (caller_.isStreaming()) {
         caller_.cutStream();
         finish();
         return;
     }
-    refuse(wasSent ? RefusalReason::Timeout : RefusalReason::ConnectFailed);
+    refuse(mayRun ? RefusalReason::Timeout : RefusalReason::ConnectFailed);
 }
 
 void Call::onCallerGone()
@@ -308,8 +467,7 @@
         caller_.refuse(Refusal{RefusalReason::Cancelled, RunProof::Unknown});
         return;
     }
-    if (server_)
-        cancelAttempt(ServerResult::Neutral);
+    cancelTrials(ServerResult::Neutral);
     if (caller_.isStreaming()) {
         caller_.cutStream();
         finish();
@@ -320,34 +478,45 @@
 
 void Call::onTooLate()
 {
-    cancelAttempt(ServerResult::Silent);
+    cancelTrials(ServerResult::Silent);
     refuse(RefusalReason::Timeout);
 }
 
-void Call::cancelAttempt(ServerResult result)
+void Call::cancelTrial(Trial &trial, ServerResult result)
+{
+    mayHaveRun_ = mayHaveRun_ || trial.attempt->wasSent();
+    trial.attempt->cancel();
+    // What was idle since before the silence began may be lost as well.
+    if (result == ServerResult::Silent)
+        worker_.pool.dropIdle(trial.server->endpoint.address, trial.started);
+    endTrial(trial, result);
+}
+
+void Call::cancelTrials(ServerResult result)
 {
-    mayHaveRun_ = mayHaveRun_ || current().wasSent();
-    current().cancel();
-    endAttempt(result);
+    while (Trial *trial = running())
+        cancelTrial(*trial, result);
 }
 
-void Call::recordOutcome(OutcomeKind kind)
+void Call::recordOutcome(const Trial &trial, OutcomeKind kind)
 {
     // A late answer was counted when its deadline passed, a streamed one when it began.
     if (caller_.isAnswered() || caller_.isStreaming())
         return;
-    const auto latency = now(SteadyClock()) - attemptStarted_;
-    worker_.outcomes.add(OutcomeSample{server_->endpoint.service, server_->endpoint.version,
+    const Endpoint &endpoint = trial.server->endpoint;
+    const auto latency = now(SteadyClock()) - trial.started;
+    worker_.outcomes.add(OutcomeSample{endpoint.service, endpoint.version,
                                        origin_.admission.route->id, kind,
-                                       server_->endpoint.state == ServerState::Starting, latency});
+                                       endpoint.state == ServerState::Starting, latency});
 }
 
-void Call::endAttempt(ServerResult result)
+void Call::endTrial(Trial &trial, ServerResult result)
 {
+    trial.isRunning = false;
     const TimePoint time = now(SteadyClock());
-    if (worker_.servers.finish(*server_, result, time - attemptStarted_, time))
+    if (worker_.servers.finish(*trial.server, result, time - trial.started, time))
         worker_.node.counters.ejections.add();
-    server_ = nullptr;
+    worker_.wakeWaiting(origin_.admission.service->id);
 }
 
 void Call::refuse(RefusalReason reason)
@@ -361,8 +530,10 @@
 
 void Call::finish()
 {
-    CORNELHEAD_CHECK(!server_ && caller_.isAnswered());
+    CORNELHEAD_CHECK(!running() && caller_.isAnswered());
     timer_ = Timer();
+    if (isWaiting_)
+        worker_.stopWaiting(origin_.admission.service->id, this);
     origin_.limit.release();
     worker_.node.counters.duration.record(now(SteadyClock()) - origin_.arrived);
     worker_.endCall(this);
--- a/src/proxy/counters.cc
+++ b/src/proxy/counters.cc
@@ -26,6 +26,7 @@
       retriesOverBudget(metrics.counter("cornelhead_retries_denied_total", {{"reason", "budget"}})),
       retriesNotAllowed(
               metrics.counter("cornelhead_retries_denied_total", {{"reason", "may-have-run"}})),
+      hedges(metrics.counter("cornelhead_hedges_total")),
       ejections(metrics.counter("cornelhead_ejections_total")),
       connectionsOpened(metrics.counter("cornelhead_upstream_connections_total")),
       cutAnswers(metrics.counter("cornelhead_answers_cut_total")),
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include <event2/buffer.h>
 #include <event2/http.h>
 
 #include "cornelhead/base/digest.h"
@@ -31,15 +30,11 @@
 
 Digest requestDigest(evhttp_request *request, const RequestHead &head)
 {
-    evbuffer *body = evhttp_request_get_input_buffer(request);
-    const auto size = static_cast<ev_ssize_t>(evbuffer_get_length(body));
-    const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(body, size));
     std::string text = std::to_string(evhttp_request_get_command(request));
     text.append(" ").append(head.path);
     if (head.query)
         text.append("?").append(head.query);
-    text.append("\n").append(bytes ? std::string_view(bytes, static_cast<std::size_t>(size))
-                                   : std::string_view());
+    text.append("\n").append(bodyOf(request));
     return digestOf(text);
 }
 
@@ -61,6 +56,13 @@
     Caller(worker_, request).refuse(refusal);
 }
 
+bool Dispatcher::isPoison(evhttp_request *request)
+{
+    SharedPoison &poison = worker_.node.poison;
+    return poison.hasSuspects()
+            && poison.isRefused(requestFingerprint(request), now(SteadyClock()));
+}
+
 void Dispatcher::onRequest(evhttp_request *request)
 {
     worker_.dropEnded();
@@ -78,6 +80,8 @@
     // What another node sent on as keyed stays keyed, whatever this node's configuration says.
     if (!head->key.empty() && (!isIdempotent || !head->home.empty()))
         onKeyed(request, *head, std::move(decision));
+    else if (!decision.refusal && isPoison(request))
+        refuse(request, Refusal{RefusalReason::Poison, RunProof::NotRun});
     else if (decision.refusal)
         refuse(request, Refusal{*decision.refusal, RunProof::NotRun});
     else
@@ -170,7 +174,9 @@
         return;
     }
     const auto asked = refusalReasonOf(head.refuse);
-    const auto refusal = asked ? asked : decision.refusal;
+    auto refusal = asked ? asked : decision.refusal;
+    if (!refusal && isPoison(request))
+        refusal = RefusalReason::Poison;
     const KeyedCall call = keyedCall(request, head);
     const KeyVerdict verdict = [&] {
         const std::lock_guard lock(node.keysMutex);
--- a/src/proxy/request-head.cc
+++ b/src/proxy/request-head.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <charconv>
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/util.h>
@@ -160,6 +161,21 @@
     return head;
 }
 
+std::string_view bodyOf(evhttp_request *request)
+{
+    evbuffer *body = evhttp_request_get_input_buffer(request);
+    const std::size_t size = evbuffer_get_length(body);
+    const auto *bytes
+            = reinterpret_cast<const char *>(evbuffer_pullup(body, static_cast<ev_ssize_t>(size)));
+    return bytes ? std::string_view(bytes, size) : std::string_view();
+}
+
+Fingerprint requestFingerprint(evhttp_request *request)
+{
+    return fingerprintOf(std::to_string(evhttp_request_get_command(request)),
+                         evhttp_request_get_uri(request), bodyOf(request));
+}
+
 void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to)
 {
     const std::string_view connection = findHeader(from, "Connection");
--- a/src/proxy/sent-on-call.cc
+++ b/src/proxy/sent-on-call.cc
@@ -16,7 +16,7 @@
 
 SentOnCall::SentOnCall(WorkerState &worker, evhttp_request *caller, SentOnOrigin origin)
     : worker_(worker), caller_(worker, caller), origin_(std::move(origin)),
-      attempt_(worker.loop, worker.pool, origin_.home.proxy, handlers())
+      attempt_(worker.loop, worker.pool, connectionNeed(origin_.home.proxy, true), handlers())
 {
     worker_.node.counters.inFlight.add(1);
     worker_.node.counters.keyedSentOn.add();
--- a/src/proxy/upstream-pool.cc
+++ b/src/proxy/upstream-pool.cc
@@ -29,10 +29,10 @@
     return isConnected(connection) && isEmpty(connection);
 }
 
-UpstreamHandle UpstreamPool::take(const Address &to)
+UpstreamHandle UpstreamPool::take(const Address &to, TimePoint idleSince)
 {
     std::vector<Idle> &pool = idle_[to];
-    while (!pool.empty()) {
+    while (!pool.empty() && pool.back().since >= idleSince) {
         UpstreamHandle connection = std::move(pool.back().connection);
         pool.pop_back();
         if (isReusable(connection.get()))
@@ -47,6 +47,13 @@
     idle_[to].push_back(Idle{std::move(connection), now});
 }
 
+void UpstreamPool::dropIdle(const Address &to, TimePoint before)
+{
+    const auto pool = idle_.find(to);
+    if (pool != idle_.end())
+        std::erase_if(pool->second, [before](const Idle &entry) { return entry.since < before; });
+}
+
 void UpstreamPool::closeIdle(TimePoint before)
 {
     for (auto &[address, pool] : idle_)
--- a/src/proxy/worker-state.cc
+++ b/src/proxy/worker-state.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/proxy/worker-state.h"
 
 #include "cornelhead/base/check.h"
+#include "cornelhead/proxy/call.h"
 
 namespace cornelhead::detail {
 
@@ -21,6 +22,10 @@
     return limits;
 }
 
+// Calls of one service that may wait at one worker.
+constexpr std::size_t maxWaiting = 256;
+constexpr std::size_t maxDeathsToTell = 1024;
+
 } // namespace
 
 NodeState::NodeState(ProxySettings from, Metrics &metrics)
@@ -58,6 +63,102 @@
 
 WorkerState::~WorkerState() = default;
 
+void WorkerState::wait(const ServiceId &service, const CallQueue<Call *>::Waiting &waiting)
+{
+    const auto queue = queues.try_emplace(service, maxWaiting).first;
+    const std::optional<Call *> leaving = queue->second.push(waiting);
+    if (leaving)
+        (*leaving)->refuseOverload();
+}
+
+void WorkerState::stopWaiting(const ServiceId &service, Call *call)
+{
+    const auto queue = queues.find(service);
+    if (queue != queues.end())
+        queue->second.remove(call);
+}
+
+void WorkerState::wakeWaiting(const ServiceId &service)
+{
+    const auto queue = queues.find(service);
+    if (queue == queues.end() || queue->second.empty())
+        return;
+    const bool isFirst = woken.empty();
+    woken.insert(service);
+    if (isFirst)
+        loop.post([this] { startWaiting(); });
+}
+
+void WorkerState::wakeAllWaiting()
+{
+    for (const auto &[service, queue] : queues)
+        wakeWaiting(service);
+}
+
+void WorkerState::startWaiting()
+{
+    for (const ServiceId &service : std::exchange(woken, {}))
+        startWaiting(queues.at(service));
+}
+
+void WorkerState::startWaiting(CallQueue<Call *> &queue)
+{
+    for (;;) {
+        std::vector<Call *> hopeless;
+        const auto next = queue.pop(now(SteadyClock()), hopeless);
+        for (Call *call : hopeless)
+            call->refuseOverload();
+        if (!next)
+            return;
+        if (!next->call->startFromQueue()) {
+            queue.putBack(*next);
+            return;
+        }
+    }
+}
+
+bool SharedPoison::noteDeath(const SuspectedDeath &death, TimePoint time)
+{
+    const std::lock_guard lock(mutex_);
+    hasSuspects_ = true;
+    if (deaths_.size() < maxDeathsToTell)
+        deaths_.push_back(death);
+    return book_.noteDeath(death, time);
+}
+
+void SharedPoison::noteAnswer(Fingerprint request)
+{
+    const std::lock_guard lock(mutex_);
+    book_.noteAnswer(request);
+    hasSuspects_ = book_.hasSuspects();
+}
+
+bool SharedPoison::isRefused(Fingerprint request, TimePoint time)
+{
+    const std::lock_guard lock(mutex_);
+    return book_.isRefused(request, time);
+}
+
+void SharedPoison::expire(TimePoint time)
+{
+    const std::lock_guard lock(mutex_);
+    book_.expire(time);
+    hasSuspects_ = book_.hasSuspects();
+}
+
+std::vector<SuspectedDeath> SharedPoison::takeDeaths()
+{
+    const std::lock_guard lock(mutex_);
+    return std::exchange(deaths_, {});
+}
+
+void SharedPoison::addDeath(const SuspectedDeath &death, TimePoint time)
+{
+    const std::lock_guard lock(mutex_);
+    book_.noteDeath(death, time);
+    hasSuspects_ = book_.hasSuspects();
+}
+
 void WorkerState::endCall(ActiveCall *call)
 {
     const auto found = calls.find(call);
--- /dev/null
+++ b/src/routing/poison.cc
@@ -0,0 +1,62 @@
+// Implements the memory of requests that servers died under.
+#include "cornelhead/routing/poison.h"
+
+#include <string>
+
+#include "cornelhead/base/digest.h"
+
+namespace cornelhead {
+namespace detail {
+namespace {
+
+constexpr std::size_t maxSuspects = 4096;
+constexpr Milliseconds suspectMemory = Milliseconds(60'000);
+constexpr Milliseconds refusalMemory = Milliseconds(600'000);
+
+} // namespace
+} // namespace detail
+
+Fingerprint fingerprintOf(std::string_view method, std::string_view target, std::string_view body)
+{
+    std::string head(method);
+    head.append(" ").append(target);
+    return Fingerprint(rendezvousWeight(head, body));
+}
+
+bool PoisonBook::noteDeath(const SuspectedDeath &death, TimePoint now)
+{
+    const bool isKnown = suspects_.contains(death.request);
+    if (!isKnown && suspects_.size() >= detail::maxSuspects)
+        return false;
+    Suspect &suspect = suspects_[death.request];
+    const bool startedBefore = now - death.startedAgo <= suspect.lastDeath;
+    if (isKnown && (startedBefore || suspect.lastServer == death.server))
+        return suspect.deaths >= deathsToRefuse;
+    ++suspect.deaths;
+    suspect.lastServer = death.server;
+    suspect.lastDeath = now - death.brokeAgo;
+    return suspect.deaths >= deathsToRefuse;
+}
+
+void PoisonBook::noteAnswer(Fingerprint request)
+{
+    suspects_.erase(request);
+}
+
+bool PoisonBook::isRefused(Fingerprint request, TimePoint now) const
+{
+    const auto found = suspects_.find(request);
+    return found != suspects_.end() && found->second.deaths >= deathsToRefuse
+            && now - found->second.lastDeath < detail::refusalMemory;
+}
+
+void PoisonBook::expire(TimePoint now)
+{
+    std::erase_if(suspects_, [now](const auto &entry) {
+        const bool isRefused = entry.second.deaths >= deathsToRefuse;
+        const Milliseconds memory = isRefused ? detail::refusalMemory : detail::suspectMemory;
+        return now - entry.second.lastDeath >= memory;
+    });
+}
+
+} // namespace cornelhead
--- a/src/routing/retry.cc
+++ b/src/routing/retry.cc
@@ -10,6 +10,12 @@
 
 constexpr double firstHopShare = 0.04;
 constexpr double leastHopShare = 0.0008;
+constexpr int hedgeLatencies = 3;
+constexpr Microseconds leastHedgeDelay = Milliseconds(5);
+constexpr int silentLatencies = 20;
+constexpr int silentPart = 3;
+constexpr Microseconds leastSilence = Milliseconds(100);
+constexpr Microseconds unknownLatency = Milliseconds(10);
 
 } // namespace
 } // namespace detail
@@ -31,6 +37,23 @@
     return RetryDecision::Retry;
 }
 
+Patience patienceWith(const Route &route, Microseconds latency, Milliseconds remaining)
+{
+    Patience patience;
+    if (route.idempotency != Idempotency::Idempotent)
+        return patience;
+    const Microseconds expected = latency.count() > 0 ? latency : detail::unknownLatency;
+    const auto silence = std::max({detail::leastSilence, expected * detail::silentLatencies,
+                                   Microseconds(remaining) / detail::silentPart});
+    // The next attempt needs as much time as this one had.
+    if (2 * silence <= remaining)
+        patience.giveUpAfter = silence;
+    const auto hedge = std::max(detail::leastHedgeDelay, expected * detail::hedgeLatencies);
+    if (route.priority == CallPriority::High && 2 * hedge <= remaining)
+        patience.hedgeAfter = hedge;
+    return patience;
+}
+
 double retryShare(std::uint32_t depth)
 {
     return detail::firstHopShare * std::exp2(-static_cast<double>(depth)) + detail::leastHopShare;
@@ -41,6 +64,11 @@
     tokens_ = std::min(maxTokens, tokens_ + retryShare(depth));
 }
 
+bool RetryBudget::takeForHedge()
+{
+    return tokens_ >= reservedTokens + 1.0 && take();
+}
+
 bool RetryBudget::take()
 {
     if (tokens_ < 1.0)
--- a/src/routing/server-choice.cc
+++ b/src/routing/server-choice.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include "cornelhead/base/check.h"
 
@@ -11,14 +12,25 @@
 namespace {
 
 constexpr double latencyWeight = 0.1;
-// A server without answers yet is taken to be as quick as this.
-constexpr double unknownLatencyUs = 1000.0;
+// A latency counts for half as much after each such time without an answer, so that a server that
+// was slow once is tried again.
+constexpr Microseconds latencyHalfLife = Milliseconds(1000);
 // A starting server competes as if it were this many times slower.
 constexpr double coldPenalty = 8.0;
 constexpr std::uint32_t failuresToEject = 5;
 constexpr Milliseconds shedPause = Milliseconds(20);
 constexpr Milliseconds firstEjection = Milliseconds(1000);
 constexpr std::uint32_t maxEjectionDoublings = 5;
+constexpr double limitDecrease = 0.7;
+constexpr double limitIncrease = 0.1;
+constexpr Milliseconds limitPause = Milliseconds(100);
+// A server starts with its slots and as many calls waiting at it.
+constexpr std::uint32_t firstLimitRounds = 2;
+// The smoothed latency that shows calls waiting at the server.
+constexpr double congestedLatencies = 4.0;
+constexpr double congestedLeastUs = 2000.0;
+// The least latency is forgotten slowly, so that a server that became slower is judged anew.
+constexpr double leastLatencyDrift = 1.00005;
 // Connections that stay free for calls of other processes, in parts of a hundred.
 constexpr std::uint32_t usableConnectionsPercent = 90;
 
@@ -29,7 +41,29 @@
 
 bool isFull(const ServerRecord &server)
 {
-    return server.inFlight >= server.connectionShare;
+    return server.inFlight >= static_cast<std::uint32_t>(server.limit);
+}
+
+void raiseLimit(ServerRecord &server)
+{
+    // While all places are in use, each round of answers earns a part of one more.
+    const auto most = static_cast<double>(server.connectionShare);
+    if (server.inFlight + 1.0 >= std::floor(server.limit))
+        server.limit = std::min(most, server.limit + limitIncrease / server.limit);
+}
+
+void lowerLimit(ServerRecord &server, TimePoint now)
+{
+    // The calls of one round show the same overload, so they count once.
+    if (now - server.limitLowered < limitPause)
+        return;
+    server.limitLowered = now;
+    server.limit = std::max(1.0, server.limit * limitDecrease);
+}
+
+bool isCongested(const ServerRecord &server)
+{
+    return server.latencyUs > congestedLeastUs + congestedLatencies * server.leastLatencyUs;
 }
 
 bool hasFreeSlot(const ServerRecord &server)
@@ -37,16 +71,34 @@
     return server.inFlight < std::max(1U, server.endpoint.slots);
 }
 
-double expectedWait(const ServerRecord &server)
+// Returns how many calls a new one would share the server with, itself included.
+double expectedLoad(const ServerRecord &server)
 {
-    const double latency = server.latencyUs > 0.0 ? server.latencyUs : unknownLatencyUs;
     const double cold = server.endpoint.state == ServerState::Starting ? coldPenalty : 1.0;
     const double load = static_cast<double>(server.inFlight) + 1.0;
     // Calls beyond the slots wait for one, so they count once more for each round of slots.
     const double rounds = 1.0
             + static_cast<double>(server.inFlight)
                     / std::max(1.0, static_cast<double>(server.endpoint.slots));
-    return latency * cold * load * rounds;
+    return cold * load * rounds;
+}
+
+double expectedLatency(const ServerRecord &server, TimePoint now)
+{
+    const auto quiet = static_cast<double>((now - server.lastAnswer).count());
+    return server.latencyUs * std::exp2(-quiet / static_cast<double>(latencyHalfLife.count()));
+}
+
+bool isBetter(const ServerRecord &one, const ServerRecord &other, TimePoint now, Random &random)
+{
+    double first = expectedLoad(one);
+    double second = expectedLoad(other);
+    // A server without answers yet is taken to be as quick as the other.
+    if (one.latencyUs > 0.0 && other.latencyUs > 0.0) {
+        first *= expectedLatency(one, now);
+        second *= expectedLatency(other, now);
+    }
+    return first < second || (first == second && random.chance(0.5));
 }
 
 bool wasTried(const std::vector<ServerBook::Record> &tried, const ServerRecord &server)
@@ -92,9 +144,7 @@
         return nullptr;
     if (!picks[1])
         return *picks[0];
-    const double difference = expectedWait(**picks[0]) - expectedWait(**picks[1]);
-    const bool isFirst = difference < 0.0 || (difference == 0.0 && random.chance(0.5));
-    return isFirst ? *picks[0] : *picks[1];
+    return isBetter(**picks[0], **picks[1], filter.now, random) ? *picks[0] : *picks[1];
 }
 
 void learn(ServerRecord &server, Microseconds latency, TimePoint now)
@@ -102,6 +152,12 @@
     const auto sample = static_cast<double>(latency.count());
     const double weight = server.latencyUs > 0.0 ? latencyWeight : 1.0;
     server.latencyUs += weight * (sample - server.latencyUs);
+    const bool isLeast = server.leastLatencyUs == 0.0 || server.latencyUs < server.leastLatencyUs;
+    server.leastLatencyUs = isLeast ? server.latencyUs : server.leastLatencyUs * leastLatencyDrift;
+    if (isCongested(server))
+        lowerLimit(server, now);
+    else
+        raiseLimit(server);
     server.failuresInRow = 0;
     server.ejections = 0;
     server.lastAnswer = now;
@@ -127,6 +183,10 @@
                     = found == records_.end() ? std::make_shared<ServerRecord>() : found->second;
             record->endpoint = endpoint;
             record->connectionShare = connectionShare(endpoint.connections, split);
+            if (found == records_.end())
+                record->limit = endpoint.slots * detail::firstLimitRounds;
+            record->limit
+                    = std::clamp(record->limit, 1.0, static_cast<double>(record->connectionShare));
             kept.emplace(endpoint.id, record);
             if (endpoint.state != ServerState::Draining)
                 addToGroup(record);
@@ -152,25 +212,26 @@
     return group == versions->second.end() ? nullptr : &group->second;
 }
 
-ServerBook::Record ServerBook::choose(const ServiceId &service, const VersionId &version,
-                                      const std::vector<Record> &tried, TimePoint now,
-                                      Random &random) const
+ServerChoice ServerBook::choose(const ServiceId &service, const VersionId &version,
+                                const std::vector<Record> &tried, TimePoint now,
+                                Random &random) const
 {
     const Group *group = findGroup(service, version);
     if (!group)
-        return nullptr;
+        return {};
     // Rounds from the best to the last resort: a free slot here, then elsewhere, then a place in a
     // server's own queue, then a server that was ejected.
     for (const bool allowEjected : {false, true}) {
         for (const bool needFreeSlot : {true, false}) {
             const detail::Filter filter{allowEjected, needFreeSlot, now, &tried};
             if (Record found = detail::pickOfTwo(group->local, filter, random))
-                return found;
+                return {std::move(found), false};
             if (Record found = detail::pickOfTwo(group->remote, filter, random))
-                return found;
+                return {std::move(found), false};
         }
     }
-    return nullptr;
+    const bool isAnyLeft = group->local.size() + group->remote.size() > tried.size();
+    return {nullptr, isAnyLeft};
 }
 
 void ServerBook::begin(ServerRecord &server)
@@ -190,12 +251,14 @@
     case ServerResult::Failed:
         return addFailure(server, now);
     case ServerResult::Silent: {
+        detail::lowerLimit(server, now);
         // Another connection's answer shows that only this connection was lost.
         const bool isServerSilent = server.lastAnswer < now - latency;
         return isServerSilent && addFailure(server, now);
     }
     case ServerResult::Shed:
         server.avoidedUntil = now + detail::shedPause;
+        detail::lowerLimit(server, now);
         return false;
     case ServerResult::Neutral:
         return false;
--- /dev/null
+++ b/test/proxy/faults-test.cc
@@ -0,0 +1,187 @@
+// Tests the call path against servers that die, go silent, are slow or full.
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "proxy/proxy-fixture.h"
+
+namespace cornelhead {
+
+namespace {
+
+// Reads requests and closes each connection without an answer, as a server that crashes does.
+class DyingBackend
+{
+public:
+    explicit DyingBackend(const std::string &id) : endpoint_(TestBackend(id, echo).endpoint())
+    {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        const int on = 1;
+        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint_.address.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                      == 0);
+        BOOST_REQUIRE(listen(listener_, 16) == 0);
+        thread_ = std::thread([this] { serve(); });
+    }
+    ~DyingBackend()
+    {
+        shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        close(listener_);
+    }
+
+    const Endpoint &endpoint() const { return endpoint_; }
+
+    std::atomic<int> runs = 0;
+
+private:
+    void serve()
+    {
+        for (;;) {
+            const int connection = accept(listener_, nullptr, nullptr);
+            if (connection < 0)
+                return;
+            std::array<char, 4096> bytes{};
+            runs += recv(connection, bytes.data(), bytes.size(), 0) > 0 ? 1 : 0;
+            close(connection);
+        }
+    }
+
+    const Endpoint endpoint_;
+    int listener_ = -1;
+    std::thread thread_;
+};
+
+// Keeps requests without an answer until destroyed.
+class SilentBackend
+{
+public:
+    explicit SilentBackend(const std::string &id)
+        : backend_(id, [this](const HttpRequest &, const Responder &responder) {
+              kept_.push_back(responder);
+          })
+    { }
+    ~SilentBackend()
+    {
+        std::promise<void> dropped;
+        backend_.loop().post([&] {
+            kept_.clear();
+            dropped.set_value();
+        });
+        dropped.get_future().wait();
+    }
+
+    const Endpoint &endpoint() const { return backend_.endpoint(); }
+    int runs() const { return backend_.runs; }
+
+private:
+    std::vector<Responder> kept_;
+    TestBackend backend_;
+};
+
+Endpoint asDoorlist(Endpoint endpoint)
+{
+    endpoint.service = ServiceId("doorlist");
+    return endpoint;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(faults, ProxyFixture)
+
+BOOST_AUTO_TEST_CASE(aPoisonedRequestStopsAfterTwoDeaths)
+{
+    const DyingBackend one("s1");
+    const DyingBackend two("s2");
+    const DyingBackend three("s3");
+    publish({one.endpoint(), two.endpoint(), three.endpoint()});
+    const HttpResponse first = get("/bookings/crash");
+    BOOST_TEST(first.headers.at("Cornelhead-Reason") == "poison");
+    BOOST_TEST(first.headers.at("Cornelhead-Run") == "unknown");
+    BOOST_TEST(get("/bookings/crash").status == 422);
+    BOOST_TEST(one.runs + two.runs + three.runs == 2);
+    BOOST_TEST(proxy.takeSuspectedDeaths().size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(deathsSeenByOtherNodesCount)
+{
+    const DyingBackend one("s1");
+    publish({one.endpoint()});
+    BOOST_TEST(get("/bookings/crash").headers.at("Cornelhead-Reason") == "broken-connection");
+    std::vector<SuspectedDeath> told = proxy.takeSuspectedDeaths();
+    BOOST_REQUIRE(told.size() == 1);
+    told.front().server = ServerId("s2");
+    told.front().startedAgo = Microseconds(0);
+    proxy.addSuspectedDeaths(told);
+    BOOST_TEST(get("/bookings/crash").status == 422);
+    BOOST_TEST(one.runs == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aBookingOnABrokenConnectionIsNotSentAgain)
+{
+    const DyingBackend dying("s1");
+    publish({dying.endpoint()});
+    const HttpResponse response = book("k");
+    BOOST_TEST(response.headers.at("Cornelhead-Reason") == "broken-connection");
+    BOOST_TEST(response.headers.at("Cornelhead-Run") == "unknown");
+    BOOST_TEST(book("k").headers.at("Cornelhead-Reason") == "outcome-unknown");
+    BOOST_TEST(dying.runs == 1);
+}
+
+BOOST_AUTO_TEST_CASE(lookupsLeaveASilentServer)
+{
+    const SilentBackend silent("s1");
+    const TestBackend other("s2", echo);
+    publish({silent.endpoint(), other.endpoint()});
+    for (int i = 0; i < 6; ++i)
+        BOOST_TEST(get("/bookings/list").status == 200);
+    BOOST_TEST(silent.runs() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(doorLookupsAreHedged)
+{
+    const SilentBackend silent("s1");
+    const TestBackend other("s2", echo);
+    publish({asDoorlist(silent.endpoint()), asDoorlist(other.endpoint())});
+    Counter &hedges = metrics.counter("cornelhead_hedges_total");
+    for (int i = 0; i < 50 && hedges.value() == 0; ++i)
+        BOOST_TEST(get("/doorlist/tickets/1").status == 200);
+    BOOST_TEST(hedges.value() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(callsWaitForAFreeServer)
+{
+    const TestBackend narrow("s1", [](const HttpRequest &request, const Responder &responder) {
+        std::this_thread::sleep_for(Milliseconds(10));
+        echo(request, responder);
+    });
+    Endpoint endpoint = narrow.endpoint();
+    endpoint.connections = 1;
+    publish({endpoint});
+    std::vector<std::future<HttpResponse>> answers;
+    for (int i = 0; i < 8; ++i)
+        answers.push_back(std::async(std::launch::async, [&] { return get("/bookings/list"); }));
+    for (auto &answer : answers)
+        BOOST_TEST(answer.get().status == 200);
+    BOOST_TEST(metrics.counter("cornelhead_upstream_connections_total").value() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(aLostCallerCancelsItsLookup)
+{
+    const SilentBackend silent("s1");
+    publish({silent.endpoint()});
+    const HttpRequest request{
+            HttpMethod::Get, "/bookings/list", {}, {{"Cornelhead-Customer", "wellington"}}, ""};
+    BOOST_TEST(!callBlocking(address, request, Milliseconds(100)).has_value());
+    while (refusals("cancelled", "unknown") == 0)
+        std::this_thread::sleep_for(Milliseconds(1));
+    BOOST_TEST(metrics.gauge("cornelhead_calls_in_flight").value() >= 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- a/test/routing/routing-test.cc
+++ b/test/routing/routing-test.cc
@@ -3,7 +3,9 @@
 
 #include "config/sample.h"
 #include "cornelhead/routing/admission.h"
+#include "cornelhead/routing/call-queue.h"
 #include "cornelhead/routing/limits.h"
+#include "cornelhead/routing/poison.h"
 #include "cornelhead/routing/retry.h"
 #include "cornelhead/routing/server-choice.h"
 #include "cornelhead/routing/version-choice.h"
@@ -33,7 +35,7 @@
     }
     ServerBook::Record choose(const std::vector<ServerBook::Record> &tried = {})
     {
-        return book.choose(ServiceId("bookings"), VersionId("v1"), tried, time, random);
+        return book.choose(ServiceId("bookings"), VersionId("v1"), tried, time, random).server;
     }
     std::string chosenId() { return choose()->endpoint.id.value(); }
     void failOften(const ServerBook::Record &server)
@@ -197,6 +199,81 @@
     BOOST_TEST(book.ejected(ServiceId("bookings"), time) == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(sheddingLowersTheLimitAndAnswersRaiseIt, ServersFixture)
+{
+    add("a", "akl-a");
+    const ServerBook::Record server = choose();
+    const double first = server->limit;
+    for (int i = 0; i < 50; ++i) {
+        time += Milliseconds(200);
+        ServerBook::begin(*server);
+        book.finish(*server, ServerResult::Shed, Microseconds(100), time);
+    }
+    BOOST_TEST(server->limit == 1.0);
+    time += Milliseconds(200);
+    for (int i = 0; i < 500; ++i) {
+        while (choose())
+            ServerBook::begin(*server);
+        book.finish(*server, ServerResult::Answered, Microseconds(100), time);
+    }
+    BOOST_TEST(server->limit > first);
+    BOOST_TEST(server->limit <= server->connectionShare);
+}
+
+BOOST_AUTO_TEST_CASE(queuesByClassAndDropsTheNewestOfTheLowest)
+{
+    CallQueue<int> queue(3);
+    const TimePoint soon{Milliseconds(10)};
+    const TimePoint later{Milliseconds(100)};
+    BOOST_TEST(!queue.push({1, CallPriority::Low, later}));
+    BOOST_TEST(!queue.push({2, CallPriority::Low, later}));
+    BOOST_TEST(!queue.push({3, CallPriority::High, soon}));
+    BOOST_TEST(queue.push({4, CallPriority::High, later}).value() == 2);
+    BOOST_TEST(queue.push({5, CallPriority::Low, later}).value() == 5);
+    std::vector<int> hopeless;
+    BOOST_TEST(queue.pop(soon + Milliseconds(1), hopeless)->call == 4);
+    BOOST_TEST((hopeless == std::vector{3}));
+    queue.remove(1);
+    BOOST_TEST(queue.empty());
+}
+
+BOOST_AUTO_TEST_CASE(condemnsARequestAfterTwoDeathsInSequence)
+{
+    PoisonBook book;
+    const Fingerprint request = fingerprintOf("POST", "/book", "crash");
+    const auto died = [&](const char *server, int startedMs, int brokeMs) {
+        const TimePoint now{Milliseconds(brokeMs)};
+        const SuspectedDeath death{request, ServerId(server), Milliseconds(brokeMs - startedMs),
+                                   Microseconds(0)};
+        return book.noteDeath(death, now);
+    };
+    BOOST_TEST(!died("a", 100, 200));
+    // A herd that dies at one time, and another connection to the same server, condemn nothing.
+    BOOST_TEST(!died("b", 150, 210));
+    BOOST_TEST(!died("a", 220, 230));
+    book.noteAnswer(request);
+    BOOST_TEST(!died("c", 300, 400));
+    BOOST_TEST(died("d", 401, 500));
+    BOOST_TEST(book.isRefused(request, TimePoint(Milliseconds(600))));
+    BOOST_TEST(!book.isRefused(fingerprintOf("POST", "/book", ""), TimePoint(Milliseconds(600))));
+    book.expire(TimePoint(Milliseconds(1'000'000)));
+    BOOST_TEST(!book.hasSuspects());
+}
+
+BOOST_AUTO_TEST_CASE(looksElsewhereOnlyWhereACallMayRunTwice)
+{
+    Route route;
+    route.priority = CallPriority::High;
+    const Patience lookup = patienceWith(route, Milliseconds(2), Milliseconds(500));
+    BOOST_TEST((lookup.hedgeAfter.value() == Milliseconds(6)));
+    BOOST_TEST((lookup.giveUpAfter.value() >= Milliseconds(100)));
+    BOOST_TEST(!patienceWith(route, Milliseconds(100), Milliseconds(500)).hedgeAfter);
+    route.idempotency = Idempotency::Keyed;
+    const Patience booking = patienceWith(route, Milliseconds(2), Milliseconds(500));
+    BOOST_TEST(!booking.hedgeAfter);
+    BOOST_TEST(!booking.giveUpAfter);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
