--- a/include/cornelhead/distribution/node-state.h
+++ b/include/cornelhead/distribution/node-state.h
@@ -44,12 +44,12 @@
 
 /// These render what the state holds.
 FramePtr configFrame(const EncodedConfig &config, Revision floor, bool confirmed);
+FramePtr deltaFrame(const EncodedConfig &config, const EncodedDelta &delta, Revision floor);
 FramePtr movesFrame(const MoveTable &table);
 FramePtr recordsFrame(const std::vector<NodeRecord> &records);
 /// Renders all records, to be merged with or put in place of those of the receiver.
 FramePtr allRecordsFrame(const EndpointRegistry &registry, bool replace);
 FramePtr relaysFrame(const RelayDirectory &directory);
-FramePtr reachabilityFrame(const std::set<DataCentreId> &unreachable);
 FramePtr heartbeatFrame(RecordSequence sequence);
 /// Renders a heartbeat with what the sender has told all its subscribers.
 FramePtr relayHeartbeatFrame(const NodeState &state, std::uint64_t recordsHash);
--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "cornelhead/rollout/move.h"
 #include "cornelhead/rollout/outcome-events.h"
 #include "cornelhead/rollout/outcome.h"
 #include "cornelhead/rollout/sequential-test.h"
@@ -26,6 +27,8 @@
     double falseAlarms = 0.004;
     /// Blocks in which badness may begin; more of them make each one cost more evidence.
     double expectedBlocks = 200;
+    /// Blocks that the evidence has to span, so that one crash or stall decides nothing.
+    std::size_t leastBlocks = 5;
     JudgementRules rules = JudgementRules::Current;
 };
 
@@ -61,6 +64,9 @@
     int pendingBlocks = 0;
     /// The old version so far.
     OutcomeSums past;
+    /// The old version before the stage, and both versions since.
+    OutcomeSums pastAtStage;
+    VersionSums stage;
 };
 
 /// The tests of one scope.
@@ -70,8 +76,8 @@
     KindTests concurrent;
     /// Against the old version's past.
     KindTests againstPast;
-    /// The sums of concurrent ratios since the stage began.
-    KindRatios stage{};
+    /// The logarithm of the odds that nodes keep calls from the new version.
+    double shunned = 0;
     /// The latest calls, for the text of a finding.
     std::vector<VersionSums> recent;
 };
@@ -92,10 +98,12 @@
              const OutcomeSums &sums);
     /// Takes the old version's recorded past, for when nothing of it was seen here.
     void recallPast(const OutcomeBatch &past);
-    /// Ends the block.  At full share, the new version is also compared with the past.
-    void closeBlock(bool isFullShare);
-    /// Expects badness from now on with more weight, after a suspicion; a few times at most.
-    void expectOnset();
+    /// Ends a block in which the new version had `share` of the calls.  At full share, it is also
+    /// compared with the past.
+    void closeBlock(PerMille share);
+    /// Starts the comparison after a suspicion: expects badness with more weight, a few times at
+    /// most, and skips blocks in which quick answers come in before slow ones of the same time.
+    void startRecheck();
 
     /// Returns the strongest evidence once it is enough to take the version back.
     std::optional<Finding> finding() const;
@@ -107,6 +115,12 @@
     std::optional<Finding> suspicion(double leastOdds) const;
     /// Tells whether badness would have shown since the last `startStage`.
     bool isCleared() const;
+    /// Tells whether the new version gets far fewer calls than its share promises, in all or in one
+    /// data centre.
+    bool isShunned() const;
+    JudgementRules rules() const { return settings_.rules; }
+    /// Tells whether the new version ever answered.
+    bool hasSeenNew() const { return newCalls_ > 0; }
     /// Tells whether the old version has been as in its past since the last `startStage`.
     bool isOldAsBefore() const;
     /// Starts to gather anew for `isCleared`, `isOldAsBefore` and `suspicion`.
@@ -118,16 +132,20 @@
 
 private:
     double kindWeight(std::size_t kind) const;
+    double testWeight(const detail::JudgementScope &scope, std::size_t kind) const;
     double scopeWeight(const detail::JudgementScope &scope) const;
     void openRecent();
     void noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums);
     void closeRest(detail::ScopeRatios &concurrent);
     detail::KindRatios compare(const detail::JudgementCell &cell) const;
-    detail::KindRatios compareWithPast(const detail::JudgementCell &cell) const;
+    detail::KindRatios compareWithPast(const detail::JudgementCell &cell,
+                                       const OutcomeSums &routePast) const;
+    void countMissingCalls(PerMille share);
+    void skipKinds(detail::KindRatios &ratios) const;
     double drawOnsetWeight();
     void addToTests(const detail::ScopeRatios &concurrent, const detail::ScopeRatios &past);
-    bool isScopeCleared(const detail::JudgementScope &scope,
-                        const detail::JudgementTests &tests) const;
+    bool isCleared(const detail::JudgementScope &scope, const OutcomeSums &past,
+                   const OutcomeSums &stage) const;
     double sumValues(detail::KindTests detail::JudgementTests::*tests) const;
     Finding strongest(detail::KindTests detail::JudgementTests::*tests) const;
 
@@ -137,11 +155,16 @@
     /// Calls of any route and data centre that waited too long in their cells.
     detail::JudgementCell rest_;
     OutcomeSums wholePast_;
-    /// The old version before the stage.
-    OutcomeSums pastAtStage_;
     detail::VersionSums stage_;
+    std::uint64_t newCalls_ = 0;
     std::size_t blocks_ = 0;
+    std::size_t stageBlocks_ = 0;
+    /// The last block after which nothing spoke against the new version.
+    std::size_t lastGoodBlock_ = 0;
     bool expectsOnset_ = false;
+    /// Blocks in which failures, and latencies, are not compared yet.
+    std::size_t skippedFailureBlocks_ = 0;
+    std::size_t skippedSlowBlocks_ = 0;
     /// Prior weight that was given to tests so far; never above 1.
     double givenWeight_ = 0;
     std::size_t routes_ = 0;
--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -3,12 +3,14 @@
 #include <cmath>
 #include <cstdio>
 #include <iostream>
+#include <limits>
 #include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include "cornelhead/base/settings.h"
+#include "cornelhead/rollout/pace.h"
 #include "rollout/simulated-move.h"
 
 namespace cornelhead::simulation {
@@ -25,6 +27,8 @@
   --threads N        Runs at a time. [default: 2]
   --kind NAME        Only this kind; "all" for every one. [default: all]
   --only-moves       Leave out the baselines and low traffic.
+  --call-rate N      Calls a second of every run, in place of 60 to 400.
+  --replay SEED      Run only the scenario of that seed and --kind, and print its record.
   --show             Print each run of a wrong verdict.
   --help             Show this text.
   --version          Show the version.
@@ -118,6 +122,8 @@
     Proportion shownTakenBack;
     Proportion aboveFirstShare;
     Proportion raisedAfterShown;
+    /// The judgement raised the share of a version that was bad at once, not the deadline.
+    Proportion clearedWrongly;
     Sample badSharePct;
     Sample exposedPct;
     Sample secondsToZero;
@@ -128,6 +134,14 @@
     std::string text() const;
 };
 
+bool isClearedWrongly(const Move &move)
+{
+    const std::string reason(paceReasonName(PaceReason::Cleared));
+    return std::any_of(move.events.begin(), move.events.end(), [&](const MoveEvent &event) {
+        return event.text.find(reason) != std::string::npos;
+    });
+}
+
 void Totals::add(const Scenario &scenario, const RunFigures &run)
 {
     const bool isTakenBack = run.end == MoveState::TakenBack;
@@ -146,6 +160,7 @@
                                 / static_cast<double>(std::max<std::uint64_t>(1, run.calls)));
     if (isAtOnce(scenario.badness)) {
         aboveFirstShare.add(run.highestShare > PerMille(50));
+        clearedWrongly.add(isClearedWrongly(run.record));
         badSharePct.values.push_back(static_cast<double>(run.highestShare.value()) / 10.0);
     }
     if (isTakenBack && run.shownAtMs > 0)
@@ -162,6 +177,7 @@
     shownTakenBack.add(more.shownTakenBack);
     aboveFirstShare.add(more.aboveFirstShare);
     raisedAfterShown.add(more.raisedAfterShown);
+    clearedWrongly.add(more.clearedWrongly);
     badSharePct.add(more.badSharePct);
     exposedPct.add(more.exposedPct);
     secondsToZero.add(more.secondsToZero);
@@ -187,8 +203,33 @@
     std::size_t runs = 0;
     std::size_t threads = 0;
     bool show = false;
+    /// Of every run; 0 lets each draw its own.
+    std::uint64_t callRate = 0;
 };
 
+bool isWrong(const Scenario &scenario, const RunFigures &run)
+{
+    if (!isGood(scenario.badness))
+        return run.end != MoveState::TakenBack;
+    return run.end == MoveState::TakenBack || run.fullShareAtMs == 0
+            || run.fullShareAtMs > run.deadlineMs;
+}
+
+void showRun(const Scenario &scenario, const RunFigures &run)
+{
+    std::cout << "  run " << badnessName(scenario.badness) << " seed " << scenario.seed << ": "
+              << moveStateName(run.end) << ", " << scenario.callRate << " calls/s, fail "
+              << scenario.failRate << ", slow " << scenario.slowFactor << ", under load "
+              << scenario.badFromLoad << ", cut " << scenario.cutDataCentre << ", controller gap "
+              << scenario.controllerGap.fromMs << " to " << scenario.controllerGap.toMs
+              << ", common " << scenario.commonFault.fromMs << " to " << scenario.commonFault.toMs
+              << ", load step " << scenario.loadStep << ", move " << scenario.moveMs << ", shown "
+              << run.shownAtMs - run.startMs << '\n';
+    for (const MoveEvent &event : run.record.events)
+        std::cout << "    " << event.atMs - run.startMs << " ms, " << event.share.value() << ": "
+                  << event.text << '\n';
+}
+
 Totals measure(const Settled &settled, Badness kind, Judge judge, bool lowTraffic)
 {
     std::vector<Scenario> scenarios(settled.runs);
@@ -198,6 +239,8 @@
                 = settled.seed * 1'000'003 + i * 64 + static_cast<std::uint64_t>(kind);
         scenarios[i] = drawScenario(settled.deployment, kind, seed, lowTraffic);
         scenarios[i].judge = judge;
+        if (settled.callRate > 0 && !lowTraffic)
+            scenarios[i].callRate = static_cast<double>(settled.callRate);
     }
     std::vector<std::thread> threads;
     for (std::size_t t = 0; t < settled.threads; ++t)
@@ -210,25 +253,8 @@
     Totals totals;
     for (std::size_t i = 0; i < settled.runs; ++i) {
         totals.add(scenarios[i], figures[i]);
-        const bool isWrong = isGood(kind) == (figures[i].end == MoveState::TakenBack);
-        if (settled.show
-            && (isWrong || std::getenv("ALL")
-                || (isGood(kind)
-                    && !(figures[i].fullShareAtMs > 0
-                         && figures[i].fullShareAtMs <= figures[i].deadlineMs))))
-            std::cout << "  wrong " << badnessName(kind) << " seed " << scenarios[i].seed << " end "
-                      << moveStateName(figures[i].end) << " rate " << scenarios[i].callRate
-                      << " fail " << scenarios[i].failRate << " slow " << scenarios[i].slowFactor
-                      << " from " << scenarios[i].badFromMs << " move " << scenarios[i].moveMs
-                      << " shown " << figures[i].shownAtMs - figures[i].startMs << " back "
-                      << figures[i].takenBackAtMs - figures[i].startMs << " zero "
-                      << figures[i].zeroAtMs - figures[i].startMs << " full "
-                      << figures[i].fullShareAtMs - figures[i].startMs << " gap "
-                      << scenarios[i].controllerGap.fromMs << "-" << scenarios[i].controllerGap.toMs
-                      << " outage " << scenarios[i].platformOutage.fromMs << " cut "
-                      << scenarios[i].cutDataCentre << " load " << scenarios[i].badFromLoad
-                      << " step " << scenarios[i].loadChange.fromMs << "x" << scenarios[i].loadStep
-                      << " " << figures[i].verdict << '\n';
+        if (settled.show && isWrong(scenarios[i], figures[i]))
+            showRun(scenarios[i], figures[i]);
     }
     return totals;
 }
@@ -250,6 +276,7 @@
             std::cout << "taken_back=" << totals.badTakenBack.text()
                       << " when_shown=" << totals.shownTakenBack.text()
                       << " above_5pct=" << totals.aboveFirstShare.text()
+                      << " cleared_wrongly=" << totals.clearedWrongly.text()
                       << " raised_after_shown=" << totals.raisedAfterShown.text()
                       << " exposed=" << totals.exposedPct.mean()
                       << " to_zero_p50=" << totals.secondsToZero.quantile(0.5)
@@ -260,6 +287,17 @@
     return all;
 }
 
+int replay(const Settled &settled, const std::string &only, std::uint64_t seed)
+{
+    for (const Badness kind : allKinds) {
+        if (only != badnessName(kind))
+            continue;
+        const Scenario scenario = drawScenario(settled.deployment, kind, seed, false);
+        showRun(scenario, runMove(scenario));
+    }
+    return 0;
+}
+
 int runMeasure(int argc, const char *const *argv)
 {
     Settings settings = Settings::parseOrExit(usage, argc, argv);
@@ -271,7 +309,15 @@
     settled.threads = static_cast<std::size_t>(settings.integer("--threads", 1, 64));
     settled.show = settings.flag("--show");
     const std::string only = settings.text("--kind");
+    if (settings.has("--call-rate"))
+        settled.callRate = settings.integer("--call-rate", 1, 100'000);
+    const std::uint64_t replayed
+            = settings.has("--replay")
+            ? settings.integer("--replay", 0, std::numeric_limits<std::uint64_t>::max())
+            : 0;
     settings.exitOnFaults();
+    if (settings.has("--replay"))
+        return replay(settled, only, replayed);
     std::cout << "deployment " << name << ", seed " << settled.seed << ", " << settled.runs
               << " runs of each kind\n";
     if (settings.flag("--only-moves")) {
--- a/src/distribution/node-state.cc
+++ b/src/distribution/node-state.cc
@@ -37,6 +37,19 @@
     return frame;
 }
 
+FramePtr deltaFrame(const EncodedConfig &config, const EncodedDelta &delta, Revision floor)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Config *out = frame->mutable_config();
+    out->set_revision(config.revision.value());
+    out->set_digest(config.digest.value());
+    out->set_base_revision(delta.baseRevision.value());
+    out->set_base_digest(delta.baseDigest.value());
+    out->set_delta(delta.bytes);
+    out->set_floor(floor.value());
+    return frame;
+}
+
 FramePtr movesFrame(const MoveTable &table)
 {
     auto frame = std::make_shared<inner::Frame>();
@@ -71,15 +84,6 @@
     return frame;
 }
 
-FramePtr reachabilityFrame(const std::set<DataCentreId> &unreachable)
-{
-    auto frame = std::make_shared<inner::Frame>();
-    frame->mutable_reachability();
-    for (const DataCentreId &dataCentre : unreachable)
-        frame->mutable_reachability()->add_unreachable(dataCentre.value());
-    return frame;
-}
-
 FramePtr heartbeatFrame(RecordSequence sequence)
 {
     auto frame = std::make_shared<inner::Frame>();
@@ -95,6 +99,8 @@
     heartbeat->set_moves_hash(state.moves.hash());
     heartbeat->set_records_hash(recordsHash);
     heartbeat->set_relays_revision(state.directory.storeRevision.value());
+    for (const DataCentreId &dataCentre : state.registry.unreachable())
+        heartbeat->add_unreachable(dataCentre.value());
     return frame;
 }
 
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -92,7 +92,6 @@
 {
     sendWelcome(link, true);
     network_->send(link, relaysFrame(state_->directory));
-    network_->send(link, reachabilityFrame(state_->registry.unreachable()));
     network_->send(link, allRecordsFrame(state_->registry, false));
     network_->send(link, movesFrame(*state_->moves.table()));
     Subscription &subscription = subscribers_.at(link);
@@ -136,11 +135,17 @@
         return;
     if (config.revision <= subscription.sent || config.revision < subscription.floor)
         return;
+    // What was sent before arrives before, since a link keeps its order.
+    const std::optional<EncodedDelta> &delta = state_->config.delta();
+    const bool isOnBase = delta && subscription.sent == delta->baseRevision;
     subscription.sent = config.revision;
     // Noted before it is sent: from then on the address may act on it.
     state_->floors.raise(subscription.address, config.revision);
     state_->floors.raise(subscription.dataCentre, config.revision);
-    network_->send(link, configFrame(config, subscription.floor, subscription.confirmed));
+    const Revision floor = subscription.floor;
+    network_->send(link,
+                   isOnBase ? deltaFrame(config, *delta, floor)
+                            : configFrame(config, floor, subscription.confirmed));
 }
 
 void Relay::publishConfig()
@@ -170,10 +175,10 @@
         sendToAll(relaysFrame(state_->directory));
 }
 
-void Relay::publishReachability()
+void Relay::publishHeartbeat()
 {
     if (!subscribers_.empty())
-        sendToAll(reachabilityFrame(state_->registry.unreachable()));
+        sendToAll(relayHeartbeatFrame(*state_, sentHash_));
 }
 
 void Relay::queueRecord(const NodeRecord &record)
@@ -182,15 +187,24 @@
         queued_[record.info.id] = record;
 }
 
-void Relay::invite()
+void Relay::inviteWhereVacant(std::uint32_t slots)
+{
+    std::set<DataCentreId> vacant;
+    for (const auto &[link, subscription] : subscribers_) {
+        if (countRelays(state_->directory, subscription.dataCentre) < slots)
+            vacant.insert(subscription.dataCentre);
+    }
+    for (const DataCentreId &dataCentre : vacant)
+        invite(dataCentre);
+}
+
+void Relay::invite(const DataCentreId &dataCentre)
 {
     std::vector<LinkId> eligible;
     for (const auto &[link, subscription] : subscribers_) {
-        if (subscription.dataCentre == state_->self.dataCentre)
+        if (subscription.dataCentre == dataCentre)
             eligible.push_back(link);
     }
-    if (eligible.empty())
-        return;
     auto frame = std::make_shared<inner::Frame>();
     frame->mutable_invite();
     network_->send(eligible[random_->below(eligible.size())], frame);
@@ -237,7 +251,7 @@
 void Relay::onNack(LinkId link, Subscription &subscription, const inner::Nack &nack)
 {
     if (nack.want_whole()) {
-        subscription.sent = subscription.acked;
+        subscription.sent = Revision(0);
         sendConfig(link, subscription);
         return;
     }
@@ -260,7 +274,7 @@
 void Relay::onPull(LinkId link, Subscription &subscription, const inner::Pull &pull)
 {
     if (pull.config()) {
-        subscription.sent = Revision(pull.held_revision());
+        subscription.sent = Revision(0);
         sendConfig(link, subscription);
     }
     if (pull.moves())
@@ -306,7 +320,7 @@
         flushRecords();
     if (now(clock_) >= nextHeartbeat_) {
         nextHeartbeat_ = now(clock_) + heartbeat_;
-        sendToAll(relayHeartbeatFrame(*state_, sentHash_));
+        publishHeartbeat();
         dropSilent();
     }
 }
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/rollout/judgement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 
 #include "cornelhead/rollout/latency-test.h"
@@ -10,10 +11,12 @@
 namespace detail {
 namespace {
 
+/// Odds below which nothing speaks against a version.
+constexpr double goodOdds = 3.0;
 /// No single block decides alone: a crashed host fails many calls at once.
 constexpr double highestBlockRatio = 4.5;
-/// A suspicion costs little, so that a block may weigh more for it.
-constexpr double highestPastRatio = 6.0;
+/// A host that stalls slows many calls at once.
+constexpr double highestPastRatio = 3.0;
 /// The prior weight of badness that is there from the first block, and from each suspicion.
 constexpr double firstOnsetWeight = 0.35;
 constexpr double suspectedOnsetWeight = 0.1;
@@ -27,12 +30,22 @@
 constexpr double dataCentresWeight = 0.2;
 constexpr double pairsWeight = 0.1;
 /// Blocks that old calls wait for new ones, and the other way round.
+/// After a step back, blocks until failures and most slow answers of both versions come in evenly.
+constexpr std::size_t recheckFailureBlocks = 2;
+constexpr std::size_t recheckSlowBlocks = 5;
+/// Blocks after a change of share until every node has learned of it and reported.
+constexpr std::size_t settledBlocks = 17;
+/// The part of its share that a version which nodes braked may still get, and how sure that is.
+constexpr double shunnedPart = 0.1;
+constexpr double shunnedRatio = 9.2;
 constexpr int longestPending = 15;
 constexpr std::size_t recentBlocks = 12;
-constexpr double leastPastCalls = 30;
+constexpr double leastPastCalls = 100;
 
 /// How sure the judgement is that badness would have shown.
 constexpr double clearedRatio = -2.0;
+/// How sure it is that the old version is not as before.
+constexpr double changedRatio = 3.0;
 /// Of the effects tested for, the one that must have shown at all calls, and at a part of them.
 constexpr std::size_t wholeEffect = 1;
 constexpr std::size_t partEffect = 2;
@@ -65,6 +78,24 @@
     return sums.newer.calls > 0 && sums.older.calls >= std::min<std::uint64_t>(sums.newer.calls, 2);
 }
 
+// The rate of a part, drawn towards the rate of the whole where the part has few calls.
+double pastRate(const OutcomeSums &part, const OutcomeSums &whole, std::size_t kind)
+{
+    constexpr double wholeCalls = 100;
+    const auto [events, calls] = toleratedEvents(part, kind);
+    const auto [allEvents, allCalls] = toleratedEvents(whole, kind);
+    return (events + wholeCalls * upperRate(allEvents, allCalls)) / (calls + wholeCalls);
+}
+
+LogRatios ratiosToPast(const OutcomeSums &now, const OutcomeSums &past, const OutcomeSums &whole,
+                       std::size_t kind)
+{
+    if (isSlowEvent(kind))
+        return compareLatenciesWithPast(now, LatencyProfile(past, toleratedSlowdown(kind)));
+    const ComparedCalls compared = countEvents({now, {}}, kind);
+    return compareWithRate(compared.newEvents, compared.newOthers, pastRate(past, whole, kind));
+}
+
 std::string scopeText(const JudgementScope &scope)
 {
     const std::string route
@@ -91,7 +122,9 @@
 {
     detail::JudgementCell &cell = cells_[{route, dataCentre}];
     (isNew ? cell.pending.newer : cell.pending.older).add(sums);
+    (isNew ? cell.stage.newer : cell.stage.older).add(sums);
     (isNew ? stage_.newer : stage_.older).add(sums);
+    newCalls_ += isNew ? sums.calls : 0;
 }
 
 void Judgement::recallPast(const OutcomeBatch &past)
@@ -113,11 +146,18 @@
         return 0.6;
     if (kind == detail::shedEvent)
         return 0.05;
-    if (kind == detail::slowEvent)
+    if (detail::isSlowEvent(kind))
         return isFirst ? 0.0 : 0.35;
     return isFirst ? 0.35 / (latencyBuckets - 1) : 0.0;
 }
 
+double Judgement::testWeight(const detail::JudgementScope &scope, std::size_t kind) const
+{
+    const bool isHere = !scope.dataCentre.empty();
+    const std::size_t other = isHere ? detail::slowEvent : detail::slowHereEvent;
+    return kind == other ? 0.0 : scopeWeight(scope) * kindWeight(kind);
+}
+
 // The weights of all scopes sum to 1 in each block, however many there are by then.
 double Judgement::scopeWeight(const detail::JudgementScope &scope) const
 {
@@ -170,9 +210,10 @@
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
         if (kindWeight(kind) <= 0 || !detail::isWorthTesting(cell.past, kind))
             continue;
-        if (kind == detail::slowEvent)
-            ratios[kind] = compareLatencies(cell.pending.newer, cell.pending.older,
-                                            LatencyProfile(cell.past));
+        if (detail::isSlowEvent(kind))
+            ratios[kind] = compareLatencies(
+                    cell.pending.newer, cell.pending.older,
+                    LatencyProfile(cell.past, detail::toleratedSlowdown(kind)));
         else
             ratios[kind] = compareCalls(detail::countEvents(cell.pending, kind),
                                         detail::toleranceOf(kind),
@@ -182,33 +223,30 @@
     return ratios;
 }
 
-detail::KindRatios Judgement::compareWithPast(const detail::JudgementCell &cell) const
+detail::KindRatios Judgement::compareWithPast(const detail::JudgementCell &cell,
+                                              const OutcomeSums &routePast) const
 {
     const bool hasOwnPast = static_cast<double>(cell.past.calls) >= detail::leastPastCalls;
-    const OutcomeSums &past = hasOwnPast ? cell.past : wholePast_;
+    const OutcomeSums &past = hasOwnPast ? cell.past : routePast;
     detail::KindRatios ratios{};
-    for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-        if (kindWeight(kind) <= 0 || !detail::isWorthTesting(past, kind))
-            continue;
-        if (kind == detail::slowEvent) {
-            ratios[kind] = compareLatenciesWithPast(cell.pending.newer, LatencyProfile(past));
-            continue;
-        }
-        const auto [events, calls] = detail::toleratedEvents(past, kind);
-        const ComparedCalls compared = detail::countEvents(cell.pending, kind);
-        ratios[kind]
-                = compareWithRate(compared.newEvents, compared.newOthers, upperRate(events, calls));
-    }
+    for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
+        if (kindWeight(kind) > 0 && detail::isWorthTesting(past, kind))
+            ratios[kind] = detail::ratiosToPast(cell.pending.newer, past, wholePast_, kind);
     detail::capRatios(ratios, detail::highestPastRatio);
     return ratios;
 }
 
-void Judgement::closeBlock(bool isFullShare)
+void Judgement::closeBlock(PerMille share)
 {
+    const bool isFullShare = share == fullShare;
     blocks_ += 1;
+    stageBlocks_ += 1;
     openRecent();
     detail::ScopeRatios concurrent;
     detail::ScopeRatios past;
+    std::map<RouteId, OutcomeSums> routePasts;
+    for (const auto &[scope, cell] : cells_)
+        routePasts[scope.route].add(cell.past);
     for (auto &[scope, cell] : cells_) {
         const bool both = detail::hasBoth(cell.pending);
         cell.pendingBlocks += 1;
@@ -220,8 +258,9 @@
         }
         noteRecent(scope, cell.pending);
         const detail::KindRatios now = both ? compare(cell) : detail::KindRatios{};
-        const detail::KindRatios before
-                = isFullShare ? compareWithPast(cell) : detail::KindRatios{};
+        const detail::KindRatios before = isFullShare
+                ? compareWithPast(cell, routePasts[scope.route])
+                : detail::KindRatios{};
         for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
             detail::addRatios(concurrent[wider], now);
             detail::addRatios(past[wider], before);
@@ -233,6 +272,11 @@
     }
     closeRest(concurrent);
     addToTests(concurrent, past);
+    if (odds() < detail::goodOdds)
+        lastGoodBlock_ = blocks_;
+    countMissingCalls(share);
+    skippedFailureBlocks_ -= std::min<std::size_t>(1, skippedFailureBlocks_);
+    skippedSlowBlocks_ -= std::min<std::size_t>(1, skippedSlowBlocks_);
 }
 
 // With little traffic few cells see both versions in time; together they do.
@@ -245,9 +289,20 @@
     rest_.pending = {};
 }
 
-void Judgement::expectOnset()
+void Judgement::startRecheck()
 {
     expectsOnset_ = true;
+    skippedFailureBlocks_ = detail::recheckFailureBlocks;
+    skippedSlowBlocks_ = detail::recheckSlowBlocks;
+}
+
+void Judgement::skipKinds(detail::KindRatios &ratios) const
+{
+    for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
+        const bool isSlow = kind >= detail::slowEvent;
+        if ((isSlow ? skippedSlowBlocks_ : skippedFailureBlocks_) > 0)
+            ratios[kind] = {};
+    }
 }
 
 double Judgement::drawOnsetWeight()
@@ -270,14 +325,14 @@
     for (auto &[scope, scopeTests] : tests_) {
         const auto found = concurrent.find(scope);
         detail::KindRatios now = found == concurrent.end() ? detail::KindRatios{} : found->second;
-        detail::addRatios(scopeTests.stage, now);
         detail::KindRatios before = past.contains(scope) ? past.at(scope) : detail::KindRatios{};
         if (isFirst)
             detail::addRatios(now, before);
+        skipKinds(now);
         detail::capRatios(now, detail::highestBlockRatio);
         detail::capRatios(before, detail::highestPastRatio);
         for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-            const double weight = scopeWeight(scope) * kindWeight(kind);
+            const double weight = testWeight(scope, kind);
             scopeTests.concurrent[kind].add(now[kind], weight * onset);
             scopeTests.againstPast[kind].add(before[kind], weight * detail::pastOnsetWeight);
         }
@@ -326,7 +381,7 @@
 std::optional<Finding> Judgement::finding() const
 {
     const double total = odds();
-    if (total < 1.0 / settings_.falseAlarms)
+    if (total < 1.0 / settings_.falseAlarms || blocks_ < lastGoodBlock_ + settings_.leastBlocks)
         return std::nullopt;
     Finding finding = strongest(&detail::JudgementTests::concurrent);
     finding.odds = total;
@@ -343,64 +398,103 @@
     return finding;
 }
 
-bool Judgement::isScopeCleared(const detail::JudgementScope &scope,
-                               const detail::JudgementTests &tests) const
+// Known-rate ratios: absence of badness tells little when the common rate is left open.
+bool Judgement::isCleared(const detail::JudgementScope &scope, const OutcomeSums &past,
+                          const OutcomeSums &stage) const
 {
     const bool isWhole = scope.route.empty() && scope.dataCentre.empty();
     const std::size_t effect = isWhole ? detail::wholeEffect : detail::partEffect;
-    const bool hasLatencies = detail::isWorthTesting(wholePast_, detail::slowEvent)
-            && kindWeight(detail::slowEvent) > 0;
-    return tests.stage[detail::failureEvent][effect] <= detail::clearedRatio
-            && (!hasLatencies || tests.stage[detail::slowEvent][effect] <= detail::clearedRatio);
+    const std::size_t slow
+            = scope.dataCentre.empty() ? detail::slowEvent : detail::slowHereEvent;
+    for (const std::size_t kind : {detail::failureEvent, slow}) {
+        if (detail::isWorthTesting(past, kind)
+            && detail::ratiosToPast(stage, past, wholePast_, kind)[effect] > detail::clearedRatio)
+            return false;
+    }
+    return true;
 }
 
 bool Judgement::isCleared() const
 {
     if (detail::answeredCalls(stage_.newer) < detail::leastStageCalls)
         return false;
-    std::map<detail::JudgementScope, double> calls;
-    for (const auto &[scope, cell] : cells_)
-        for (const detail::JudgementScope &wider : detail::scopesOf(scope))
-            calls[wider] += static_cast<double>(cell.past.calls);
+    std::map<detail::JudgementScope, std::pair<OutcomeSums, OutcomeSums>> sums;
+    for (const auto &[scope, cell] : cells_) {
+        for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
+            sums[wider].first.add(cell.past);
+            sums[wider].second.add(cell.stage.newer);
+        }
+    }
     const double all = static_cast<double>(wholePast_.calls);
-    for (const auto &[scope, scopeTests] : tests_) {
+    return std::all_of(sums.begin(), sums.end(), [&](const auto &entry) {
+        const auto &[scope, pastAndStage] = entry;
         const bool isPair = !scope.route.empty() && !scope.dataCentre.empty();
-        if (isPair || calls[scope] < detail::smallPart * all)
+        const bool isSmall
+                = static_cast<double>(pastAndStage.first.calls) < detail::smallPart * all;
+        return isPair || isSmall || isCleared(scope, pastAndStage.first, pastAndStage.second);
+    });
+}
+
+// A sequential test of "a tenth of its share" over "its share", which starts anew at 0.
+void Judgement::countMissingCalls(PerMille share)
+{
+    if (stageBlocks_ < detail::settledBlocks)
+        return;
+    const double part = static_cast<double>(share.value()) / static_cast<double>(fullShare.value());
+    for (auto &[scope, scopeTests] : tests_) {
+        if (!scope.route.empty())
             continue;
-        if (!isScopeCleared(scope, scopeTests))
-            return false;
+        const detail::VersionSums &block = scopeTests.recent.back();
+        const auto newCalls = static_cast<double>(block.newer.calls);
+        const double expected = part * (newCalls + static_cast<double>(block.older.calls));
+        scopeTests.shunned
+                = std::max(0.0, scopeTests.shunned + (1.0 - detail::shunnedPart) * expected
+                                        + newCalls * std::log(detail::shunnedPart));
     }
-    return true;
+}
+
+bool Judgement::isShunned() const
+{
+    return std::any_of(tests_.begin(), tests_.end(), [](const auto &entry) {
+        return entry.second.shunned >= detail::shunnedRatio;
+    });
 }
 
 bool Judgement::isOldAsBefore() const
 {
-    const detail::VersionSums stage{stage_.older, {}};
-    for (const std::size_t kind : {detail::failureEvent, detail::slowEvent}) {
-        if (!detail::isWorthTesting(pastAtStage_, kind))
-            continue;
-        LogRatios ratios{};
-        if (kind == detail::slowEvent) {
-            ratios = compareLatenciesWithPast(stage_.older, LatencyProfile(pastAtStage_));
-        } else {
-            const auto [events, calls] = detail::toleratedEvents(pastAtStage_, kind);
-            const ComparedCalls compared = detail::countEvents(stage, kind);
-            ratios = compareWithRate(compared.newEvents, compared.newOthers,
-                                     upperRate(events, calls));
-        }
-        if (ratios[detail::wholeEffect] > 0)
-            return false;
+    std::map<detail::JudgementScope, LogRatios> failures;
+    std::map<detail::JudgementScope, LogRatios> slow;
+    for (const auto &[scope, cell] : cells_) {
+        const auto add = [&](std::map<detail::JudgementScope, LogRatios> &to, std::size_t kind) {
+            if (!detail::isWorthTesting(cell.pastAtStage, kind))
+                return;
+            const LogRatios ratios
+                    = detail::ratiosToPast(cell.stage.older, cell.pastAtStage, wholePast_, kind);
+            for (const detail::JudgementScope &wider : detail::scopesOf(scope))
+                for (std::size_t i = 0; i < ratios.size(); ++i)
+                    to[wider][i] += ratios[i];
+        };
+        add(failures, detail::failureEvent);
+        add(slow, detail::slowEvent);
     }
-    return true;
+    const auto isAsBefore = [](const auto &entry) {
+        return entry.second[detail::wholeEffect] <= detail::changedRatio;
+    };
+    return std::all_of(failures.begin(), failures.end(), isAsBefore)
+            && std::all_of(slow.begin(), slow.end(), isAsBefore);
 }
 
 void Judgement::startStage()
 {
     stage_ = {};
-    pastAtStage_ = wholePast_;
+    stageBlocks_ = 0;
+    for (auto &[scope, cell] : cells_) {
+        cell.stage = {};
+        cell.pastAtStage = cell.past;
+    }
     for (auto &[scope, scopeTests] : tests_) {
-        scopeTests.stage = {};
         scopeTests.againstPast = {};
+        scopeTests.shunned = 0;
     }
 }
 
--- a/src/rollout/simulated-move.cc
+++ b/src/rollout/simulated-move.cc
@@ -25,8 +25,8 @@
 constexpr std::int64_t longestRecordDelayMs = 250;
 /// Ticks that a call may last.
 constexpr std::size_t longestCallTicks = 32;
-/// The odds, as a logarithm, at which a judge is sure who knows how bad a version may be but not
-/// whether, how and where: 250 to 1, times failing or slow in all, one of four routes, or one of
+/// The odds, as a logarithm, at which a judge is sure that a version is beyond the tolerance who
+/// knows how bad it may be but not whether, how and where: 250 to 1, times failing or slow in all, one of four routes, or one of
 /// three data centres.
 const double sureLogOdds = std::log(250.0 * 2.0 * (1.0 + 4.0 + 3.0));
 
@@ -114,11 +114,18 @@
         scenario.loadStep = between(random, 0.5, 1.6);
     }
     scenario.hasOtherHosts = random.chance(0.5);
+    if (random.chance(0.2)) {
+        scenario.crashAtMs = drawSpan(random, wholeMs, 1, 2).fromMs + 1;
+        scenario.isNewCrash = random.chance(0.5);
+    }
 }
 
 void drawCommonFault(Scenario &scenario, Random &random)
 {
     scenario.commonFault = drawSpan(random, scenario.moveMs + watchMs(scenario.moveMs), 500, 8'000);
+    if (random.chance(0.3))
+        scenario.secondCommonFault
+                = drawSpan(random, scenario.moveMs + watchMs(scenario.moveMs), 500, 8'000);
     if (random.chance(0.5))
         scenario.commonDataCentre
                 = static_cast<int>(random.below(scenario.deployment.dataCentres.size()));
@@ -215,6 +222,7 @@
         figures_.end = record_.latest().state;
         figures_.fullShareAtMs = record_.latest().fullShareAtMs;
         figures_.verdict = record_.latest().verdict;
+        figures_.record = record_.latest();
         return figures_;
     }
 
