--- a/test/config/generators.h
+++ b/test/config/generators.h
@@ -78,7 +78,7 @@
 /// Damages bytes: flips, inserts, drops, doubles and moves pieces of them.
 inline std::string damage(std::string bytes, Random &random)
 {
-    const std::string special("\0\x04\n\t \"'{}[]:,-&*!|>#%@`?~\xff\xc3\x80", 30);
+    static constexpr char special[] = "\0\x04\n\t \"'{}[]:,-&*!|>#%@`?~\xff\xc3\x80";
     for (std::uint64_t i = 0; i <= random.below(4) && !bytes.empty(); ++i) {
         const std::size_t at = random.below(bytes.size());
         const std::size_t length = 1 + random.below(std::min<std::size_t>(40, bytes.size() - at));
@@ -87,7 +87,7 @@
             bytes[at] = static_cast<char>(random.below(256));
             break;
         case 1:
-            bytes.insert(at, 1 + random.below(3), special[random.below(special.size())]);
+            bytes.insert(at, 1 + random.below(3), special[random.below(sizeof special - 1)]);
             break;
         case 2:
             bytes.erase(at, length);
