--- a/include/cornelhead/ctl/command-line.h
+++ b/include/cornelhead/ctl/command-line.h
@@ -72,6 +72,8 @@
 {
     std::optional<ServiceId> service;
     bool isWatching = false;
+    /// Renders a page of HTML instead of a table.
+    bool isHtml = false;
 };
 
 struct StatusCommand
--- a/src/ctl/command-line.cc
+++ b/src/ctl/command-line.cc
@@ -42,7 +42,7 @@
   --platform ADDRS       Addresses of the platform [default: 127.0.0.1:7200].
   --nodes ADDRS          Admin addresses of the nodes that status asks.
   --timeout DURATION     Repeats calls that were not run for so long [default: 10s].
-  --output FORMAT        One of table, json [default: table].
+  --output FORMAT        One of table, json, or for a report html [default: table].
   --author NAME          Who applies; taken from USER when not given.
   --expect-revision N    Applies only on this revision; 0 stands for none.
   --deadline DURATION    When the move is to be done, from now.
@@ -153,6 +153,23 @@
 
 } // namespace detail
 
+namespace detail {
+
+void readOutput(Settings &settings, CommandLine &line)
+{
+    const std::string output = settings.choice("--output", {"table", "json", "html"});
+    line.format = output == "json" ? OutputFormat::Json : OutputFormat::Table;
+    if (output != "html")
+        return;
+    auto *report = std::get_if<ReportCommand>(&line.command);
+    if (report && !report->isWatching)
+        report->isHtml = true;
+    else
+        settings.addFault("--output", output, "use html only for a report without --watch");
+}
+
+} // namespace detail
+
 CommandLine readCommandLine(Settings &settings)
 {
     CommandLine line;
@@ -161,8 +178,7 @@
     if (line.platform.empty())
         settings.addFault("--platform", "", "give at least one address");
     line.patience = settings.duration("--timeout", detail::leastPatience, detail::mostPatience);
-    const bool isJson = settings.choice("--output", {"table", "json"}) == "json";
-    line.format = isJson ? OutputFormat::Json : OutputFormat::Table;
+    detail::readOutput(settings, line);
     return line;
 }
 
--- /dev/null
+++ b/src/ctl/html-report.cc
@@ -0,0 +1,156 @@
+// Renders the report as HTML with charts in SVG.
+#include "cornelhead/ctl/html-report.h"
+
+#include <algorithm>
+
+#include "cornelhead/ctl/output.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr std::int64_t chartWidth = 720;
+constexpr std::int64_t chartHeight = 120;
+
+constexpr const char *pageBegin = R"(<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>cornelhead report</title>
+<style>
+body { font-family: sans-serif; margin: 2em; max-width: 60em; }
+table { border-collapse: collapse; }
+td, th { border-bottom: 1px solid #ccc; padding: 0.2em 0.8em; text-align: left; }
+svg { border: 1px solid #ccc; margin: 0.5em 0; }
+.share { fill: none; stroke: #1565c0; stroke-width: 2; }
+.deadline { stroke: #c62828; stroke-dasharray: 4; }
+</style>
+</head>
+<body>
+)";
+
+std::string escapeHtml(std::string_view text)
+{
+    std::string escaped;
+    for (const char c : text) {
+        switch (c) {
+        case '&':
+            escaped += "&amp;";
+            break;
+        case '<':
+            escaped += "&lt;";
+            break;
+        case '>':
+            escaped += "&gt;";
+            break;
+        case '"':
+            escaped += "&quot;";
+            break;
+        default:
+            escaped += c;
+        }
+    }
+    return escaped;
+}
+
+std::string tag(const std::string &name, std::string_view text)
+{
+    std::string html = "<" + name + ">";
+    html += escapeHtml(text);
+    return html + "</" + name + ">";
+}
+
+// Maps the time and share of one move to the points of its chart.
+class ShareChart
+{
+public:
+    ShareChart(const Move &move, std::int64_t nowMs) : move_(move), beginMs_(move.startedAtMs)
+    {
+        const std::int64_t lastMs = move.events.empty() ? beginMs_ : move.events.back().atMs;
+        shownUntilMs_ = isFinal(move.state) ? lastMs : std::max(nowMs, lastMs);
+        // At least a second, so that no time is divided by nothing.
+        endMs_ = std::max({move.deadlineMs, shownUntilMs_, beginMs_ + 1000});
+    }
+
+    std::string render() const
+    {
+        std::string svg = "<svg viewBox=\"0 0 " + std::to_string(chartWidth) + " "
+                + std::to_string(chartHeight) + "\" width=\"" + std::to_string(chartWidth)
+                + "\" height=\"" + std::to_string(chartHeight) + "\">\n";
+        const std::string deadline = std::to_string(x(move_.deadlineMs));
+        svg += "<line class=\"deadline\" x1=\"" + deadline + "\" y1=\"0\" x2=\"" + deadline
+                + "\" y2=\"" + std::to_string(chartHeight) + "\"/>\n";
+        svg += "<polyline class=\"share\" points=\"" + points() + "\"/>\n";
+        return svg + "</svg>\n";
+    }
+
+private:
+    std::int64_t x(std::int64_t atMs) const
+    {
+        const std::int64_t inside = std::clamp(atMs, beginMs_, endMs_) - beginMs_;
+        return inside * chartWidth / (endMs_ - beginMs_);
+    }
+
+    static std::int64_t y(PerMille share)
+    {
+        const auto height = static_cast<std::int64_t>(std::min(share, fullShare).value());
+        return chartHeight - height * chartHeight / static_cast<std::int64_t>(fullShare.value());
+    }
+
+    static std::string point(std::int64_t atX, std::int64_t atY)
+    {
+        return std::to_string(atX) + "," + std::to_string(atY) + " ";
+    }
+
+    // Each share holds until the next event.
+    std::string points() const
+    {
+        std::string text;
+        std::int64_t level = y(PerMille(0));
+        for (const MoveEvent &event : move_.events) {
+            text += point(x(event.atMs), level);
+            level = y(event.share);
+            text += point(x(event.atMs), level);
+        }
+        return text + point(x(shownUntilMs_), level);
+    }
+
+    const Move &move_;
+    std::int64_t beginMs_;
+    std::int64_t shownUntilMs_ = 0;
+    std::int64_t endMs_ = 0;
+};
+
+std::string moveToHtml(const Move &move, std::int64_t nowMs)
+{
+    std::string html = tag("p",
+                           move.oldVersion.value() + " to " + move.newVersion.value() + ": "
+                                   + std::string(moveStateName(move.state)) + ", share "
+                                   + std::to_string(move.share.value()) + " of 1000, deadline "
+                                   + formatTime(move.deadlineMs) + ", "
+                                   + std::string(timelinessName(timelinessOf(move, nowMs))));
+    if (!move.verdict.empty())
+        html += tag("p", "Verdict: " + move.verdict);
+    html += ShareChart(move, nowMs).render();
+    html += "<table>\n<tr><th>Time</th><th>Share of 1000</th><th>Event</th></tr>\n";
+    for (const MoveEvent &event : move.events) {
+        html += "<tr>" + tag("td", formatTime(event.atMs));
+        html += tag("td", std::to_string(event.share.value())) + tag("td", event.text) + "</tr>\n";
+    }
+    return html + "</table>\n";
+}
+
+} // namespace detail
+
+std::string reportToHtml(const std::vector<ServiceReport> &reports, std::int64_t nowMs)
+{
+    std::string html = detail::pageBegin;
+    html += detail::tag("h1", "Report of " + formatTime(nowMs)) + "\n";
+    for (const ServiceReport &report : reports) {
+        html += detail::tag("h2", report.service.value() + " " + report.version.value()) + "\n";
+        html += report.move ? detail::moveToHtml(*report.move, nowMs)
+                            : detail::tag("p", "This service never moved.");
+    }
+    return html + "</body>\n</html>\n";
+}
+
+} // namespace cornelhead
--- a/src/ctl/move-commands.cc
+++ b/src/ctl/move-commands.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "cornelhead/ctl/configuration-store.h"
+#include "cornelhead/ctl/html-report.h"
 #include "cornelhead/ctl/move-store.h"
 #include "cornelhead/ctl/report.h"
 #include "cornelhead/rollout/move-actions.h"
@@ -214,7 +215,10 @@
     const Result<std::vector<ServiceReport>> reports = readReport(command, context);
     if (!reports)
         return output.fail(reports.error());
-    showReport(*reports, command.service.has_value(), context.nowMs(), output);
+    if (command.isHtml)
+        output.write({}, reportToHtml(*reports, context.nowMs()));
+    else
+        showReport(*reports, command.service.has_value(), context.nowMs(), output);
     return ExitCode::Ok;
 }
 
--- a/test/ctl/commands-test.cc
+++ b/test/ctl/commands-test.cc
@@ -5,6 +5,7 @@
 
 #include "cornelhead/config/manifest.h"
 #include "cornelhead/ctl/commands.h"
+#include "cornelhead/ctl/html-report.h"
 #include "cornelhead/ctl/move-store.h"
 #include "ctl/fake-platform.h"
 
@@ -18,7 +19,8 @@
 {
     ExitCode run(std::vector<std::string> args)
     {
-        args.emplace_back("--output=json");
+        if (args.back() != "--output=html")
+            args.emplace_back("--output=json");
         Settings settings = Settings::parse(commandUsage, args).value();
         const CommandLine line = readCommandLine(settings);
         BOOST_REQUIRE_MESSAGE(settings.faults().empty(), args.front());
@@ -157,6 +159,26 @@
     BOOST_TEST(looks == 2);
 }
 
+BOOST_AUTO_TEST_CASE(htmlReportEscapesAndStaysWithinItsChart)
+{
+    Move move;
+    move.state = MoveState::TakenBack;
+    move.startedAtMs = 1000;
+    move.deadlineMs = 500;
+    move.verdict = "<script>alert('x')</script> & more";
+    for (const std::int64_t atMs : {0, 1000, 900'000})
+        move.events.push_back({atMs, PerMille(atMs == 0 ? 5000 : 10), "a<b", EditId()});
+    const std::string html = reportToHtml({{move.service, move.oldVersion, move}}, 2000);
+    BOOST_TEST(html.find("<script") == std::string::npos);
+    BOOST_TEST(html.find("&lt;script&gt;") != std::string::npos);
+    BOOST_TEST(html.find("points=\"0,120 0,0 0,0 0,119 720,119 720,119 720,119 \"")
+               != std::string::npos);
+    Operator ana;
+    ana.run({"apply", paperfold});
+    BOOST_TEST(isCode(ana.run({"report", "--output=html"}), ExitCode::Ok));
+    BOOST_TEST(ana.text.find("seatmaps v1") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(statusComparesNodesWithThePlatform)
 {
     Operator ana;
@@ -192,6 +214,7 @@
     BOOST_TEST(faults({"start", "s", "v"}) == 1u);
     BOOST_TEST(faults({"start", "s", "v", "--deadline=0s", "--output=xml", "--platform=a"}) == 4u);
     BOOST_TEST(faults({"prune", "--keep=0"}) == 1u);
+    BOOST_TEST(faults({"history", "--output=html"}) == 1u);
     BOOST_TEST(faults({"report", "--timeout=1"}) == 1u);
     BOOST_TEST(!Settings::parse(commandUsage, {"start", "s"}).has_value());
 }
