--- a/include/cornelhead/standin/load-tally.h
+++ b/include/cornelhead/standin/load-tally.h
@@ -70,6 +70,8 @@
     std::uint64_t failed = 0;
     /// Sent again after no word or `unknown`.
     std::uint64_t resent = 0;
+    /// Attempts that were sent and got neither an answer nor a typed refusal.
+    std::uint64_t broken = 0;
     /// Keys that were answered although the ledger saw no run.
     std::uint64_t answeredUnseen = 0;
     /// Runs that the ledger saw.
@@ -109,6 +111,7 @@
 public:
     void countSent() { ++summary_.sent; }
     void countResent() { ++summary_.resent; }
+    void countBroken() { ++summary_.broken; }
     void countReason(const std::string &reason) { ++reasons_[reason]; }
     void finish(const FinishedCall &call);
     void add(const LoadTally &other);
--- a/src/standin/load-tally.cc
+++ b/src/standin/load-tally.cc
@@ -136,6 +136,7 @@
 void LoadTally::add(const LoadTally &other)
 {
     summary_.sent += other.summary_.sent;
+    summary_.broken += other.summary_.broken;
     summary_.answered += other.summary_.answered;
     summary_.wrong += other.summary_.wrong;
     summary_.lost += other.summary_.lost;
@@ -189,7 +190,8 @@
     out << "load sent=" << summary.sent << " answered=" << summary.answered
         << " wrong=" << summary.wrong << " lost=" << summary.lost << " doubled=" << summary.doubled
         << " refused_not_run=" << summary.refusedNotRun << " unknown=" << summary.unknown
-        << " false_not_run=" << summary.falseNotRun << " p50_us=" << latency.quantile(0.5).count()
+        << " false_not_run=" << summary.falseNotRun << " broken=" << summary.broken
+        << " p50_us=" << latency.quantile(0.5).count()
         << " p99_us=" << latency.quantile(0.99).count() << " max_us=" << latency.maximum().count();
     return out.str();
 }
@@ -197,6 +199,7 @@
 std::string summaryJson(const LoadSummary &summary, const LoadTally &tally)
 {
     const detail::json body = {{"sent", summary.sent},
+                               {"broken", summary.broken},
                                {"answered", summary.answered},
                                {"wrong", summary.wrong},
                                {"lost", summary.lost},
--- a/src/standin/load-worker.cc
+++ b/src/standin/load-worker.cc
@@ -162,6 +162,8 @@
         const auto reason = response->headers.find("Cornelhead-Reason");
         tally_.countReason(reason == response->headers.end() ? "none" : reason->second);
     }
+    if (result == AttemptResult::Broken)
+        tally_.countBroken();
     if (!call->course.takeResult(result)) {
         end(call);
         return;
