Count and type what evhttp refuses by itself, and test hostile input

evhttp answers requests that it cannot parse without asking the proxy. The listener notices these answers in the connection's output, counts them and adds the headers of a refusal. A listener without free descriptors pauses for a tick instead of spinning. Bodies of requests are bounded by 8 MiB. The calls in flight fall when a call ends, not when its memory is freed. Tests use ports below the ephemeral range, where a port that was free a moment ago stays free.

--- a/include/cornelhead/proxy/worker.h
+++ b/include/cornelhead/proxy/worker.h
@@ -6,10 +6,9 @@
 #include <thread>
 
 #include "cornelhead/proxy/dispatcher.h"
+#include "cornelhead/proxy/listener.h"
 #include "cornelhead/proxy/worker-state.h"
 
-struct evhttp_bound_socket;
-
 namespace cornelhead::detail {
 
 /// Serves callers on its own thread between `start` and destruction.
@@ -22,7 +21,10 @@
     Worker &operator=(const Worker &) = delete;
 
     /// Listens.  Fails with `InvalidSetting` when the address is taken.
-    Result<void> listen(const Address &address, bool isShared);
+    Result<void> listen(const Address &address, bool isShared)
+    {
+        return listener_.listen(address, isShared);
+    }
     void start();
 
     // Safe from any thread.
@@ -35,14 +37,12 @@
     void applyView(std::shared_ptr<const RoutingView> view);
     void onTick();
     void startDrain(std::function<void()> done);
-    void stopAccepting();
     void checkDrained();
 
     // Declared before what runs on its loop.
     WorkerState state_;
-    ListenerHandle listener_;
-    evhttp_bound_socket *socket_ = nullptr;
     Dispatcher dispatcher_;
+    Listener listener_;
     Timer tick_;
     Timer drainTimer_;
     std::function<void()> drained_;
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -79,10 +79,7 @@
     worker_.node.counters.inFlight.add(1);
 }
 
-Call::~Call()
-{
-    worker_.node.counters.inFlight.add(-1);
-}
+Call::~Call() = default;
 
 Milliseconds Call::remaining() const
 {
@@ -535,6 +532,7 @@
     if (isWaiting_)
         worker_.stopWaiting(origin_.admission.service->id, this);
     origin_.limit.release();
+    worker_.node.counters.inFlight.add(-1);
     worker_.node.counters.duration.record(now(SteadyClock()) - origin_.arrived);
     worker_.endCall(this);
 }
--- a/src/proxy/caller.cc
+++ b/src/proxy/caller.cc
@@ -7,6 +7,7 @@
 #include <event2/http.h>
 
 #include "cornelhead/base/check.h"
+#include "cornelhead/proxy/listener.h"
 
 namespace cornelhead::detail {
 
@@ -67,6 +68,7 @@
 
 void Caller::refuse(const Refusal &refusal)
 {
+    const Listener::Answering answering;
     worker_.node.counters.refusal(refusal.reason, refusal.run).add();
     // After a malformed request the beginning of the next one cannot be trusted.
     const bool isMalformed = refusal.reason == RefusalReason::BadRequest;
@@ -76,12 +78,14 @@
 
 void Caller::answer(evhttp_request *answer)
 {
+    const Listener::Answering answering;
     worker_.node.counters.answers.add();
     sendAnswer(take(), answer, worker_.afterAnswer());
 }
 
 void Caller::answer(const RememberedAnswer &answer)
 {
+    const Listener::Answering answering;
     worker_.node.counters.answers.add();
     worker_.node.counters.keyedRemembered.add();
     sendRemembered(take(), answer, worker_.afterAnswer());
@@ -89,6 +93,7 @@
 
 void Caller::startStream(evhttp_request *answer, std::function<void()> onDrained)
 {
+    const Listener::Answering answering;
     isStreaming_ = true;
     onDrained_ = std::move(onDrained);
     // While evhttp writes, it may find the connection closed and free it before our event fires.
@@ -99,6 +104,7 @@
 
 bool Caller::sendChunk(evbuffer *chunk)
 {
+    const Listener::Answering answering;
     const auto drained
             = [](evhttp_connection *, void *arg) { static_cast<Caller *>(arg)->onDrained_(); };
     evhttp_send_reply_chunk_with_cb(request_, chunk, drained, this);
@@ -109,12 +115,14 @@
 
 void Caller::endStream()
 {
+    const Listener::Answering answering;
     worker_.node.counters.answers.add();
     evhttp_send_reply_end(take());
 }
 
 void Caller::cutStream()
 {
+    const Listener::Answering answering;
     worker_.node.counters.cutAnswers.add();
     cutAnswer(take());
 }
--- /dev/null
+++ b/src/proxy/listener.cc
@@ -0,0 +1,124 @@
+// Implements the listener.
+#include "cornelhead/proxy/listener.h"
+
+#include <poll.h>
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+
+#include "cornelhead/proxy/request-head.h"
+
+namespace cornelhead::detail {
+
+namespace {
+
+constexpr ev_ssize_t maxHeadBytes = 16 * 1024;
+constexpr ev_ssize_t maxBodyBytes = 8 * 1024 * 1024;
+constexpr int callerIdleSeconds = 60;
+// A flood of connections must not keep a stopping node from closing its socket.
+constexpr int maxStopTries = 100;
+constexpr int allowedMethods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
+        | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH;
+
+constexpr std::string_view tooLargeLine = "HTTP/1.1 413";
+constexpr std::string_view continueLine = "HTTP/1.1 100";
+
+// Names the reason of an answer by evhttp, which is told by its status line.
+RefusalReason reasonOf(std::string_view statusLine)
+{
+    return statusLine.substr(0, tooLargeLine.size()) == tooLargeLine ? RefusalReason::TooLarge
+                                                                     : RefusalReason::BadRequest;
+}
+
+} // namespace
+
+thread_local int Listener::Answering::depth = 0;
+
+Listener::Listener(EventLoop &loop, ProxyCounters &counters,
+                   std::function<void(evhttp_request *)> onRequest)
+    : loop_(loop), counters_(counters), onRequest_(std::move(onRequest)),
+      handle_(evhttp_new(loop.base()))
+{
+    evhttp *handle = handle_.get();
+    evhttp_set_max_headers_size(handle, maxHeadBytes);
+    evhttp_set_max_body_size(handle, maxBodyBytes);
+    evhttp_set_timeout(handle, callerIdleSeconds);
+    evhttp_set_allowed_methods(handle, allowedMethods);
+    evhttp_set_default_content_type(handle, nullptr);
+    evhttp_set_bevcb(handle, &Listener::newConnection, this);
+    const auto serve = [](evhttp_request *request, void *arg) {
+        static_cast<Listener *>(arg)->onRequest_(request);
+    };
+    evhttp_set_gencb(handle, serve, this);
+}
+
+Result<void> Listener::listen(const Address &address, bool isShared)
+{
+    const int fd = openListenSocket(address.toString().c_str(), isShared);
+    if (fd >= 0)
+        socket_ = evhttp_accept_socket_with_handle(handle_.get(), fd);
+    if (!socket_) {
+        return fail(ErrorKind::InvalidSetting, "cannot listen on " + address.toString(),
+                    "choose an address of this host that is free");
+    }
+    evconnlistener_set_error_cb(evhttp_bound_socket_get_listener(socket_),
+                                &Listener::onAcceptError);
+    return {};
+}
+
+void Listener::stopListening()
+{
+    if (!socket_)
+        return;
+    // A connection that waits to be accepted would be reset, so it is accepted first.
+    pollfd entry{evhttp_bound_socket_get_fd(socket_), POLLIN, 0};
+    if (++stopTries_ < maxStopTries && poll(&entry, 1, 0) > 0) {
+        loop_.post([this] { stopListening(); });
+        return;
+    }
+    evhttp_del_accept_socket(handle_.get(), std::exchange(socket_, nullptr));
+}
+
+void Listener::resumeAccepting()
+{
+    if (socket_)
+        evconnlistener_enable(evhttp_bound_socket_get_listener(socket_));
+}
+
+void Listener::onAcceptError(evconnlistener *listener, void *)
+{
+    // Without a pause the loop would spin until a descriptor is free.
+    evconnlistener_disable(listener);
+}
+
+bufferevent *Listener::newConnection(event_base *base, void *arg)
+{
+    bufferevent *connection = bufferevent_socket_new(base, -1, 0);
+    evbuffer_add_cb(bufferevent_get_output(connection), &Listener::onOutput, arg);
+    return connection;
+}
+
+void Listener::onOutput(evbuffer *output, const evbuffer_cb_info *info, void *arg)
+{
+    if (Answering::isActive() || info->orig_size != 0 || info->n_added == 0)
+        return;
+    // evhttp writes the status line of an answer of its own, and the headers next.
+    std::array<char, tooLargeLine.size()> line{};
+    evbuffer_copyout(output, line.data(), line.size());
+    const std::string_view statusLine(line.data(), line.size());
+    if (statusLine == continueLine)
+        return;
+    const RefusalReason reason = reasonOf(statusLine);
+    static_cast<Listener *>(arg)->counters_.refusal(reason, RunProof::NotRun).add();
+    evbuffer_add_printf(output, "%s: %s\r\n%s: %s\r\n", runHeader,
+                        runProofName(RunProof::NotRun).data(), reasonHeader,
+                        refusalFacts(reason).name.data());
+}
+
+} // namespace cornelhead::detail
--- a/src/proxy/sent-on-call.cc
+++ b/src/proxy/sent-on-call.cc
@@ -22,10 +22,7 @@
     worker_.node.counters.keyedSentOn.add();
 }
 
-SentOnCall::~SentOnCall()
-{
-    worker_.node.counters.inFlight.add(-1);
-}
+SentOnCall::~SentOnCall() = default;
 
 AttemptHandlers SentOnCall::handlers()
 {
@@ -122,6 +119,7 @@
 {
     timer_ = Timer();
     origin_.limit.release();
+    worker_.node.counters.inFlight.add(-1);
     worker_.endCall(this);
 }
 
--- /dev/null
+++ b/test/proxy/hostile-test.cc
@@ -0,0 +1,181 @@
+// Tests the listener against malformed, oversized, slow and abandoned requests.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "proxy/proxy-fixture.h"
+
+namespace cornelhead {
+
+namespace {
+
+// A plain TCP connection that sends any bytes.
+class RawCaller
+{
+public:
+    explicit RawCaller(const Address &to) : socket_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(to.port);
+        inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr);
+        BOOST_REQUIRE(connect(socket_, reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                      == 0);
+    }
+    ~RawCaller() { close(socket_); }
+    RawCaller(const RawCaller &) = delete;
+    RawCaller &operator=(const RawCaller &) = delete;
+
+    void send(const std::string &bytes) const
+    {
+        std::size_t sent = 0;
+        while (sent < bytes.size()) {
+            const ssize_t part
+                    = ::send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (part <= 0)
+                return;
+            sent += static_cast<std::size_t>(part);
+        }
+    }
+
+    // Reads until the other end closes the connection or `enough` was read.
+    std::string read(const std::string &enough = "\r\n\r\n") const
+    {
+        std::string all;
+        std::array<char, 4096> bytes{};
+        while (all.find(enough) == std::string::npos) {
+            const ssize_t part = recv(socket_, bytes.data(), bytes.size(), 0);
+            if (part <= 0)
+                break;
+            all.append(bytes.data(), static_cast<std::size_t>(part));
+        }
+        return all;
+    }
+
+private:
+    const int socket_;
+};
+
+struct Hostile
+{
+    std::string request;
+    std::string reason;
+};
+
+const std::string customerLine = "Cornelhead-Customer: wellington\r\n";
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(hostile, ProxyFixture)
+
+BOOST_AUTO_TEST_CASE(malformedRequestsGetTypedAnswersAndCounters)
+{
+    const TestBackend backend("s1", echo);
+    publish({backend.endpoint()});
+    const std::string post = "POST /bookings/list HTTP/1.1\r\n" + customerLine;
+    const std::string getLine = "GET /bookings/";
+    const std::string end = " HTTP/1.1\r\n" + customerLine + "\r\n";
+    const std::vector<Hostile> all = {
+            {"no request line at all\r\n\r\n", "bad-request"},
+            {"GET\r\n\r\n", "bad-request"},
+            {post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+             "bad-request"},
+            {post + "Content-Length: 1\r\nContent-Length: 1\r\n\r\nx", "bad-request"},
+            {post + "Content-Length: -1\r\n\r\n", "bad-request"},
+            {post + "Content-Length : 0\r\n\r\n", "bad-request"},
+            {post + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n", "bad-request"},
+            // evhttp takes a size that it cannot read for one beyond all limits.
+            {post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "too-large"},
+            {post + "Content-Length: 999999999\r\n\r\n", "too-large"},
+            {getLine + "list HTTP/1.1\r\nX: " + std::string(40'000, 'x'), "bad-request"},
+            {getLine + "%zz" + end, "bad-request"},
+            {getLine + "%2e%2e/doorlist" + end, "bad-request"},
+            {getLine + "list HTTP/1.1\r\nCornelhead-Deadline-Ms: soon\r\n\r\n", "bad-request"},
+            {getLine + "list HTTP/1.1\r\nCornelhead-Depth: 99\r\n\r\n", "too-deep"},
+            {getLine + "list HTTP/1.1\r\nIdempotency-Key: " + std::string(500, 'k') + "\r\n\r\n",
+             "bad-request"},
+    };
+    for (const Hostile &hostile : all) {
+        const std::uint64_t before
+                = refusals(hostile.reason, "not-run") + refusals(hostile.reason, "unknown");
+        const RawCaller caller(address);
+        caller.send(hostile.request);
+        const std::string answer = caller.read();
+        BOOST_TEST(answer.find("Cornelhead-Reason: " + hostile.reason) != std::string::npos,
+                   hostile.request.substr(0, 100) << " -> " << answer);
+        BOOST_TEST(refusals(hostile.reason, "not-run") + refusals(hostile.reason, "unknown")
+                   == before + 1);
+    }
+    BOOST_TEST(backend.runs == 0);
+    BOOST_TEST(get("/bookings/list").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(pipelinedRequestsAreAnsweredInOrder)
+{
+    const TestBackend backend("s1", echo);
+    publish({backend.endpoint()});
+    const RawCaller caller(address);
+    std::string requests;
+    for (const char *path : {"/one", "/two", "/three"})
+        requests += std::string("GET /bookings") + path + " HTTP/1.1\r\n" + customerLine + "\r\n";
+    caller.send(requests);
+    const std::string answers = caller.read("/three");
+    BOOST_TEST(answers.find("/one") < answers.find("/two"));
+    BOOST_TEST(answers.find("/two") < answers.find("/three"));
+    BOOST_TEST(answers.find("/three") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(slowAndAbandonedSendersDoNotStopOthers)
+{
+    const TestBackend backend("s1", echo);
+    publish({backend.endpoint()});
+    std::vector<std::unique_ptr<RawCaller>> slow;
+    for (int i = 0; i < 200; ++i) {
+        slow.push_back(std::make_unique<RawCaller>(address));
+        slow.back()->send("POST /bookings/list HTTP/1.1\r\nContent-Length: 10\r\n\r\nx");
+    }
+    BOOST_TEST(get("/bookings/list").status == 200);
+    slow.clear();
+    BOOST_TEST(get("/bookings/list").status == 200);
+    BOOST_TEST(metrics.gauge("cornelhead_calls_in_flight").value() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(aCutAnswerIsNotTakenForWhole)
+{
+    Endpoint endpoint = TestBackend("s1", echo).endpoint();
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in where{};
+    where.sin_family = AF_INET;
+    where.sin_port = htons(endpoint.address.port);
+    where.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<const sockaddr *>(&where), sizeof where) == 0);
+    BOOST_REQUIRE(listen(listener, 4) == 0);
+    std::thread server([&] {
+        const int connection = accept(listener, nullptr, nullptr);
+        std::array<char, 4096> bytes{};
+        recv(connection, bytes.data(), bytes.size(), 0);
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n";
+        ::send(connection, head.data(), head.size(), 0);
+        const std::string part(200'000, 'x');
+        ::send(connection, part.data(), part.size(), 0);
+        close(connection);
+    });
+    publish({endpoint});
+    const auto answer = callBlocking(address,
+                                     HttpRequest{HttpMethod::Get,
+                                                 "/bookings/list",
+                                                 {},
+                                                 {{"Cornelhead-Customer", "wellington"}},
+                                                 ""},
+                                     Milliseconds(5000));
+    server.join();
+    close(listener);
+    BOOST_TEST(!answer.has_value());
+    BOOST_TEST(metrics.counter("cornelhead_answers_cut_total").value() == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- a/test/proxy/proxy-fixture.h
+++ b/test/proxy/proxy-fixture.h
@@ -16,7 +16,7 @@
 /// Returns a port that was free a moment ago.
 inline std::uint16_t freePort()
 {
-    static std::atomic<std::uint16_t> next = 43100;
+    static std::atomic<std::uint16_t> next = 23100;
     for (;;) {
         const std::uint16_t port = next++;
         EventLoop loop;
