Stop homes that hear of no changes, trust home headers of nodes only, avoid dead servers

A node whose membership was confirmed once and then is not for 3 s runs no keyed calls. Headers between nodes are believed only from a node's IP number, so sent-on calls connect from it.

--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -43,21 +43,14 @@
     std::function<void(const AttemptEnd &)> onEnd;
 };
 
-/// What connection an attempt wants.
-struct ConnectionNeed
-{
-    Address to;
-    /// A pooled connection that was idle since before it is not good enough.
-    TimePoint idleSince{};
-};
-
 /// Sends one request and waits for its answer.
 ///
 /// Must not be destroyed inside its own handlers, as evhttp still uses the connection there.
 class Attempt
 {
 public:
-    Attempt(EventLoop &loop, UpstreamPool &pool, ConnectionNeed need, AttemptHandlers handlers);
+    Attempt(EventLoop &loop, UpstreamPool &pool, const ConnectionNeed &need,
+            AttemptHandlers handlers);
     ~Attempt();
     Attempt(const Attempt &) = delete;
     Attempt &operator=(const Attempt &) = delete;
--- a/include/cornelhead/proxy/dispatcher.h
+++ b/include/cornelhead/proxy/dispatcher.h
@@ -3,6 +3,8 @@
 
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 
 #include "cornelhead/proxy/caller.h"
 #include "cornelhead/proxy/key-ticket.h"
@@ -41,11 +43,14 @@
     void sendOn(evhttp_request *request, const RequestHead &head, Decision decision,
                 const NodeInfo &home);
     void runHere(evhttp_request *request, const RequestHead &head, Decision decision);
+    bool isFromNode(evhttp_request *request) const;
     bool isPoison(evhttp_request *request);
     void refuse(evhttp_request *request, const Refusal &refusal);
 
     WorkerState &worker_;
     std::shared_ptr<const RoutingView> view_;
+    // The IP numbers of all nodes in the view.
+    std::set<std::string, std::less<>> nodeIps_;
     TimePoint lastRequest_{};
 };
 
--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -41,6 +41,10 @@
     Result<void> start();
     /// Replaces what every worker decides from.
     void setView(const std::shared_ptr<const RoutingView> &view);
+    /// Notes that changes of the fleet still reach this node; to be called several times a second
+    /// while they do.  A node that was confirmed once and then is not for 3 s runs no keyed calls,
+    /// as others may have become the homes of its keys.
+    void confirmMembership();
     /// Takes the outcomes of finished calls since the last take.
     OutcomeBatch takeOutcomes();
     /// Takes the deaths of servers under a request that this node saw since the last take, to be
--- a/include/cornelhead/proxy/upstream-pool.h
+++ b/include/cornelhead/proxy/upstream-pool.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <string>
 #include <vector>
 
 #include "cornelhead/base/address.h"
@@ -13,6 +14,16 @@
 
 namespace cornelhead::detail {
 
+/// What connection an attempt wants.
+struct ConnectionNeed
+{
+    Address to;
+    /// A pooled connection that was idle since before it is not good enough.
+    TimePoint idleSince{};
+    /// The IP number to connect from; empty for any.
+    std::string fromIp;
+};
+
 /// Hands out connections that carry one call at a time.
 ///
 /// Invariant: an idle connection has no bytes of an earlier answer left to read.
@@ -21,9 +32,8 @@
 public:
     UpstreamPool(event_base *base, Counter &opened) : base_(base), opened_(opened) { }
 
-    /// Returns the connection used last, or a new one that is not connected yet.  One that was
-    /// idle since before `idleSince` is not used.
-    UpstreamHandle take(const Address &to, TimePoint idleSince);
+    /// Returns the connection used last, or a new one that is not connected yet.
+    UpstreamHandle take(const ConnectionNeed &need);
     /// Tells whether another call may use the connection.
     static bool isReusable(evhttp_connection *connection);
     /// Takes back a reusable connection.
--- a/include/cornelhead/routing/home-keys.h
+++ b/include/cornelhead/routing/home-keys.h
@@ -35,6 +35,8 @@
     { }
 
     void observe(const std::map<NodeId, NodeInfo> &nodes, std::int64_t wallMs);
+    /// Notes that changes of the fleet still reach this node.
+    void confirm(Moment moment);
     /// To be called several times a second.
     void tick(Moment moment);
     KeyHome homeOf(const CallKey &key) const { return ownership_.homeOf(key); }
--- a/include/cornelhead/routing/key-ownership.h
+++ b/include/cornelhead/routing/key-ownership.h
@@ -62,6 +62,10 @@
     /// Notes that this process runs; to be called several times in `longestPause`.
     void tick(TimePoint time, std::int64_t wallMs);
 
+    /// Notes that changes of the fleet still reach this node.  From the first call on, the node
+    /// owns no key when the last one is longer ago than `disagreement`.
+    void confirm(TimePoint time, std::int64_t wallMs);
+
     KeyHome homeOf(const CallKey &key) const;
     /// Checks this node's own right to run a call with `key`.  `birthMs` is when the key was made,
     /// if it tells.
@@ -81,6 +85,7 @@
     void setNodes(const std::map<NodeId, NodeInfo> &nodes);
     void updateSeen(std::int64_t wallMs);
     bool seesMajority() const;
+    bool isStale(TimePoint time) const;
     void startEra(std::int64_t wallMs);
     bool ownedIn(const Era &era, const CallKey &key) const;
     std::optional<std::int64_t> usableBirth(std::optional<std::int64_t> birthMs,
@@ -99,6 +104,8 @@
     std::deque<Era> eras_;
     TimePoint lastTick_{};
     bool hasTicked_ = false;
+    // Nothing until the first confirmation.
+    std::optional<TimePoint> confirmedAt_;
 };
 
 /// Returns the wall-clock birth of a UUIDv7 in milliseconds, or nothing for another key.
--- a/include/cornelhead/routing/server-choice.h
+++ b/include/cornelhead/routing/server-choice.h
@@ -52,7 +52,8 @@
 /// How a call at a server ended, for the choice of later servers.
 enum class ServerResult {
     Answered,
-    Failed, ///< Answered with an error, refused the connection or broke it.
+    Failed, ///< Answered with an error or broke the connection.
+    Unreachable, ///< Refused the connection; avoided for a moment and counted as a failure.
     Silent, ///< No answer in time; counts only if the server answered nobody else meanwhile.
     Neutral, ///< Says nothing about the server.
     Shed, ///< Full; avoided for a moment, never ejected.
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -39,9 +39,10 @@
 
 } // namespace
 
-Attempt::Attempt(EventLoop &loop, UpstreamPool &pool, ConnectionNeed need, AttemptHandlers handlers)
-    : pool_(pool), to_(std::move(need.to)), handlers_(std::move(handlers)),
-      connection_(pool.take(to_, need.idleSince)), raw_(evhttp_request_new(&Attempt::onDone, this))
+Attempt::Attempt(EventLoop &loop, UpstreamPool &pool, const ConnectionNeed &need,
+                 AttemptHandlers handlers)
+    : pool_(pool), to_(need.to), handlers_(std::move(handlers)), connection_(pool.take(need)),
+      raw_(evhttp_request_new(&Attempt::onDone, this))
 {
     evhttp_request_set_header_cb(raw_, &Attempt::onHeadRead);
     // Reading is stopped outside of evhttp's own callback, which starts it again at its end.
@@ -195,7 +196,7 @@
 
 ConnectionNeed connectionNeed(const Address &to, bool mustNotFail)
 {
-    return ConnectionNeed{to, mustNotFail ? now(SteadyClock()) - freshLimit : TimePoint{}};
+    return ConnectionNeed{to, mustNotFail ? now(SteadyClock()) - freshLimit : TimePoint{}, {}};
 }
 
 bool isLongAnswer(evhttp_request *answer, std::size_t bytes)
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -61,7 +61,16 @@
 
 ServerResult resultOf(AttemptFailure failure)
 {
-    return failure == AttemptFailure::RefusedNotRun ? ServerResult::Shed : ServerResult::Failed;
+    switch (failure) {
+    case AttemptFailure::NotSent:
+        return ServerResult::Unreachable;
+    case AttemptFailure::RefusedNotRun:
+        return ServerResult::Shed;
+    case AttemptFailure::Broken:
+    case AttemptFailure::Silent:
+        break;
+    }
+    return ServerResult::Failed;
 }
 
 // Rounds up, so that a timer never fires before its time.
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -49,6 +49,17 @@
 void Dispatcher::setView(std::shared_ptr<const RoutingView> view)
 {
     view_ = std::move(view);
+    nodeIps_.clear();
+    for (const auto &[id, node] : view_->endpoints->nodes)
+        nodeIps_.insert(node.proxy.ip);
+}
+
+bool Dispatcher::isFromNode(evhttp_request *request) const
+{
+    char *ip = nullptr;
+    std::uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(request), &ip, &port);
+    return ip && nodeIps_.contains(std::string_view(ip));
 }
 
 void Dispatcher::refuse(evhttp_request *request, const Refusal &refusal)
@@ -74,6 +85,11 @@
         refuse(request, Refusal{reason, proofWithoutHome(request)});
         return;
     }
+    // What one node tells another is not believed from a caller.
+    if (!head->home.empty() && !isFromNode(request)) {
+        refuse(request, Refusal{RefusalReason::BadRequest, RunProof::Unknown});
+        return;
+    }
     Decision decision = decide(*head, lastRequest_);
     const bool isIdempotent = decision.admission
             && decision.admission->route->idempotency == Idempotency::Idempotent;
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -49,6 +49,12 @@
         worker->setView(view);
 }
 
+void Proxy::confirmMembership()
+{
+    const std::lock_guard lock(impl_->node.keysMutex);
+    impl_->node.keys.confirm(detail::presentMoment());
+}
+
 OutcomeBatch Proxy::takeOutcomes()
 {
     OutcomeBatch batch;
--- a/src/proxy/sent-on-call.cc
+++ b/src/proxy/sent-on-call.cc
@@ -12,11 +12,19 @@
 
 constexpr std::size_t maxBufferedAnswer = 64 * 1024;
 
+// The home believes only what comes from the IP number of a node.
+ConnectionNeed homeNeed(const WorkerState &worker, const NodeInfo &home)
+{
+    ConnectionNeed need = connectionNeed(home.proxy, true);
+    need.fromIp = worker.node.settings.self.proxy.ip;
+    return need;
+}
+
 } // namespace
 
 SentOnCall::SentOnCall(WorkerState &worker, evhttp_request *caller, SentOnOrigin origin)
     : worker_(worker), caller_(worker, caller), origin_(std::move(origin)),
-      attempt_(worker.loop, worker.pool, connectionNeed(origin_.home.proxy, true), handlers())
+      attempt_(worker.loop, worker.pool, homeNeed(worker, origin_.home), handlers())
 {
     worker_.node.counters.inFlight.add(1);
     worker_.node.counters.keyedSentOn.add();
--- a/src/proxy/upstream-pool.cc
+++ b/src/proxy/upstream-pool.cc
@@ -29,17 +29,21 @@
     return isConnected(connection) && isEmpty(connection);
 }
 
-UpstreamHandle UpstreamPool::take(const Address &to, TimePoint idleSince)
+UpstreamHandle UpstreamPool::take(const ConnectionNeed &need)
 {
-    std::vector<Idle> &pool = idle_[to];
-    while (!pool.empty() && pool.back().since >= idleSince) {
+    std::vector<Idle> &pool = idle_[need.to];
+    while (!pool.empty() && pool.back().since >= need.idleSince) {
         UpstreamHandle connection = std::move(pool.back().connection);
         pool.pop_back();
         if (isReusable(connection.get()))
             return connection;
     }
     opened_.add();
-    return UpstreamHandle(evhttp_connection_base_new(base_, nullptr, to.ip.c_str(), to.port));
+    UpstreamHandle connection(
+            evhttp_connection_base_new(base_, nullptr, need.to.ip.c_str(), need.to.port));
+    if (!need.fromIp.empty())
+        evhttp_connection_set_local_address(connection.get(), need.fromIp.c_str());
+    return connection;
 }
 
 void UpstreamPool::give(const Address &to, UpstreamHandle connection, TimePoint now)
--- a/src/routing/home-keys.cc
+++ b/src/routing/home-keys.cc
@@ -27,6 +27,11 @@
     ownership_.observe(nodes, wallMs);
 }
 
+void HomeKeys::confirm(Moment moment)
+{
+    ownership_.confirm(moment.time, moment.wallMs);
+}
+
 void HomeKeys::tick(Moment moment)
 {
     ownership_.tick(moment.time, moment.wallMs);
--- a/src/routing/key-ownership.cc
+++ b/src/routing/key-ownership.cc
@@ -154,6 +154,21 @@
         startEra(wallMs);
 }
 
+bool KeyOwnership::isStale(TimePoint time) const
+{
+    return confirmedAt_ && time - *confirmedAt_ > limits_.disagreement;
+}
+
+void KeyOwnership::confirm(TimePoint time, std::int64_t wallMs)
+{
+    // Others may have taken over while this node was not told.
+    if (isStale(time)) {
+        eras_.clear();
+        startEra(wallMs);
+    }
+    confirmedAt_ = time;
+}
+
 KeyHome KeyOwnership::homeOf(const CallKey &key) const
 {
     KeyHome home;
@@ -190,6 +205,8 @@
                               TimePoint time, std::int64_t wallMs)
 {
     tick(time, wallMs);
+    if (isStale(time))
+        return Ownership::Young;
     if (!ownedIn(eras_.back(), key))
         return eras_.back().hasMajority ? Ownership::NotOwner : Ownership::Young;
     const auto birth = usableBirth(birthMs, wallMs);
--- a/src/routing/server-choice.cc
+++ b/src/routing/server-choice.cc
@@ -19,6 +19,7 @@
 constexpr double coldPenalty = 8.0;
 constexpr std::uint32_t failuresToEject = 5;
 constexpr Milliseconds shedPause = Milliseconds(20);
+constexpr Milliseconds unreachablePause = Milliseconds(500);
 constexpr Milliseconds firstEjection = Milliseconds(1000);
 constexpr std::uint32_t maxEjectionDoublings = 5;
 constexpr double limitDecrease = 0.7;
@@ -248,6 +249,9 @@
     case ServerResult::Answered:
         detail::learn(server, latency, now);
         return false;
+    case ServerResult::Unreachable:
+        server.avoidedUntil = now + detail::unreachablePause;
+        return addFailure(server, now);
     case ServerResult::Failed:
         return addFailure(server, now);
     case ServerResult::Silent: {
--- a/test/routing/key-home-test.cc
+++ b/test/routing/key-home-test.cc
@@ -431,6 +431,25 @@
     BOOST_TEST(!runs(keyBornAt(start + 19'000, 4), start + 20'000, true));
 }
 
+BOOST_AUTO_TEST_CASE(aHomeThatHearsOfNoChangesStops)
+{
+    const std::int64_t start = 1'700'000'000'000;
+    HomeKeys keys(makeNode("n1", "dc0", 1000, start - 60'000), {}, {}, {});
+    const auto runs = [&](std::int64_t wallMs) {
+        const std::string key = keyBornAt(wallMs, static_cast<std::uint64_t>(wallMs));
+        const KeyedCall call{makeCallKey("ana", key), keyBirth(key), Digest("r")};
+        const Moment moment{TimePoint(Milliseconds(wallMs)), wallMs};
+        return std::holds_alternative<StartRun>(keys.begin(call, moment));
+    };
+    for (std::int64_t ms = start; ms <= start + 10'000; ms += 500) {
+        const bool isHeard = ms <= start + 1000 || ms >= start + 5000;
+        if (isHeard)
+            keys.confirm(Moment{TimePoint(Milliseconds(ms)), ms});
+        const bool isTrusted = ms <= start + 4000 || ms >= start + 9000;
+        BOOST_TEST(runs(ms) == isTrusted, "at " << ms - start << " ms");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(noKeyRunsTwiceAndNoRefusalLies)
 {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
