--- a/include/cornelhead/routing/home-keys.h
+++ b/include/cornelhead/routing/home-keys.h
@@ -53,6 +53,8 @@
     { }
 
     void observe(const std::map<NodeId, NodeInfo> &nodes, std::int64_t wallMs);
+    /// Notes that changes of the fleet still reach this node.
+    void confirm(Moment moment);
     /// To be called several times a second.
     void tick(Moment moment);
     /// Names the home of a key; a stopping node names the one after itself.
--- a/include/cornelhead/routing/key-ownership.h
+++ b/include/cornelhead/routing/key-ownership.h
@@ -62,6 +62,10 @@
     /// Notes that this process runs; to be called several times in `longestPause`.
     void tick(TimePoint time, std::int64_t wallMs);
 
+    /// Notes that changes of the fleet still reach this node.  From the first call on, the node
+    /// owns no key when the last one is longer ago than `disagreement`.
+    void confirm(TimePoint time, std::int64_t wallMs);
+
     /// Names the home of a key, as if `leaving` were no member any more.
     KeyHome homeOf(const CallKey &key, const NodeId &leaving = NodeId()) const;
     /// Checks this node's own right to run a call with `key`.  `birthMs` is when the key was made,
@@ -94,6 +98,7 @@
     void setNodes(const std::map<NodeId, NodeInfo> &nodes);
     void updateSeen(std::int64_t wallMs);
     bool seesMajority() const;
+    bool isStale(TimePoint time) const;
     void startEra(std::int64_t wallMs);
     const NodeId *ownerIn(const Era &era, const CallKey &key, const NodeId &without) const;
     bool ownedIn(const Era &era, const CallKey &key, const NodeId &without = NodeId()) const;
@@ -119,6 +124,8 @@
     // Invariant: never empty, oldest first.
     std::deque<Era> eras_;
     std::optional<TimePoint> lastTick_;
+    // Nothing until the first confirmation.
+    std::optional<TimePoint> confirmedAt_;
 };
 
 /// Returns the wall-clock birth of a UUIDv7 in milliseconds, or nothing for another key.
--- a/src/routing/key-ownership.cc
+++ b/src/routing/key-ownership.cc
@@ -156,6 +156,21 @@
         startEra(wallMs);
 }
 
+bool KeyOwnership::isStale(TimePoint time) const
+{
+    return confirmedAt_ && time - *confirmedAt_ > limits_.disagreement;
+}
+
+void KeyOwnership::confirm(TimePoint time, std::int64_t wallMs)
+{
+    // Others may have taken over while this node was not told.
+    if (isStale(time)) {
+        eras_.clear();
+        startEra(wallMs);
+    }
+    confirmedAt_ = time;
+}
+
 KeyHome KeyOwnership::homeOf(const CallKey &key, const NodeId &leaving) const
 {
     KeyHome home;
@@ -249,6 +264,8 @@
                                      std::int64_t wallMs)
 {
     tick(time, wallMs);
+    if (isStale(time))
+        return Ownership::Young;
     if (!ownedIn(eras_.back(), key, successor))
         return eras_.back().hasMajority ? Ownership::NotOwner : Ownership::Young;
     const auto birth = usableBirth(birthMs, wallMs);
