Let the home of a test run before it is asked

The test took a node that never ticked for one that ran for a minute, which is the fault that was mended; it now ticks first and expects the same.

--- a/test/routing/key-home-test.cc
+++ b/test/routing/key-home-test.cc
@@ -566,6 +566,8 @@
         const Moment moment{TimePoint(Milliseconds(wallMs)), wallMs};
         return std::holds_alternative<StartRun>(keys.begin(call, moment));
     };
+    for (std::int64_t ms = start - 60'000; ms < start; ms += 500)
+        keys.tick(Moment{TimePoint(Milliseconds(ms)), ms});
     for (std::int64_t ms = start; ms <= start + 10'000; ms += 500) {
         const bool isHeard = ms <= start + 1000 || ms >= start + 5000;
         if (isHeard)
