--- a/include/cornelhead/node/node.h
+++ b/include/cornelhead/node/node.h
@@ -27,7 +27,7 @@
     /// Listens on all addresses.  Fails with `InvalidSetting` when one is taken.
     Result<void> start();
     /// Stops without cutting a call, then calls `done`.
-    void drain(std::function<void()> done);
+    void drain(const std::function<void()> &done);
 
 private:
     struct Impl;
--- a/include/cornelhead/proxy/caller.h
+++ b/include/cornelhead/proxy/caller.h
@@ -30,6 +30,9 @@
     /// Runs `onGone` once if the caller closes its connection before the answer.
     void watch(std::function<void()> onGone);
 
+    /// Gives the unanswered request to another call.
+    evhttp_request *handOver() { return take(); }
+
     void refuse(const Refusal &refusal);
     /// Passes on a whole answer and moves its body.
     void answer(evhttp_request *answer);
--- a/include/cornelhead/proxy/counters.h
+++ b/include/cornelhead/proxy/counters.h
@@ -32,6 +32,8 @@
     Counter &cutAnswers;
     Counter &callersGone;
     Counter &keyedSentOn;
+    Counter &keyedRedirected;
+    Counter &keyReleasesAsked;
     Counter &keyedRemembered;
     Counter &lateAnswersKept;
     Gauge &inFlight;
--- a/include/cornelhead/proxy/dispatcher.h
+++ b/include/cornelhead/proxy/dispatcher.h
@@ -40,10 +40,21 @@
     void startCall(evhttp_request *request, const RequestHead &head, Decision decision,
                    std::unique_ptr<KeyTicket> ticket);
     void onKeyed(evhttp_request *request, const RequestHead &head, Decision decision);
+    // Sends a keyed call to its home; `left` said that it is the home no more.
+    void toHome(evhttp_request *request, const RequestHead &head, Decision decision,
+                const NodeId &left);
     void sendOn(evhttp_request *request, const RequestHead &head, Decision decision,
-                const NodeInfo &home);
+                const NodeInfo &home, const NodeId &left);
     void runHere(evhttp_request *request, const RequestHead &head, Decision decision);
+    void askFormerHome(evhttp_request *request, const RequestHead &head, Decision decision,
+                       const KeyedCall &call, const NodeInfo &former);
+    void onRelease(evhttp_request *request, const RequestHead &head, Decision decision,
+                   const KeyedCall &call, const NodeInfo &former, Release release);
+    void follow(evhttp_request *request, const RequestHead &head, Decision decision,
+                const CallKey &key, const KeyVerdict &verdict);
+    bool refuseIfGone(evhttp_request *request);
     bool isFromNode(evhttp_request *request) const;
+    Milliseconds allowedTime(const RequestHead &head, const Decision &decision) const;
     bool isPoison(evhttp_request *request);
     void refuse(evhttp_request *request, const Refusal &refusal);
 
--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -52,6 +52,9 @@
     std::vector<SuspectedDeath> takeSuspectedDeaths();
     /// Notes deaths that other nodes of the data centre saw.
     void addSuspectedDeaths(const std::vector<SuspectedDeath> &deaths);
+    /// Ends this node's time as a home of idempotency keys: hands what it remembers to the other
+    /// nodes of its data centre, then calls `done` from a worker thread.  Other calls go on.
+    void retireKeys(const std::function<void()> &done);
     /// Stops accepting, lets calls end, then calls `done` from a worker thread.
     void drain(const std::function<void()> &done);
 
--- a/include/cornelhead/proxy/request-head.h
+++ b/include/cornelhead/proxy/request-head.h
@@ -25,6 +25,8 @@
 constexpr const char *reasonHeader = "Cornelhead-Reason";
 /// Names the node that a call with a key is sent on to.
 constexpr const char *homeHeader = "Cornelhead-Home";
+/// Names the former home of a key, which said that it starts no keyed call any more.
+constexpr const char *leftHeader = "Cornelhead-Left";
 /// Names the refusal that the entry asks the home to make, unless it remembers the key.
 constexpr const char *refuseHeader = "Cornelhead-Refuse";
 
@@ -46,6 +48,7 @@
     std::uint32_t depth = 0;
     /// Empty unless another node sent the call on.
     std::string_view home;
+    std::string_view left;
     std::string_view refuse;
 };
 
--- a/include/cornelhead/proxy/sent-on-call.h
+++ b/include/cornelhead/proxy/sent-on-call.h
@@ -1,6 +1,7 @@
 // One keyed call at the node where it arrived, sent on to the home of its key.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -19,6 +20,10 @@
     /// The refusal that the home is asked to make, unless it remembers the key.
     std::optional<RefusalReason> refusal;
     LimitPlace limit;
+    /// The node that keeps the key no more and says so, if there is one.
+    NodeId left;
+    /// Takes the call back where the home is leaving or gone; nothing when that happened before.
+    std::function<void(evhttp_request *, SentOnOrigin)> redirect;
 };
 
 /// Passes a call to its home and the home's answer back.  Says `not-run` only where the home does.
@@ -34,6 +39,8 @@
     AttemptHandlers handlers();
     void fillRequest();
     void onEnd(const AttemptEnd &end);
+    bool canRedirect() const;
+    void redirect(const NodeId &left);
     void onFailure(AttemptFailure failure);
     void onDeadline();
     void stop(RefusalReason reason);
@@ -45,6 +52,7 @@
     SentOnOrigin origin_;
     Attempt attempt_;
     Timer timer_;
+    TimePoint startedAt_{};
 };
 
 } // namespace cornelhead::detail
--- a/include/cornelhead/proxy/worker.h
+++ b/include/cornelhead/proxy/worker.h
@@ -30,6 +30,8 @@
     // Safe from any thread.
     void setView(std::shared_ptr<const RoutingView> view);
     OutcomeBatch takeOutcomes() { return state_.outcomes.take(); }
+    /// Hands over this node's keys and runs `done` on the worker's thread.
+    void retireKeys(std::function<void()> done);
     /// Stops accepting, waits for the calls, and runs `done` on the worker's thread.
     void drain(std::function<void()> done);
 
--- a/include/cornelhead/routing/key-ownership.h
+++ b/include/cornelhead/routing/key-ownership.h
@@ -79,6 +79,8 @@
                            std::int64_t wallMs);
     /// Names the node that was the home of a key before this one, for a key that is `Young` here.
     std::optional<NodeInfo> predecessorOf(const CallKey &key) const;
+    /// Counts `node` as no member from now on, as it said that it starts no keyed call any more.
+    void noteLeaving(const NodeId &node, std::int64_t wallMs);
     /// Counts `node` as no member at any time, as it gave up all keys and told what it knew.
     void retire(const NodeId &node) { retired_.insert(node); }
     bool isRetired(const NodeId &node) const { return retired_.contains(node); }
@@ -100,6 +102,7 @@
     bool seesMajority() const;
     bool isStale(TimePoint time) const;
     void startEra(std::int64_t wallMs);
+    void startEraIfChanged(std::int64_t wallMs);
     const NodeId *ownerIn(const Era &era, const CallKey &key, const NodeId &without) const;
     bool ownedIn(const Era &era, const CallKey &key, const NodeId &without = NodeId()) const;
     bool isCounted(const NodeId &node, const NodeId &without) const
@@ -121,6 +124,8 @@
     // The nodes of this data centre by id, kept for as long as an era may name them.
     std::map<NodeId, NodeInfo> known_;
     std::set<NodeId> retired_;
+    // Never members again, though others may still list them.
+    std::set<NodeId> leaving_;
     // Invariant: never empty, oldest first.
     std::deque<Era> eras_;
     std::optional<TimePoint> lastTick_;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -20,6 +20,8 @@
 constexpr Milliseconds serverSilenceLimit = Milliseconds(2000);
 constexpr Milliseconds sweepPeriod = Milliseconds(250);
 constexpr Milliseconds outcomePeriod = Milliseconds(200);
+// Other nodes learn within it that this one leaves, and send it nothing more.
+constexpr Milliseconds leavePause = Milliseconds(500);
 
 NodeInfo selfOf(const NodeSettings &settings)
 {
@@ -73,6 +75,7 @@
     Timer sweepTimer;
     Timer outcomeTimer;
     Timer drainTimer;
+    Timer leaveTimer;
     // When the configuration came into force here, for reports of convergence.
     std::int64_t appliedAtMs = 0;
     Revision appliedRevision;
@@ -174,7 +177,10 @@
     void collectOutcomes()
     {
         const OutcomeBatch outcomes = proxy.takeOutcomes();
-        rollout.setEligible(distribution.status().isRelay && !isDraining);
+        const DistributionStatus state = distribution.status();
+        rollout.setEligible(state.isRelay && !isDraining);
+        if (state.hasRelay || state.isRelay)
+            proxy.confirmMembership();
         if (outcomes.empty())
             return;
         brake.addEvidence(outcomes, wallClockMs());
@@ -221,10 +227,25 @@
         outcomeTimer = loop.every(detail::outcomePeriod, [this] { collectOutcomes(); });
     }
 
-    void drainDistribution(const std::function<void()> &done)
+    // First the keys are handed over, then the fleet is told, and only then the callers' socket
+    // closes, so that no call is cut and no key is orphaned.
+    void startDrain(const std::function<void()> &done)
+    {
+        drainTimer = loop.after(settings.drainTimeout, done);
+        proxy.retireKeys([this, done] { loop.post([this, done] { leave(done); }); });
+    }
+
+    void leave(const std::function<void()> &done)
     {
         collectOutcomes();
-        distribution.drain(done);
+        distribution.drain([this, done] {
+            leaveTimer = loop.after(detail::leavePause, [this, done] { endCalls(done); });
+        });
+    }
+
+    void endCalls(const std::function<void()> &done)
+    {
+        proxy.drain([this, done] { loop.post(done); });
     }
 };
 
@@ -251,16 +272,13 @@
     return {};
 }
 
-void Node::drain(std::function<void()> done)
+void Node::drain(const std::function<void()> &done)
 {
     if (std::exchange(impl_->isDraining, true))
         return;
     CORNELHEAD_LOG(INFO, detail::nodePart) << "Node drains.";
     impl_->rollout.stop();
-    impl_->drainTimer = impl_->loop.after(impl_->settings.drainTimeout, done);
-    impl_->proxy.drain([impl = impl_.get(), done = std::move(done)] {
-        impl->loop.post([impl, done] { impl->drainDistribution(done); });
-    });
+    impl_->startDrain(done);
 }
 
 } // namespace cornelhead
--- a/src/proxy/counters.cc
+++ b/src/proxy/counters.cc
@@ -32,6 +32,8 @@
       cutAnswers(metrics.counter("cornelhead_answers_cut_total")),
       callersGone(metrics.counter("cornelhead_callers_gone_total")),
       keyedSentOn(metrics.counter("cornelhead_keyed_calls_sent_on_total")),
+      keyedRedirected(metrics.counter("cornelhead_keyed_calls_redirected_total")),
+      keyReleasesAsked(metrics.counter("cornelhead_key_releases_asked_total")),
       keyedRemembered(metrics.counter("cornelhead_keyed_answers_remembered_total")),
       lateAnswersKept(metrics.counter("cornelhead_keyed_late_answers_kept_total")),
       inFlight(metrics.gauge("cornelhead_calls_in_flight")),
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -7,6 +7,7 @@
 
 #include "cornelhead/base/digest.h"
 #include "cornelhead/proxy/call.h"
+#include "cornelhead/proxy/key-handover.h"
 #include "cornelhead/proxy/overloaded.h"
 #include "cornelhead/proxy/sent-on-call.h"
 
@@ -16,6 +17,8 @@
 
 // For calls with a key that no route gives a timeout.
 constexpr Milliseconds defaultTimeout = Milliseconds(2000);
+// A former home is near; one that does not answer soon is taken for gone.
+constexpr Milliseconds releaseTimeout = Milliseconds(500);
 
 bool hasKey(evhttp_request *request)
 {
@@ -79,6 +82,10 @@
     worker_.dropEnded();
     worker_.node.counters.calls.add();
     lastRequest_ = now(SteadyClock());
+    if (isNodeMessage(request) && isFromNode(request)) {
+        answerNodeMessage(worker_, request);
+        return;
+    }
     const auto head = readRequestHead(request);
     if (!head || !view_) {
         const RefusalReason reason = head ? RefusalReason::NotReady : head.error();
@@ -153,56 +160,146 @@
         refuse(request, Refusal{RefusalReason::HomeMoved, RunProof::Unknown});
         return;
     }
+    if (head.home.empty())
+        toHome(request, head, std::move(decision), NodeId());
+    else
+        runHere(request, head, std::move(decision));
+}
+
+void Dispatcher::toHome(evhttp_request *request, const RequestHead &head, Decision decision,
+                        const NodeId &left)
+{
     std::optional<NodeInfo> home;
-    if (head.home.empty()) {
+    NodeId leaving = left;
+    {
         const std::lock_guard lock(worker_.node.keysMutex);
-        const KeyHome found = worker_.node.keys.homeOf(makeCallKey(head.customer, head.key));
+        const HomeKeys &keys = worker_.node.keys;
+        const CallKey key = makeCallKey(head.customer, head.key);
+        const KeyHome found = left.empty() ? keys.homeOf(key) : keys.homeAfter(left, key);
         if (found.node)
             home = *found.node;
+        if (left.empty() && keys.isRetiring())
+            leaving = worker_.node.settings.self.id;
     }
-    if (!head.home.empty() || (home && home->id == self))
-        runHere(request, head, std::move(decision));
-    else if (home)
-        sendOn(request, head, std::move(decision), *home);
-    else
+    if (!home) {
         refuse(request,
                Refusal{decision.refusal.value_or(RefusalReason::HomeUnreachable),
                        RunProof::Unknown});
+        return;
+    }
+    if (home->id == worker_.node.settings.self.id)
+        runHere(request, head, std::move(decision));
+    else
+        sendOn(request, head, std::move(decision), *home, leaving);
 }
 
-void Dispatcher::sendOn(evhttp_request *request, const RequestHead &head, Decision decision,
-                        const NodeInfo &home)
+Milliseconds Dispatcher::allowedTime(const RequestHead &head, const Decision &decision) const
 {
     const Milliseconds timeout
             = decision.admission ? decision.admission->route->timeout : defaultTimeout;
-    const Milliseconds allowed = std::min(timeout, head.deadline.value_or(timeout));
-    SentOnOrigin origin{head, home, std::max(allowed, Milliseconds(1)), decision.refusal,
-                        std::move(decision.limit)};
+    return std::max(std::min(timeout, head.deadline.value_or(timeout)), Milliseconds(1));
+}
+
+void Dispatcher::sendOn(evhttp_request *request, const RequestHead &head, Decision decision,
+                        const NodeInfo &home, const NodeId &left)
+{
+    SentOnOrigin origin{
+            head, home,   allowedTime(head, decision), decision.refusal, std::move(decision.limit),
+            left, nullptr};
+    const bool isFirst = left.empty();
+    if (isFirst) {
+        origin.redirect = [this, admission = decision.admission,
+                           view = view_](evhttp_request *again, SentOnOrigin back) {
+            Decision decided{admission, back.refusal, std::move(back.limit)};
+            RequestHead shorter = back.head;
+            shorter.deadline = back.allowed;
+            toHome(again, shorter, std::move(decided),
+                   back.left.empty() ? back.home.id : back.left);
+        };
+    }
     worker_.startCall(std::make_unique<SentOnCall>(worker_, request, std::move(origin))).start();
 }
 
+bool Dispatcher::refuseIfGone(evhttp_request *request)
+{
+    Caller caller(worker_, request);
+    if (!caller.hasHungUp()) {
+        caller.handOver();
+        return false;
+    }
+    caller.refuse(Refusal{RefusalReason::Cancelled, RunProof::Unknown});
+    return true;
+}
+
 void Dispatcher::runHere(evhttp_request *request, const RequestHead &head, Decision decision)
 {
     NodeState &node = worker_.node;
     // A caller that has left may have sent the key again, and been told that it was not run.
-    if (Caller caller(worker_, request); caller.hasHungUp()) {
-        caller.refuse(Refusal{RefusalReason::Cancelled, RunProof::Unknown});
+    if (refuseIfGone(request))
         return;
-    }
     const auto asked = refusalReasonOf(head.refuse);
     auto refusal = asked ? asked : decision.refusal;
     if (!refusal && isPoison(request))
         refusal = RefusalReason::Poison;
     const KeyedCall call = keyedCall(request, head);
-    const KeyVerdict verdict = [&] {
+    std::optional<NodeInfo> former;
+    std::optional<KeyVerdict> verdict;
+    {
         const std::lock_guard lock(node.keysMutex);
-        return refusal ? node.keys.refuse(call, *refusal, presentMoment())
-                       : node.keys.begin(call, presentMoment());
+        if (!head.left.empty())
+            node.keys.noteLeaving(NodeId(std::string(head.left)), presentMoment());
+        if (!refusal)
+            former = node.keys.predecessorOf(call, presentMoment());
+        if (!former) {
+            verdict = refusal ? node.keys.refuse(call, *refusal, presentMoment())
+                              : node.keys.begin(call, presentMoment());
+        }
+    }
+    if (former)
+        askFormerHome(request, head, std::move(decision), call, *former);
+    else
+        follow(request, head, std::move(decision), call.key, *verdict);
+}
+
+void Dispatcher::askFormerHome(evhttp_request *request, const RequestHead &head, Decision decision,
+                               const KeyedCall &call, const NodeInfo &former)
+{
+    worker_.node.counters.keyReleasesAsked.add();
+    const Milliseconds allowed = std::min(releaseTimeout, allowedTime(head, decision));
+    auto kept = std::make_shared<Decision>(std::move(decision));
+    auto asking = std::make_unique<ReleaseCall>(
+            worker_, former, [this, request, head, kept, call, former](Release release) {
+                onRelease(request, head, std::move(*kept), call, former, release);
+            });
+    worker_.startCall(std::move(asking))
+            .start(ReleaseQuestion{call, worker_.node.settings.self.id}, allowed);
+}
+
+void Dispatcher::onRelease(evhttp_request *request, const RequestHead &head, Decision decision,
+                           const KeyedCall &call, const NodeInfo &former, Release release)
+{
+    if (refuseIfGone(request))
+        return;
+    if (release == Release::Known) {
+        // Not sent on a second time: what the former home remembers is the answer.
+        sendOn(request, head, std::move(decision), former, worker_.node.settings.self.id);
+        return;
+    }
+    const KeyVerdict verdict = [&]() -> KeyVerdict {
+        const std::lock_guard lock(worker_.node.keysMutex);
+        return release == Release::Granted ? worker_.node.keys.beginReleased(call, presentMoment())
+                                           : worker_.node.keys.begin(call, presentMoment());
     }();
+    follow(request, head, std::move(decision), call.key, verdict);
+}
+
+void Dispatcher::follow(evhttp_request *request, const RequestHead &head, Decision decision,
+                        const CallKey &key, const KeyVerdict &verdict)
+{
     const Overloaded visitor{
             [&](const StartRun &) {
                 startCall(request, head, std::move(decision),
-                          std::make_unique<KeyTicket>(node, call.key));
+                          std::make_unique<KeyTicket>(worker_.node, key));
             },
             [&](const AnswerAgain &again) { Caller(worker_, request).answer(*again.answer); },
             [&](const Refusal &refused) { refuse(request, refused); }};
--- /dev/null
+++ b/src/proxy/key-handover.cc
@@ -0,0 +1,249 @@
+// Implements the handing over of keys between homes.
+#include "cornelhead/proxy/key-handover.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+
+#include "cornelhead/base/log.h"
+#include "cornelhead/proxy/caller.h"
+#include "cornelhead/proxy/evhttp-handles.h"
+#include "cornelhead/proxy/overloaded.h"
+#include "cornelhead/proxy/request-head.h"
+
+namespace cornelhead::detail {
+
+namespace {
+
+constexpr const char *handoverPart = "keys";
+constexpr Milliseconds idlePoll = Milliseconds(20);
+constexpr Milliseconds longestRetirement = Milliseconds(10'000);
+constexpr std::size_t maxReplyBytes = 1024;
+constexpr int okStatus = 200;
+constexpr int refusedStatus = 409;
+
+ConnectionNeed nodeNeed(const WorkerState &worker, const NodeInfo &to)
+{
+    ConnectionNeed need = connectionNeed(to.proxy, true);
+    need.fromIp = worker.node.settings.self.proxy.ip;
+    return need;
+}
+
+std::string_view pathOf(evhttp_request *request)
+{
+    return evhttp_request_get_uri(request);
+}
+
+void reply(WorkerState &worker, evhttp_request *request, int status, std::string_view body)
+{
+    RememberedAnswer answer;
+    answer.status = status;
+    answer.headers.push_back({"Content-Type", "text/plain"});
+    answer.body = body;
+    Caller(worker, request).answer(answer);
+}
+
+std::optional<std::string> answerRelease(NodeState &node, std::string_view body)
+{
+    const Result<ReleaseQuestion> question = decodeQuestion(body);
+    if (!question)
+        return std::nullopt;
+    const std::lock_guard lock(node.keysMutex);
+    const Release release = node.keys.release(question->call, question->successor, presentMoment());
+    return std::string(releaseName(release));
+}
+
+std::optional<std::string> answerTakeOver(NodeState &node, std::string_view body)
+{
+    const Result<Retirement> retirement = decodeRetirement(body);
+    if (!retirement)
+        return std::nullopt;
+    const std::lock_guard lock(node.keysMutex);
+    if (!node.keys.takeOver(*retirement, presentMoment()))
+        return std::nullopt;
+    return std::string("taken");
+}
+
+std::optional<std::string> answerRetired(NodeState &node, std::string_view body)
+{
+    const Result<RetiredNotice> notice = decodeNotice(body);
+    if (!notice)
+        return std::nullopt;
+    const std::lock_guard lock(node.keysMutex);
+    node.keys.noteLeaving(notice->node, presentMoment());
+    const bool isAgreed = node.keys.confirmRetired(notice->node, notice->members);
+    return std::string(isAgreed ? "agreed" : "not agreed");
+}
+
+std::optional<std::string> answerTo(NodeState &node, std::string_view path, std::string_view body)
+{
+    if (path == releasePath)
+        return answerRelease(node, body);
+    if (path == takeOverPath)
+        return answerTakeOver(node, body);
+    if (path == retiredPath)
+        return answerRetired(node, body);
+    return std::nullopt;
+}
+
+} // namespace
+
+bool isNodeMessage(evhttp_request *request)
+{
+    return pathOf(request).substr(0, nodePathPrefix.size()) == nodePathPrefix;
+}
+
+void answerNodeMessage(WorkerState &worker, evhttp_request *request)
+{
+    const auto answer = answerTo(worker.node, pathOf(request), bodyOf(request));
+    reply(worker, request, answer ? okStatus : refusedStatus, answer.value_or("refused"));
+}
+
+NodeMessage::NodeMessage(WorkerState &worker, const NodeInfo &to, Handler handler)
+    : handler_(std::move(handler)),
+      attempt_(worker.loop, worker.pool, nodeNeed(worker, to),
+               AttemptHandlers{[](evhttp_request *) { return false; }, [](evbuffer *) {},
+                               [this](const AttemptEnd &end) { onEnd(end); }})
+{ }
+
+void NodeMessage::send(const char *path, const std::string &body)
+{
+    evbuffer_add(attempt_.body(), body.data(), body.size());
+    attempt_.limitBody(maxReplyBytes);
+    attempt_.send(EVHTTP_REQ_POST, path);
+}
+
+void NodeMessage::onEnd(const AttemptEnd &end)
+{
+    const auto *whole = std::get_if<WholeAnswer>(&end);
+    if (!whole || evhttp_request_get_response_code(whole->raw) != okStatus) {
+        handler_(std::nullopt);
+        return;
+    }
+    handler_(std::string(bodyOf(whole->raw)));
+}
+
+ReleaseCall::ReleaseCall(WorkerState &worker, const NodeInfo &former,
+                         std::function<void(Release)> done)
+    : worker_(worker), done_(std::move(done)),
+      message_(worker, former, [this](const std::optional<std::string> &answer) {
+          const Result<Release> release = releaseOf(answer.value_or(""));
+          finish(release.value_or(Release::Refused));
+      })
+{ }
+
+void ReleaseCall::start(const ReleaseQuestion &question, Milliseconds allowed)
+{
+    timeout_ = worker_.loop.after(allowed, [this] {
+        message_.cancel();
+        finish(Release::Refused);
+    });
+    // May end the call before it returns.
+    message_.send(releasePath, encodeQuestion(question));
+}
+
+void ReleaseCall::finish(Release release)
+{
+    timeout_ = Timer();
+    const auto done = std::exchange(done_, nullptr);
+    worker_.endCall(this);
+    done(release);
+}
+
+RetireCall::RetireCall(WorkerState &worker, std::function<void()> done)
+    : worker_(worker), done_(std::move(done))
+{ }
+
+void RetireCall::start()
+{
+    {
+        const std::lock_guard lock(worker_.node.keysMutex);
+        worker_.node.keys.startRetiring();
+    }
+    deadline_ = worker_.loop.after(longestRetirement, [this] {
+        CORNELHEAD_LOG(WARNING, handoverPart) << "Keys were not handed over in time.";
+        finish();
+    });
+    poll_ = worker_.loop.every(idlePoll, [this] { checkIdle(); });
+}
+
+void RetireCall::checkIdle()
+{
+    {
+        const std::lock_guard lock(worker_.node.keysMutex);
+        if (!worker_.node.keys.isIdle())
+            return;
+        successors_ = worker_.node.keys.successors();
+    }
+    poll_ = Timer();
+    for (const NodeInfo &node : successors_)
+        members_.push_back(node.id);
+    shareOut();
+}
+
+void RetireCall::sendAll(const char *path,
+                         const std::function<std::string(const NodeInfo &)> &bodyFor,
+                         const std::function<void(bool)> &onAnswer)
+{
+    // One more than there are, so that nothing is over before all were sent.
+    awaited_ = successors_.size() + 1;
+    for (const NodeInfo &node : successors_) {
+        messages_.push_back(std::make_unique<NodeMessage>(
+                worker_, node,
+                [onAnswer](const std::optional<std::string> &answer) { onAnswer(bool(answer)); }));
+        messages_.back()->send(path, bodyFor(node));
+    }
+    onAnswer(true);
+}
+
+void RetireCall::shareOut()
+{
+    const auto bodyFor = [this](const NodeInfo &node) {
+        const std::lock_guard lock(worker_.node.keysMutex);
+        return encodeRetirement(worker_.node.keys.retirementFor(node.id));
+    };
+    sendAll(takeOverPath, bodyFor, [this](bool isTaken) { onTaken(isTaken); });
+}
+
+void RetireCall::onTaken(bool isTaken)
+{
+    isRefused_ = isRefused_ || !isTaken;
+    if (--awaited_ > 0)
+        return;
+    const bool isSame = [this] {
+        const std::lock_guard lock(worker_.node.keysMutex);
+        return worker_.node.keys.hasSuccessors(members_);
+    }();
+    if (isRefused_ || !isSame) {
+        CORNELHEAD_LOG(WARNING, handoverPart) << "A successor did not take over; keys stay here.";
+        finish();
+        return;
+    }
+    confirm();
+}
+
+void RetireCall::confirm()
+{
+    const std::string notice = encodeNotice({worker_.node.settings.self.id, members_});
+    sendAll(
+            retiredPath, [&](const NodeInfo &) { return notice; },
+            [this](bool) {
+                if (--awaited_ > 0)
+                    return;
+                CORNELHEAD_LOG(INFO, handoverPart)
+                        << "Keys were handed over to " << members_.size() << " nodes.";
+                finish();
+            });
+}
+
+void RetireCall::finish()
+{
+    poll_ = Timer();
+    deadline_ = Timer();
+    for (const auto &message : messages_)
+        message->cancel();
+    const auto done = std::exchange(done_, nullptr);
+    worker_.endCall(this);
+    done();
+}
+
+} // namespace cornelhead::detail
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -74,6 +74,11 @@
         impl_->node.poison.addDeath(death, now(SteadyClock()));
 }
 
+void Proxy::retireKeys(const std::function<void()> &done)
+{
+    impl_->workers.front()->retireKeys(done);
+}
+
 void Proxy::drain(const std::function<void()> &done)
 {
     auto left = std::make_shared<std::atomic<std::size_t>>(impl_->workers.size());
--- a/src/proxy/sent-on-call.cc
+++ b/src/proxy/sent-on-call.cc
@@ -1,6 +1,8 @@
 // Implements the passing of keyed calls to their home.
 #include "cornelhead/proxy/sent-on-call.h"
 
+#include <algorithm>
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 
@@ -12,6 +14,12 @@
 
 constexpr std::size_t maxBufferedAnswer = 64 * 1024;
 
+bool isLeaving(evhttp_request *answer)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(answer);
+    return findHeader(headers, reasonHeader) == refusalFacts(RefusalReason::HomeLeaving).name;
+}
+
 // The home believes only what comes from the IP number of a node.
 ConnectionNeed homeNeed(const WorkerState &worker, const NodeInfo &home)
 {
@@ -51,6 +59,7 @@
 
 void SentOnCall::start()
 {
+    startedAt_ = now(SteadyClock());
     timer_ = worker_.loop.after(origin_.allowed, [this] { onDeadline(); });
     caller_.watch([this] { stop(RefusalReason::Cancelled); });
     fillRequest();
@@ -68,6 +77,8 @@
     evhttp_add_header(headers, homeHeader, origin_.home.id.value().c_str());
     evhttp_add_header(headers, deadlineHeader, std::to_string(origin_.allowed.count()).c_str());
     evhttp_add_header(headers, depthHeader, std::to_string(origin_.head.depth).c_str());
+    if (!origin_.left.empty())
+        evhttp_add_header(headers, leftHeader, origin_.left.value().c_str());
     if (origin_.refusal)
         evhttp_add_header(headers, refuseHeader, refusalFacts(*origin_.refusal).name.data());
     attempt_.limitBody(std::nullopt);
@@ -77,6 +88,10 @@
 {
     const Overloaded visitor{
             [this](const WholeAnswer &whole) {
+                if (isLeaving(whole.raw) && canRedirect()) {
+                    redirect(origin_.home.id);
+                    return;
+                }
                 caller_.answer(whole.raw);
                 finish();
             },
@@ -89,6 +104,26 @@
     std::visit(visitor, end);
 }
 
+bool SentOnCall::canRedirect() const
+{
+    return origin_.redirect && !caller_.hasHungUp();
+}
+
+void SentOnCall::redirect(const NodeId &left)
+{
+    timer_ = Timer();
+    worker_.node.counters.inFlight.add(-1);
+    worker_.node.counters.keyedRedirected.add();
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(now(SteadyClock()) - startedAt_);
+    SentOnOrigin origin = std::move(origin_);
+    origin.allowed = std::max(origin.allowed - elapsed, Milliseconds(1));
+    origin.left = left;
+    evhttp_request *request = caller_.handOver();
+    worker_.endCall(this);
+    const auto takeBack = std::exchange(origin.redirect, nullptr);
+    takeBack(request, std::move(origin));
+}
+
 void SentOnCall::onFailure(AttemptFailure failure)
 {
     if (caller_.isStreaming()) {
@@ -97,6 +132,11 @@
         return;
     }
     const bool isNotSent = failure == AttemptFailure::NotSent;
+    if (isNotSent && canRedirect()) {
+        // Nobody said that the node left for good, so the next home decides by what it knows.
+        redirect(NodeId());
+        return;
+    }
     refuse(isNotSent ? RefusalReason::HomeUnreachable : RefusalReason::BrokenConnection);
 }
 
--- a/src/proxy/worker.cc
+++ b/src/proxy/worker.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "cornelhead/proxy/key-handover.h"
+
 namespace cornelhead::detail {
 
 namespace {
@@ -68,6 +70,13 @@
     state_.node.keys.tick(presentMoment());
 }
 
+void Worker::retireKeys(std::function<void()> done)
+{
+    state_.loop.post([this, done = std::move(done)] {
+        state_.startCall(std::make_unique<RetireCall>(state_, done)).start();
+    });
+}
+
 void Worker::drain(std::function<void()> done)
 {
     state_.loop.post([this, done = std::move(done)] { startDrain(done); });
--- a/src/routing/home-keys.cc
+++ b/src/routing/home-keys.cc
@@ -55,6 +55,13 @@
     return ownership_.homeOf(key, isRetiring_ ? self_ : NodeId());
 }
 
+void HomeKeys::noteLeaving(const NodeId &node, Moment moment)
+{
+    ownership_.tick(moment.time, moment.wallMs);
+    if (node != self_)
+        ownership_.noteLeaving(node, moment.wallMs);
+}
+
 KeyHome HomeKeys::homeAfter(const NodeId &leaving, const CallKey &key) const
 {
     return ownership_.homeOf(key, leaving);
--- a/src/routing/key-ownership.cc
+++ b/src/routing/key-ownership.cc
@@ -82,7 +82,7 @@
     nodes_.clear();
     nodes_[self_.dataCentre].push_back(self_);
     for (const auto &[id, node] : nodes) {
-        if (id != self_.id)
+        if (id != self_.id && !leaving_.contains(id))
             nodes_[node.dataCentre].push_back(node);
     }
     for (const auto &[dataCentre, members] : nodes_)
@@ -128,6 +128,24 @@
 void KeyOwnership::observe(const std::map<NodeId, NodeInfo> &nodes, std::int64_t wallMs)
 {
     setNodes(nodes);
+    startEraIfChanged(wallMs);
+}
+
+void KeyOwnership::noteLeaving(const NodeId &node, std::int64_t wallMs)
+{
+    if (!leaving_.insert(node).second)
+        return;
+    std::vector<NodeInfo> &members = nodes_[self_.dataCentre];
+    for (const NodeInfo &member : members) {
+        if (member.id == node)
+            present_.erase(member.proxy);
+    }
+    std::erase_if(members, [&](const NodeInfo &member) { return member.id == node; });
+    startEraIfChanged(wallMs);
+}
+
+void KeyOwnership::startEraIfChanged(std::int64_t wallMs)
+{
     updateSeen(wallMs);
     startEra(wallMs);
     if (eras_.size() < 2)
--- a/test/routing/key-home-test.cc
+++ b/test/routing/key-home-test.cc
@@ -278,6 +278,8 @@
     void runAt(int index, int entry, const SendPtr &sent, const NodeId &leaving)
     {
         HomeKeys &keys = *hosts_[static_cast<std::size_t>(index)].keys;
+        if (!leaving.empty())
+            keys.noteLeaving(leaving, moment());
         const bool isLimited = random_.chance(0.1);
         const auto predecessor
                 = isLimited ? std::nullopt : keys.predecessorOf(sent->call, moment());
