Refuse edits that bypass a move, and mend damaged chunks on apply

Changing initial-version of a service that never moved sent all its calls to another version at once, without any judgement: a bad version at full share. It is refused now, as is removing a service whose move is under way. An apply of the declarations in force, or of new ones, writes missing or damaged chunks again, which the errors' remedies promised. The stored form of all declarations is bounded by 32 MiB.

--- a/include/cornelhead/config/manifest.h
+++ b/include/cornelhead/config/manifest.h
@@ -15,6 +15,10 @@
 /// The platform holds values up to a megabyte; chunks stay well below it.
 constexpr std::size_t maxChunkBytes = 256 * 1024;
 
+/// The whole of the canonical declarations; bounds what a node reads before it can check the
+/// digest.
+constexpr std::size_t maxDeclarationBytes = 32 * 1024 * 1024;
+
 /// The key whose compare-and-swap accepts a configuration.
 constexpr const char *manifestKey = "cornelhead/manifest";
 /// Chunks live at this prefix followed by their digest.
--- a/include/cornelhead/ctl/configuration-store.h
+++ b/include/cornelhead/ctl/configuration-store.h
@@ -63,9 +63,10 @@
 /// Puts declarations in force: writes missing chunks, then the past manifest into the history, then
 /// the new manifest by compare-and-swap, which is the moment of acceptance.
 ///
-/// A lost answer is resolved by reading the manifest's edit id.  Fails with `Conflict` when another
-/// edit was accepted meanwhile, and with `Unknown` when the platform cannot be read after an answer
-/// was lost; the same request may then be repeated.
+/// A lost answer is resolved by reading the manifest's edit id.  Chunks in force that are missing
+/// or damaged are written again.  Fails with `Conflict` when another edit was accepted meanwhile or
+/// `checkChange` refuses the step, with `TooLarge`, and with `Unknown` when the platform cannot be
+/// read after an answer was lost; the same request may then be repeated.
 Result<ApplyOutcome> applyDeclarations(const PlatformOperations &platform,
                                        const ApplyRequest &request);
 
--- a/src/config/chunks.cc
+++ b/src/config/chunks.cc
@@ -73,6 +73,9 @@
                         "read the chunk again, or apply the declarations again");
         }
         joined += *found->second;
+        if (joined.size() > maxDeclarationBytes)
+            return fail(ErrorKind::InvalidMessage, "the chunks join to too many bytes",
+                        "apply declarations of fewer records");
     }
     if (digestOf(joined) != manifest.digest) {
         return fail(ErrorKind::InvalidMessage,
--- /dev/null
+++ b/src/ctl/change-rules.cc
@@ -0,0 +1,59 @@
+// Checks edits of the declarations against the services in use.
+#include "cornelhead/ctl/change-rules.h"
+
+#include <map>
+
+namespace cornelhead {
+namespace detail {
+
+const Move *findMove(const MoveTable &moves, const ServiceId &service)
+{
+    const auto found = moves.moves.find(service);
+    return found == moves.moves.end() ? nullptr : &found->second;
+}
+
+Result<void> checkRemoval(const Service &service, const Move *move)
+{
+    if (!move || isFinal(move->state))
+        return {};
+    return fail(ErrorKind::Conflict,
+                "service '" + service.id.value() + "' cannot be removed while its move to "
+                        + move->newVersion.value() + " is under way",
+                "wait until it is over, or take it back first");
+}
+
+// Naming the version in force is harmless, since the record of the move decides.
+Result<void> checkInitialVersion(const Service &inForce, const Service &wanted, const Move *move)
+{
+    if (inForce.initialVersion == wanted.initialVersion
+        || (move && versionInForce(*move) == wanted.initialVersion))
+        return {};
+    const std::string &name = wanted.id.value();
+    return fail(ErrorKind::Conflict,
+                "initial-version of service '" + name + "' cannot change from "
+                        + inForce.initialVersion.value() + " to " + wanted.initialVersion.value(),
+                "leave it, and run 'cornelheadctl start " + name + " "
+                        + wanted.initialVersion.value() + " --deadline ...'");
+}
+
+} // namespace detail
+
+Result<void> checkChange(const Declarations &inForce, const Declarations &wanted,
+                         const MoveTable &moves)
+{
+    std::map<ServiceId, const Service *> services;
+    for (const Service &service : wanted.services)
+        services.emplace(service.id, &service);
+    for (const Service &service : inForce.services) {
+        const Move *move = detail::findMove(moves, service.id);
+        const auto found = services.find(service.id);
+        Result<void> checked = found == services.end()
+                ? detail::checkRemoval(service, move)
+                : detail::checkInitialVersion(service, *found->second, move);
+        if (!checked)
+            return checked;
+    }
+    return {};
+}
+
+} // namespace cornelhead
--- a/src/ctl/configuration-store.cc
+++ b/src/ctl/configuration-store.cc
@@ -11,6 +11,8 @@
 
 #include "cornelhead/base/check.h"
 #include "cornelhead/base/digest.h"
+#include "cornelhead/ctl/change-rules.h"
+#include "cornelhead/ctl/move-store.h"
 
 namespace cornelhead {
 namespace detail {
@@ -217,12 +219,10 @@
         Result<std::optional<StoredManifest>> inForce = readManifest(platform_);
         if (!inForce)
             return tl::unexpected<Error>(inForce.error());
-        if (*inForce && isSame((*inForce)->manifest)) {
-            outcome_.manifest = std::move((*inForce)->manifest);
-            return true;
-        }
-        if (const Result<void> expected = checkExpected(*inForce); !expected)
-            return tl::unexpected<Error>(expected.error());
+        if (const Result<void> checked = checkBase(*inForce); !checked)
+            return tl::unexpected<Error>(checked.error());
+        if (*inForce && isSame((*inForce)->manifest))
+            return keep(std::move((*inForce)->manifest));
         const Result<Manifest> wanted = makeManifest(*inForce);
         if (!wanted)
             return tl::unexpected<Error>(wanted.error());
@@ -231,6 +231,39 @@
         return swap(*wanted, *inForce ? (*inForce)->modRevision : ModRevision());
     }
 
+    // Checks what is in force, and what may follow it.
+    Result<void> checkBase(const std::optional<StoredManifest> &inForce)
+    {
+        if (!inForce)
+            return checkExpected(inForce);
+        const Result<Declarations> base = readDeclarationsOf(platform_, inForce->manifest);
+        if (!base && base.error().kind != ErrorKind::InvalidMessage)
+            return tl::unexpected<Error>(base.error());
+        isBaseDamaged_ = !base;
+        if (isSame(inForce->manifest))
+            return {};
+        if (Result<void> expected = checkExpected(inForce); !expected)
+            return expected;
+        // Nothing can be compared with a damaged base; applying is what mends it.
+        if (!base)
+            return {};
+        const Result<MoveTable> moves = readMoves(platform_);
+        if (!moves)
+            return tl::unexpected<Error>(moves.error());
+        return checkChange(*base, request_.declarations, *moves);
+    }
+
+    // The wanted declarations are in force; only chunks that were damaged are written again.
+    Result<bool> keep(Manifest manifest)
+    {
+        outcome_.manifest = std::move(manifest);
+        if (!isBaseDamaged_)
+            return true;
+        if (const Result<void> written = writeChunks({}); !written)
+            return tl::unexpected<Error>(written.error());
+        return true;
+    }
+
     Result<bool> swap(const Manifest &wanted, ModRevision base)
     {
         const Result<SwapResult> swapped = ManifestSwap(platform_, wanted, base).run();
@@ -278,9 +311,10 @@
         Manifest manifest{*revision, request_.edit, request_.author, request_.nowMs, digest_, {}};
         for (const Chunk &chunk : chunks_)
             manifest.chunks.push_back(chunk.digest);
-        if (encodeManifest(manifest).size() > maxManifestBytes)
-            return fail(ErrorKind::TooLarge, "the declarations make too many chunks",
-                        "declare fewer records");
+        if (encoded_.size() > maxDeclarationBytes
+            || encodeManifest(manifest).size() > maxManifestBytes)
+            return fail(ErrorKind::TooLarge, "the declarations take too many bytes",
+                        "declare fewer records, or name services rather than routes in plans");
         return manifest;
     }
 
@@ -303,8 +337,15 @@
     Result<void> writeParts(const std::optional<StoredManifest> &inForce)
     {
         std::set<Digest> known;
-        if (inForce)
+        if (inForce && !isBaseDamaged_)
             known.insert(inForce->manifest.chunks.begin(), inForce->manifest.chunks.end());
+        if (Result<void> written = writeChunks(std::move(known)); !written)
+            return written;
+        return inForce ? writeHistory(platform_, inForce->manifest) : Result<void>();
+    }
+
+    Result<void> writeChunks(std::set<Digest> known)
+    {
         for (const Chunk &chunk : chunks_) {
             if (!known.insert(chunk.digest).second)
                 continue;
@@ -313,7 +354,7 @@
             ++outcome_.chunksWritten;
             outcome_.bytesWritten += chunk.bytes.size();
         }
-        return inForce ? writeHistory(platform_, inForce->manifest) : Result<void>();
+        return {};
     }
 
     const PlatformOperations &platform_;
@@ -322,6 +363,8 @@
     const Digest digest_;
     const std::vector<Chunk> chunks_;
     ApplyOutcome outcome_;
+    // A chunk of the manifest in force is missing or has other bytes.
+    bool isBaseDamaged_ = false;
 };
 
 } // namespace detail
--- a/test/ctl/configuration-store-test.cc
+++ b/test/ctl/configuration-store-test.cc
@@ -8,6 +8,7 @@
 #include "cornelhead/base/random.h"
 #include "cornelhead/config/snapshot.h"
 #include "cornelhead/config/validation.h"
+#include "cornelhead/ctl/change-rules.h"
 #include "cornelhead/ctl/configuration-store.h"
 #include "ctl/fake-platform.h"
 #include "ctl/interleaving.h"
@@ -182,6 +183,49 @@
     BOOST_TEST((applyDeclarations(operations, request).error().kind == ErrorKind::Conflict));
 }
 
+BOOST_AUTO_TEST_CASE(mendsAConfigurationWhoseChunksWereDamaged)
+{
+    for (const std::uint32_t burst : {1u, 2u}) {
+        for (const bool isMissing : {true, false}) {
+            FakePlatform platform;
+            const PlatformOperations operations = platform.operations();
+            BOOST_REQUIRE(applyDeclarations(operations, requestOf(withBurst(1), "e1")));
+            const auto chunk = platform.entries.lower_bound(chunkPrefix);
+            if (isMissing)
+                platform.entries.erase(chunk);
+            else
+                chunk->second.value += "{}";
+            const auto outcome = applyDeclarations(operations, requestOf(withBurst(burst), "e2"));
+            BOOST_TEST(outcome->isNew == (burst != 1));
+            BOOST_TEST(holds(platform, withBurst(burst)));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aVersionChangesByAMoveOnly)
+{
+    const Declarations before = sampleDeclarations();
+    Declarations after = before;
+    after.services[0].initialVersion = VersionId("v2");
+    MoveTable moves;
+    BOOST_TEST((checkChange(before, after, moves).error().kind == ErrorKind::Conflict));
+    Move &move = moves.moves[before.services[0].id];
+    move.oldVersion = VersionId("v1");
+    move.newVersion = VersionId("v2");
+    BOOST_TEST(!checkChange(before, after, moves).has_value());
+    Declarations without = before;
+    without.services.erase(without.services.begin());
+    BOOST_TEST(!checkChange(before, without, moves).has_value());
+    move.state = MoveState::Done;
+    BOOST_TEST(checkChange(before, after, moves).has_value());
+    BOOST_TEST(checkChange(before, without, moves).has_value());
+    FakePlatform platform;
+    BOOST_REQUIRE(applyDeclarations(platform.operations(), requestOf(before, "e1")));
+    const auto refused = applyDeclarations(platform.operations(), requestOf(after, "e2"));
+    BOOST_TEST((refused.error().kind == ErrorKind::Conflict));
+    BOOST_TEST(inForce(platform).revision.value() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(neverReusesARevisionAfterTheManifestWasLost)
 {
     FakePlatform platform;
