--- a/include/cornelhead/config/declarations.h
+++ b/include/cornelhead/config/declarations.h
@@ -39,7 +39,7 @@
 {
     RouteId id;
     ServiceId service;
-    /// Begins with '/'; the longest matching prefix wins.
+    /// Begins with '/' and covers whole segments; the longest matching prefix wins.
     std::string pathPrefix;
     CallPriority priority = CallPriority::Normal;
     Idempotency idempotency = Idempotency::Idempotent;
--- a/include/cornelhead/config/snapshot.h
+++ b/include/cornelhead/config/snapshot.h
@@ -34,7 +34,8 @@
     const Plan *findPlan(const PlanId &id) const;
     const Service *findService(const ServiceId &id) const;
     const Route *findRoute(const RouteId &id) const;
-    /// Returns the route of `service` with the longest prefix of `path`.
+    /// Returns the route of `service` whose prefix covers most of `path`, in whole segments; `path`
+    /// may carry a query.
     const Route *matchRoute(const ServiceId &service, std::string_view path) const;
     /// Tells whether customers of `plan` may use `route`.
     bool allows(const Plan &plan, const Route &route) const;
