--- /dev/null
+++ b/test/ctl/platform-operations-test.cc
@@ -0,0 +1,95 @@
+// Tests that blocking calls are repeated while they were certainly not run, and only then.
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include "cornelhead/ctl/platform-operations.h"
+#include "cornelhead/net/event-loop.h"
+#include "cornelhead/net/http.h"
+#include "support/free-address.h"
+
+namespace cornelhead {
+namespace {
+
+// Answers on a thread of its own; `handler` gets the number of each request, from 1.
+class AnsweringServer
+{
+public:
+    explicit AnsweringServer(std::function<HttpResponse(int)> handler)
+    {
+        server_.setHandler([this, handler](const HttpRequest &, const Responder &responder) {
+            responder.send(handler(++requests_));
+        });
+        address = listenOnFreePort(
+                [&](const Address &at) { return server_.listen(at).has_value(); });
+        thread_ = std::thread([this] { loop_.run(); });
+    }
+
+    ~AnsweringServer()
+    {
+        loop_.stop();
+        thread_.join();
+    }
+
+    AnsweringServer(const AnsweringServer &) = delete;
+    AnsweringServer &operator=(const AnsweringServer &) = delete;
+
+    int requests() const { return requests_; }
+
+    Address address;
+
+private:
+    EventLoop loop_;
+    HttpServer server_{loop_, {}};
+    std::atomic<int> requests_ = 0;
+    std::thread thread_;
+};
+
+HttpResponse refusal(int status, const std::string &kind)
+{
+    return jsonResponse(status,
+                        R"({"error":{"kind":")" + kind + R"(","message":"m","remedy":"r"}})");
+}
+
+constexpr Milliseconds patience = std::chrono::seconds(30);
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(platformOperations)
+
+BOOST_AUTO_TEST_CASE(repeatsWhatWasNotRun)
+{
+    AnsweringServer server([](int request) {
+        return request < 4 ? refusal(429, "rate-limited")
+                           : jsonResponse(200, R"({"modRevision":7})");
+    });
+    PlatformSession session({server.address}, patience);
+    const auto written = session.operations().put("k", "v", {});
+    BOOST_TEST(written.value().value() == 7u);
+    BOOST_TEST(server.requests() == 4);
+}
+
+BOOST_AUTO_TEST_CASE(neverRepeatsAWriteOfUnknownOutcome)
+{
+    AnsweringServer server([](int) { return jsonResponse(200, "cut off"); });
+    PlatformSession session({server.address}, patience);
+    BOOST_TEST((session.operations().put("k", "v", {}).error().kind == ErrorKind::Unknown));
+    BOOST_TEST(server.requests() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(givesUpWhenItsPatienceEnds)
+{
+    Address left;
+    {
+        const AnsweringServer gone([](int) { return HttpResponse(); });
+        left = gone.address;
+    }
+    PlatformSession session({left}, Milliseconds(100));
+    BOOST_TEST((session.operations().get("k").error().kind == ErrorKind::Unavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
