See how the old version does at full load before blaming the new one for it

A version that differs from the past at full share, after rechecks that found nothing, is stepped back to 5 %: it is taken back when the old version does well at the load that it then has again. Tried and not kept: comparing the calls of both halves of that crossover directly (bad_taken_back fell to 85 % for slow-under-load, since the first half begins before the badness), and one recheck instead of two before it (false take-backs rose to 2 % of runs with faults of both versions).

--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -105,14 +105,18 @@
     /// most, and skips blocks in which quick answers come in before slow ones of the same time.
     void startRecheck();
 
+    /// Takes the old version since the last `startStage` as its past, since the load has changed.
+    void adoptStageAsPast();
+
     /// Returns the strongest evidence once it is enough to take the version back.
     std::optional<Finding> finding() const;
     /// Returns the odds against the new version so far; about 1 when nothing speaks against it.
     double odds() const;
     /// Returns what differs most from the past when the odds of that are at least `leastOdds`.
     ///
-    /// A fault of both versions differs from the past too, so this is a reason to compare again.
-    std::optional<Finding> suspicion(double leastOdds) const;
+    /// It has to have lasted `leastBlocks`.  A fault of both versions differs from the past too, so
+    /// this is a reason to compare again.
+    std::optional<Finding> suspicion(double leastOdds, std::size_t leastBlocks) const;
     /// Tells whether badness would have shown since the last `startStage`.
     bool isCleared() const;
     /// Tells whether the new version gets far fewer calls than its share promises, in all or in one
@@ -140,6 +144,7 @@
     detail::KindRatios compare(const detail::JudgementCell &cell) const;
     detail::KindRatios compareWithPast(const detail::JudgementCell &cell,
                                        const OutcomeSums &routePast) const;
+    void restartSums();
     void countMissingCalls(PerMille share);
     void skipKinds(detail::KindRatios &ratios) const;
     double drawOnsetWeight();
@@ -161,6 +166,8 @@
     std::size_t stageBlocks_ = 0;
     /// The last block after which nothing spoke against the new version.
     std::size_t lastGoodBlock_ = 0;
+    /// The same for what differs from the past.
+    std::size_t lastUsualBlock_ = 0;
     bool expectsOnset_ = false;
     /// Blocks in which failures, and latencies, are not compared yet.
     std::size_t skippedFailureBlocks_ = 0;
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -21,10 +21,17 @@
 constexpr double recheckOdds = 10.0;
 /// Odds at which badness under full load only is certain enough to take a version back.
 constexpr double fullLoadOdds = 250.0;
-/// Rechecks that find nothing, after which the next suspicion means badness under full load only.
+/// Rechecks that find nothing, after which the next suspicion may be of badness under full load.
 constexpr std::uint32_t mostClearedRechecks = 2;
+/// How long the old version shows how it does at full load.
+constexpr std::int64_t crossoverMs = 4'000;
+constexpr std::uint64_t leastCrossoverCalls = 100;
+constexpr std::int64_t longestCrossoverMs = 30'000;
 /// The probability that a good version is ever taken back by the controller.
 constexpr double controllerFalseAlarms = 0.004;
+/// Blocks for which a difference from the past has to last before a brake rests on it, so that the
+/// controller can compare both versions first.
+constexpr std::size_t brakeBlocks = 4;
 /// The same for one node or data centre; there are many of them.
 constexpr double brakeFalseAlarms = 0.00002;
 
@@ -42,6 +49,13 @@
     return settings;
 }
 
+/// Tells whether a version that is suspect under full load has been stepped back to almost no
+/// calls, so that the old version shows how it does at that load.
+bool isCrossover(const Move &move)
+{
+    return move.state == MoveState::Running && move.rechecks > 0 && move.share == firstShare;
+}
+
 /// One move with the evidence for and against it.
 class TrackedMove
 {
@@ -58,10 +72,12 @@
     /// Takes a newer record of the same move.
     void update(const Move &move)
     {
-        if (move.share != move_.share)
-            startStage(lastMs_);
         if (move.rechecks > move_.rechecks)
             judgement_.startRecheck();
+        if (isCrossover(move_) && move.share > move_.share)
+            judgement_.adoptStageAsPast();
+        if (move.share != move_.share)
+            startStage(lastMs_);
         judgement_.recallPast(move.past);
         move_ = move;
     }
@@ -175,8 +191,7 @@
     return next;
 }
 
-Move raise(const TrackedMove &tracked, PerMille share, std::string_view reason,
-           std::int64_t nowMs)
+Move raise(const TrackedMove &tracked, PerMille share, std::string_view reason, std::int64_t nowMs)
 {
     Move next = stamp(tracked.move(), nowMs);
     next.share = share;
@@ -204,22 +219,18 @@
     return next;
 }
 
-Finding onlyAtFullShare(Finding suspicion)
-{
-    suspicion.text
-            += ", each time that it has all calls, and not with fewer, while the old version "
-               "was as before";
-    return suspicion;
-}
-
-Move stepBack(const TrackedMove &tracked, const Finding &suspicion, std::int64_t nowMs)
+Move stepBack(const TrackedMove &tracked, PerMille share, const Finding &suspicion,
+              std::int64_t nowMs)
 {
     Move next = tracked.move();
-    next.share = recheckShare;
+    next.share = share;
     next.state = MoveState::Running;
     next.rechecks += 1;
     next = stamp(std::move(next), nowMs);
-    addMoveEvent(next, nowMs, "stepped back to compare again: " + suspicion.text);
+    addMoveEvent(next, nowMs,
+                 (share == firstShare ? "stepped back to see the old version at full load: "
+                                      : "stepped back to compare again: ")
+                         + suspicion.text);
     return next;
 }
 
@@ -244,29 +255,54 @@
         return finishIfWatched(tracked, nowMs);
     const bool isFullLoadOnly = move.clearedRechecks >= mostClearedRechecks;
     const auto suspicion
-            = tracked.judgement().suspicion(isFullLoadOnly ? fullLoadOdds : recheckOdds);
-    if (suspicion && isFullLoadOnly)
-        return takeBack(tracked, onlyAtFullShare(*suspicion), nowMs);
+            = tracked.judgement().suspicion(isFullLoadOnly ? fullLoadOdds : recheckOdds, 0);
     if (suspicion)
-        return stepBack(tracked, *suspicion, nowMs);
+        return stepBack(tracked, isFullLoadOnly ? firstShare : recheckShare, *suspicion, nowMs);
     return finishIfWatched(tracked, nowMs);
 }
 
+// The version differed from the past at full share, twice.  Now the old one has that load.
+std::optional<Move> nextInCrossover(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const std::int64_t stageMs = tracked.stageMs(nowMs);
+    const Judgement &judgement = tracked.judgement();
+    const bool hasCalls = judgement.stage().older.calls >= leastCrossoverCalls;
+    if (stageMs < (hasCalls ? crossoverMs : longestCrossoverMs))
+        return std::nullopt;
+    if (!judgement.isOldAsBefore()) {
+        Move next = raise(tracked, fullShare, "the old version does the same at that load", nowMs);
+        next.clearedRechecks = 0;
+        return next;
+    }
+    const std::string &suspicion = tracked.move().events.back().text;
+    return takeBack(tracked, {fullLoadOdds, suspicion + "; the old version does well at that load"},
+                    nowMs);
+}
+
+std::optional<Move> nextInRecheck(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    const std::int64_t wait = recheckMs(move.rechecks);
+    const std::int64_t longest
+            = std::max(4 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 2);
+    const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
+    const bool isCleared = tracked.judgement().isCleared();
+    if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
+        return std::nullopt;
+    Move next = raise(tracked, fullShare, isCleared ? "nothing found" : "not enough to decide",
+                      nowMs);
+    next.clearedRechecks += tracked.judgement().isOldAsBefore() ? 1 : 0;
+    return next;
+}
+
 std::optional<Move> nextWhenRunning(const TrackedMove &tracked, std::int64_t nowMs)
 {
     const Move &move = tracked.move();
+    if (isCrossover(move))
+        return nextInCrossover(tracked, nowMs);
+    if (move.rechecks > 0)
+        return nextInRecheck(tracked, nowMs);
     const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
-    if (move.rechecks > 0) {
-        const std::int64_t wait = recheckMs(move.rechecks);
-        const bool isCleared = tracked.judgement().isCleared() && !isSuspect;
-        const std::int64_t longest
-                = std::max(4 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 2);
-        if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
-            return std::nullopt;
-        Move next = raise(tracked, fullShare, isCleared ? "nothing found" : "not enough to decide", nowMs);
-        next.clearedRechecks += tracked.judgement().isOldAsBefore() ? 1 : 0;
-        return next;
-    }
     const auto due = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
                                tracked.stageMs(nowMs), tracked.judgement().isCleared(), isSuspect});
     if (!due)
@@ -278,7 +314,7 @@
 // the comparison that it needs.
 bool mustBrake(const Judgement &judgement)
 {
-    return judgement.finding() || judgement.suspicion(1.0 / brakeFalseAlarms);
+    return judgement.finding() || judgement.suspicion(1.0 / brakeFalseAlarms, brakeBlocks);
 }
 
 // Nodes that braked the version hide it from the controller, so that calls which the share promises
@@ -290,6 +326,9 @@
     const bool isLate = nowMs >= move.deadlineMs + watch;
     if (!tracked.judgement().hasSeenNew() && !isLate)
         return std::nullopt;
+    // At full share brakes may rest on a fault of both versions.
+    if (move.state == MoveState::Watching && tracked.judgement().hasSeenNew())
+        return stepBack(tracked, recheckShare, {0, "nodes stopped sending it calls"}, nowMs);
     const Finding finding{fullLoadOdds,
                           tracked.judgement().hasSeenNew()
                                   ? "the nodes stopped sending it calls, on their own evidence"
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -211,9 +211,9 @@
         if (kindWeight(kind) <= 0 || !detail::isWorthTesting(cell.past, kind))
             continue;
         if (detail::isSlowEvent(kind))
-            ratios[kind] = compareLatencies(
-                    cell.pending.newer, cell.pending.older,
-                    LatencyProfile(cell.past, detail::toleratedSlowdown(kind)));
+            ratios[kind]
+                    = compareLatencies(cell.pending.newer, cell.pending.older,
+                                       LatencyProfile(cell.past, detail::toleratedSlowdown(kind)));
         else
             ratios[kind] = compareCalls(detail::countEvents(cell.pending, kind),
                                         detail::toleranceOf(kind),
@@ -274,8 +274,12 @@
     addToTests(concurrent, past);
     if (odds() < detail::goodOdds)
         lastGoodBlock_ = blocks_;
+    if (sumValues(&detail::JudgementTests::againstPast) < detail::goodOdds)
+        lastUsualBlock_ = blocks_;
     countMissingCalls(share);
     skippedFailureBlocks_ -= std::min<std::size_t>(1, skippedFailureBlocks_);
+    if (skippedSlowBlocks_ == 1)
+        restartSums();
     skippedSlowBlocks_ -= std::min<std::size_t>(1, skippedSlowBlocks_);
 }
 
@@ -296,6 +300,16 @@
     skippedSlowBlocks_ = detail::recheckSlowBlocks;
 }
 
+void Judgement::adoptStageAsPast()
+{
+    wholePast_ = {};
+    for (auto &[scope, cell] : cells_) {
+        if (static_cast<double>(cell.stage.older.calls) >= detail::leastPastCalls)
+            cell.past = cell.stage.older;
+        wholePast_.add(cell.past);
+    }
+}
+
 void Judgement::skipKinds(detail::KindRatios &ratios) const
 {
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
@@ -388,10 +402,10 @@
     return finding;
 }
 
-std::optional<Finding> Judgement::suspicion(double leastOdds) const
+std::optional<Finding> Judgement::suspicion(double leastOdds, std::size_t leastBlocks) const
 {
     const double total = sumValues(&detail::JudgementTests::againstPast);
-    if (total < leastOdds)
+    if (total < leastOdds || blocks_ < lastUsualBlock_ + leastBlocks)
         return std::nullopt;
     Finding finding = strongest(&detail::JudgementTests::againstPast);
     finding.odds = total;
@@ -404,8 +418,7 @@
 {
     const bool isWhole = scope.route.empty() && scope.dataCentre.empty();
     const std::size_t effect = isWhole ? detail::wholeEffect : detail::partEffect;
-    const std::size_t slow
-            = scope.dataCentre.empty() ? detail::slowEvent : detail::slowHereEvent;
+    const std::size_t slow = scope.dataCentre.empty() ? detail::slowEvent : detail::slowHereEvent;
     for (const std::size_t kind : {detail::failureEvent, slow}) {
         if (detail::isWorthTesting(past, kind)
             && detail::ratiosToPast(stage, past, wholePast_, kind)[effect] > detail::clearedRatio)
@@ -447,9 +460,9 @@
         const detail::VersionSums &block = scopeTests.recent.back();
         const auto newCalls = static_cast<double>(block.newer.calls);
         const double expected = part * (newCalls + static_cast<double>(block.older.calls));
-        scopeTests.shunned
-                = std::max(0.0, scopeTests.shunned + (1.0 - detail::shunnedPart) * expected
-                                        + newCalls * std::log(detail::shunnedPart));
+        scopeTests.shunned = std::max(0.0,
+                                      scopeTests.shunned + (1.0 - detail::shunnedPart) * expected
+                                              + newCalls * std::log(detail::shunnedPart));
     }
 }
 
@@ -484,14 +497,19 @@
             && std::all_of(slow.begin(), slow.end(), isAsBefore);
 }
 
-void Judgement::startStage()
+void Judgement::restartSums()
 {
     stage_ = {};
-    stageBlocks_ = 0;
-    for (auto &[scope, cell] : cells_) {
+    for (auto &[scope, cell] : cells_)
         cell.stage = {};
+}
+
+void Judgement::startStage()
+{
+    restartSums();
+    stageBlocks_ = 0;
+    for (auto &[scope, cell] : cells_)
         cell.pastAtStage = cell.past;
-    }
     for (auto &[scope, scopeTests] : tests_) {
         scopeTests.againstPast = {};
         scopeTests.shunned = 0;
