--- a/include/cornelhead/distribution/agent.h
+++ b/include/cornelhead/distribution/agent.h
@@ -13,6 +13,7 @@
 #include "cornelhead/distribution/nack-writer.h"
 #include "cornelhead/distribution/node-state.h"
 #include "cornelhead/distribution/platform-watcher.h"
+#include "cornelhead/distribution/reconciler.h"
 #include "cornelhead/distribution/relay-election.h"
 #include "cornelhead/distribution/relay.h"
 #include "cornelhead/distribution/subscriber.h"
@@ -26,8 +27,8 @@
 class Agent
 {
 public:
-    Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform, Clock clock,
-          Metrics &metrics, DistributionHandlers handlers);
+    Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform,
+          const Clock &clock, Metrics &metrics, DistributionHandlers handlers);
     ~Agent();
     Agent(const Agent &) = delete;
     Agent &operator=(const Agent &) = delete;
@@ -67,22 +68,27 @@
     void considerContest();
     void considerActing();
     void considerVacancy();
-    bool mayAct() const;
-    std::vector<Address> actingCandidates() const;
+    bool mayAct(const std::vector<Address> &candidates) const;
+    std::vector<Address> actingCandidates(Microseconds detached) const;
+    bool hasLivingRelayNearby() const;
     bool servesOthers() const { return role_ != Role::Subscriber; }
 
     // What arrives, from wherever.
     void onHello(LinkId link, const inner::Hello &hello);
     void onRelayFrame(LinkId link, const inner::Frame &frame);
+    void onRelayHeartbeat(LinkId link, const inner::Heartbeat &heartbeat);
+    void onRelayPull(LinkId link, const inner::Pull &pull);
     void onConfigFrame(std::optional<LinkId> link, const inner::Config &wire);
     Result<bool> takeConfig(const EncodedConfig &config);
+    Result<bool> takeDelta(const inner::Config &wire);
+    void spreadConfig();
     void takeMoves(const std::vector<Move> &moves);
     void takeRecords(const inner::Records &records);
     void takeRecord(const NodeRecord &record, bool firstHand);
     void takeRelays(const RelayDirectory &directory);
-    void takeReachability(const inner::Reachability &wire);
+    void takeReachability(const inner::Heartbeat &heartbeat);
     void takeOutcomes(const OutcomeBatch &batch);
-    void refuse(std::optional<LinkId> link, const EncodedConfig &config, const Error &error);
+    void refuse(std::optional<LinkId> link, const inner::Config &wire, const Error &error);
 
     // What this node tells.
     FramePtr makeHello(inner::LinkRole role);
@@ -105,6 +111,8 @@
     bool draining_ = false;
     /// Records are complete once a relay sent all it knew, or this node is a relay itself.
     bool recordsComplete_ = false;
+    /// Came before the records that it may route to, and waits for them.
+    std::optional<inner::Config> early_;
     OutcomeBatch outcomes_;
     std::shared_ptr<const EndpointTable> handedOver_;
     TimePoint nextHeartbeat_;
@@ -120,6 +128,8 @@
     PlatformWatcher watcher_;
     RelayElection election_;
     NackWriter nacks_;
+    Reconciler reconciler_;
+    Counter *pulls_;
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/distribution/relay.h
+++ b/include/cornelhead/distribution/relay.h
@@ -18,6 +18,8 @@
     /// A subscriber announced itself or changed its servers.
     std::function<void(const NodeRecord &)> onRecord;
     std::function<void(const OutcomeBatch &)> onOutcomes;
+    /// A subscriber sent a configuration that is newer than this relay's.
+    std::function<void(const inner::Config &)> onConfig;
     std::function<void(const inner::Nack &)> onNack;
     /// Reads the newest revision at the platform and then calls back; nothing when it is away.
     std::function<void(std::function<void(std::optional<Revision>)>)> confirmFloor;
@@ -48,13 +50,14 @@
     void publishConfig();
     void publishMoves(const std::vector<Move> &moves);
     void publishRelays();
-    void publishReachability();
+    /// Tells all subscribers at once what a heartbeat tells.
+    void publishHeartbeat();
     /// Adds a record to the next batch.
     void queueRecord(const NodeRecord &record);
     /// Sends what is queued without waiting for the batch.
     void flushRecords();
-    /// Asks one subscriber of this data centre to take a vacant slot.
-    void invite();
+    /// Asks one subscriber of each data centre that has fewer relays than `slots` to take a slot.
+    void inviteWhereVacant(std::uint32_t slots);
 
     std::size_t subscribers() const { return subscribers_.size(); }
 
@@ -83,7 +86,12 @@
     void onAck(Subscription &subscription, const inner::Ack &ack);
     void onNack(LinkId link, Subscription &subscription, const inner::Nack &nack);
     void onRecords(const inner::Records &records);
+    void onHeartbeat(LinkId link, const Subscription &subscription,
+                     const inner::Heartbeat &heartbeat);
+    void onPull(LinkId link, Subscription &subscription, const inner::Pull &pull);
+    void pullConfig(LinkId link, const Subscription &subscription);
     void dropSilent();
+    void invite(const DataCentreId &dataCentre);
     void sendToAll(const FramePtr &frame);
 
     NodeState *state_;
@@ -98,6 +106,8 @@
     bool serving_ = false;
     std::map<LinkId, Subscription> subscribers_;
     std::map<NodeId, NodeRecord> queued_;
+    // Of the records that all subscribers were sent.
+    std::uint64_t sentHash_ = 0;
     TimePoint nextFlush_;
     TimePoint nextHeartbeat_;
 };
--- a/include/cornelhead/membership/endpoint-registry.h
+++ b/include/cornelhead/membership/endpoint-registry.h
@@ -68,7 +68,8 @@
     void heard(const NodeId &node);
     const NodeRecord *find(const NodeId &node) const;
 
-    /// Marks nodes of this data centre gone whose silence lasted; returns their records.
+    /// Marks nodes gone whose silence lasted; returns their records.  Judges nodes attached here,
+    /// and those of this data centre whose caretaker is lost.
     ///
     /// `caretakers` are the relays heard of now, this node among them.
     std::vector<NodeRecord> expire(const std::set<NodeId> &caretakers);
@@ -77,10 +78,16 @@
 
     /// Notes whether a data centre can be reached; tells whether that is news.
     bool setReachable(const DataCentreId &dataCentre, bool reachable);
+    /// Returns the data centres of which some node lives in the care of one of `caretakers`.
+    std::set<DataCentreId> caredFor(const std::set<NodeId> &caretakers) const;
     const std::set<DataCentreId> &unreachable() const { return unreachable_; }
 
     /// Returns a number that is equal for registries with equal living records of `dataCentre`.
     std::uint64_t hash(const DataCentreId &dataCentre) const;
+    /// Returns such a number over all data centres.
+    std::uint64_t hash() const;
+    /// Forgets nodes that are not in `nodes`, but for this one.
+    void retainOnly(const std::set<NodeId> &nodes);
     std::set<DataCentreId> dataCentres() const;
     std::vector<NodeRecord> all() const;
     std::vector<KnownRecord> known(const DataCentreId &dataCentre) const;
@@ -102,6 +109,9 @@
     };
 
     void buryEarlierRuns(const NodeInfo &info);
+    bool hasLaterRun(const NodeInfo &info) const;
+    // Adds a living record to the hash of its data centre, or takes it out.
+    void toggleHash(const NodeRecord &record);
     void bury(Entry &entry);
     std::vector<Entry *> silentEntries(const std::set<NodeId> &caretakers);
     std::optional<TimePoint> silentSince(Entry &entry, const std::set<NodeId> &caretakers) const;
@@ -113,6 +123,8 @@
     Clock clock_;
     RegistryTiming timing_;
     std::map<NodeId, Entry> entries_;
+    // Over the living records of each data centre.
+    std::map<DataCentreId, std::uint64_t> hashes_;
     std::set<DataCentreId> unreachable_;
     std::map<DataCentreId, TimePoint> unreachableSince_;
     // Null when the table must be built again.
--- a/src/ctl/configuration-store.cc
+++ b/src/ctl/configuration-store.cc
@@ -2,10 +2,13 @@
 #include "cornelhead/ctl/configuration-store.h"
 
 #include <algorithm>
+#include <array>
 #include <cstdio>
 #include <set>
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 #include "cornelhead/base/check.h"
 #include "cornelhead/base/digest.h"
 
@@ -83,15 +86,14 @@
 Result<void> writeHistory(const PlatformOperations &platform, const Manifest &past)
 {
     const std::string key = historyKey(past.revision);
-    const Result<ModRevision> put = platform.put(key, encodeManifest(past), {});
-    if (put || put.error().kind == ErrorKind::Conflict)
-        return {};
-    if (put.error().kind != ErrorKind::Unknown)
-        return tl::unexpected<Error>(put.error());
-    const Result<std::optional<KeyValue>> found = platform.get(key);
-    if (found && *found)
-        return {};
-    return tl::unexpected<Error>(found ? put.error() : found.error());
+    for (int i = 0; i < maxWriteTries; ++i) {
+        const Result<ModRevision> put = platform.put(key, encodeManifest(past), {});
+        if (put || put.error().kind == ErrorKind::Conflict)
+            return {};
+        if (put.error().kind != ErrorKind::Unknown)
+            return tl::unexpected<Error>(put.error());
+    }
+    return fail(ErrorKind::Unavailable, "the history could not be written", "repeat the command");
 }
 
 // Tells whether `edit` was accepted at `revision`, by the manifest in force or by the history.
@@ -306,7 +308,7 @@
         for (const Chunk &chunk : chunks_) {
             if (!known.insert(chunk.digest).second)
                 continue;
-            if (const Result<void> written = writeChunk(platform_, chunk); !written)
+            if (Result<void> written = writeChunk(platform_, chunk); !written)
                 return written;
             ++outcome_.chunksWritten;
             outcome_.bytesWritten += chunk.bytes.size();
@@ -380,6 +382,28 @@
     return manifests;
 }
 
+Result<std::vector<NodeRefusal>> readRefusals(const PlatformOperations &platform, Revision revision)
+{
+    const Result<std::optional<KeyValue>> found
+            = platform.get(nackPrefix + std::to_string(revision.value()));
+    if (!found)
+        return tl::unexpected<Error>(found.error());
+    std::vector<NodeRefusal> refusals;
+    if (!*found)
+        return refusals;
+    try {
+        const nlohmann::json json = nlohmann::json::parse((*found)->value);
+        for (const nlohmann::json &refusal : json.at("refusals"))
+            refusals.push_back({NodeId(refusal.at("node").get<std::string>()),
+                                refusal.at("reason").get<std::string>()});
+    } catch (const nlohmann::json::exception &error) {
+        return fail(ErrorKind::InvalidMessage,
+                    std::string("the refusals cannot be read: ") + error.what(),
+                    "use a cornelheadctl of the nodes' release");
+    }
+    return refusals;
+}
+
 Result<ApplyOutcome> applyDeclarations(const PlatformOperations &platform,
                                        const ApplyRequest &request)
 {
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -16,12 +16,20 @@
 /// Spreads the first contests of nodes that start together.
 constexpr Milliseconds contestJitter = Milliseconds(500);
 /// A node without a relay for so long looks for a vacant slot.
-constexpr Milliseconds contestAfter = Milliseconds(1000);
-/// A node without relay and platform for so long may act as a relay itself.
-constexpr Milliseconds actAfter = Milliseconds(3000);
+constexpr Milliseconds contestAfter = Milliseconds(500);
+/// A node that found no relay for so long may act as one, though the slots are taken.
+constexpr Milliseconds actAfter = Milliseconds(1000);
+/// How many nodes of a data centre may act; doubles with each further second without a relay.
 constexpr std::size_t actingNodes = 3;
+constexpr std::size_t mostActingNodes = 64;
 constexpr int missedBeforeGone = 3;
 
+EncodedConfig readConfig(const inner::Config &wire)
+{
+    return {Revision(wire.revision()), Digest(wire.digest()),
+            std::make_shared<const std::string>(wire.whole())};
+}
+
 RegistryTiming registryTiming(const DistributionSettings &settings)
 {
     RegistryTiming timing;
@@ -32,8 +40,8 @@
 
 } // namespace detail
 
-Agent::Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform, Clock clock,
-             Metrics &metrics, DistributionHandlers handlers)
+Agent::Agent(DistributionSettings settings, NetworkPort network, PlatformPort platform,
+             const Clock &clock, Metrics &metrics, DistributionHandlers handlers)
     : settings_(std::move(settings)), network_(std::move(network)), platform_(std::move(platform)),
       clock_(clock), handlers_(std::move(handlers)), random_(settings_.seed),
       state_(settings_.self, clock, detail::registryTiming(settings_), metrics),
@@ -46,7 +54,8 @@
       watcher_(platform_, clock, random_, metrics, watcherHandlers()),
       election_({settings_.self, settings_.relaysPerDataCentre, settings_.relayLease}, platform_,
                 clock, random_, metrics, electionHandlers()),
-      nacks_(platform_, metrics)
+      nacks_(platform_, metrics), reconciler_(state_),
+      pulls_(&metrics.counter("cornelhead_subscriber_pulls_total"))
 {
     own_.info = settings_.self;
     own_.sequence = RecordSequence(1);
@@ -56,7 +65,7 @@
 
 SubscriberHandlers Agent::subscriberHandlers()
 {
-    return {[this] { return makeHello(inner::SUBSCRIBER); }, [] {}};
+    return {[this] { return makeHello(inner::SUBSCRIBER); }, [this] { reconciler_.reset(); }};
 }
 
 RelayHandlers Agent::relayHandlers()
@@ -64,6 +73,8 @@
     RelayHandlers handlers;
     handlers.onRecord = [this](const NodeRecord &record) { takeRecord(record, true); };
     handlers.onOutcomes = [this](const OutcomeBatch &batch) { mergeOutcomes(outcomes_, batch); };
+    handlers.onConfig
+            = [this](const inner::Config &config) { onConfigFrame(std::nullopt, config); };
     handlers.onNack = [this](const inner::Nack &nack) {
         nacks_.write({Revision(nack.revision()), NodeId(nack.node()), nack.reason()});
     };
@@ -84,7 +95,7 @@
             = [this](const inner::Config &config) { onConfigFrame(std::nullopt, config); };
     handlers.onRelays = [this](const RelayDirectory &directory) { takeRelays(directory); };
     handlers.onOutcomes = [this](const OutcomeBatch &batch) { takeOutcomes(batch); };
-    handlers.onReachability = [this] { relay_.publishReachability(); };
+    handlers.onReachability = [this] { relay_.publishHeartbeat(); };
     handlers.isPlatformReachable = [this] { return watcher_.isReachable(); };
     handlers.isPlatformUndecided = [this] { return watcher_.isUndecided(); };
     return handlers;
@@ -94,8 +105,11 @@
 {
     WatcherHandlers handlers;
     handlers.onConfig = [this](const EncodedConfig &config) {
-        if (const Result<bool> taken = takeConfig(config); !taken)
-            refuse(std::nullopt, config, taken.error());
+        const Result<bool> taken = takeConfig(config);
+        inner::Config wire;
+        wire.set_revision(config.revision.value());
+        if (!taken)
+            refuse(std::nullopt, wire, taken.error());
     };
     handlers.onMoves = [this](const std::vector<Move> &moves) { takeMoves(moves); };
     handlers.onRelays = [this](const RelayDirectory &directory) {
@@ -111,7 +125,7 @@
     handlers.onElected = [this] { becomeRelay(Role::Relay); };
     handlers.onLost = [this] { becomeSubscriber(); };
     handlers.onFull = [this] {
-        if (role_ == Role::Acting)
+        if (role_ == Role::Acting && hasLivingRelayNearby())
             becomeSubscriber();
     };
     handlers.onRelays = [this](const RelayDirectory &directory) { takeRelays(directory); };
@@ -166,19 +180,27 @@
     if (role_ == Role::Relay || now(clock_) < contestFrom_)
         return;
     if (role_ == Role::Acting) {
-        if (watcher_.isReachable())
+        const bool vacant = countRelays(state_.directory, settings_.self.dataCentre)
+                < settings_.relaysPerDataCentre;
+        if (watcher_.isReachable() && vacant)
+            election_.contendNow();
+        else if (watcher_.isReachable())
             election_.contend();
         return;
     }
     const auto since = subscriber_.detachedSince();
-    if (since && now(clock_) - *since >= detail::contestAfter)
-        election_.contend();
-    else if (since && settings_.seeds.empty() && state_.directory.relays.empty())
+    const bool knowsNobody = settings_.seeds.empty() && state_.directory.relays.empty();
+    const bool foundNobody
+            = since && now(clock_) - *since >= detail::contestAfter && subscriber_.isExhausted();
+    if (since && (knowsNobody || foundNobody))
         election_.contend();
 }
 
-std::vector<Address> Agent::actingCandidates() const
+std::vector<Address> Agent::actingCandidates(Microseconds detached) const
 {
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(detached).count();
+    const std::size_t wanted
+            = std::min(detail::actingNodes << std::min<long>(seconds, 8), detail::mostActingNodes);
     std::vector<std::pair<std::uint64_t, Address>> ranked;
     const std::string key = "acting/" + settings_.self.dataCentre.value();
     for (const auto &[id, info] : state_.registry.table()->nodes) {
@@ -187,19 +209,28 @@
     }
     std::sort(ranked.rbegin(), ranked.rend());
     std::vector<Address> candidates;
-    for (std::size_t i = 0; i < std::min(detail::actingNodes, ranked.size()); ++i)
+    for (std::size_t i = 0; i < std::min(wanted, ranked.size()); ++i)
         candidates.push_back(ranked[i].second);
     return candidates;
 }
 
-bool Agent::mayAct() const
+bool Agent::hasLivingRelayNearby() const
+{
+    const std::set<NodeId> living = exchange_.livePeers();
+    const auto &relays = state_.directory.relays;
+    return std::any_of(relays.begin(), relays.end(), [&](const auto &entry) {
+        return entry.second.dataCentre == settings_.self.dataCentre
+                && living.contains(entry.second.id);
+    });
+}
+
+bool Agent::mayAct(const std::vector<Address> &candidates) const
 {
     const Address &self = settings_.self.inner;
     const std::vector<Address> &seeds = settings_.seeds;
     if (std::find(seeds.begin(), seeds.end(), self) != seeds.end())
         return true;
     // A node that knows no other must not think itself the first.
-    const std::vector<Address> candidates = actingCandidates();
     return candidates.size() > 1
             && std::find(candidates.begin(), candidates.end(), self) != candidates.end();
 }
@@ -209,9 +240,10 @@
     const auto since = subscriber_.detachedSince();
     if (role_ != Role::Subscriber || !since)
         return;
-    subscriber_.setNeighbours(actingCandidates());
-    const bool alone = now(clock_) - *since >= detail::actAfter;
-    if (alone && !election_.isPlatformReachable() && mayAct())
+    const Microseconds detached = now(clock_) - *since;
+    const std::vector<Address> candidates = actingCandidates(detached);
+    subscriber_.setNeighbours(candidates);
+    if (detached >= detail::actAfter && subscriber_.isExhausted() && mayAct(candidates))
         becomeRelay(Role::Acting);
 }
 
@@ -220,9 +252,7 @@
     if (role_ != Role::Relay || !watcher_.isReachable() || now(clock_) < nextInvite_)
         return;
     nextInvite_ = now(clock_) + detail::inviteInterval + random_.jitter(detail::inviteInterval);
-    const std::size_t held = countRelays(state_.directory, settings_.self.dataCentre);
-    if (held > 0 && held < settings_.relaysPerDataCentre)
-        relay_.invite();
+    relay_.inviteWhereVacant(settings_.relaysPerDataCentre);
 }
 
 void Agent::becomeRelay(Role role)
@@ -234,11 +264,11 @@
     CORNELHEAD_LOG(INFO, "relay") << "Serves subscribers.";
     subscriber_.stop();
     recordsComplete_ = true;
-    std::vector<Address> extra = settings_.seeds;
-    for (const Address &candidate : actingCandidates())
-        extra.push_back(candidate);
-    if (role == Role::Acting)
-        exchange_.setExtraPeers(extra);
+    if (role == Role::Acting) {
+        std::vector<Address> extra = actingCandidates(Microseconds(0));
+        extra.insert(extra.end(), settings_.seeds.begin(), settings_.seeds.end());
+        exchange_.setExtraPeers(std::move(extra));
+    }
     nextInvite_ = now(clock_) + detail::inviteInterval;
     relay_.start();
     exchange_.start();
@@ -315,8 +345,11 @@
         if (const Result<RelayDirectory> directory = fromWire(frame.relays()))
             takeRelays(*directory);
         break;
-    case inner::Frame::kReachability:
-        takeReachability(frame.reachability());
+    case inner::Frame::kHeartbeat:
+        onRelayHeartbeat(link, frame.heartbeat());
+        break;
+    case inner::Frame::kPull:
+        onRelayPull(link, frame.pull());
         break;
     case inner::Frame::kInvite:
         election_.contendNow();
@@ -329,53 +362,90 @@
         subscriber_.onFrame(frame);
 }
 
+void Agent::onRelayHeartbeat(LinkId link, const inner::Heartbeat &heartbeat)
+{
+    takeReachability(heartbeat);
+    const std::optional<inner::Pull> pull = reconciler_.onHeartbeat(heartbeat);
+    if (!pull)
+        return;
+    pulls_->add();
+    auto frame = std::make_shared<inner::Frame>();
+    *frame->mutable_pull() = *pull;
+    network_.send(link, frame);
+}
+
+void Agent::onRelayPull(LinkId link, const inner::Pull &pull)
+{
+    if (pull.records_size() > 0)
+        network_.send(link, recordsFrame({own_}));
+    if (pull.config() && state_.config.revision() > Revision(pull.held_revision()))
+        network_.send(link, configFrame(state_.config.current(), Revision(0), false));
+}
+
 void Agent::onConfigFrame(std::optional<LinkId> link, const inner::Config &wire)
 {
     state_.config.raiseFloor(Revision(wire.floor()));
-    const EncodedConfig config{Revision(wire.revision()), Digest(wire.digest()),
-                               std::make_shared<const std::string>(wire.whole())};
-    const Result<bool> taken = takeConfig(config);
+    if (!recordsComplete_) {
+        early_ = wire;
+        return;
+    }
+    const Result<bool> taken
+            = wire.delta().empty() ? takeConfig(detail::readConfig(wire)) : takeDelta(wire);
     if (!taken) {
-        refuse(link, config, taken.error());
+        refuse(link, wire, taken.error());
         return;
     }
     if (!link)
         return;
     auto frame = std::make_shared<inner::Frame>();
-    frame->mutable_ack()->set_revision(config.revision.value());
+    frame->mutable_ack()->set_revision(wire.revision());
     network_.send(*link, frame);
 }
 
 Result<bool> Agent::takeConfig(const EncodedConfig &config)
 {
-    const Result<bool> taken = state_.config.offer(config);
-    if (!taken || !*taken)
-        return taken;
-    state_.floors.raise(settings_.self.inner, config.revision);
+    Result<bool> taken = state_.config.offer(config);
+    if (taken && *taken)
+        spreadConfig();
+    return taken;
+}
+
+Result<bool> Agent::takeDelta(const inner::Config &wire)
+{
+    Result<bool> taken = state_.config.offerDelta(Revision(wire.revision()), Digest(wire.digest()),
+                                                  wire.delta());
+    if (taken && *taken)
+        spreadConfig();
+    return taken;
+}
+
+void Agent::spreadConfig()
+{
+    state_.floors.raise(settings_.self.inner, state_.config.revision());
     // Make before break: what the configuration may route to comes first.
     flushEndpoints();
     handlers_.onConfig(state_.config.snapshot());
     relay_.publishConfig();
     exchange_.publishSummary();
-    return taken;
 }
 
-void Agent::refuse(std::optional<LinkId> link, const EncodedConfig &config, const Error &error)
+void Agent::refuse(std::optional<LinkId> link, const inner::Config &wire, const Error &error)
 {
     CORNELHEAD_LOG(WARNING, "config")
-            << "Revision " << config.revision.value() << " refused: " << error.describe();
+            << "Revision " << wire.revision() << " refused: " << error.describe();
     if (error.kind == ErrorKind::Stale)
         return;
     if (!link) {
-        nacks_.write({config.revision, settings_.self.id, error.describe()});
+        nacks_.write({Revision(wire.revision()), settings_.self.id, error.describe()});
         return;
     }
     auto frame = std::make_shared<inner::Frame>();
     inner::Nack *nack = frame->mutable_nack();
-    nack->set_revision(config.revision.value());
-    nack->set_digest(config.digest.value());
+    nack->set_revision(wire.revision());
+    nack->set_digest(wire.digest());
     nack->set_reason(error.describe());
     nack->set_node(settings_.self.id.value());
+    nack->set_want_whole(!wire.delta().empty());
     network_.send(*link, frame);
 }
 
@@ -396,13 +466,22 @@
 
 void Agent::takeRecords(const inner::Records &records)
 {
+    std::set<NodeId> named;
     for (const inner::Record &wire : records.records()) {
-        if (const Result<NodeRecord> record = fromWire(wire))
-            takeRecord(*record, false);
+        const Result<NodeRecord> record = fromWire(wire);
+        if (!record)
+            continue;
+        named.insert(record->info.id);
+        takeRecord(*record, false);
     }
-    recordsComplete_ |= records.complete();
-    if (records.complete())
-        flushEndpoints();
+    if (records.replace())
+        state_.registry.retainOnly(named);
+    if (!records.complete())
+        return;
+    recordsComplete_ = true;
+    flushEndpoints();
+    if (early_)
+        onConfigFrame(subscriber_.attached(), *std::exchange(early_, std::nullopt));
 }
 
 void Agent::takeRecord(const NodeRecord &record, bool firstHand)
@@ -433,10 +512,10 @@
         relay_.publishRelays();
 }
 
-void Agent::takeReachability(const inner::Reachability &wire)
+void Agent::takeReachability(const inner::Heartbeat &heartbeat)
 {
     std::set<DataCentreId> unreachable;
-    for (const std::string &name : wire.unreachable())
+    for (const std::string &name : heartbeat.unreachable())
         unreachable.insert(DataCentreId(name));
     for (const DataCentreId &dataCentre : state_.registry.dataCentres())
         state_.registry.setReachable(dataCentre, !unreachable.contains(dataCentre));
@@ -452,8 +531,10 @@
 
 FramePtr Agent::makeHello(inner::LinkRole role)
 {
-    if (role == inner::SUBSCRIBER)
+    if (role == inner::SUBSCRIBER) {
         own_.sequence = own_.sequence.next();
+        state_.registry.merge(own_);
+    }
     auto frame = std::make_shared<inner::Frame>();
     inner::Hello *hello = frame->mutable_hello();
     hello->set_protocol(protocolVersion);
@@ -474,7 +555,7 @@
         exchange_.queueRecord(own_);
         return;
     }
-    sendUpstream(recordsFrame({own_}, false));
+    sendUpstream(recordsFrame({own_}));
 }
 
 void Agent::sendUpstream(const FramePtr &frame)
@@ -515,7 +596,7 @@
 void Agent::sendHeartbeat()
 {
     nextHeartbeat_ = now(clock_) + settings_.heartbeat;
-    sendUpstream(heartbeatFrame());
+    sendUpstream(heartbeatFrame(own_.sequence));
 }
 
 void Agent::expireRecords()
--- a/src/distribution/node-state.cc
+++ b/src/distribution/node-state.cc
@@ -37,6 +37,19 @@
     return frame;
 }
 
+FramePtr deltaFrame(const EncodedConfig &config, const EncodedDelta &delta, Revision floor)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Config *out = frame->mutable_config();
+    out->set_revision(config.revision.value());
+    out->set_digest(config.digest.value());
+    out->set_base_revision(delta.baseRevision.value());
+    out->set_base_digest(delta.baseDigest.value());
+    out->set_delta(delta.bytes);
+    out->set_floor(floor.value());
+    return frame;
+}
+
 FramePtr movesFrame(const MoveTable &table)
 {
     auto frame = std::make_shared<inner::Frame>();
@@ -46,15 +59,24 @@
     return frame;
 }
 
-FramePtr recordsFrame(const std::vector<NodeRecord> &records, bool complete)
+FramePtr recordsFrame(const std::vector<NodeRecord> &records)
 {
     auto frame = std::make_shared<inner::Frame>();
-    frame->mutable_records()->set_complete(complete);
     for (const NodeRecord &record : records)
         *frame->mutable_records()->add_records() = toWire(record);
     return frame;
 }
 
+FramePtr allRecordsFrame(const EndpointRegistry &registry, bool replace)
+{
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_records()->set_complete(true);
+    frame->mutable_records()->set_replace(replace);
+    for (const NodeRecord &record : registry.all())
+        *frame->mutable_records()->add_records() = toWire(record);
+    return frame;
+}
+
 FramePtr relaysFrame(const RelayDirectory &directory)
 {
     auto frame = std::make_shared<inner::Frame>();
@@ -62,22 +84,23 @@
     return frame;
 }
 
-FramePtr reachabilityFrame(const std::set<DataCentreId> &unreachable)
+FramePtr heartbeatFrame(RecordSequence sequence)
 {
     auto frame = std::make_shared<inner::Frame>();
-    frame->mutable_reachability();
-    for (const DataCentreId &dataCentre : unreachable)
-        frame->mutable_reachability()->add_unreachable(dataCentre.value());
+    frame->mutable_heartbeat()->set_sequence(sequence.value());
     return frame;
 }
 
-FramePtr heartbeatFrame()
+FramePtr relayHeartbeatFrame(const NodeState &state, std::uint64_t recordsHash)
 {
-    static const FramePtr frame = [] {
-        auto made = std::make_shared<inner::Frame>();
-        made->mutable_heartbeat();
-        return made;
-    }();
+    auto frame = std::make_shared<inner::Frame>();
+    inner::Heartbeat *heartbeat = frame->mutable_heartbeat();
+    heartbeat->set_revision(state.config.revision().value());
+    heartbeat->set_moves_hash(state.moves.hash());
+    heartbeat->set_records_hash(recordsHash);
+    heartbeat->set_relays_revision(state.directory.storeRevision.value());
+    for (const DataCentreId &dataCentre : state.registry.unreachable())
+        heartbeat->add_unreachable(dataCentre.value());
     return frame;
 }
 
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -74,6 +74,7 @@
     subscribers_[link] = subscription;
     subscriberGauge_->set(static_cast<std::int64_t>(subscribers_.size()));
     state_->floors.raise(subscription.address, subscription.acked);
+    state_->floors.raise(subscription.dataCentre, subscription.acked);
     NodeRecord attached = *record;
     attached.caretaker = state_->self.id;
     handlers_.onRecord(attached);
@@ -91,14 +92,14 @@
 {
     sendWelcome(link, true);
     network_->send(link, relaysFrame(state_->directory));
-    network_->send(link, reachabilityFrame(state_->registry.unreachable()));
-    network_->send(link, recordsFrame(state_->registry.all(), true));
+    network_->send(link, allRecordsFrame(state_->registry, false));
     network_->send(link, movesFrame(*state_->moves.table()));
     Subscription &subscription = subscribers_.at(link);
     if (subscription.awaitsFloor)
         askFloor(link);
     else
         sendConfig(link, subscription);
+    pullConfig(link, subscription);
 }
 
 void Relay::askFloor(LinkId link)
@@ -134,11 +135,17 @@
         return;
     if (config.revision <= subscription.sent || config.revision < subscription.floor)
         return;
+    // What was sent before arrives before, since a link keeps its order.
+    const std::optional<EncodedDelta> &delta = state_->config.delta();
+    const bool isOnBase = delta && subscription.sent == delta->baseRevision;
     subscription.sent = config.revision;
     // Noted before it is sent: from then on the address may act on it.
     state_->floors.raise(subscription.address, config.revision);
     state_->floors.raise(subscription.dataCentre, config.revision);
-    network_->send(link, configFrame(config, subscription.floor, subscription.confirmed));
+    const Revision floor = subscription.floor;
+    network_->send(link,
+                   isOnBase ? deltaFrame(config, *delta, floor)
+                            : configFrame(config, floor, subscription.confirmed));
 }
 
 void Relay::publishConfig()
@@ -168,10 +175,10 @@
         sendToAll(relaysFrame(state_->directory));
 }
 
-void Relay::publishReachability()
+void Relay::publishHeartbeat()
 {
     if (!subscribers_.empty())
-        sendToAll(reachabilityFrame(state_->registry.unreachable()));
+        sendToAll(relayHeartbeatFrame(*state_, sentHash_));
 }
 
 void Relay::queueRecord(const NodeRecord &record)
@@ -180,15 +187,24 @@
         queued_[record.info.id] = record;
 }
 
-void Relay::invite()
+void Relay::inviteWhereVacant(std::uint32_t slots)
+{
+    std::set<DataCentreId> vacant;
+    for (const auto &[link, subscription] : subscribers_) {
+        if (countRelays(state_->directory, subscription.dataCentre) < slots)
+            vacant.insert(subscription.dataCentre);
+    }
+    for (const DataCentreId &dataCentre : vacant)
+        invite(dataCentre);
+}
+
+void Relay::invite(const DataCentreId &dataCentre)
 {
     std::vector<LinkId> eligible;
     for (const auto &[link, subscription] : subscribers_) {
-        if (subscription.dataCentre == state_->self.dataCentre)
+        if (subscription.dataCentre == dataCentre)
             eligible.push_back(link);
     }
-    if (eligible.empty())
-        return;
     auto frame = std::make_shared<inner::Frame>();
     frame->mutable_invite();
     network_->send(eligible[random_->below(eligible.size())], frame);
@@ -209,6 +225,15 @@
     case inner::Frame::kNack:
         onNack(link, subscription, frame.nack());
         break;
+    case inner::Frame::kHeartbeat:
+        onHeartbeat(link, subscription, frame.heartbeat());
+        break;
+    case inner::Frame::kPull:
+        onPull(link, subscription, frame.pull());
+        break;
+    case inner::Frame::kConfig:
+        handlers_.onConfig(frame.config());
+        break;
     case inner::Frame::kOutcomes:
         handlers_.onOutcomes(fromWire(frame.outcomes()));
         break;
@@ -226,13 +251,50 @@
 void Relay::onNack(LinkId link, Subscription &subscription, const inner::Nack &nack)
 {
     if (nack.want_whole()) {
-        subscription.sent = subscription.acked;
+        subscription.sent = Revision(0);
         sendConfig(link, subscription);
         return;
     }
     handlers_.onNack(nack);
 }
 
+void Relay::onHeartbeat(LinkId link, const Subscription &subscription,
+                        const inner::Heartbeat &heartbeat)
+{
+    const NodeRecord *held = state_->registry.find(subscription.node);
+    const bool isBehind
+            = held && (held->gone || held->sequence < RecordSequence(heartbeat.sequence()));
+    if (!isBehind)
+        return;
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_pull()->add_records()->set_data_centre(subscription.dataCentre.value());
+    network_->send(link, frame);
+}
+
+void Relay::onPull(LinkId link, Subscription &subscription, const inner::Pull &pull)
+{
+    if (pull.config()) {
+        subscription.sent = Revision(0);
+        sendConfig(link, subscription);
+    }
+    if (pull.moves())
+        network_->send(link, movesFrame(*state_->moves.table()));
+    if (pull.relays())
+        network_->send(link, relaysFrame(state_->directory));
+    if (pull.all_records())
+        network_->send(link, allRecordsFrame(state_->registry, pull.replace_records()));
+}
+
+void Relay::pullConfig(LinkId link, const Subscription &subscription)
+{
+    if (subscription.acked <= state_->config.revision())
+        return;
+    auto frame = std::make_shared<inner::Frame>();
+    frame->mutable_pull()->set_config(true);
+    frame->mutable_pull()->set_held_revision(state_->config.revision().value());
+    network_->send(link, frame);
+}
+
 void Relay::onRecords(const inner::Records &records)
 {
     for (const inner::Record &wire : records.records()) {
@@ -258,7 +320,7 @@
         flushRecords();
     if (now(clock_) >= nextHeartbeat_) {
         nextHeartbeat_ = now(clock_) + heartbeat_;
-        sendToAll(heartbeatFrame());
+        publishHeartbeat();
         dropSilent();
     }
 }
@@ -266,6 +328,7 @@
 void Relay::flushRecords()
 {
     nextFlush_ = now(clock_) + detail::recordBatch;
+    sentHash_ = state_->registry.hash();
     if (queued_.empty())
         return;
     std::vector<NodeRecord> records;
@@ -273,7 +336,7 @@
         records.push_back(std::move(record));
     queued_.clear();
     if (!subscribers_.empty())
-        sendToAll(recordsFrame(records, false));
+        sendToAll(recordsFrame(records));
 }
 
 void Relay::dropSilent()
--- a/src/distribution/subscriber.cc
+++ b/src/distribution/subscriber.cc
@@ -9,8 +9,8 @@
 namespace detail {
 
 constexpr Milliseconds firstCandidateRetry = Milliseconds(250);
-constexpr Milliseconds lastCandidateRetry = Milliseconds(5000);
-constexpr Milliseconds welcomeTimeout = Milliseconds(1000);
+constexpr Milliseconds lastCandidateRetry = Milliseconds(1500);
+constexpr Milliseconds welcomeTimeout = Milliseconds(500);
 /// Spreads a herd that lost the same relay.
 constexpr Milliseconds failoverJitter = Milliseconds(50);
 /// Spreads the return to a relay that came back.
@@ -134,10 +134,10 @@
 
 void Subscriber::checkSilence()
 {
-    const TimePoint time = now(clock_);
-    if (!welcomed_ && time - opened_ >= detail::welcomeTimeout)
-        abandon(true);
-    else if (welcomed_ && time - heard_ >= settings_.heartbeat * detail::missedHeartbeats)
+    const Microseconds silence = now(clock_) - (welcomed_ ? heard_ : opened_);
+    const Microseconds limit
+            = welcomed_ ? settings_.heartbeat * detail::missedHeartbeats : detail::welcomeTimeout;
+    if (silence >= limit)
         abandon(true);
 }
 
--- a/src/membership/endpoint-registry.cc
+++ b/src/membership/endpoint-registry.cc
@@ -29,14 +29,26 @@
         const NodeRecord &held = found->second.record;
         if (!detail::supersedes(record.sequence, record.gone, held.sequence, held.gone))
             return false;
+        toggleHash(held);
     }
-    entries_[record.info.id] = Entry{record, time, time, std::nullopt};
-    if (!record.gone)
+    Entry &entry = entries_[record.info.id] = Entry{record, time, time, std::nullopt};
+    toggleHash(record);
+    if (!record.gone && hasLaterRun(record.info))
+        bury(entry);
+    else if (!record.gone)
         buryEarlierRuns(record.info);
     table_ = nullptr;
     return true;
 }
 
+bool EndpointRegistry::hasLaterRun(const NodeInfo &info) const
+{
+    return std::any_of(entries_.begin(), entries_.end(), [&](const auto &item) {
+        const NodeInfo &other = item.second.record.info;
+        return other.inner == info.inner && other.startedAtMs > info.startedAtMs;
+    });
+}
+
 void EndpointRegistry::buryEarlierRuns(const NodeInfo &info)
 {
     for (auto &[id, entry] : entries_) {
@@ -50,6 +62,7 @@
 {
     if (entry.record.gone)
         return;
+    toggleHash(entry.record);
     entry.record.gone = true;
     entry.record.servers.clear();
     entry.changed = now(clock_);
@@ -95,7 +108,8 @@
 {
     std::vector<Entry *> silent;
     for (auto &[id, entry] : entries_) {
-        if (entry.record.gone || id == self_ || entry.record.info.dataCentre != dataCentre_)
+        const bool isNear = entry.record.info.dataCentre == dataCentre_;
+        if (entry.record.gone || id == self_ || (!isNear && entry.record.caretaker != self_))
             continue;
         if (silentSince(entry, caretakers))
             silent.push_back(&entry);
@@ -144,6 +158,7 @@
             continue;
         }
         tableChanged |= !it->second.record.gone;
+        toggleHash(it->second.record);
         it = entries_.erase(it);
     }
     if (tableChanged)
@@ -166,15 +181,49 @@
     return true;
 }
 
+std::set<DataCentreId> EndpointRegistry::caredFor(const std::set<NodeId> &caretakers) const
+{
+    std::set<DataCentreId> found;
+    for (const auto &[id, entry] : entries_) {
+        if (!entry.record.gone && caretakers.contains(entry.record.caretaker))
+            found.insert(entry.record.info.dataCentre);
+    }
+    return found;
+}
+
 std::uint64_t EndpointRegistry::hash(const DataCentreId &dataCentre) const
+{
+    const auto found = hashes_.find(dataCentre);
+    return found == hashes_.end() ? 0 : found->second;
+}
+
+std::uint64_t EndpointRegistry::hash() const
 {
     std::uint64_t sum = 0;
-    for (const auto &[id, entry] : entries_) {
-        if (entry.record.gone || entry.record.info.dataCentre != dataCentre)
+    for (const auto &[dataCentre, hash] : hashes_)
+        sum ^= hash;
+    return sum;
+}
+
+void EndpointRegistry::toggleHash(const NodeRecord &record)
+{
+    if (record.gone)
+        return;
+    hashes_[record.info.dataCentre]
+            ^= rendezvousWeight(record.info.id.value(), std::to_string(record.sequence.value()));
+}
+
+void EndpointRegistry::retainOnly(const std::set<NodeId> &nodes)
+{
+    for (auto it = entries_.begin(); it != entries_.end();) {
+        if (it->first == self_ || nodes.contains(it->first)) {
+            ++it;
             continue;
-        sum ^= rendezvousWeight(id.value(), std::to_string(entry.record.sequence.value()));
+        }
+        toggleHash(it->second.record);
+        it = entries_.erase(it);
+        table_ = nullptr;
     }
-    return sum;
 }
 
 std::set<DataCentreId> EndpointRegistry::dataCentres() const
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -475,26 +475,25 @@
 
 bool Judgement::isOldAsBefore() const
 {
-    std::map<detail::JudgementScope, LogRatios> failures;
-    std::map<detail::JudgementScope, LogRatios> slow;
+    using Kinds = std::array<LogRatios, 2>;
+    constexpr std::array kinds = {detail::failureEvent, detail::slowEvent};
+    std::map<detail::JudgementScope, Kinds> ratios;
     for (const auto &[scope, cell] : cells_) {
-        const auto add = [&](std::map<detail::JudgementScope, LogRatios> &to, std::size_t kind) {
-            if (!detail::isWorthTesting(cell.pastAtStage, kind))
-                return;
-            const LogRatios ratios
-                    = detail::ratiosToPast(cell.stage.older, cell.pastAtStage, wholePast_, kind);
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+            if (!detail::isWorthTesting(cell.pastAtStage, kinds[kind]))
+                continue;
+            const LogRatios cellRatios = detail::ratiosToPast(cell.stage.older, cell.pastAtStage,
+                                                              wholePast_, kinds[kind]);
             for (const detail::JudgementScope &wider : detail::scopesOf(scope))
-                for (std::size_t i = 0; i < ratios.size(); ++i)
-                    to[wider][i] += ratios[i];
-        };
-        add(failures, detail::failureEvent);
-        add(slow, detail::slowEvent);
+                for (std::size_t i = 0; i < cellRatios.size(); ++i)
+                    ratios[wider][kind][i] += cellRatios[i];
+        }
     }
-    const auto isAsBefore = [](const auto &entry) {
-        return entry.second[detail::wholeEffect] <= detail::changedRatio;
-    };
-    return std::all_of(failures.begin(), failures.end(), isAsBefore)
-            && std::all_of(slow.begin(), slow.end(), isAsBefore);
+    return std::all_of(ratios.begin(), ratios.end(), [](const auto &entry) {
+        return std::all_of(entry.second.begin(), entry.second.end(), [](const LogRatios &kind) {
+            return kind[detail::wholeEffect] <= detail::changedRatio;
+        });
+    });
 }
 
 void Judgement::restartSums()
--- a/support/parts.cmake
+++ b/support/parts.cmake
@@ -20,7 +20,7 @@
 endfunction()
 
 function(cornelhead_part_tests name)
-    file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*-test.cc)
+    file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*.cc)
     if(NOT tests)
         return()
     endif()
@@ -28,7 +28,8 @@
     target_include_directories(${name}-test PRIVATE ${CMAKE_SOURCE_DIR}/test)
     target_compile_definitions(${name}-test PRIVATE
         BOOST_TEST_DYN_LINK CORNELHEAD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
-    target_link_libraries(${name}-test PRIVATE part-${name} Boost::unit_test_framework)
+    target_link_libraries(${name}-test PRIVATE
+        part-${name} Boost::unit_test_framework rapidcheck)
     add_test(NAME ${name} COMMAND ${name}-test)
 endfunction()
 
@@ -55,11 +56,17 @@
 cornelhead_part(ctl DEPENDS net config platform rollout)
 cornelhead_part(standin DEPENDS net platform)
 
+# The fleet of the distribution tests runs over the stand-in's store.
+if(TARGET distribution-test)
+    target_link_libraries(distribution-test PRIVATE part-standin)
+endif()
+
 cornelhead_program(cornelhead-node node)
 cornelhead_program(cornelheadctl ctl)
 cornelhead_program(cornelhead-platform standin)
 cornelhead_program(cornelhead-backend standin)
 cornelhead_program(cornelhead-load standin)
+cornelhead_program(cornelhead-measure-configuration config)
 cornelhead_program(cornelhead-measure-moves rollout)
 cornelhead_program(cornelhead-measure-convergence ctl)
 cornelhead_program(cornelhead-measure-calls standin)
@@ -71,3 +78,11 @@
         target_compile_options(part-protocol PRIVATE -Wno-all -Wno-extra -Wno-pedantic)
     endif()
 endif()
+
+# Whole-process tests run the programs from the build folder.
+file(GLOB e2e_scripts CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/e2e/*.sh)
+foreach(script IN LISTS e2e_scripts)
+    get_filename_component(name ${script} NAME_WE)
+    add_test(NAME e2e-${name} COMMAND ${script})
+    set_tests_properties(e2e-${name} PROPERTIES ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR}")
+endforeach()
