--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -166,6 +166,8 @@
     std::size_t stageBlocks_ = 0;
     /// The last block after which nothing spoke against the new version.
     std::size_t lastGoodBlock_ = 0;
+    /// Blocks that the evidence has to span now.
+    std::size_t leastBlocks_ = 0;
     /// The same for what differs from the past.
     std::size_t lastUsualBlock_ = 0;
     bool expectsOnset_ = false;
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -49,6 +49,9 @@
     return settings;
 }
 
+constexpr std::string_view crossoverText = "stepped back to see the old version at full load: ";
+constexpr std::string_view recheckText = "stepped back to compare again: ";
+
 /// Tells whether a version that is suspect under full load has been stepped back to almost no
 /// calls, so that the old version shows how it does at that load.
 bool isCrossover(const Move &move)
@@ -228,9 +231,7 @@
     next.rechecks += 1;
     next = stamp(std::move(next), nowMs);
     addMoveEvent(next, nowMs,
-                 (share == firstShare ? "stepped back to see the old version at full load: "
-                                      : "stepped back to compare again: ")
-                         + suspicion.text);
+                 std::string(share == firstShare ? crossoverText : recheckText) + suspicion.text);
     return next;
 }
 
@@ -274,7 +275,8 @@
         next.clearedRechecks = 0;
         return next;
     }
-    const std::string &suspicion = tracked.move().events.back().text;
+    const std::string &stepBack = tracked.move().events.back().text;
+    const std::string suspicion = stepBack.substr(std::min(stepBack.size(), crossoverText.size()));
     return takeBack(tracked, {fullLoadOdds, suspicion + "; the old version does well at that load"},
                     nowMs);
 }
--- /dev/null
+++ b/test/rollout/simulated-move-test.cc
@@ -0,0 +1,115 @@
+// Tests the promises of moves over generated runs with fixed seeds.
+#include "rollout/simulated-move.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cornelhead/rollout/pace.h"
+
+namespace cornelhead::simulation {
+namespace {
+
+constexpr std::array badKinds = {
+        Badness::FailNow,           Badness::SlowNow,       Badness::FailLate,
+        Badness::SlowLate,          Badness::FailUnderLoad, Badness::SlowUnderLoad,
+        Badness::FailOneRoute,      Badness::SlowOneRoute,  Badness::FailOneDataCentre,
+        Badness::SlowOneDataCentre,
+};
+constexpr std::uint64_t firstSeed = 5'000;
+constexpr std::uint64_t seeds = 8;
+
+template <typename Check>
+void forRuns(Badness badness, Check check)
+{
+    for (const Deployment &deployment : {paperfold(), association()}) {
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+            const Scenario scenario = drawScenario(deployment, badness, seed, false);
+            BOOST_TEST_CONTEXT(deployment.name << ' ' << badnessName(badness) << " seed " << seed)
+            check(scenario, runMove(scenario));
+        }
+    }
+}
+
+/// Without lost reports, outages, partitions or dead controllers.
+Scenario undisturbed(Scenario scenario)
+{
+    scenario.lostReports = 0;
+    scenario.lostAnswers = 0;
+    scenario.controllerGap = {};
+    scenario.platformOutage = {};
+    scenario.partition = {};
+    return scenario;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(simulatedMoves)
+
+BOOST_AUTO_TEST_CASE(goodVersionsHaveEveryCallByTheDeadline)
+{
+    for (const Badness badness : {Badness::None, Badness::NoneCommonFault}) {
+        forRuns(badness, [](const Scenario &, const RunFigures &run) {
+            BOOST_TEST((run.end == MoveState::Done), run.verdict);
+            BOOST_TEST(run.fullShareAtMs > 0);
+            BOOST_TEST(run.fullShareAtMs <= run.deadlineMs);
+        });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(badVersionsOfEveryKindAreTakenBack)
+{
+    for (const Badness badness : badKinds) {
+        forRuns(badness, [](const Scenario &, const RunFigures &run) {
+            BOOST_TEST((run.end == MoveState::TakenBack || run.shownAtMs == 0));
+        });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(onlyTheDeadlineRaisesAVersionBadAtOnce)
+{
+    constexpr double earliestWithoutEvidence = 0.7;
+    for (const Badness badness : {Badness::FailNow, Badness::SlowNow, Badness::FailOneRoute}) {
+        forRuns(badness, [](const Scenario &scenario, const RunFigures &run) {
+            const double raisingMs = static_cast<double>(
+                    scenario.moveMs - std::min<std::int64_t>(4'000, scenario.moveMs / 4));
+            for (const MoveEvent &event : run.record.events) {
+                const double part = static_cast<double>(event.atMs - run.startMs) / raisingMs;
+                BOOST_TEST((event.share <= firstShare || part >= earliestWithoutEvidence));
+            }
+        });
+    }
+}
+
+BOOST_AUTO_TEST_CASE(stopsCallsWithinSecondsAfterBadnessShows)
+{
+    constexpr std::int64_t longestMs = 3'000;
+    for (const Badness badness : {Badness::FailNow, Badness::SlowNow, Badness::FailLate}) {
+        for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+            Scenario scenario = undisturbed(drawScenario(paperfold(), badness, seed, false));
+            scenario.callRate = 3'000;
+            const RunFigures run = runMove(scenario);
+            BOOST_TEST_CONTEXT(badnessName(badness) << " seed " << seed)
+            BOOST_TEST(run.zeroAtMs - run.shownAtMs <= longestMs);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(nodesThatAreCutOffBrakeOnTheirOwn)
+{
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+        Scenario scenario = undisturbed(drawScenario(paperfold(), Badness::FailNow, seed, false));
+        scenario.callRate = 3'000;
+        scenario.failRate = 0.5;
+        scenario.partition = {1'000, 120'000};
+        scenario.cutDataCentre = 1;
+        // With no controller the others depend on their brakes too.
+        scenario.controllerGap = {1'000, 120'000};
+        BOOST_TEST(runMove(scenario).brakedNodes == scenario.deployment.nodes);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead::simulation
