--- a/include/cornelhead/rollout/move.h
+++ b/include/cornelhead/rollout/move.h
@@ -27,6 +27,14 @@
 /// Parts of a thousand.
 using PerMille = Number<struct PerMilleTag>;
 
+/// What callers got of one version since the event before.
+struct VersionEvidence
+{
+    std::uint64_t calls = 0;
+    std::uint64_t failures = 0;
+    Microseconds latencyP95 = Microseconds(0);
+};
+
 /// One line of a move's story, for the report.
 struct MoveEvent
 {
@@ -35,6 +43,9 @@
     std::string text;
     /// The operator's edit behind it; empty for a step of the controller.
     EditId edit;
+    /// Empty for edits of operators.
+    VersionEvidence newer;
+    VersionEvidence older;
 };
 
 /// The share of a move that has every call.
--- a/include/cornelhead/rollout/outcome.h
+++ b/include/cornelhead/rollout/outcome.h
@@ -19,6 +19,10 @@
 /// Returns the bucket of `latency`.
 std::size_t latencyBucket(Microseconds latency);
 
+/// Returns the upper bound of the bucket that holds the quantile of the latencies; 0 without any.
+Microseconds latencyQuantile(const std::array<std::uint64_t, latencyBuckets> &latencies,
+                             double probability);
+
 /// What one sum is about.
 struct OutcomeKey
 {
--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -175,6 +175,18 @@
     return "new version: " + part(stage.newer) + "; old version: " + part(stage.older);
 }
 
+VersionEvidence evidenceOf(const OutcomeSums &sums)
+{
+    return {sums.calls, sums.failures, latencyQuantile(sums.latencies, 0.95)};
+}
+
+void addStageEvent(Move &next, const TrackedMove &tracked, std::int64_t nowMs, std::string text)
+{
+    addMoveEvent(next, nowMs, std::move(text));
+    next.events.back().newer = evidenceOf(tracked.judgement().stage().newer);
+    next.events.back().older = evidenceOf(tracked.judgement().stage().older);
+}
+
 Move stamp(Move next, std::int64_t nowMs)
 {
     next.edit = EditId("controller-" + std::to_string(next.modRevision.value()) + "-"
@@ -190,7 +202,7 @@
     next.refusedVersions.insert(next.newVersion);
     const auto odds = static_cast<std::uint64_t>(std::min(finding.odds, 1e9));
     next.verdict = "taken back: " + finding.text + "; odds " + std::to_string(odds) + " to 1";
-    addMoveEvent(next, nowMs, next.verdict);
+    addStageEvent(next, tracked, nowMs, next.verdict);
     return next;
 }
 
@@ -206,9 +218,9 @@
     for (const auto &[key, sums] : past)
         if (next.past[key].calls < sums.calls)
             next.past[key] = sums;
-    addMoveEvent(next, nowMs,
-                 "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + ", "
-                         + std::string(reason) + "; " + stageText(tracked.judgement().stage()));
+    addStageEvent(next, tracked, nowMs,
+                  "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + ", "
+                          + std::string(reason) + "; " + stageText(tracked.judgement().stage()));
     return next;
 }
 
@@ -218,7 +230,7 @@
     next.state = MoveState::Done;
     next.verdict = "done: nothing spoke against the new version until "
             + std::to_string((nowMs - next.fullShareAtMs) / 1000) + " s after full share";
-    addMoveEvent(next, nowMs, "done; " + stageText(tracked.judgement().stage()));
+    addStageEvent(next, tracked, nowMs, "done; " + stageText(tracked.judgement().stage()));
     return next;
 }
 
@@ -230,8 +242,8 @@
     next.state = MoveState::Running;
     next.rechecks += 1;
     next = stamp(std::move(next), nowMs);
-    addMoveEvent(next, nowMs,
-                 std::string(share == firstShare ? crossoverText : recheckText) + suspicion.text);
+    addStageEvent(next, tracked, nowMs,
+                  std::string(share == firstShare ? crossoverText : recheckText) + suspicion.text);
     return next;
 }
 
--- a/src/rollout/move.cc
+++ b/src/rollout/move.cc
@@ -26,11 +26,28 @@
     return *found;
 }
 
+Json encodeEvidence(const VersionEvidence &evidence)
+{
+    return {{"calls", evidence.calls},
+            {"failures", evidence.failures},
+            {"latency_p95_us", evidence.latencyP95.count()}};
+}
+
+VersionEvidence decodeEvidence(const Json &json)
+{
+    return {json.at("calls").get<std::uint64_t>(), json.at("failures").get<std::uint64_t>(),
+            Microseconds(json.at("latency_p95_us").get<std::int64_t>())};
+}
+
 Json encodeEvent(const MoveEvent &event)
 {
     Json json = {{"at_ms", event.atMs}, {"share", event.share.value()}, {"text", event.text}};
     if (!event.edit.empty())
         json["edit"] = event.edit.value();
+    if (event.newer.calls + event.older.calls > 0) {
+        json["new"] = encodeEvidence(event.newer);
+        json["old"] = encodeEvidence(event.older);
+    }
     return json;
 }
 
@@ -41,6 +58,10 @@
     event.share = PerMille(json.at("share").get<std::uint64_t>());
     event.text = json.at("text").get<std::string>();
     event.edit = EditId(json.value("edit", ""));
+    if (json.contains("new")) {
+        event.newer = decodeEvidence(json.at("new"));
+        event.older = decodeEvidence(json.at("old"));
+    }
     return event;
 }
 
@@ -137,7 +158,7 @@
 
 void addMoveEvent(Move &move, std::int64_t atMs, std::string text, EditId edit)
 {
-    move.events.push_back({atMs, move.share, std::move(text), std::move(edit)});
+    move.events.push_back({atMs, move.share, std::move(text), std::move(edit), {}, {}});
     if (move.events.size() > maxMoveEvents)
         move.events.erase(move.events.begin() + 1);
 }
--- a/src/rollout/outcome.cc
+++ b/src/rollout/outcome.cc
@@ -14,6 +14,25 @@
     return bucket;
 }
 
+Microseconds latencyQuantile(const std::array<std::uint64_t, latencyBuckets> &latencies,
+                             double probability)
+{
+    double total = 0;
+    for (const std::uint64_t count : latencies)
+        total += static_cast<double>(count);
+    if (total <= 0)
+        return Microseconds(0);
+    double below = 0;
+    Microseconds bound = firstLatencyBound;
+    for (std::size_t i = 0; i + 1 < latencyBuckets; ++i) {
+        below += static_cast<double>(latencies[i]);
+        if (below >= probability * total)
+            return bound;
+        bound *= 2;
+    }
+    return bound;
+}
+
 void OutcomeSums::add(const OutcomeSums &other)
 {
     calls += other.calls;
--- a/test/rollout/move-test.cc
+++ b/test/rollout/move-test.cc
@@ -24,6 +24,7 @@
     move.past[{move.service, move.oldVersion, RouteId("/book"), DataCentreId("akl-a")}]
             = OutcomeSums{.calls = 9, .failures = 1, .shed = 0, .cold = 2};
     addMoveEvent(move, 1000, "started", EditId("edit-1"));
+    move.events.back().newer = {7, 1, Microseconds(8000)};
     return move;
 }
 
@@ -40,6 +41,7 @@
     BOOST_TEST(encodeMove(read) == encodeMove(move));
     BOOST_TEST((read.state == MoveState::Watching));
     BOOST_TEST(read.deadlineMs == 16000);
+    BOOST_TEST(read.events.front().newer.latencyP95.count() == 8000);
     BOOST_TEST(read.past.begin()->second.cold == 2);
     BOOST_TEST(holdsEdit(read, EditId("edit-1")));
     BOOST_TEST(read.refusedVersions.contains(VersionId("v0")));
