--- a/src/rollout/outcome-events.cc
+++ b/src/rollout/outcome-events.cc
@@ -17,7 +17,7 @@
 constexpr double toleratedSlow = 0.02;
 /// Hosts differ in speed, so answers slower by these factors are still good.
 constexpr double toleratedAnywhere = 1.5;
-constexpr double toleratedHere = 2.0;
+constexpr double toleratedHere = 1.75;
 /// Latency bounds that the old version crosses this often are worth a test.
 constexpr double rareSlow = 0.005;
 constexpr double commonSlow = 0.6;
