Expect a whole's past in a part that has few calls of its own

Cause: with few calls a second no route of a data centre ever had the 30 calls of its own past that the latency test asks for, so slowness was not tested there.

--- a/include/cornelhead/rollout/judgement.h
+++ b/include/cornelhead/rollout/judgement.h
@@ -141,9 +141,12 @@
     void openRecent();
     void noteRecent(const detail::JudgementScope &scope, const detail::VersionSums &sums);
     void closeRest(detail::ScopeRatios &concurrent);
-    detail::KindRatios compare(const detail::JudgementCell &cell) const;
+    /// Returns the past to expect in a cell: its own, or that of more calls when it has few.
+    const OutcomeSums &pastFor(const detail::JudgementCell &cell,
+                               const OutcomeSums &routePast) const;
+    detail::KindRatios compare(const detail::JudgementCell &cell, const OutcomeSums &past) const;
     detail::KindRatios compareWithPast(const detail::JudgementCell &cell,
-                                       const OutcomeSums &routePast) const;
+                                       const OutcomeSums &past) const;
     void restartSums();
     void countMissingCalls(PerMille share);
     void skipKinds(detail::KindRatios &ratios) const;
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -208,30 +208,36 @@
     }
 }
 
-detail::KindRatios Judgement::compare(const detail::JudgementCell &cell) const
+const OutcomeSums &Judgement::pastFor(const detail::JudgementCell &cell,
+                                      const OutcomeSums &routePast) const
+{
+    if (static_cast<double>(cell.past.calls) >= detail::leastPastCalls)
+        return cell.past;
+    return static_cast<double>(routePast.calls) >= detail::leastPastCalls ? routePast : wholePast_;
+}
+
+detail::KindRatios Judgement::compare(const detail::JudgementCell &cell,
+                                      const OutcomeSums &past) const
 {
     detail::KindRatios ratios{};
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-        if (kindWeight(kind) <= 0 || !detail::isWorthTesting(cell.past, kind))
+        if (kindWeight(kind) <= 0 || !detail::isWorthTesting(past, kind))
             continue;
         if (detail::isSlowEvent(kind))
-            ratios[kind]
-                    = compareLatencies(cell.pending.newer, cell.pending.older,
-                                       LatencyProfile(cell.past, detail::toleratedSlowdown(kind)));
+            ratios[kind] = compareLatencies(cell.pending.newer, cell.pending.older,
+                                            LatencyProfile(past, detail::toleratedSlowdown(kind)));
         else
-            ratios[kind] = compareCalls(detail::countEvents(cell.pending, kind),
-                                        detail::toleranceOf(kind),
-                                        detail::expectedRate(cell.past, kind));
+            ratios[kind]
+                    = compareCalls(detail::countEvents(cell.pending, kind),
+                                   detail::toleranceOf(kind), detail::expectedRate(past, kind));
     }
     detail::capRatios(ratios, detail::highestBlockRatio);
     return ratios;
 }
 
 detail::KindRatios Judgement::compareWithPast(const detail::JudgementCell &cell,
-                                              const OutcomeSums &routePast) const
+                                              const OutcomeSums &past) const
 {
-    const bool hasOwnPast = static_cast<double>(cell.past.calls) >= detail::leastPastCalls;
-    const OutcomeSums &past = hasOwnPast ? cell.past : routePast;
     detail::KindRatios ratios{};
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
         if (kindWeight(kind) > 0 && detail::isWorthTesting(past, kind))
@@ -263,10 +269,10 @@
             rest_.pending.older.add(cell.pending.older);
         }
         noteRecent(scope, cell.pending);
-        const detail::KindRatios now = both ? compare(cell) : detail::KindRatios{};
-        const detail::KindRatios before = isFullShare
-                ? compareWithPast(cell, routePasts[scope.route])
-                : detail::KindRatios{};
+        const OutcomeSums reference = pastFor(cell, routePasts[scope.route]);
+        const detail::KindRatios now = both ? compare(cell, reference) : detail::KindRatios{};
+        const detail::KindRatios before
+                = isFullShare ? compareWithPast(cell, reference) : detail::KindRatios{};
         for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
             detail::addRatios(concurrent[wider], now);
             detail::addRatios(past[wider], before);
@@ -294,8 +300,7 @@
 {
     if (!detail::hasBoth(rest_.pending))
         return;
-    rest_.past = wholePast_;
-    detail::addRatios(concurrent[{}], compare(rest_));
+    detail::addRatios(concurrent[{}], compare(rest_, wholePast_));
     rest_.pending = {};
 }
 
