--- a/test/rollout/controller-test.cc
+++ b/test/rollout/controller-test.cc
@@ -166,6 +166,38 @@
     BOOST_TEST(fixture.record.share.value() > share);
 }
 
+BOOST_AUTO_TEST_CASE(takesBackAVersionThatTheNodesBraked)
+{
+    Fixture fixture(60'000);
+    fixture.run(3'000);
+    BOOST_REQUIRE(fixture.record.share.value() == 50);
+    // Every node sends its calls to the old version, whatever the record says.
+    for (int i = 0; i < 300 && !isFinal(fixture.record.state); ++i) {
+        fixture.nowMs += 100;
+        OutcomeBatch batch;
+        batch[{service, oldVersion, RouteId("/book"), DataCentreId("akl-a")}]
+                = OutcomeSums{.calls = 10};
+        fixture.controller.addEvidence(batch, fixture.nowMs);
+        if (const auto next = fixture.controller.next(service, fixture.nowMs))
+            fixture.write(*next);
+    }
+    BOOST_TEST((fixture.record.state == MoveState::TakenBack));
+    BOOST_TEST(fixture.record.verdict.find("the nodes stopped") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(judgesAVersionWhileItIsPaused)
+{
+    Fixture fixture(60'000);
+    fixture.run(2'000);
+    fixture.write(pauseMove(fixture.record, {EditId("pause"), fixture.nowMs}).value());
+    fixture.run(10'000);
+    BOOST_TEST((fixture.record.state == MoveState::Paused));
+    BOOST_TEST(fixture.record.share.value() == 50);
+    fixture.newFailures = 0.4;
+    fixture.run(6'000);
+    BOOST_TEST((fixture.record.state == MoveState::TakenBack));
+}
+
 BOOST_AUTO_TEST_CASE(ignoresAnOlderRecord)
 {
     Fixture fixture;
