Let a brake that rests on the past give way to a comparison

Cause: on seeds not tuned on, faults of both versions at full share made nodes brake on the past alone; brakes that never gave way then looked like evidence, and the few old calls of braked nodes were compared at full share as if they were a fair sample. Now such a brake gives way once the controller has stepped the share back, and only the past is compared at full share.

--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -324,11 +324,32 @@
     return raise(tracked, due->share, paceReasonName(due->reason), nowMs);
 }
 
-// A brake may rest on the past alone: calls then go to the old version, which gives the controller
-// the comparison that it needs.
-bool mustBrake(const Judgement &judgement)
+/// Why one node sends a version no calls.
+struct Brake
 {
-    return judgement.finding() || judgement.suspicion(1.0 / brakeFalseAlarms, brakeBlocks);
+    VersionId version;
+    /// It rests on a difference from the past, which a fault of both versions makes too.  It then
+    /// gives way once the controller has stepped the share back to compare both versions.
+    bool isOnPast = false;
+    std::uint32_t rechecks = 0;
+};
+
+std::optional<Brake> brakeFor(const TrackedMove &tracked)
+{
+    const Move &move = tracked.move();
+    if (isFinal(move.state))
+        return std::nullopt;
+    if (tracked.judgement().finding())
+        return Brake{move.newVersion, false, move.rechecks};
+    if (tracked.judgement().suspicion(1.0 / brakeFalseAlarms, brakeBlocks))
+        return Brake{move.newVersion, true, move.rechecks};
+    return std::nullopt;
+}
+
+bool isLifted(const Brake &brake, const Move &latest)
+{
+    return isFinal(latest.state) || brake.version != latest.newVersion
+            || (brake.isOnPast && latest.rechecks > brake.rechecks);
 }
 
 // Nodes that braked the version hide it from the controller, so that calls which the share promises
@@ -408,7 +429,7 @@
 struct LocalBrake::Impl
 {
     detail::MoveBook book{{.falseAlarms = detail::brakeFalseAlarms, .leastBlocks = 3}};
-    std::map<ServiceId, VersionId> braked;
+    std::map<ServiceId, detail::Brake> braked;
 };
 
 LocalBrake::LocalBrake() : impl_(std::make_unique<Impl>()) { }
@@ -421,8 +442,7 @@
     impl_->book.observe(move);
     const Move &latest = impl_->book.find(move.service)->move();
     const auto found = impl_->braked.find(move.service);
-    if (found != impl_->braked.end()
-        && (isFinal(latest.state) || found->second != latest.newVersion))
+    if (found != impl_->braked.end() && detail::isLifted(found->second, latest))
         impl_->braked.erase(found);
 }
 
@@ -431,8 +451,13 @@
     impl_->book.addEvidence(outcomes, nowMs);
     for (const auto &[key, sums] : outcomes) {
         const detail::TrackedMove *tracked = impl_->book.find(key.service);
-        if (tracked && !isFinal(tracked->move().state) && detail::mustBrake(tracked->judgement()))
-            impl_->braked.insert_or_assign(key.service, tracked->move().newVersion);
+        const auto brake = tracked ? detail::brakeFor(*tracked) : std::nullopt;
+        if (!brake)
+            continue;
+        const auto [held, isNew] = impl_->braked.try_emplace(key.service, *brake);
+        // Once it rests on a comparison it stays so.
+        if (!isNew && !brake->isOnPast)
+            held->second = *brake;
     }
 }
 
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -270,7 +270,9 @@
         }
         noteRecent(scope, cell.pending);
         const OutcomeSums reference = pastFor(cell, routePasts[scope.route]);
-        const detail::KindRatios now = both ? compare(cell, reference) : detail::KindRatios{};
+        // At full share old calls are stragglers, or come from nodes that braked: no fair sample.
+        const bool isFair = both && (!isFullShare || settings_.rules == JudgementRules::First);
+        const detail::KindRatios now = isFair ? compare(cell, reference) : detail::KindRatios{};
         const detail::KindRatios before
                 = isFullShare ? compareWithPast(cell, reference) : detail::KindRatios{};
         for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
