--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -10,6 +10,7 @@
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/membership/endpoint.h"
 #include "cornelhead/rollout/outcome.h"
+#include "cornelhead/routing/poison.h"
 #include "cornelhead/routing/view.h"
 
 namespace cornelhead {
@@ -40,8 +41,17 @@
     Result<void> start();
     /// Replaces what every worker decides from.
     void setView(const std::shared_ptr<const RoutingView> &view);
+    /// Notes that changes of the fleet still reach this node; to be called several times a second
+    /// while they do.  A node that was confirmed once and then is not for 3 s runs no keyed calls,
+    /// as others may have become the homes of its keys.
+    void confirmMembership();
     /// Takes the outcomes of finished calls since the last take.
     OutcomeBatch takeOutcomes();
+    /// Takes the deaths of servers under a request that this node saw since the last take, to be
+    /// told to the other nodes of the data centre.
+    std::vector<SuspectedDeath> takeSuspectedDeaths();
+    /// Notes deaths that other nodes of the data centre saw.
+    void addSuspectedDeaths(const std::vector<SuspectedDeath> &deaths);
     /// Stops accepting, lets calls end, then calls `done` from a worker thread.
     void drain(const std::function<void()> &done);
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -49,6 +49,12 @@
         worker->setView(view);
 }
 
+void Proxy::confirmMembership()
+{
+    const std::lock_guard lock(impl_->node.keysMutex);
+    impl_->node.keys.confirm(detail::presentMoment());
+}
+
 OutcomeBatch Proxy::takeOutcomes()
 {
     OutcomeBatch batch;
@@ -57,6 +63,17 @@
     return batch;
 }
 
+std::vector<SuspectedDeath> Proxy::takeSuspectedDeaths()
+{
+    return impl_->node.poison.takeDeaths();
+}
+
+void Proxy::addSuspectedDeaths(const std::vector<SuspectedDeath> &deaths)
+{
+    for (const SuspectedDeath &death : deaths)
+        impl_->node.poison.addDeath(death, now(SteadyClock()));
+}
+
 void Proxy::drain(const std::function<void()> &done)
 {
     auto left = std::make_shared<std::atomic<std::size_t>>(impl_->workers.size());
--- a/src/proxy/upstream-pool.cc
+++ b/src/proxy/upstream-pool.cc
@@ -29,17 +29,21 @@
     return isConnected(connection) && isEmpty(connection);
 }
 
-UpstreamHandle UpstreamPool::take(const Address &to)
+UpstreamHandle UpstreamPool::take(const ConnectionNeed &need)
 {
-    std::vector<Idle> &pool = idle_[to];
-    while (!pool.empty()) {
+    std::vector<Idle> &pool = idle_[need.to];
+    while (!pool.empty() && pool.back().since >= need.idleSince) {
         UpstreamHandle connection = std::move(pool.back().connection);
         pool.pop_back();
         if (isReusable(connection.get()))
             return connection;
     }
     opened_.add();
-    return UpstreamHandle(evhttp_connection_base_new(base_, nullptr, to.ip.c_str(), to.port));
+    UpstreamHandle connection(
+            evhttp_connection_base_new(base_, nullptr, need.to.ip.c_str(), need.to.port));
+    if (!need.fromIp.empty())
+        evhttp_connection_set_local_address(connection.get(), need.fromIp.c_str());
+    return connection;
 }
 
 void UpstreamPool::give(const Address &to, UpstreamHandle connection, TimePoint now)
@@ -47,6 +51,13 @@
     idle_[to].push_back(Idle{std::move(connection), now});
 }
 
+void UpstreamPool::dropIdle(const Address &to, TimePoint before)
+{
+    const auto pool = idle_.find(to);
+    if (pool != idle_.end())
+        std::erase_if(pool->second, [before](const Idle &entry) { return entry.since < before; });
+}
+
 void UpstreamPool::closeIdle(TimePoint before)
 {
     for (auto &[address, pool] : idle_)
--- a/src/standin/load-tally.cc
+++ b/src/standin/load-tally.cc
@@ -57,6 +57,22 @@
 
 } // namespace detail
 
+bool CallCourse::isHopeful() const
+{
+    switch (last_) {
+    case AttemptResult::Right:
+    case AttemptResult::Wrong:
+        return false;
+    case AttemptResult::Broken:
+    case AttemptResult::Unreachable:
+        return true;
+    case AttemptResult::Unknown:
+        return isKeyed_ || rule_ == ResendRule::Naive;
+    default:
+        return rule_ == ResendRule::Naive;
+    }
+}
+
 bool CallCourse::takeResult(AttemptResult result)
 {
     last_ = result;
@@ -65,9 +81,7 @@
         hasRefusal_ = true;
         refusal_ = result == AttemptResult::NotRun ? CallWord::NotRun : CallWord::Unknown;
     }
-    const bool isHopeful = result == AttemptResult::Broken || result == AttemptResult::Unreachable
-            || (result == AttemptResult::Unknown && isKeyed_);
-    if (!isHopeful || resendsLeft_ == 0)
+    if (!isHopeful() || resendsLeft_ == 0)
         return false;
     hasDoubt_ = hasDoubt_ || mayHaveRun;
     --resendsLeft_;
@@ -122,6 +136,7 @@
 void LoadTally::add(const LoadTally &other)
 {
     summary_.sent += other.summary_.sent;
+    summary_.broken += other.summary_.broken;
     summary_.answered += other.summary_.answered;
     summary_.wrong += other.summary_.wrong;
     summary_.lost += other.summary_.lost;
@@ -175,7 +190,8 @@
     out << "load sent=" << summary.sent << " answered=" << summary.answered
         << " wrong=" << summary.wrong << " lost=" << summary.lost << " doubled=" << summary.doubled
         << " refused_not_run=" << summary.refusedNotRun << " unknown=" << summary.unknown
-        << " false_not_run=" << summary.falseNotRun << " p50_us=" << latency.quantile(0.5).count()
+        << " false_not_run=" << summary.falseNotRun << " broken=" << summary.broken
+        << " p50_us=" << latency.quantile(0.5).count()
         << " p99_us=" << latency.quantile(0.99).count() << " max_us=" << latency.maximum().count();
     return out.str();
 }
@@ -183,6 +199,7 @@
 std::string summaryJson(const LoadSummary &summary, const LoadTally &tally)
 {
     const detail::json body = {{"sent", summary.sent},
+                               {"broken", summary.broken},
                                {"answered", summary.answered},
                                {"wrong", summary.wrong},
                                {"lost", summary.lost},
