--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -320,8 +320,8 @@
     std::cout << "deployment " << name << ", seed " << settled.seed << ", " << settled.runs
               << " runs of each kind\n";
     if (settings.flag("--only-moves")) {
-        std::cout << "moves " << measureAll(settled, only, Judge::Current, false, "moves").text()
-                  << '\n';
+        const Totals own = measureAll(settled, only, Judge::Current, false, "moves");
+        std::cout << "moves " << own.text() << '\n';
         return 0;
     }
     const Totals baseline = measureAll(settled, only, Judge::Threshold, false, "threshold");
