--- a/include/cornelhead/rollout/move.h
+++ b/include/cornelhead/rollout/move.h
@@ -44,8 +44,8 @@
     /// The operator's edit behind it; empty for a step of the controller.
     EditId edit;
     /// Empty for edits of operators.
-    VersionEvidence newer;
-    VersionEvidence older;
+    VersionEvidence newer = {};
+    VersionEvidence older = {};
 };
 
 /// The share of a move that has every call.
