--- a/src/rollout/controller.cc
+++ b/src/rollout/controller.cc
@@ -21,10 +21,17 @@
 constexpr double recheckOdds = 10.0;
 /// Odds at which badness under full load only is certain enough to take a version back.
 constexpr double fullLoadOdds = 250.0;
-/// Rechecks that find nothing, after which the next suspicion means badness under full load only.
+/// Rechecks that find nothing, after which the next suspicion may be of badness under full load.
 constexpr std::uint32_t mostClearedRechecks = 2;
+/// How long the old version shows how it does at full load.
+constexpr std::int64_t crossoverMs = 4'000;
+constexpr std::uint64_t leastCrossoverCalls = 100;
+constexpr std::int64_t longestCrossoverMs = 30'000;
 /// The probability that a good version is ever taken back by the controller.
 constexpr double controllerFalseAlarms = 0.004;
+/// Blocks for which a difference from the past has to last before a brake rests on it, so that the
+/// controller can compare both versions first.
+constexpr std::size_t brakeBlocks = 4;
 /// The same for one node or data centre; there are many of them.
 constexpr double brakeFalseAlarms = 0.00002;
 
@@ -42,6 +49,16 @@
     return settings;
 }
 
+constexpr std::string_view crossoverText = "stepped back to see the old version at full load: ";
+constexpr std::string_view recheckText = "stepped back to compare again: ";
+
+/// Tells whether a version that is suspect under full load has been stepped back to almost no
+/// calls, so that the old version shows how it does at that load.
+bool isCrossover(const Move &move)
+{
+    return move.state == MoveState::Running && move.rechecks > 0 && move.share == firstShare;
+}
+
 /// One move with the evidence for and against it.
 class TrackedMove
 {
@@ -58,10 +75,12 @@
     /// Takes a newer record of the same move.
     void update(const Move &move)
     {
-        if (move.share != move_.share)
-            startStage(lastMs_);
         if (move.rechecks > move_.rechecks)
             judgement_.startRecheck();
+        if (isCrossover(move_) && move.share > move_.share)
+            judgement_.adoptStageAsPast();
+        if (move.share != move_.share)
+            startStage(lastMs_);
         judgement_.recallPast(move.past);
         move_ = move;
     }
@@ -156,6 +175,18 @@
     return "new version: " + part(stage.newer) + "; old version: " + part(stage.older);
 }
 
+VersionEvidence evidenceOf(const OutcomeSums &sums)
+{
+    return {sums.calls, sums.failures, latencyQuantile(sums.latencies, 0.95)};
+}
+
+void addStageEvent(Move &next, const TrackedMove &tracked, std::int64_t nowMs, std::string text)
+{
+    addMoveEvent(next, nowMs, std::move(text));
+    next.events.back().newer = evidenceOf(tracked.judgement().stage().newer);
+    next.events.back().older = evidenceOf(tracked.judgement().stage().older);
+}
+
 Move stamp(Move next, std::int64_t nowMs)
 {
     next.edit = EditId("controller-" + std::to_string(next.modRevision.value()) + "-"
@@ -171,7 +202,7 @@
     next.refusedVersions.insert(next.newVersion);
     const auto odds = static_cast<std::uint64_t>(std::min(finding.odds, 1e9));
     next.verdict = "taken back: " + finding.text + "; odds " + std::to_string(odds) + " to 1";
-    addMoveEvent(next, nowMs, next.verdict);
+    addStageEvent(next, tracked, nowMs, next.verdict);
     return next;
 }
 
@@ -187,9 +218,9 @@
     for (const auto &[key, sums] : past)
         if (next.past[key].calls < sums.calls)
             next.past[key] = sums;
-    addMoveEvent(next, nowMs,
-                 "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + ", "
-                         + std::string(reason) + "; " + stageText(tracked.judgement().stage()));
+    addStageEvent(next, tracked, nowMs,
+                  "raised to " + renderPercent(static_cast<double>(share.value()) / 1000.0) + ", "
+                          + std::string(reason) + "; " + stageText(tracked.judgement().stage()));
     return next;
 }
 
@@ -199,26 +230,20 @@
     next.state = MoveState::Done;
     next.verdict = "done: nothing spoke against the new version until "
             + std::to_string((nowMs - next.fullShareAtMs) / 1000) + " s after full share";
-    addMoveEvent(next, nowMs, "done; " + stageText(tracked.judgement().stage()));
+    addStageEvent(next, tracked, nowMs, "done; " + stageText(tracked.judgement().stage()));
     return next;
 }
 
-Finding onlyAtFullShare(Finding suspicion)
-{
-    suspicion.text
-            += ", each time that it has all calls, and not with fewer, while the old version "
-               "was as before";
-    return suspicion;
-}
-
-Move stepBack(const TrackedMove &tracked, const Finding &suspicion, std::int64_t nowMs)
+Move stepBack(const TrackedMove &tracked, PerMille share, const Finding &suspicion,
+              std::int64_t nowMs)
 {
     Move next = tracked.move();
-    next.share = recheckShare;
+    next.share = share;
     next.state = MoveState::Running;
     next.rechecks += 1;
     next = stamp(std::move(next), nowMs);
-    addMoveEvent(next, nowMs, "stepped back to compare again: " + suspicion.text);
+    addStageEvent(next, tracked, nowMs,
+                  std::string(share == firstShare ? crossoverText : recheckText) + suspicion.text);
     return next;
 }
 
@@ -243,30 +268,55 @@
         return finishIfWatched(tracked, nowMs);
     const bool isFullLoadOnly = move.clearedRechecks >= mostClearedRechecks;
     const auto suspicion
-            = tracked.judgement().suspicion(isFullLoadOnly ? fullLoadOdds : recheckOdds);
-    if (suspicion && isFullLoadOnly)
-        return takeBack(tracked, onlyAtFullShare(*suspicion), nowMs);
+            = tracked.judgement().suspicion(isFullLoadOnly ? fullLoadOdds : recheckOdds, 0);
     if (suspicion)
-        return stepBack(tracked, *suspicion, nowMs);
+        return stepBack(tracked, isFullLoadOnly ? firstShare : recheckShare, *suspicion, nowMs);
     return finishIfWatched(tracked, nowMs);
 }
 
+// The version differed from the past at full share, twice.  Now the old one has that load.
+std::optional<Move> nextInCrossover(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const std::int64_t stageMs = tracked.stageMs(nowMs);
+    const Judgement &judgement = tracked.judgement();
+    const bool hasCalls = judgement.stage().older.calls >= leastCrossoverCalls;
+    if (stageMs < (hasCalls ? crossoverMs : longestCrossoverMs))
+        return std::nullopt;
+    if (!judgement.isOldAsBefore()) {
+        Move next = raise(tracked, fullShare, "the old version does the same at that load", nowMs);
+        next.clearedRechecks = 0;
+        return next;
+    }
+    const std::string &stepBack = tracked.move().events.back().text;
+    const std::string suspicion = stepBack.substr(std::min(stepBack.size(), crossoverText.size()));
+    return takeBack(tracked, {fullLoadOdds, suspicion + "; the old version does well at that load"},
+                    nowMs);
+}
+
+std::optional<Move> nextInRecheck(const TrackedMove &tracked, std::int64_t nowMs)
+{
+    const Move &move = tracked.move();
+    const std::int64_t wait = recheckMs(move.rechecks);
+    const std::int64_t longest
+            = std::max(4 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 2);
+    const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
+    const bool isCleared = tracked.judgement().isCleared();
+    if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
+        return std::nullopt;
+    Move next = raise(tracked, fullShare, isCleared ? "nothing found" : "not enough to decide",
+                      nowMs);
+    next.clearedRechecks += tracked.judgement().isOldAsBefore() ? 1 : 0;
+    return next;
+}
+
 std::optional<Move> nextWhenRunning(const TrackedMove &tracked, std::int64_t nowMs)
 {
     const Move &move = tracked.move();
+    if (isCrossover(move))
+        return nextInCrossover(tracked, nowMs);
+    if (move.rechecks > 0)
+        return nextInRecheck(tracked, nowMs);
     const bool isSuspect = tracked.judgement().odds() >= suspectOdds;
-    if (move.rechecks > 0) {
-        const std::int64_t wait = recheckMs(move.rechecks);
-        const bool isCleared = tracked.judgement().isCleared() && !isSuspect;
-        const std::int64_t longest
-                = std::max(4 * wait, watchMs(move.deadlineMs - move.startedAtMs) / 2);
-        if (tracked.stageMs(nowMs) < (isCleared ? wait : longest) || isSuspect)
-            return std::nullopt;
-        Move next = raise(tracked, fullShare, isCleared ? "nothing found" : "not enough to decide",
-                          nowMs);
-        next.clearedRechecks += tracked.judgement().isOldAsBefore() ? 1 : 0;
-        return next;
-    }
     const auto due = dueShare({move.share, move.startedAtMs, move.deadlineMs, nowMs,
                                tracked.stageMs(nowMs), tracked.judgement().isCleared(), isSuspect});
     if (!due)
@@ -274,11 +324,32 @@
     return raise(tracked, due->share, paceReasonName(due->reason), nowMs);
 }
 
-// A brake may rest on the past alone: calls then go to the old version, which gives the controller
-// the comparison that it needs.
-bool mustBrake(const Judgement &judgement)
+/// Why one node sends a version no calls.
+struct Brake
+{
+    VersionId version;
+    /// It rests on a difference from the past, which a fault of both versions makes too.  It then
+    /// gives way once the controller has stepped the share back to compare both versions.
+    bool isOnPast = false;
+    std::uint32_t rechecks = 0;
+};
+
+std::optional<Brake> brakeFor(const TrackedMove &tracked)
+{
+    const Move &move = tracked.move();
+    if (isFinal(move.state))
+        return std::nullopt;
+    if (tracked.judgement().finding())
+        return Brake{move.newVersion, false, move.rechecks};
+    if (tracked.judgement().suspicion(1.0 / brakeFalseAlarms, brakeBlocks))
+        return Brake{move.newVersion, true, move.rechecks};
+    return std::nullopt;
+}
+
+bool isLifted(const Brake &brake, const Move &latest)
 {
-    return judgement.finding() || judgement.suspicion(1.0 / brakeFalseAlarms);
+    return isFinal(latest.state) || brake.version != latest.newVersion
+            || (brake.isOnPast && latest.rechecks > brake.rechecks);
 }
 
 // Nodes that braked the version hide it from the controller, so that calls which the share promises
@@ -290,6 +361,9 @@
     const bool isLate = nowMs >= move.deadlineMs + watch;
     if (!tracked.judgement().hasSeenNew() && !isLate)
         return std::nullopt;
+    // At full share brakes may rest on a fault of both versions.
+    if (move.state == MoveState::Watching && tracked.judgement().hasSeenNew())
+        return stepBack(tracked, recheckShare, {0, "nodes stopped sending it calls"}, nowMs);
     const Finding finding{fullLoadOdds,
                           tracked.judgement().hasSeenNew()
                                   ? "the nodes stopped sending it calls, on their own evidence"
@@ -355,7 +429,7 @@
 struct LocalBrake::Impl
 {
     detail::MoveBook book{{.falseAlarms = detail::brakeFalseAlarms, .leastBlocks = 3}};
-    std::map<ServiceId, VersionId> braked;
+    std::map<ServiceId, detail::Brake> braked;
 };
 
 LocalBrake::LocalBrake() : impl_(std::make_unique<Impl>()) { }
@@ -368,8 +442,7 @@
     impl_->book.observe(move);
     const Move &latest = impl_->book.find(move.service)->move();
     const auto found = impl_->braked.find(move.service);
-    if (found != impl_->braked.end()
-        && (isFinal(latest.state) || found->second != latest.newVersion))
+    if (found != impl_->braked.end() && detail::isLifted(found->second, latest))
         impl_->braked.erase(found);
 }
 
@@ -378,8 +451,13 @@
     impl_->book.addEvidence(outcomes, nowMs);
     for (const auto &[key, sums] : outcomes) {
         const detail::TrackedMove *tracked = impl_->book.find(key.service);
-        if (tracked && !isFinal(tracked->move().state) && detail::mustBrake(tracked->judgement()))
-            impl_->braked.insert_or_assign(key.service, tracked->move().newVersion);
+        const auto brake = tracked ? detail::brakeFor(*tracked) : std::nullopt;
+        if (!brake)
+            continue;
+        const auto [held, isNew] = impl_->braked.try_emplace(key.service, *brake);
+        // Once it rests on a comparison it stays so.
+        if (!isNew && !brake->isOnPast)
+            held->second = *brake;
     }
 }
 
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -33,6 +33,8 @@
 /// After a step back, blocks until failures and most slow answers of both versions come in evenly.
 constexpr std::size_t recheckFailureBlocks = 2;
 constexpr std::size_t recheckSlowBlocks = 5;
+/// Blocks that the evidence of a recheck has to span.
+constexpr std::size_t recheckLeastBlocks = 2;
 /// Blocks after a change of share until every node has learned of it and reported.
 constexpr std::size_t settledBlocks = 17;
 /// The part of its share that a version which nodes braked may still get, and how sure that is.
@@ -115,7 +117,9 @@
     return text.data();
 }
 
-Judgement::Judgement(JudgementSettings settings) : settings_(settings) { }
+Judgement::Judgement(JudgementSettings settings)
+    : settings_(settings), leastBlocks_(settings.leastBlocks)
+{ }
 
 void Judgement::add(bool isNew, const RouteId &route, const DataCentreId &dataCentre,
                     const OutcomeSums &sums)
@@ -204,30 +208,36 @@
     }
 }
 
-detail::KindRatios Judgement::compare(const detail::JudgementCell &cell) const
+const OutcomeSums &Judgement::pastFor(const detail::JudgementCell &cell,
+                                      const OutcomeSums &routePast) const
+{
+    if (static_cast<double>(cell.past.calls) >= detail::leastPastCalls)
+        return cell.past;
+    return static_cast<double>(routePast.calls) >= detail::leastPastCalls ? routePast : wholePast_;
+}
+
+detail::KindRatios Judgement::compare(const detail::JudgementCell &cell,
+                                      const OutcomeSums &past) const
 {
     detail::KindRatios ratios{};
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
-        if (kindWeight(kind) <= 0 || !detail::isWorthTesting(cell.past, kind))
+        if (kindWeight(kind) <= 0 || !detail::isWorthTesting(past, kind))
             continue;
         if (detail::isSlowEvent(kind))
-            ratios[kind]
-                    = compareLatencies(cell.pending.newer, cell.pending.older,
-                                       LatencyProfile(cell.past, detail::toleratedSlowdown(kind)));
+            ratios[kind] = compareLatencies(cell.pending.newer, cell.pending.older,
+                                            LatencyProfile(past, detail::toleratedSlowdown(kind)));
         else
-            ratios[kind] = compareCalls(detail::countEvents(cell.pending, kind),
-                                        detail::toleranceOf(kind),
-                                        detail::expectedRate(cell.past, kind));
+            ratios[kind]
+                    = compareCalls(detail::countEvents(cell.pending, kind),
+                                   detail::toleranceOf(kind), detail::expectedRate(past, kind));
     }
     detail::capRatios(ratios, detail::highestBlockRatio);
     return ratios;
 }
 
 detail::KindRatios Judgement::compareWithPast(const detail::JudgementCell &cell,
-                                              const OutcomeSums &routePast) const
+                                              const OutcomeSums &past) const
 {
-    const bool hasOwnPast = static_cast<double>(cell.past.calls) >= detail::leastPastCalls;
-    const OutcomeSums &past = hasOwnPast ? cell.past : routePast;
     detail::KindRatios ratios{};
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind)
         if (kindWeight(kind) > 0 && detail::isWorthTesting(past, kind))
@@ -239,6 +249,8 @@
 void Judgement::closeBlock(PerMille share)
 {
     const bool isFullShare = share == fullShare;
+    if (isFullShare)
+        leastBlocks_ = settings_.leastBlocks;
     blocks_ += 1;
     stageBlocks_ += 1;
     openRecent();
@@ -257,10 +269,12 @@
             rest_.pending.older.add(cell.pending.older);
         }
         noteRecent(scope, cell.pending);
-        const detail::KindRatios now = both ? compare(cell) : detail::KindRatios{};
-        const detail::KindRatios before = isFullShare
-                ? compareWithPast(cell, routePasts[scope.route])
-                : detail::KindRatios{};
+        const OutcomeSums reference = pastFor(cell, routePasts[scope.route]);
+        // At full share old calls are stragglers, or come from nodes that braked: no fair sample.
+        const bool isFair = both && (!isFullShare || settings_.rules == JudgementRules::First);
+        const detail::KindRatios now = isFair ? compare(cell, reference) : detail::KindRatios{};
+        const detail::KindRatios before
+                = isFullShare ? compareWithPast(cell, reference) : detail::KindRatios{};
         for (const detail::JudgementScope &wider : detail::scopesOf(scope)) {
             detail::addRatios(concurrent[wider], now);
             detail::addRatios(past[wider], before);
@@ -274,8 +288,12 @@
     addToTests(concurrent, past);
     if (odds() < detail::goodOdds)
         lastGoodBlock_ = blocks_;
+    if (sumValues(&detail::JudgementTests::againstPast) < detail::goodOdds)
+        lastUsualBlock_ = blocks_;
     countMissingCalls(share);
     skippedFailureBlocks_ -= std::min<std::size_t>(1, skippedFailureBlocks_);
+    if (skippedSlowBlocks_ == 1)
+        restartSums();
     skippedSlowBlocks_ -= std::min<std::size_t>(1, skippedSlowBlocks_);
 }
 
@@ -284,18 +302,29 @@
 {
     if (!detail::hasBoth(rest_.pending))
         return;
-    rest_.past = wholePast_;
-    detail::addRatios(concurrent[{}], compare(rest_));
+    detail::addRatios(concurrent[{}], compare(rest_, wholePast_));
     rest_.pending = {};
 }
 
 void Judgement::startRecheck()
 {
     expectsOnset_ = true;
+    // What raised the suspicion has lasted already.
+    leastBlocks_ = std::min(leastBlocks_, detail::recheckLeastBlocks);
     skippedFailureBlocks_ = detail::recheckFailureBlocks;
     skippedSlowBlocks_ = detail::recheckSlowBlocks;
 }
 
+void Judgement::adoptStageAsPast()
+{
+    wholePast_ = {};
+    for (auto &[scope, cell] : cells_) {
+        if (static_cast<double>(cell.stage.older.calls) >= detail::leastPastCalls)
+            cell.past = cell.stage.older;
+        wholePast_.add(cell.past);
+    }
+}
+
 void Judgement::skipKinds(detail::KindRatios &ratios) const
 {
     for (std::size_t kind = 0; kind < detail::eventKinds; ++kind) {
@@ -381,17 +410,17 @@
 std::optional<Finding> Judgement::finding() const
 {
     const double total = odds();
-    if (total < 1.0 / settings_.falseAlarms || blocks_ < lastGoodBlock_ + settings_.leastBlocks)
+    if (total < 1.0 / settings_.falseAlarms || blocks_ < lastGoodBlock_ + leastBlocks_)
         return std::nullopt;
     Finding finding = strongest(&detail::JudgementTests::concurrent);
     finding.odds = total;
     return finding;
 }
 
-std::optional<Finding> Judgement::suspicion(double leastOdds) const
+std::optional<Finding> Judgement::suspicion(double leastOdds, std::size_t leastBlocks) const
 {
     const double total = sumValues(&detail::JudgementTests::againstPast);
-    if (total < leastOdds)
+    if (total < leastOdds || blocks_ < lastUsualBlock_ + leastBlocks)
         return std::nullopt;
     Finding finding = strongest(&detail::JudgementTests::againstPast);
     finding.odds = total;
@@ -461,36 +490,40 @@
 
 bool Judgement::isOldAsBefore() const
 {
-    std::map<detail::JudgementScope, LogRatios> failures;
-    std::map<detail::JudgementScope, LogRatios> slow;
+    using Kinds = std::array<LogRatios, 2>;
+    constexpr std::array kinds = {detail::failureEvent, detail::slowEvent};
+    std::map<detail::JudgementScope, Kinds> ratios;
     for (const auto &[scope, cell] : cells_) {
-        const auto add = [&](std::map<detail::JudgementScope, LogRatios> &to, std::size_t kind) {
-            if (!detail::isWorthTesting(cell.pastAtStage, kind))
-                return;
-            const LogRatios ratios
-                    = detail::ratiosToPast(cell.stage.older, cell.pastAtStage, wholePast_, kind);
+        for (std::size_t kind = 0; kind < kinds.size(); ++kind) {
+            if (!detail::isWorthTesting(cell.pastAtStage, kinds[kind]))
+                continue;
+            const LogRatios cellRatios = detail::ratiosToPast(cell.stage.older, cell.pastAtStage,
+                                                              wholePast_, kinds[kind]);
             for (const detail::JudgementScope &wider : detail::scopesOf(scope))
-                for (std::size_t i = 0; i < ratios.size(); ++i)
-                    to[wider][i] += ratios[i];
-        };
-        add(failures, detail::failureEvent);
-        add(slow, detail::slowEvent);
+                for (std::size_t i = 0; i < cellRatios.size(); ++i)
+                    ratios[wider][kind][i] += cellRatios[i];
+        }
     }
-    const auto isAsBefore = [](const auto &entry) {
-        return entry.second[detail::wholeEffect] <= detail::changedRatio;
-    };
-    return std::all_of(failures.begin(), failures.end(), isAsBefore)
-            && std::all_of(slow.begin(), slow.end(), isAsBefore);
+    return std::all_of(ratios.begin(), ratios.end(), [](const auto &entry) {
+        return std::all_of(entry.second.begin(), entry.second.end(), [](const LogRatios &kind) {
+            return kind[detail::wholeEffect] <= detail::changedRatio;
+        });
+    });
 }
 
-void Judgement::startStage()
+void Judgement::restartSums()
 {
     stage_ = {};
-    stageBlocks_ = 0;
-    for (auto &[scope, cell] : cells_) {
+    for (auto &[scope, cell] : cells_)
         cell.stage = {};
+}
+
+void Judgement::startStage()
+{
+    restartSums();
+    stageBlocks_ = 0;
+    for (auto &[scope, cell] : cells_)
         cell.pastAtStage = cell.past;
-    }
     for (auto &[scope, scopeTests] : tests_) {
         scopeTests.againstPast = {};
         scopeTests.shunned = 0;
