--- a/include/cornelhead/distribution/exchange.h
+++ b/include/cornelhead/distribution/exchange.h
@@ -122,7 +122,6 @@
     std::map<DataCentreId, TimePoint> lastHeard_;
     TimePoint nextFlush_;
     TimePoint nextHeartbeat_;
-    TimePoint nextSummary_;
 };
 
 } // namespace cornelhead
--- /dev/null
+++ b/src/bin/cornelhead-measure-convergence.cc
@@ -0,0 +1,472 @@
+// Measures how soon changes of configuration are in force at all nodes of a running fleet, and what
+// that costs.
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include "cornelhead/base/random.h"
+#include "cornelhead/base/settings.h"
+#include "cornelhead/config/snapshot.h"
+#include "cornelhead/ctl/configuration-store.h"
+#include "cornelhead/net/http.h"
+
+namespace cornelhead {
+namespace {
+
+const std::string usage = R"(Measures how soon changes are in force at all nodes of a running fleet.
+
+Usage: cornelhead-measure-convergence [options]
+
+Options:
+  --platform ADDR   Address of the platform. [default: 127.0.0.1:7200]
+  --nodes FILE      The nodes, one a line: process id, data centre, admin address.
+  --changes N       Changes to make one after the other. [default: 20]
+  --interval D      From one change to the next. [default: 1s]
+  --limit D         When to give up waiting for a change. [default: 30s]
+  --since-ms T      The first change counts from this moment, in milliseconds of the wall clock; 0
+                    counts it from its request as all others. [default: 0]
+  --customers N     Customers of the configuration. [default: 200]
+  --seed S          Seeds the changes. [default: 1]
+  --no-announce     Announce no backend servers.
+  --help            Show this text.
+  --version         Show the version.
+)";
+
+constexpr Milliseconds announcePeriod = Milliseconds(500);
+constexpr Milliseconds announceWarmUp = Milliseconds(3000);
+constexpr Milliseconds callTimeout = Milliseconds(2000);
+constexpr Milliseconds pollPause = Milliseconds(100);
+/// What gRPC and HTTP/2 add to a frame; the headers of TCP and IP are left out.
+constexpr double framingBytes = 14;
+
+struct MeasuredNode
+{
+    int pid = 0;
+    DataCentreId dataCentre;
+    Address admin;
+};
+
+struct NodeReading
+{
+    Revision revision;
+    std::string digest;
+    std::int64_t appliedAtMs = 0;
+};
+
+/// What a node has used up since it started.
+struct Usage
+{
+    double cpuSeconds = 0;
+    double bytes = 0;
+    /// The payload of each flow of the inner protocol, both ways.
+    std::map<std::string, double> flows;
+    double refusedDangling = 0;
+};
+
+double cpuSecondsOf(int pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(file, text);
+    std::istringstream fields(text.substr(std::min(text.size(), text.rfind(')') + 1)));
+    std::vector<std::string> words{std::istream_iterator<std::string>(fields), {}};
+    constexpr std::size_t userTime = 11;
+    if (words.size() <= userTime + 1)
+        return 0;
+    const double ticks = std::stod(words[userTime]) + std::stod(words[userTime + 1]);
+    return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double residentMegabytesOf(int pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.rfind("VmRSS:", 0) == 0)
+            return std::stod(line.substr(6)) / 1024;
+    }
+    return 0;
+}
+
+std::optional<std::string> fetch(const Address &address, const std::string &path)
+{
+    HttpRequest request;
+    request.path = path;
+    const Result<HttpResponse> response = callBlocking(address, request, callTimeout);
+    if (!response || response->status != 200)
+        return std::nullopt;
+    return response->body;
+}
+
+/// Adds up the series whose name begins with `prefix`.
+double sumOf(const std::string &metrics, const std::string &prefix)
+{
+    std::istringstream lines(metrics);
+    std::string line;
+    double sum = 0;
+    while (std::getline(lines, line)) {
+        if (line.rfind(prefix, 0) == 0)
+            sum += std::stod(line.substr(line.rfind(' ')));
+    }
+    return sum;
+}
+
+/// Adds up the bytes of each flow.
+std::map<std::string, double> flowsOf(const std::string &metrics)
+{
+    const std::string name = "cornelhead_inner_bytes_total";
+    const std::string label = "flow=\"";
+    std::istringstream lines(metrics);
+    std::string line;
+    std::map<std::string, double> flows;
+    while (std::getline(lines, line)) {
+        const std::size_t begin = line.find(label);
+        if (line.rfind(name, 0) != 0 || begin == std::string::npos)
+            continue;
+        const std::size_t from = begin + label.size();
+        flows[line.substr(from, line.find('"', from) - from)]
+                += std::stod(line.substr(line.rfind(' ')));
+    }
+    return flows;
+}
+
+std::optional<NodeReading> readNode(const MeasuredNode &node)
+{
+    const std::optional<std::string> body = fetch(node.admin, "/status");
+    if (!body)
+        return std::nullopt;
+    const auto json = nlohmann::json::parse(*body, nullptr, false);
+    if (!json.is_object())
+        return std::nullopt;
+    return NodeReading{Revision(json.value("revision", std::uint64_t(0))),
+                       json.value("digest", std::string()),
+                       json.value("appliedAtMs", std::int64_t(0))};
+}
+
+Usage readUsage(const MeasuredNode &node)
+{
+    Usage usage;
+    usage.cpuSeconds = cpuSecondsOf(node.pid);
+    const std::string metrics = fetch(node.admin, "/metrics").value_or("");
+    usage.bytes = sumOf(metrics, "cornelhead_inner_bytes_total")
+            + framingBytes * sumOf(metrics, "cornelhead_inner_frames_total");
+    usage.flows = flowsOf(metrics);
+    usage.refusedDangling = sumOf(metrics, "cornelhead_dangling_refused_total");
+    return usage;
+}
+
+std::vector<MeasuredNode> readNodes(Settings &settings)
+{
+    const std::string path = settings.text("--nodes");
+    std::ifstream file(path);
+    std::vector<MeasuredNode> nodes;
+    int pid = 0;
+    std::string dataCentre;
+    std::string admin;
+    while (file >> pid >> dataCentre >> admin) {
+        if (const Result<Address> address = parseAddress(admin))
+            nodes.push_back({pid, DataCentreId(dataCentre), *address});
+    }
+    if (nodes.empty())
+        settings.addFault("--nodes", path, "name a file with a line for each node");
+    return nodes;
+}
+
+/// Announces one backend server on each host, as the servers themselves would.
+class Announcer
+{
+public:
+    explicit Announcer(std::vector<MeasuredNode> nodes) : nodes_(std::move(nodes))
+    {
+        thread_ = std::thread([this] {
+            const Timer timer = loop_.every(announcePeriod, [this] { announceAll(); });
+            loop_.run();
+        });
+    }
+    ~Announcer()
+    {
+        loop_.stop();
+        thread_.join();
+    }
+    Announcer(const Announcer &) = delete;
+    Announcer &operator=(const Announcer &) = delete;
+
+private:
+    void announceAll()
+    {
+        for (const MeasuredNode &node : nodes_) {
+            HttpRequest request;
+            request.method = HttpMethod::Post;
+            request.path = "/v1/announce";
+            request.body = nlohmann::json{
+                    {"server", node.admin.ip},
+                    {"service", "service-0"},
+                    {"version", "v1"},
+                    {"address", node.admin.ip + ":9000"},
+                    {"slots", 10},
+                    {"connections", 100},
+                    {"state",
+                     "serving"}}.dump();
+            client_.send(node.admin, request, callTimeout, [](const auto &) {});
+        }
+    }
+
+    std::vector<MeasuredNode> nodes_;
+    EventLoop loop_;
+    HttpClient client_{loop_};
+    std::thread thread_;
+};
+
+/// Makes the configuration with the given number of edits behind it.
+Declarations declarationsAfter(std::uint64_t edits, std::uint64_t customers, Random &random)
+{
+    Declarations all;
+    constexpr int services = 4;
+    for (int i = 0; i < services; ++i) {
+        const std::string name = "service-" + std::to_string(i);
+        all.services.push_back({ServiceId(name), VersionId("v1")});
+        Route route;
+        route.id = RouteId(name + "/all");
+        route.service = ServiceId(name);
+        route.pathPrefix = "/";
+        all.routes.push_back(route);
+        Plan plan;
+        plan.id = PlanId("plan-" + std::to_string(i));
+        plan.services = {ServiceId(name)};
+        plan.ratePerSecond = 100;
+        plan.burst = 1000;
+        plan.concurrency = 100;
+        all.plans.push_back(plan);
+    }
+    // No two edits are equal.
+    all.plans[random.below(services)].ratePerSecond = static_cast<std::uint32_t>(1 + edits);
+    for (std::uint64_t i = 0; i < customers; ++i) {
+        all.customers.push_back({CustomerId("customer-" + std::to_string(i)),
+                                 PlanId("plan-" + std::to_string(i % services))});
+    }
+    return all;
+}
+
+class Measurement
+{
+public:
+    Measurement(Settings &settings, std::vector<MeasuredNode> nodes)
+        : nodes_(std::move(nodes)), platformAddress_(settings.address("--platform")),
+          interval_(settings.duration("--interval", Milliseconds(0), std::chrono::minutes(1))),
+          limit_(settings.duration("--limit", Milliseconds(1000), std::chrono::minutes(10))),
+          sinceMs_(static_cast<std::int64_t>(settings.integer("--since-ms", 0, INT64_MAX))),
+          changes_(settings.integer("--changes", 1, 100000)),
+          customers_(settings.integer("--customers", 1, 1000000)),
+          random_(settings.integer("--seed", 0, UINT64_MAX))
+    { }
+
+    int run()
+    {
+        PlatformSession session({platformAddress_}, limit_);
+        platform_ = session.operations();
+        const std::int64_t started = wallClockMs();
+        const std::vector<Usage> before = readAll();
+        const double callsBefore = platformCalls();
+        for (std::uint64_t i = 0; i < changes_; ++i)
+            change(i);
+        const double seconds = static_cast<double>(wallClockMs() - started) / 1000;
+        report(before, callsBefore, seconds);
+        return missing_ == 0 && reverts_ == 0 && partial_ == 0 ? 0 : 1;
+    }
+
+private:
+    std::vector<Usage> readAll() const
+    {
+        std::vector<Usage> usage;
+        usage.reserve(nodes_.size());
+        for (const MeasuredNode &node : nodes_)
+            usage.push_back(readUsage(node));
+        return usage;
+    }
+
+    double platformCalls() const
+    {
+        return sumOf(fetch(platformAddress_, "/metrics").value_or(""),
+                     "cornelhead_platform_served_total");
+    }
+
+    std::optional<Manifest> accept()
+    {
+        ApplyRequest request;
+        request.nowMs = wallClockMs();
+        const auto edits = static_cast<std::uint64_t>(request.nowMs % 999'983);
+        request.declarations = declarationsAfter(edits, customers_, random_);
+        request.author = "measurement";
+        request.edit = EditId("measurement-" + std::to_string(request.nowMs));
+        const std::int64_t end = request.nowMs + limit_.count();
+        while (wallClockMs() < end) {
+            const Result<ApplyOutcome> outcome = applyDeclarations(platform_, request);
+            if (outcome)
+                return outcome->manifest;
+            std::cerr << "apply: " << outcome.error().describe() << "\n";
+            std::this_thread::sleep_for(pollPause);
+        }
+        return std::nullopt;
+    }
+
+    void change(std::uint64_t number)
+    {
+        const std::int64_t asked = wallClockMs();
+        const std::optional<Manifest> manifest = accept();
+        if (!manifest) {
+            ++missing_;
+            return;
+        }
+        // Counts the writes at the platform too.
+        const std::int64_t from = number == 0 && sinceMs_ > 0 ? sinceMs_ : asked;
+        await(*manifest, from);
+        const std::int64_t next = asked + interval_.count();
+        while (wallClockMs() < next)
+            std::this_thread::sleep_for(Milliseconds(1));
+    }
+
+    void await(const Manifest &manifest, std::int64_t from)
+    {
+        std::vector<bool> arrived(nodes_.size());
+        std::size_t waiting = nodes_.size();
+        const std::int64_t end = wallClockMs() + limit_.count();
+        while (waiting > 0 && wallClockMs() < end) {
+            std::this_thread::sleep_for(pollPause);
+            for (std::size_t i = 0; i < nodes_.size(); ++i) {
+                if (!arrived[i] && hasArrived(i, manifest, from)) {
+                    arrived[i] = true;
+                    --waiting;
+                }
+            }
+        }
+        missing_ += waiting;
+    }
+
+    bool hasArrived(std::size_t index, const Manifest &manifest, std::int64_t from)
+    {
+        const std::optional<NodeReading> reading = readNode(nodes_[index]);
+        if (!reading || reading->revision == Revision(0))
+            return false;
+        Revision &highest = highest_[index];
+        if (reading->revision < highest)
+            ++reverts_;
+        highest = std::max(highest, reading->revision);
+        if (reading->revision != manifest.revision)
+            return false;
+        if (reading->digest != manifest.digest.value())
+            ++partial_;
+        delaysMs_.push_back(
+                static_cast<double>(std::max<std::int64_t>(0, reading->appliedAtMs - from)));
+        return true;
+    }
+
+    double quantile(double probability) const
+    {
+        if (delaysMs_.empty())
+            return -1;
+        const auto last = static_cast<double>(delaysMs_.size() - 1);
+        return delaysMs_[static_cast<std::size_t>(probability * last + 0.5)];
+    }
+
+    void reportFlows(const std::vector<Usage> &before, const std::vector<Usage> &after,
+                     double seconds) const
+    {
+        std::map<std::string, double> sums;
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            for (const auto &[flow, bytes] : after[i].flows) {
+                const auto held = before[i].flows.find(flow);
+                sums[flow] += bytes - (held == before[i].flows.end() ? 0 : held->second);
+            }
+        }
+        std::printf("payload bytes of a node a second:");
+        for (const auto &[flow, bytes] : sums) {
+            const double each = bytes / seconds / static_cast<double>(nodes_.size());
+            if (each >= 1)
+                std::printf(" %s=%.0f", flow.c_str(), each);
+        }
+        std::printf("\n");
+    }
+
+    void report(const std::vector<Usage> &before, double callsBefore, double seconds)
+    {
+        const double calls = platformCalls() - callsBefore;
+        const std::vector<Usage> after = readAll();
+        double bytes = 0;
+        double dangling = 0;
+        double cpu = 0;
+        double mostCpu = 0;
+        double mostBytes = 0;
+        double mostMemory = 0;
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            const double nodeBytes = (after[i].bytes - before[i].bytes) / seconds;
+            const double nodeCpu = (after[i].cpuSeconds - before[i].cpuSeconds) / seconds * 100;
+            bytes += nodeBytes;
+            cpu += nodeCpu;
+            mostBytes = std::max(mostBytes, nodeBytes);
+            mostCpu = std::max(mostCpu, nodeCpu);
+            mostMemory = std::max(mostMemory, residentMegabytesOf(nodes_[i].pid));
+            dangling += after[i].refusedDangling - before[i].refusedDangling;
+        }
+        const auto count = static_cast<double>(nodes_.size());
+        reportFlows(before, after, seconds);
+        std::sort(delaysMs_.begin(), delaysMs_.end());
+        std::printf("nodes=%zu changes=%llu seconds=%.1f missing=%llu busiest node: cpu_pct=%.2f "
+                    "control_bytes_per_s=%.0f\n",
+                    nodes_.size(), static_cast<unsigned long long>(changes_), seconds,
+                    static_cast<unsigned long long>(missing_), mostCpu, mostBytes);
+        std::printf(
+                "convergence p50_ms=%.0f p99_ms=%.0f max_ms=%.0f control_bytes_per_node_s=%.0f "
+                "platform_calls_per_change=%.1f node_cpu_pct=%.2f node_rss_mb=%.1f reverts=%llu "
+                "partial=%llu dangling=%.0f\n",
+                quantile(0.5), quantile(0.99), quantile(1), bytes / count,
+                calls / static_cast<double>(changes_), cpu / count, mostMemory,
+                static_cast<unsigned long long>(reverts_),
+                static_cast<unsigned long long>(partial_), dangling);
+    }
+
+    std::vector<MeasuredNode> nodes_;
+    Address platformAddress_;
+    Milliseconds interval_;
+    Milliseconds limit_;
+    std::int64_t sinceMs_;
+    std::uint64_t changes_;
+    std::uint64_t customers_;
+    Random random_;
+    PlatformOperations platform_;
+    std::map<std::size_t, Revision> highest_;
+    std::vector<double> delaysMs_;
+    std::uint64_t missing_ = 0;
+    std::uint64_t reverts_ = 0;
+    std::uint64_t partial_ = 0;
+};
+
+} // namespace
+} // namespace cornelhead
+
+int main(int argc, char **argv)
+{
+    using namespace cornelhead;
+    Settings settings = Settings::parseOrExit(usage, argc, argv);
+    std::vector<MeasuredNode> nodes = readNodes(settings);
+    Measurement measurement(settings, nodes);
+    const bool announces = !settings.flag("--no-announce");
+    settings.exitOnFaults();
+    std::optional<Announcer> announcer;
+    if (announces) {
+        announcer.emplace(std::move(nodes));
+        // Lets the fleet learn of the servers, which is not what is measured.
+        std::this_thread::sleep_for(announceWarmUp);
+    }
+    return measurement.run();
+}
--- a/src/distribution/distribution.cc
+++ b/src/distribution/distribution.cc
@@ -38,7 +38,9 @@
                            DistributionSettings settings, DistributionHandlers handlers)
     : impl_(std::make_unique<Impl>(loop, platform, metrics, std::move(settings),
                                    std::move(handlers)))
-{ }
+{
+    platform.setDataCentre(impl_->settings.self.dataCentre);
+}
 
 Distribution::~Distribution() = default;
 
--- a/src/distribution/exchange.cc
+++ b/src/distribution/exchange.cc
@@ -10,7 +10,6 @@
 namespace detail {
 
 constexpr Milliseconds exchangeBatch = Milliseconds(100);
-constexpr Milliseconds summaryInterval = Milliseconds(1000);
 constexpr Milliseconds firstDialRetry = Milliseconds(250);
 constexpr Milliseconds lastDialRetry = Milliseconds(2000);
 /// The platform is given so long to bring a configuration that a peer holds already.
@@ -41,7 +40,6 @@
     started_ = now(clock_);
     nextFlush_ = started_;
     nextHeartbeat_ = started_;
-    nextSummary_ = started_;
     lastHeard_.clear();
     dialMissing();
 }
@@ -220,7 +218,6 @@
 {
     if (!running_)
         return;
-    nextSummary_ = now(clock_) + detail::summaryInterval;
     sendToPeers(summaryFrame());
 }
 
@@ -434,14 +431,10 @@
         flush();
     if (time >= nextHeartbeat_) {
         nextHeartbeat_ = time + heartbeat_;
-        const FramePtr beat = heartbeatFrame(RecordSequence());
-        for (const auto &[link, peer] : links_)
-            network_->send(link, beat);
+        publishSummary();
         dropSilent();
         checkReachability();
     }
-    if (time >= nextSummary_)
-        publishSummary();
 }
 
 void Exchange::flush()
--- a/src/distribution/grpc-network.cc
+++ b/src/distribution/grpc-network.cc
@@ -20,13 +20,48 @@
 constexpr std::size_t maxQueuedBytes = 64 * 1024 * 1024;
 constexpr Milliseconds shutdownGrace = Milliseconds(200);
 
+/// Counts what goes one way, for each flow of the protocol.
+class FlowCounters
+{
+public:
+    void bind(Metrics &metrics, const std::string &direction)
+    {
+        const google::protobuf::Descriptor *frame = inner::Frame::descriptor();
+        for (int i = 0; i < frame->field_count(); ++i) {
+            const std::vector<Label> labels{{"direction", direction},
+                                            {"flow", frame->field(i)->name()}};
+            flows_[frame->field(i)->number()]
+                    = {&metrics.counter("cornelhead_inner_bytes_total", labels),
+                       &metrics.counter("cornelhead_inner_frames_total", labels)};
+        }
+    }
+    void add(const inner::Frame &frame)
+    {
+        // A frame that this build does not know has no counter.
+        const auto flow = flows_.find(frame.body_case());
+        if (flow == flows_.end())
+            return;
+        flow->second.bytes->add(frame.ByteSizeLong());
+        flow->second.frames->add();
+    }
+
+private:
+    struct Flow
+    {
+        Counter *bytes = nullptr;
+        Counter *frames = nullptr;
+    };
+    // By the number of the field; fixed once bound.
+    std::map<int, Flow> flows_;
+};
+
 /// Where streams report to; outlives the network until every stream has ended.
 struct NetworkHub
 {
     EventLoop *loop = nullptr;
     NetworkHandlers handlers;
-    Counter *sentBytes = nullptr;
-    Counter *receivedBytes = nullptr;
+    FlowCounters sent;
+    FlowCounters received;
     Counter *overflows = nullptr;
     // Cleared by the loop when the network ends; handlers are not called afterwards.
     bool open = true;
@@ -108,7 +143,7 @@
 
     void received(std::shared_ptr<const inner::Frame> frame)
     {
-        hub_->receivedBytes->add(frame->ByteSizeLong());
+        hub_->received.add(*frame);
         if (silent_.load())
             return;
         hub_->loop->post([hub = hub_, link = link_, frame = std::move(frame)] {
@@ -141,7 +176,7 @@
     void writeNext()
     {
         writing_ = true;
-        hub_->sentBytes->add(queue_.front()->ByteSizeLong());
+        hub_->sent.add(*queue_.front());
         startWrite(*queue_.front());
     }
 
@@ -344,9 +379,8 @@
 {
     detail::NetworkHub &hub = *impl_->hub;
     hub.loop = &loop;
-    hub.sentBytes = &metrics.counter("cornelhead_inner_bytes_total", {{"direction", "sent"}});
-    hub.receivedBytes
-            = &metrics.counter("cornelhead_inner_bytes_total", {{"direction", "received"}});
+    hub.sent.bind(metrics, "sent");
+    hub.received.bind(metrics, "received");
     hub.overflows = &metrics.counter("cornelhead_inner_overflows_total");
     hub.handlers.onFrame = std::move(handlers.onFrame);
     hub.handlers.onClosed = [impl = std::weak_ptr<Impl>(impl_),
