--- a/src/distribution/grpc-network.cc
+++ b/src/distribution/grpc-network.cc
@@ -141,6 +141,12 @@
             writeNext();
     }
 
+    void stopWriting()
+    {
+        const std::lock_guard lock(mutex_);
+        ended_ = true;
+    }
+
     void received(std::shared_ptr<const inner::Frame> frame)
     {
         hub_->received.add(*frame);
@@ -154,10 +160,7 @@
 
     void ended()
     {
-        {
-            const std::lock_guard lock(mutex_);
-            ended_ = true;
-        }
+        stopWriting();
         if (silent_.load())
             return;
         hub_->loop->post([hub = hub_, link = link_] {
@@ -207,6 +210,8 @@
     {
         self_ = std::move(self);
         stub_->async()->Connect(&context_, this);
+        // Writes start outside gRPC's callbacks, so the call must not end between them.
+        AddHold();
         StartRead(incoming_.get());
         StartCall();
     }
@@ -215,7 +220,9 @@
     {
         if (!ok) {
             // The other end has finished; so does this one.
+            stopWriting();
             context_.TryCancel();
+            RemoveHold();
             return;
         }
         received(std::move(incoming_));
