--- a/include/cornelhead/distribution/relay.h
+++ b/include/cornelhead/distribution/relay.h
@@ -49,7 +49,8 @@
     /// Hands on the configuration in force.
     void publishConfig();
     void publishMoves(const std::vector<Move> &moves);
-    void publishRelays();
+    /// Hands on the directory with the next batch.
+    void queueRelays() { relaysQueued_ = true; }
     /// Tells all subscribers at once what a heartbeat tells.
     void publishHeartbeat();
     /// Adds a record to the next batch.
@@ -106,6 +107,7 @@
     bool serving_ = false;
     std::map<LinkId, Subscription> subscribers_;
     std::map<NodeId, NodeRecord> queued_;
+    bool relaysQueued_ = false;
     // Of the records that all subscribers were sent.
     std::uint64_t sentHash_ = 0;
     TimePoint nextFlush_;
--- a/src/distribution/agent.cc
+++ b/src/distribution/agent.cc
@@ -241,9 +241,13 @@
     if (role_ != Role::Subscriber || !since)
         return;
     const Microseconds detached = now(clock_) - *since;
+    if (detached < detail::actAfter)
+        return;
+    // Neighbours act from now on, so that it makes no sense to ask them before.
     const std::vector<Address> candidates = actingCandidates(detached);
+    const bool foundNobody = subscriber_.isExhausted();
     subscriber_.setNeighbours(candidates);
-    if (detached >= detail::actAfter && subscriber_.isExhausted() && mayAct(candidates))
+    if (foundNobody && mayAct(candidates))
         becomeRelay(Role::Acting);
 }
 
@@ -509,7 +513,7 @@
     state_.directory = directory;
     subscriber_.setDirectory(directory);
     if (changed)
-        relay_.publishRelays();
+        relay_.queueRelays();
 }
 
 void Agent::takeReachability(const inner::Heartbeat &heartbeat)
--- a/src/distribution/relay.cc
+++ b/src/distribution/relay.cc
@@ -169,12 +169,6 @@
         sendToAll(movesFrame(table));
 }
 
-void Relay::publishRelays()
-{
-    if (!subscribers_.empty())
-        sendToAll(relaysFrame(state_->directory));
-}
-
 void Relay::publishHeartbeat()
 {
     if (!subscribers_.empty())
@@ -329,6 +323,8 @@
 {
     nextFlush_ = now(clock_) + detail::recordBatch;
     sentHash_ = state_->registry.hash();
+    if (std::exchange(relaysQueued_, false) && !subscribers_.empty())
+        sendToAll(relaysFrame(state_->directory));
     if (queued_.empty())
         return;
     std::vector<NodeRecord> records;
--- a/src/distribution/subscriber.cc
+++ b/src/distribution/subscriber.cc
@@ -8,13 +8,13 @@
 namespace cornelhead {
 namespace detail {
 
-constexpr Milliseconds firstCandidateRetry = Milliseconds(250);
+constexpr Milliseconds firstCandidateRetry = Milliseconds(500);
 constexpr Milliseconds lastCandidateRetry = Milliseconds(1500);
 constexpr Milliseconds firstWelcomeTimeout = Milliseconds(500);
 constexpr Milliseconds lastWelcomeTimeout = Milliseconds(1000);
 /// From one try to the next, once every candidate was tried.
-constexpr Milliseconds firstPace = Milliseconds(50);
-constexpr Milliseconds lastPace = Milliseconds(200);
+constexpr Milliseconds firstPace = Milliseconds(100);
+constexpr Milliseconds lastPace = Milliseconds(400);
 /// Spreads a herd that lost the same relay.
 constexpr Milliseconds failoverJitter = Milliseconds(50);
 /// Spreads the return to a relay that came back.
