--- a/test/distribution/fleet.cc
+++ b/test/distribution/fleet.cc
@@ -219,9 +219,12 @@
         arrival += Milliseconds(20);
     else
         end.lastArrival = arrival = std::max(arrival, end.lastArrival + processStep);
-    deliver(to, frame, arrival - now(clock_));
+    const FramePtr carried = rewrite_ ? std::make_shared<const inner::Frame>(
+                                     rewrite_(link.ends[id.value() % 2].node, end.node, *frame))
+                                      : frame;
+    deliver(to, carried, arrival - now(clock_));
     if (random_.chance(faults_.duplicate))
-        deliver(to, frame, arrival - now(clock_) + Milliseconds(5));
+        deliver(to, carried, arrival - now(clock_) + Milliseconds(5));
 }
 
 void Fleet::deliver(LinkId id, const FramePtr &frame, Microseconds delay)
--- a/test/distribution/fleet.h
+++ b/test/distribution/fleet.h
@@ -54,6 +54,10 @@
     /// Answers to platform calls get lost with this probability after taking effect.
     void setLostAnswers(double probability) { lostAnswers_ = probability; }
     void setFrameFaults(FrameFaults faults) { faults_ = faults; }
+    /// Changes each frame on its way, as other versions of the protocol would write it.
+    using Rewrite
+            = std::function<inner::Frame(std::size_t from, std::size_t to, const inner::Frame &)>;
+    void setRewrite(Rewrite rewrite) { rewrite_ = std::move(rewrite); }
     /// Makes links silent, both ways, for good, with this probability.
     void silenceLinks(double probability);
     void run(Milliseconds duration);
@@ -174,6 +178,7 @@
     bool platformAway_ = false;
     double lostAnswers_ = 0;
     FrameFaults faults_;
+    Rewrite rewrite_;
     Revision accepted_;
     std::map<Revision, Digest> digests_;
     std::set<Revision> bad_;
