--- a/test/distribution/fleet-test.cc
+++ b/test/distribution/fleet-test.cc
@@ -1,6 +1,7 @@
 // Tests how agents act together while processes, links and the platform fail.
 #include <boost/test/unit_test.hpp>
 
+#include "cornelhead/base/log.h"
 #include "distribution/fleet.h"
 
 namespace cornelhead {
@@ -11,6 +12,7 @@
 
 void startAll(Fleet &fleet)
 {
+    BOOST_REQUIRE(configureLogging("error").has_value());
     for (std::size_t i = 0; i < fleet.size(); ++i)
         fleet.start(i);
 }
@@ -52,6 +54,42 @@
     BOOST_TEST(firstOf(fleet.behind()) == "");
 }
 
+BOOST_AUTO_TEST_CASE(convergesThroughNeighboursWhenCutOffFromThePlatform)
+{
+    Fleet fleet(3, 4, 3);
+    fleet.edit();
+    startAll(fleet);
+    fleet.run(Milliseconds(5000));
+    fleet.cutPlatform(0, true);
+    fleet.edit();
+    fleet.run(Milliseconds(1000));
+    BOOST_TEST(firstOf(fleet.behind()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(readsTheFloorAtThePlatformBeforeARestartedNodeActs)
+{
+    Fleet fleet(1, 6, 4);
+    fleet.edit();
+    startAll(fleet);
+    fleet.run(Milliseconds(5000));
+    // One relay falls behind, and every other node dies after it acted on the next revision.
+    std::size_t late = 0;
+    while (!fleet.isRelay(late))
+        ++late;
+    fleet.holdWatches(late);
+    fleet.edit();
+    fleet.run(Milliseconds(30));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (i != late)
+            fleet.kill(i, true);
+    }
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        fleet.start(i);
+    fleet.run(Milliseconds(3000));
+    BOOST_TEST(firstOf(fleet.tally().broken) == "");
+    BOOST_TEST(fleet.tally().floorsLost == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
--- a/test/distribution/fleet.cc
+++ b/test/distribution/fleet.cc
@@ -349,6 +349,10 @@
     std::vector<Watcher> waiting = std::exchange(watchers_, {});
     for (Watcher &watcher : waiting) {
         std::optional<Result<WatchAnswer>> result;
+        if (heldWatches_.contains(watcher.node)) {
+            watchers_.push_back(std::move(watcher));
+            continue;
+        }
         if (!platformAnswers(watcher.node)) {
             result = fail(ErrorKind::Unavailable, "the platform is away", "try later");
         } else {
--- a/test/distribution/fleet.h
+++ b/test/distribution/fleet.h
@@ -50,6 +50,8 @@
     void pause(std::size_t node, Milliseconds duration);
     void cut(std::size_t left, std::size_t right, bool isCut);
     void cutPlatform(std::size_t dataCentre, bool isCut);
+    /// Holds back the answers to a node's watches, while its other calls are answered.
+    void holdWatches(std::size_t node) { heldWatches_.insert(node); }
     void setPlatformAway(bool away) { platformAway_ = away; }
     /// Answers to platform calls get lost with this probability after taking effect.
     void setLostAnswers(double probability) { lostAnswers_ = probability; }
@@ -175,6 +177,7 @@
     std::vector<Watcher> watchers_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
     std::set<std::size_t> platformCuts_;
+    std::set<std::size_t> heldWatches_;
     bool platformAway_ = false;
     double lostAnswers_ = 0;
     FrameFaults faults_;
