--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -49,7 +49,8 @@
 class Attempt
 {
 public:
-    Attempt(EventLoop &loop, UpstreamPool &pool, Address to, AttemptHandlers handlers);
+    Attempt(EventLoop &loop, UpstreamPool &pool, const ConnectionNeed &need,
+            AttemptHandlers handlers);
     ~Attempt();
     Attempt(const Attempt &) = delete;
     Attempt &operator=(const Attempt &) = delete;
@@ -96,6 +97,9 @@
     bool wasSent_ = false;
 };
 
+/// Returns the need of a call; one that must not be sent twice uses fresh connections only.
+ConnectionNeed connectionNeed(const Address &to, bool mustNotFail);
+
 /// Tells whether an answer's body is in chunks or longer than `bytes`.
 bool isLongAnswer(evhttp_request *answer, std::size_t bytes);
 
--- a/src/standin/load-tally.cc
+++ b/src/standin/load-tally.cc
@@ -13,6 +13,19 @@
 
 using nlohmann::json;
 
+constexpr std::size_t mostFaultsDescribed = 20;
+
+void describeFault(LoadSummary &summary, const std::string &kind, const std::string &key,
+                   const std::vector<std::string> &servers)
+{
+    if (summary.faults.size() >= mostFaultsDescribed)
+        return;
+    std::string text = kind + ": " + key + " ran at";
+    for (const std::string &server : servers)
+        text += " " + server;
+    summary.faults.push_back(std::move(text));
+}
+
 json quantilesOf(const LatencyHistogram &histogram)
 {
     return {{"count", histogram.count()},
@@ -44,6 +57,22 @@
 
 } // namespace detail
 
+bool CallCourse::isHopeful() const
+{
+    switch (last_) {
+    case AttemptResult::Right:
+    case AttemptResult::Wrong:
+        return false;
+    case AttemptResult::Broken:
+    case AttemptResult::Unreachable:
+        return true;
+    case AttemptResult::Unknown:
+        return isKeyed_ || rule_ == ResendRule::Naive;
+    default:
+        return rule_ == ResendRule::Naive;
+    }
+}
+
 bool CallCourse::takeResult(AttemptResult result)
 {
     last_ = result;
@@ -52,9 +81,7 @@
         hasRefusal_ = true;
         refusal_ = result == AttemptResult::NotRun ? CallWord::NotRun : CallWord::Unknown;
     }
-    const bool isHopeful = result == AttemptResult::Broken || result == AttemptResult::Unreachable
-            || (result == AttemptResult::Unknown && isKeyed_);
-    if (!isHopeful || resendsLeft_ == 0)
+    if (!isHopeful() || resendsLeft_ == 0)
         return false;
     hasDoubt_ = hasDoubt_ || mayHaveRun;
     --resendsLeft_;
@@ -109,6 +136,7 @@
 void LoadTally::add(const LoadTally &other)
 {
     summary_.sent += other.summary_.sent;
+    summary_.broken += other.summary_.broken;
     summary_.answered += other.summary_.answered;
     summary_.wrong += other.summary_.wrong;
     summary_.lost += other.summary_.lost;
@@ -129,22 +157,26 @@
         reasons_[reason] += count;
 }
 
-LoadSummary LoadTally::summarize(const std::unordered_map<std::string, std::uint32_t> &runs) const
+LoadSummary LoadTally::summarize(const KeyRuns &runs) const
 {
     LoadSummary summary = summary_;
     CORNELHEAD_CHECK(summary.sent
                      == summary.answered + summary.wrong + summary.refusedNotRun + summary.unknown
                              + summary.lost);
-    for (const auto &[key, count] : runs) {
-        summary.runs += count;
-        if (count > 1)
+    for (const auto &[key, servers] : runs) {
+        summary.runs += servers.size();
+        if (servers.size() > 1) {
             ++summary.doubled;
+            detail::describeFault(summary, "doubled", key, servers);
+        }
     }
     for (const auto &[key, word] : keys_) {
-        const bool wasRun = runs.contains(key);
+        const auto run = runs.find(key);
+        const bool wasRun = run != runs.end();
         if (wasRun && word.word == CallWord::NotRun) {
             ++summary.falseNotRun;
             summary.falseNotRunAtOnce += word.hasDoubt ? 0 : 1;
+            detail::describeFault(summary, "false not-run", key, run->second);
         }
         if (!wasRun && word.word == CallWord::Answered)
             ++summary.answeredUnseen;
@@ -158,7 +190,8 @@
     out << "load sent=" << summary.sent << " answered=" << summary.answered
         << " wrong=" << summary.wrong << " lost=" << summary.lost << " doubled=" << summary.doubled
         << " refused_not_run=" << summary.refusedNotRun << " unknown=" << summary.unknown
-        << " false_not_run=" << summary.falseNotRun << " p50_us=" << latency.quantile(0.5).count()
+        << " false_not_run=" << summary.falseNotRun << " broken=" << summary.broken
+        << " p50_us=" << latency.quantile(0.5).count()
         << " p99_us=" << latency.quantile(0.99).count() << " max_us=" << latency.maximum().count();
     return out.str();
 }
@@ -166,6 +199,7 @@
 std::string summaryJson(const LoadSummary &summary, const LoadTally &tally)
 {
     const detail::json body = {{"sent", summary.sent},
+                               {"broken", summary.broken},
                                {"answered", summary.answered},
                                {"wrong", summary.wrong},
                                {"lost", summary.lost},
@@ -178,6 +212,7 @@
                                {"resent", summary.resent},
                                {"answeredUnseen", summary.answeredUnseen},
                                {"runs", summary.runs},
+                               {"faults", summary.faults},
                                {"reasons", tally.reasons()},
                                {"throughNodesUs", detail::quantilesOf(tally.throughNodes())},
                                {"directUs", detail::quantilesOf(tally.direct())},
