--- a/src/bin/cornelhead-measure-convergence.cc
+++ b/src/bin/cornelhead-measure-convergence.cc
@@ -1,7 +1,7 @@
 // Measures how soon changes of configuration are in force at all nodes of a running fleet, and what
 // that costs.
 #include <algorithm>
-#include <atomic>
+#include <cmath>
 #include <cstdio>
 #include <fstream>
 #include <iostream>
@@ -378,7 +378,7 @@
         if (delaysMs_.empty())
             return -1;
         const auto last = static_cast<double>(delaysMs_.size() - 1);
-        return delaysMs_[static_cast<std::size_t>(probability * last + 0.5)];
+        return delaysMs_[static_cast<std::size_t>(std::lround(probability * last))];
     }
 
     void reportFlows(const std::vector<Usage> &before, const std::vector<Usage> &after,
