--- a/test/distribution/fleet.cc
+++ b/test/distribution/fleet.cc
@@ -219,9 +219,12 @@
         arrival += Milliseconds(20);
     else
         end.lastArrival = arrival = std::max(arrival, end.lastArrival + processStep);
-    deliver(to, frame, arrival - now(clock_));
+    const FramePtr carried = rewrite_ ? std::make_shared<const inner::Frame>(
+                                     rewrite_(link.ends[id.value() % 2].node, end.node, *frame))
+                                      : frame;
+    deliver(to, carried, arrival - now(clock_));
     if (random_.chance(faults_.duplicate))
-        deliver(to, frame, arrival - now(clock_) + Milliseconds(5));
+        deliver(to, carried, arrival - now(clock_) + Milliseconds(5));
 }
 
 void Fleet::deliver(LinkId id, const FramePtr &frame, Microseconds delay)
@@ -346,6 +349,10 @@
     std::vector<Watcher> waiting = std::exchange(watchers_, {});
     for (Watcher &watcher : waiting) {
         std::optional<Result<WatchAnswer>> result;
+        if (heldWatches_.contains(watcher.node)) {
+            watchers_.push_back(std::move(watcher));
+            continue;
+        }
         if (!platformAnswers(watcher.node)) {
             result = fail(ErrorKind::Unavailable, "the platform is away", "try later");
         } else {
@@ -485,6 +492,20 @@
     return false;
 }
 
+std::vector<std::string> Fleet::behind() const
+{
+    Revision goal = accepted_;
+    while (bad_.contains(goal))
+        goal = Revision(goal.value() - 1);
+    std::vector<std::string> found;
+    for (const Node &node : nodes_) {
+        if (node.agent && node.inForce != goal)
+            found.push_back(node.info.id.value() + " is at revision "
+                            + std::to_string(node.inForce.value()));
+    }
+    return found;
+}
+
 std::vector<std::string> Fleet::differences() const
 {
     std::set<std::string> expected;
@@ -492,16 +513,10 @@
         if (node.agent)
             expected.insert(node.server);
     }
-    std::vector<std::string> found;
+    std::vector<std::string> found = behind();
     for (const Node &node : nodes_) {
         if (!node.agent)
             continue;
-        Revision goal = accepted_;
-        while (bad_.contains(goal))
-            goal = Revision(goal.value() - 1);
-        if (node.inForce != goal)
-            found.push_back(node.info.id.value() + " is at revision "
-                            + std::to_string(node.inForce.value()));
         std::set<std::string> held;
         if (node.table) {
             for (const auto &[service, servers] : node.table->servers) {
--- a/test/distribution/fleet.h
+++ b/test/distribution/fleet.h
@@ -50,10 +50,16 @@
     void pause(std::size_t node, Milliseconds duration);
     void cut(std::size_t left, std::size_t right, bool isCut);
     void cutPlatform(std::size_t dataCentre, bool isCut);
+    /// Holds back the answers to a node's watches, while its other calls are answered.
+    void holdWatches(std::size_t node) { heldWatches_.insert(node); }
     void setPlatformAway(bool away) { platformAway_ = away; }
     /// Answers to platform calls get lost with this probability after taking effect.
     void setLostAnswers(double probability) { lostAnswers_ = probability; }
     void setFrameFaults(FrameFaults faults) { faults_ = faults; }
+    /// Changes each frame on its way, as other versions of the protocol would write it.
+    using Rewrite
+            = std::function<inner::Frame(std::size_t from, std::size_t to, const inner::Frame &)>;
+    void setRewrite(Rewrite rewrite) { rewrite_ = std::move(rewrite); }
     /// Makes links silent, both ways, for good, with this probability.
     void silenceLinks(double probability);
     void run(Milliseconds duration);
@@ -74,6 +80,8 @@
     const EndpointTable *endpoints(std::size_t node) const { return nodes_[node].table.get(); }
     /// Returns what keeps the fleet from being whole: nodes behind, or endpoints that differ.
     std::vector<std::string> differences() const;
+    /// Returns only those that act on another revision than the newest.
+    std::vector<std::string> behind() const;
     KeyValueStore &store() { return store_; }
     FleetTally &tally() { return tally_; }
 
@@ -169,9 +177,11 @@
     std::vector<Watcher> watchers_;
     std::set<std::pair<std::size_t, std::size_t>> cuts_;
     std::set<std::size_t> platformCuts_;
+    std::set<std::size_t> heldWatches_;
     bool platformAway_ = false;
     double lostAnswers_ = 0;
     FrameFaults faults_;
+    Rewrite rewrite_;
     Revision accepted_;
     std::map<Revision, Digest> digests_;
     std::set<Revision> bad_;
