Let joining nodes take no keys from their homes

A key's home is chosen among the nodes that had started well before the key was born, so a node that joins leaves older keys where they are, and nodes that have seen the data centre for a minute go first.

--- a/include/cornelhead/routing/home-keys.h
+++ b/include/cornelhead/routing/home-keys.h
@@ -39,7 +39,10 @@
     void confirm(Moment moment);
     /// To be called several times a second.
     void tick(Moment moment);
-    KeyHome homeOf(const CallKey &key) const { return ownership_.homeOf(key); }
+    KeyHome homeOf(const KeyedCall &call, std::int64_t wallMs) const
+    {
+        return ownership_.homeOf(call.key, call.birthMs, wallMs);
+    }
 
     KeyVerdict begin(const KeyedCall &call, Moment moment);
     /// Refuses a call that is not to be run, unless its key is remembered.  The refusal says
--- a/include/cornelhead/routing/key-ownership.h
+++ b/include/cornelhead/routing/key-ownership.h
@@ -49,8 +49,9 @@
 /// Tracks the nodes of the fleet as this node has seen them over time.
 ///
 /// A key's data centre is fixed by rendezvous hashing over all data centres ever known, so that a
-/// cut between data centres moves no key.  Within it, rendezvous hashing over the nodes seen now
-/// names the home.  Two nodes can both be `Owner` of one key only if they disagreed on the nodes
+/// cut between data centres moves no key.  Within it, rendezvous hashing names the home among the
+/// nodes seen now that had started well before the key was born, so that a node that joins takes no
+/// key from its home.  Two nodes can both be `Owner` of one key only if they disagreed on the nodes
 /// of their data centre for longer than `disagreement`.
 class KeyOwnership
 {
@@ -66,7 +67,8 @@
     /// owns no key when the last one is longer ago than `disagreement`.
     void confirm(TimePoint time, std::int64_t wallMs);
 
-    KeyHome homeOf(const CallKey &key) const;
+    KeyHome homeOf(const CallKey &key, std::optional<std::int64_t> birthMs,
+                   std::int64_t wallMs) const;
     /// Checks this node's own right to run a call with `key`.  `birthMs` is when the key was made,
     /// if it tells.
     Ownership check(const CallKey &key, std::optional<std::int64_t> birthMs, TimePoint time,
@@ -78,7 +80,8 @@
     {
         std::int64_t fromMs = 0;
         std::set<DataCentreId> dataCentres;
-        std::vector<NodeId> members;
+        // Sorted by id.
+        std::vector<NodeInfo> members;
         bool hasMajority = true;
     };
 
@@ -87,7 +90,12 @@
     bool seesMajority() const;
     bool isStale(TimePoint time) const;
     void startEra(std::int64_t wallMs);
-    bool ownedIn(const Era &era, const CallKey &key) const;
+    bool ownedIn(const Era &era, const CallKey &key, std::int64_t bornMs) const;
+    // The birth that decides; keys that do not tell theirs count as old as keys get.
+    std::int64_t effectiveBirth(std::optional<std::int64_t> birthMs, std::int64_t wallMs) const;
+    const NodeInfo *chooseMember(const CallKey &key, const std::vector<NodeInfo> &members,
+                                 std::int64_t bornMs) const;
+    Milliseconds margin() const { return limits_.disagreement + limits_.clockSkew; }
     std::optional<std::int64_t> usableBirth(std::optional<std::int64_t> birthMs,
                                             std::int64_t wallMs) const;
 
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -85,9 +85,9 @@
         refuse(request, Refusal{reason, proofWithoutHome(request)});
         return;
     }
-    // What one node tells another is not believed from a caller.
+    // What one node tells another is believed only from an IP number of a node that is known here.
     if (!head->home.empty() && !isFromNode(request)) {
-        refuse(request, Refusal{RefusalReason::BadRequest, RunProof::Unknown});
+        refuse(request, Refusal{RefusalReason::HomeMoved, RunProof::Unknown});
         return;
     }
     Decision decision = decide(*head, lastRequest_);
@@ -156,7 +156,8 @@
     std::optional<NodeInfo> home;
     if (head.home.empty()) {
         const std::lock_guard lock(worker_.node.keysMutex);
-        const KeyHome found = worker_.node.keys.homeOf(makeCallKey(head.customer, head.key));
+        const KeyedCall call{makeCallKey(head.customer, head.key), keyBirth(head.key), {}};
+        const KeyHome found = worker_.node.keys.homeOf(call, wallClockMs());
         if (found.node)
             home = *found.node;
     }
--- a/src/routing/key-ownership.cc
+++ b/src/routing/key-ownership.cc
@@ -115,8 +115,9 @@
     era.fromMs = wallMs;
     era.dataCentres = dataCentres_;
     for (const NodeInfo &node : nodes_[self_.dataCentre])
-        era.members.push_back(node.id);
-    std::sort(era.members.begin(), era.members.end());
+        era.members.push_back(node);
+    std::sort(era.members.begin(), era.members.end(),
+              [](const NodeInfo &left, const NodeInfo &right) { return left.id < right.id; });
     era.hasMajority = seesMajority();
     eras_.push_back(std::move(era));
     if (eras_.size() > detail::maxEras)
@@ -169,27 +170,55 @@
     confirmedAt_ = time;
 }
 
-KeyHome KeyOwnership::homeOf(const CallKey &key) const
+std::int64_t KeyOwnership::effectiveBirth(std::optional<std::int64_t> birthMs,
+                                          std::int64_t wallMs) const
+{
+    return usableBirth(birthMs, wallMs).value_or(wallMs - limits_.retention.count());
+}
+
+const NodeInfo *KeyOwnership::chooseMember(const CallKey &key, const std::vector<NodeInfo> &members,
+                                           std::int64_t bornMs) const
+{
+    // A node that started in a split data centre does not know who is missing, so nodes that have
+    // seen the others for long enough go first.
+    for (const Milliseconds age : {limits_.memberMemory, margin()}) {
+        std::vector<const NodeInfo *> eligible;
+        for (const NodeInfo &node : members) {
+            if (node.startedAtMs + age.count() <= bornMs)
+                eligible.push_back(&node);
+        }
+        const auto *best = detail::rendezvous(
+                key, eligible,
+                [](const NodeInfo *node) -> const std::string & { return node->id.value(); });
+        if (best)
+            return *best;
+    }
+    return nullptr;
+}
+
+KeyHome KeyOwnership::homeOf(const CallKey &key, std::optional<std::int64_t> birthMs,
+                             std::int64_t wallMs) const
 {
     KeyHome home;
     home.dataCentre = *detail::rendezvous(key, dataCentres_, detail::idText<DataCentreTag>);
     const auto members = nodes_.find(home.dataCentre);
-    if (members != nodes_.end()) {
-        home.node = detail::rendezvous(
-                key, members->second,
-                [](const NodeInfo &node) -> const std::string & { return node.id.value(); });
-    }
+    if (members == nodes_.end())
+        return home;
+    home.node = chooseMember(key, members->second, effectiveBirth(birthMs, wallMs));
+    // Where all are too young, any of them gives the truthful refusal.
+    if (!home.node)
+        home.node = &members->second.front();
     return home;
 }
 
-bool KeyOwnership::ownedIn(const Era &era, const CallKey &key) const
+bool KeyOwnership::ownedIn(const Era &era, const CallKey &key, std::int64_t bornMs) const
 {
     if (!era.hasMajority)
         return false;
     const auto *dataCentre
             = detail::rendezvous(key, era.dataCentres, detail::idText<DataCentreTag>);
-    const auto *node = detail::rendezvous(key, era.members, detail::idText<NodeTag>);
-    return dataCentre && node && *dataCentre == self_.dataCentre && *node == self_.id;
+    const NodeInfo *node = chooseMember(key, era.members, bornMs);
+    return dataCentre && node && *dataCentre == self_.dataCentre && node->id == self_.id;
 }
 
 std::optional<std::int64_t> KeyOwnership::usableBirth(std::optional<std::int64_t> birthMs,
@@ -205,20 +234,18 @@
                               TimePoint time, std::int64_t wallMs)
 {
     tick(time, wallMs);
-    if (isStale(time))
-        return Ownership::Young;
-    if (!ownedIn(eras_.back(), key))
-        return eras_.back().hasMajority ? Ownership::NotOwner : Ownership::Young;
-    const auto birth = usableBirth(birthMs, wallMs);
-    const std::int64_t oldest = wallMs - limits_.retention.count();
-    if (birth && *birth < oldest)
+    const std::int64_t born = effectiveBirth(birthMs, wallMs);
+    if (born < wallMs - limits_.retention.count())
         return Ownership::Expired;
-    const Milliseconds margin = limits_.disagreement + limits_.clockSkew;
-    const std::int64_t needed = birth.value_or(oldest) - margin.count();
+    const bool isTooYoung = self_.startedAtMs + margin().count() > born;
+    if (isStale(time) || isTooYoung || !eras_.back().hasMajority)
+        return Ownership::Young;
+    if (!ownedIn(eras_.back(), key, born))
+        return Ownership::NotOwner;
     for (auto era = eras_.rbegin(); era != eras_.rend(); ++era) {
-        if (!ownedIn(*era, key))
+        if (!ownedIn(*era, key, born))
             return Ownership::Young;
-        if (era->fromMs <= needed)
+        if (era->fromMs <= born - margin().count())
             return Ownership::Owner;
     }
     return Ownership::Young;
