--- a/include/cornelhead/proxy/dispatcher.h
+++ b/include/cornelhead/proxy/dispatcher.h
@@ -44,6 +44,7 @@
                 const NodeInfo &home);
     void runHere(evhttp_request *request, const RequestHead &head, Decision decision);
     bool isFromNode(evhttp_request *request) const;
+    void onDeath(evhttp_request *request, const RequestHead &head);
     bool isPoison(evhttp_request *request);
     void refuse(evhttp_request *request, const Refusal &refusal);
 
--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -10,7 +10,6 @@
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/membership/endpoint.h"
 #include "cornelhead/rollout/outcome.h"
-#include "cornelhead/routing/poison.h"
 #include "cornelhead/routing/view.h"
 
 namespace cornelhead {
@@ -47,11 +46,6 @@
     void confirmMembership();
     /// Takes the outcomes of finished calls since the last take.
     OutcomeBatch takeOutcomes();
-    /// Takes the deaths of servers under a request that this node saw since the last take, to be
-    /// told to the other nodes of the data centre.
-    std::vector<SuspectedDeath> takeSuspectedDeaths();
-    /// Notes deaths that other nodes of the data centre saw.
-    void addSuspectedDeaths(const std::vector<SuspectedDeath> &deaths);
     /// Stops accepting, lets calls end, then calls `done` from a worker thread.
     void drain(const std::function<void()> &done);
 
--- a/include/cornelhead/proxy/request-head.h
+++ b/include/cornelhead/proxy/request-head.h
@@ -28,6 +28,10 @@
 /// Names the refusal that the entry asks the home to make, unless it remembers the key.
 constexpr const char *refuseHeader = "Cornelhead-Refuse";
 
+/// Tells another node of a server that died under a request: "fingerprint server started
+/// broke", both times in microseconds of wall-clock time.
+constexpr const char *deathHeader = "Cornelhead-Death";
+
 /// Hops after which a call is taken for a loop.
 constexpr std::uint32_t maxDepth = 32;
 /// A longer idempotency key is refused.
@@ -47,6 +51,7 @@
     /// Empty unless another node sent the call on.
     std::string_view home;
     std::string_view refuse;
+    std::string_view death;
 };
 
 /// Reads the head.  Fails with `BadRequest` for shapes that two readers could frame differently.
--- a/include/cornelhead/proxy/worker-state.h
+++ b/include/cornelhead/proxy/worker-state.h
@@ -48,8 +48,6 @@
     void noteAnswer(Fingerprint request);
     bool isRefused(Fingerprint request, TimePoint time);
     void expire(TimePoint time);
-    /// Takes the deaths that this node saw, for the other nodes of its data centre.
-    std::vector<SuspectedDeath> takeDeaths();
     /// Notes a death that another node saw.
     void addDeath(const SuspectedDeath &death, TimePoint time);
 
@@ -58,7 +56,6 @@
     std::mutex mutex_;
     // Guarded by mutex_.
     PoisonBook book_;
-    std::vector<SuspectedDeath> deaths_;
 };
 
 /// What all workers of a node share.
--- a/include/cornelhead/routing/poison.h
+++ b/include/cornelhead/routing/poison.h
@@ -50,6 +50,8 @@
     {
         std::uint32_t deaths = 0;
         ServerId lastServer;
+        // When the attempt that ended in the last counted death started, and when it broke.
+        TimePoint lastStart{};
         TimePoint lastDeath{};
     };
 
--- a/include/cornelhead/routing/retry.h
+++ b/include/cornelhead/routing/retry.h
@@ -67,6 +67,8 @@
 public:
     /// Earns for a call that came through `depth` hops.
     void addCall(std::uint32_t depth);
+    /// Earns for time that has passed, so that a node with few calls is not left without retries.
+    void addTime(Microseconds elapsed);
     /// Takes one retry, if there is one left.
     bool take();
     /// Takes one hedged attempt, if enough is left for retries after it.
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -7,6 +7,7 @@
 #include <event2/http.h>
 
 #include "cornelhead/base/check.h"
+#include "cornelhead/proxy/death-notice.h"
 #include "cornelhead/proxy/overloaded.h"
 #include "cornelhead/routing/version-choice.h"
 
@@ -423,6 +424,7 @@
     const TimePoint time = now(SteadyClock());
     const SuspectedDeath death{requestFingerprint(caller_.request()), trial.server->endpoint.id,
                                time - trial.started, Microseconds(0)};
+    tellDeath(worker_, origin_.view->endpoints->nodes, death);
     return worker_.node.poison.noteDeath(death, time);
 }
 
--- a/src/proxy/caller.cc
+++ b/src/proxy/caller.cc
@@ -87,7 +87,6 @@
 {
     const Listener::Answering answering;
     worker_.node.counters.answers.add();
-    worker_.node.counters.keyedRemembered.add();
     sendRemembered(take(), answer, worker_.afterAnswer());
 }
 
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -7,6 +7,7 @@
 
 #include "cornelhead/base/digest.h"
 #include "cornelhead/proxy/call.h"
+#include "cornelhead/proxy/death-notice.h"
 #include "cornelhead/proxy/overloaded.h"
 #include "cornelhead/proxy/sent-on-call.h"
 
@@ -90,6 +91,10 @@
         refuse(request, Refusal{RefusalReason::HomeMoved, RunProof::Unknown});
         return;
     }
+    if (!head->death.empty()) {
+        onDeath(request, *head);
+        return;
+    }
     Decision decision = decide(*head, lastRequest_);
     const bool isIdempotent = decision.admission
             && decision.admission->route->idempotency == Idempotency::Idempotent;
@@ -104,6 +109,19 @@
         startCall(request, *head, std::move(decision), nullptr);
 }
 
+void Dispatcher::onDeath(evhttp_request *request, const RequestHead &head)
+{
+    const auto death = decodeDeath(head.death);
+    if (head.home.empty() || !death) {
+        refuse(request, Refusal{RefusalReason::BadRequest, RunProof::NotRun});
+        return;
+    }
+    worker_.node.poison.addDeath(*death, lastRequest_);
+    RememberedAnswer done;
+    done.status = HTTP_NOCONTENT;
+    Caller(worker_, request).answer(done);
+}
+
 Dispatcher::Decision Dispatcher::decide(const RequestHead &head, TimePoint time)
 {
     Decision decision;
@@ -200,13 +218,15 @@
         return refusal ? node.keys.refuse(call, *refusal, presentMoment())
                        : node.keys.begin(call, presentMoment());
     }();
-    const Overloaded visitor{
-            [&](const StartRun &) {
-                startCall(request, head, std::move(decision),
-                          std::make_unique<KeyTicket>(node, call.key));
-            },
-            [&](const AnswerAgain &again) { Caller(worker_, request).answer(*again.answer); },
-            [&](const Refusal &refused) { refuse(request, refused); }};
+    const Overloaded visitor{[&](const StartRun &) {
+                                 startCall(request, head, std::move(decision),
+                                           std::make_unique<KeyTicket>(node, call.key));
+                             },
+                             [&](const AnswerAgain &again) {
+                                 node.counters.keyedRemembered.add();
+                                 Caller(worker_, request).answer(*again.answer);
+                             },
+                             [&](const Refusal &refused) { refuse(request, refused); }};
     std::visit(visitor, verdict);
 }
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -63,17 +63,6 @@
     return batch;
 }
 
-std::vector<SuspectedDeath> Proxy::takeSuspectedDeaths()
-{
-    return impl_->node.poison.takeDeaths();
-}
-
-void Proxy::addSuspectedDeaths(const std::vector<SuspectedDeath> &deaths)
-{
-    for (const SuspectedDeath &death : deaths)
-        impl_->node.poison.addDeath(death, now(SteadyClock()));
-}
-
 void Proxy::drain(const std::function<void()> &done)
 {
     auto left = std::make_shared<std::atomic<std::size_t>>(impl_->workers.size());
--- a/src/proxy/request-head.cc
+++ b/src/proxy/request-head.cc
@@ -20,7 +20,8 @@
            "Expect",     "Content-Length", "Proxy-Authorization"};
 
 // Set anew for each hop, or meant for nodes alone.
-constexpr std::array ownHeaders = {deadlineHeader, depthHeader, homeHeader, refuseHeader};
+constexpr std::array ownHeaders
+        = {deadlineHeader, depthHeader, homeHeader, refuseHeader, deathHeader};
 
 bool isSameHeader(std::string_view left, std::string_view right)
 {
@@ -154,6 +155,7 @@
     head.key = findHeader(headers, keyHeader);
     head.home = findHeader(headers, homeHeader);
     head.refuse = findHeader(headers, refuseHeader);
+    head.death = findHeader(headers, deathHeader);
     if (head.key.size() > maxKeyBytes)
         return tl::make_unexpected(RefusalReason::BadRequest);
     if (head.depth >= maxDepth)
--- a/src/proxy/worker-state.cc
+++ b/src/proxy/worker-state.cc
@@ -24,7 +24,6 @@
 
 // Calls of one service that may wait at one worker.
 constexpr std::size_t maxWaiting = 256;
-constexpr std::size_t maxDeathsToTell = 1024;
 
 } // namespace
 
@@ -121,8 +120,6 @@
 {
     const std::lock_guard lock(mutex_);
     hasSuspects_ = true;
-    if (deaths_.size() < maxDeathsToTell)
-        deaths_.push_back(death);
     return book_.noteDeath(death, time);
 }
 
@@ -146,12 +143,6 @@
     hasSuspects_ = book_.hasSuspects();
 }
 
-std::vector<SuspectedDeath> SharedPoison::takeDeaths()
-{
-    const std::lock_guard lock(mutex_);
-    return std::exchange(deaths_, {});
-}
-
 void SharedPoison::addDeath(const SuspectedDeath &death, TimePoint time)
 {
     const std::lock_guard lock(mutex_);
--- a/src/proxy/worker.cc
+++ b/src/proxy/worker.cc
@@ -56,6 +56,7 @@
 {
     state_.dropEnded();
     listener_.resumeAccepting();
+    state_.retries.addTime(tickPeriod);
     const TimePoint time = now(SteadyClock());
     state_.pool.closeIdle(time - upstreamIdleLimit);
     state_.wakeAllWaiting();
--- a/src/routing/poison.cc
+++ b/src/routing/poison.cc
@@ -29,12 +29,16 @@
     if (!isKnown && suspects_.size() >= detail::maxSuspects)
         return false;
     Suspect &suspect = suspects_[death.request];
-    const bool startedBefore = now - death.startedAgo <= suspect.lastDeath;
-    if (isKnown && (startedBefore || suspect.lastServer == death.server))
+    const TimePoint started = now - death.startedAgo;
+    const TimePoint broke = now - death.brokeAgo;
+    // Word of an earlier death may come after that of a later one.
+    const bool isInSequence = started > suspect.lastDeath || suspect.lastStart > broke;
+    if (isKnown && (!isInSequence || suspect.lastServer == death.server))
         return suspect.deaths >= deathsToRefuse;
     ++suspect.deaths;
     suspect.lastServer = death.server;
-    suspect.lastDeath = now - death.brokeAgo;
+    suspect.lastStart = started;
+    suspect.lastDeath = broke;
     return suspect.deaths >= deathsToRefuse;
 }
 
--- a/src/routing/retry.cc
+++ b/src/routing/retry.cc
@@ -10,6 +10,7 @@
 
 constexpr double firstHopShare = 0.04;
 constexpr double leastHopShare = 0.0008;
+constexpr double retriesPerSecond = 0.5;
 constexpr int hedgeLatencies = 3;
 constexpr Microseconds leastHedgeDelay = Milliseconds(5);
 constexpr int silentLatencies = 20;
@@ -64,6 +65,12 @@
     tokens_ = std::min(maxTokens, tokens_ + retryShare(depth));
 }
 
+void RetryBudget::addTime(Microseconds elapsed)
+{
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    tokens_ = std::min(maxTokens, tokens_ + seconds * detail::retriesPerSecond);
+}
+
 bool RetryBudget::takeForHedge()
 {
     return tokens_ >= reservedTokens + 1.0 && take();
--- a/test/proxy/faults-test.cc
+++ b/test/proxy/faults-test.cc
@@ -104,21 +104,22 @@
     BOOST_TEST(first.headers.at("Cornelhead-Run") == "unknown");
     BOOST_TEST(get("/bookings/crash").status == 422);
     BOOST_TEST(one.runs + two.runs + three.runs == 2);
-    BOOST_TEST(proxy.takeSuspectedDeaths().size() == 2);
 }
 
-BOOST_AUTO_TEST_CASE(deathsSeenByOtherNodesCount)
+BOOST_AUTO_TEST_CASE(otherNodesOfTheDataCentreAreTold)
 {
+    ProxyFixture neighbour("node-2");
     const DyingBackend one("s1");
-    publish({one.endpoint()});
-    BOOST_TEST(get("/bookings/crash").headers.at("Cornelhead-Reason") == "broken-connection");
-    std::vector<SuspectedDeath> told = proxy.takeSuspectedDeaths();
-    BOOST_REQUIRE(told.size() == 1);
-    told.front().server = ServerId("s2");
-    told.front().startedAgo = Microseconds(0);
-    proxy.addSuspectedDeaths(told);
+    const DyingBackend two("s2");
+    publish({one.endpoint(), two.endpoint()}, {neighbour.self});
+    neighbour.publish({one.endpoint(), two.endpoint()}, {self});
     BOOST_TEST(get("/bookings/crash").status == 422);
-    BOOST_TEST(one.runs == 1);
+    while (neighbour.metrics.counter("cornelhead_calls_total").value() < 2)
+        std::this_thread::sleep_for(Milliseconds(1));
+    BOOST_TEST(neighbour.get("/bookings/crash").status == 422);
+    BOOST_TEST(one.runs + two.runs == 2);
+    const HttpRequest forged{HttpMethod::Post, "/", {}, {{"Cornelhead-Death", "1 s1 5"}}, ""};
+    BOOST_TEST(call(forged).status == 400);
 }
 
 BOOST_AUTO_TEST_CASE(aBookingOnABrokenConnectionIsNotSentAgain)
--- a/test/routing/routing-test.cc
+++ b/test/routing/routing-test.cc
@@ -252,8 +252,9 @@
     BOOST_TEST(!died("b", 150, 210));
     BOOST_TEST(!died("a", 220, 230));
     book.noteAnswer(request);
-    BOOST_TEST(!died("c", 300, 400));
-    BOOST_TEST(died("d", 401, 500));
+    // Word of the earlier death comes last.
+    BOOST_TEST(!died("d", 401, 500));
+    BOOST_TEST(died("c", 300, 400));
     BOOST_TEST(book.isRefused(request, TimePoint(Milliseconds(600))));
     BOOST_TEST(!book.isRefused(fingerprintOf("POST", "/book", ""), TimePoint(Milliseconds(600))));
     book.expire(TimePoint(Milliseconds(1'000'000)));
