--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -10,6 +10,7 @@
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/membership/endpoint.h"
 #include "cornelhead/rollout/outcome.h"
+#include "cornelhead/routing/key-ownership.h"
 #include "cornelhead/routing/view.h"
 
 namespace cornelhead {
@@ -23,6 +24,8 @@
     /// All data centres of the fleet; those seen later are added.  They fix where keys live, so
     /// all nodes should be told the same ones.
     std::vector<DataCentreId> dataCentres;
+    /// When this node may act as the home of a key; its retention is `keyRetention`.
+    OwnershipLimits ownership;
     /// How long an idempotency key is remembered after its call has ended.
     Milliseconds keyRetention = Milliseconds(300'000);
 };
--- a/include/cornelhead/routing/key-ownership.h
+++ b/include/cornelhead/routing/key-ownership.h
@@ -49,9 +49,8 @@
 /// Tracks the nodes of the fleet as this node has seen them over time.
 ///
 /// A key's data centre is fixed by rendezvous hashing over all data centres ever known, so that a
-/// cut between data centres moves no key.  Within it, rendezvous hashing names the home among the
-/// nodes seen now that had started well before the key was born, so that a node that joins takes no
-/// key from its home.  Two nodes can both be `Owner` of one key only if they disagreed on the nodes
+/// cut between data centres moves no key.  Within it, rendezvous hashing over the nodes seen now
+/// names the home.  Two nodes can both be `Owner` of one key only if they disagreed on the nodes
 /// of their data centre for longer than `disagreement`.
 class KeyOwnership
 {
@@ -67,12 +66,24 @@
     /// owns no key when the last one is longer ago than `disagreement`.
     void confirm(TimePoint time, std::int64_t wallMs);
 
-    KeyHome homeOf(const CallKey &key, std::optional<std::int64_t> birthMs,
-                   std::int64_t wallMs) const;
+    /// Names the home of a key, as if `leaving` were no member any more.
+    KeyHome homeOf(const CallKey &key, const NodeId &leaving = NodeId()) const;
     /// Checks this node's own right to run a call with `key`.  `birthMs` is when the key was made,
     /// if it tells.
     Ownership check(const CallKey &key, std::optional<std::int64_t> birthMs, TimePoint time,
                     std::int64_t wallMs);
+    /// Checks as if `successor` were no member: whether this node alone may have run the key
+    /// before `successor` became its home.
+    Ownership checkWithout(const NodeId &successor, const CallKey &key,
+                           std::optional<std::int64_t> birthMs, TimePoint time,
+                           std::int64_t wallMs);
+    /// Names the node that was the home of a key before this one, for a key that is `Young` here.
+    std::optional<NodeInfo> predecessorOf(const CallKey &key) const;
+    /// Counts `node` as no member at any time, as it gave up all keys and told what it knew.
+    void retire(const NodeId &node) { retired_.insert(node); }
+    bool isRetired(const NodeId &node) const { return retired_.contains(node); }
+    /// Returns the present nodes of this data centre but the retired ones, this one included.
+    std::vector<NodeInfo> members() const;
 
 private:
     // A time over which this node saw the same nodes.
@@ -80,8 +91,7 @@
     {
         std::int64_t fromMs = 0;
         std::set<DataCentreId> dataCentres;
-        // Sorted by id.
-        std::vector<NodeInfo> members;
+        std::vector<NodeId> members;
         bool hasMajority = true;
     };
 
@@ -90,12 +100,12 @@
     bool seesMajority() const;
     bool isStale(TimePoint time) const;
     void startEra(std::int64_t wallMs);
-    bool ownedIn(const Era &era, const CallKey &key, std::int64_t bornMs) const;
-    // The birth that decides; keys that do not tell theirs count as old as keys get.
-    std::int64_t effectiveBirth(std::optional<std::int64_t> birthMs, std::int64_t wallMs) const;
-    const NodeInfo *chooseMember(const CallKey &key, const std::vector<NodeInfo> &members,
-                                 std::int64_t bornMs) const;
-    Milliseconds margin() const { return limits_.disagreement + limits_.clockSkew; }
+    const NodeId *ownerIn(const Era &era, const CallKey &key, const NodeId &without) const;
+    bool ownedIn(const Era &era, const CallKey &key, const NodeId &without = NodeId()) const;
+    bool isCounted(const NodeId &node, const NodeId &without) const
+    {
+        return node != without && !retired_.contains(node);
+    }
     std::optional<std::int64_t> usableBirth(std::optional<std::int64_t> birthMs,
                                             std::int64_t wallMs) const;
 
@@ -108,10 +118,12 @@
     std::set<DataCentreId> dataCentres_;
     // When each address of this data centre was last seen; a restarted node keeps its address.
     std::map<Address, std::int64_t> seenAt_;
+    // The nodes of this data centre by id, kept for as long as an era may name them.
+    std::map<NodeId, NodeInfo> known_;
+    std::set<NodeId> retired_;
     // Invariant: never empty, oldest first.
     std::deque<Era> eras_;
-    TimePoint lastTick_{};
-    bool hasTicked_ = false;
+    std::optional<TimePoint> lastTick_;
     // Nothing until the first confirmation.
     std::optional<TimePoint> confirmedAt_;
 };
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -174,8 +174,7 @@
     std::optional<NodeInfo> home;
     if (head.home.empty()) {
         const std::lock_guard lock(worker_.node.keysMutex);
-        const KeyedCall call{makeCallKey(head.customer, head.key), keyBirth(head.key), {}};
-        const KeyHome found = worker_.node.keys.homeOf(call, wallClockMs());
+        const KeyHome found = worker_.node.keys.homeOf(makeCallKey(head.customer, head.key));
         if (found.node)
             home = *found.node;
     }
--- a/src/proxy/worker-state.cc
+++ b/src/proxy/worker-state.cc
@@ -10,7 +10,7 @@
 
 OwnershipLimits ownershipLimits(const ProxySettings &settings)
 {
-    OwnershipLimits limits;
+    OwnershipLimits limits = settings.ownership;
     limits.retention = settings.keyRetention;
     return limits;
 }
