--- a/include/cornelhead/proxy/proxy.h
+++ b/include/cornelhead/proxy/proxy.h
@@ -10,7 +10,7 @@
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/membership/endpoint.h"
 #include "cornelhead/rollout/outcome.h"
-#include "cornelhead/routing/poison.h"
+#include "cornelhead/routing/key-ownership.h"
 #include "cornelhead/routing/view.h"
 
 namespace cornelhead {
@@ -24,6 +24,8 @@
     /// All data centres of the fleet; those seen later are added.  They fix where keys live, so
     /// all nodes should be told the same ones.
     std::vector<DataCentreId> dataCentres;
+    /// When this node may act as the home of a key; its retention is `keyRetention`.
+    OwnershipLimits ownership;
     /// How long an idempotency key is remembered after its call has ended.
     Milliseconds keyRetention = Milliseconds(300'000);
 };
@@ -47,11 +49,6 @@
     void confirmMembership();
     /// Takes the outcomes of finished calls since the last take.
     OutcomeBatch takeOutcomes();
-    /// Takes the deaths of servers under a request that this node saw since the last take, to be
-    /// told to the other nodes of the data centre.
-    std::vector<SuspectedDeath> takeSuspectedDeaths();
-    /// Notes deaths that other nodes of the data centre saw.
-    void addSuspectedDeaths(const std::vector<SuspectedDeath> &deaths);
     /// Ends this node's time as a home of idempotency keys: hands what it remembers to the other
     /// nodes of its data centre, then calls `done` from a worker thread.  Other calls go on.
     void retireKeys(const std::function<void()> &done);
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -7,6 +7,7 @@
 
 #include "cornelhead/base/digest.h"
 #include "cornelhead/proxy/call.h"
+#include "cornelhead/proxy/death-notice.h"
 #include "cornelhead/proxy/key-handover.h"
 #include "cornelhead/proxy/overloaded.h"
 #include "cornelhead/proxy/sent-on-call.h"
@@ -92,9 +93,13 @@
         refuse(request, Refusal{reason, proofWithoutHome(request)});
         return;
     }
-    // What one node tells another is not believed from a caller.
+    // What one node tells another is believed only from an IP number of a node that is known here.
     if (!head->home.empty() && !isFromNode(request)) {
-        refuse(request, Refusal{RefusalReason::BadRequest, RunProof::Unknown});
+        refuse(request, Refusal{RefusalReason::HomeMoved, RunProof::Unknown});
+        return;
+    }
+    if (!head->death.empty()) {
+        onDeath(request, *head);
         return;
     }
     Decision decision = decide(*head, lastRequest_);
@@ -111,6 +116,19 @@
         startCall(request, *head, std::move(decision), nullptr);
 }
 
+void Dispatcher::onDeath(evhttp_request *request, const RequestHead &head)
+{
+    const auto death = decodeDeath(head.death);
+    if (head.home.empty() || !death) {
+        refuse(request, Refusal{RefusalReason::BadRequest, RunProof::NotRun});
+        return;
+    }
+    worker_.node.poison.addDeath(*death, lastRequest_);
+    RememberedAnswer done;
+    done.status = HTTP_NOCONTENT;
+    Caller(worker_, request).answer(done);
+}
+
 Dispatcher::Decision Dispatcher::decide(const RequestHead &head, TimePoint time)
 {
     Decision decision;
@@ -296,13 +314,15 @@
 void Dispatcher::follow(evhttp_request *request, const RequestHead &head, Decision decision,
                         const CallKey &key, const KeyVerdict &verdict)
 {
-    const Overloaded visitor{
-            [&](const StartRun &) {
-                startCall(request, head, std::move(decision),
-                          std::make_unique<KeyTicket>(worker_.node, key));
-            },
-            [&](const AnswerAgain &again) { Caller(worker_, request).answer(*again.answer); },
-            [&](const Refusal &refused) { refuse(request, refused); }};
+    const Overloaded visitor{[&](const StartRun &) {
+                                 startCall(request, head, std::move(decision),
+                                           std::make_unique<KeyTicket>(worker_.node, key));
+                             },
+                             [&](const AnswerAgain &again) {
+                                 worker_.node.counters.keyedRemembered.add();
+                                 Caller(worker_, request).answer(*again.answer);
+                             },
+                             [&](const Refusal &refused) { refuse(request, refused); }};
     std::visit(visitor, verdict);
 }
 
--- a/src/proxy/proxy.cc
+++ b/src/proxy/proxy.cc
@@ -63,17 +63,6 @@
     return batch;
 }
 
-std::vector<SuspectedDeath> Proxy::takeSuspectedDeaths()
-{
-    return impl_->node.poison.takeDeaths();
-}
-
-void Proxy::addSuspectedDeaths(const std::vector<SuspectedDeath> &deaths)
-{
-    for (const SuspectedDeath &death : deaths)
-        impl_->node.poison.addDeath(death, now(SteadyClock()));
-}
-
 void Proxy::retireKeys(const std::function<void()> &done)
 {
     impl_->workers.front()->retireKeys(done);
--- a/src/proxy/request-head.cc
+++ b/src/proxy/request-head.cc
@@ -21,7 +21,7 @@
 
 // Set anew for each hop, or meant for nodes alone.
 constexpr std::array ownHeaders
-        = {deadlineHeader, depthHeader, homeHeader, leftHeader, refuseHeader};
+        = {deadlineHeader, depthHeader, homeHeader, leftHeader, refuseHeader, deathHeader};
 
 bool isSameHeader(std::string_view left, std::string_view right)
 {
@@ -156,6 +156,7 @@
     head.home = findHeader(headers, homeHeader);
     head.left = findHeader(headers, leftHeader);
     head.refuse = findHeader(headers, refuseHeader);
+    head.death = findHeader(headers, deathHeader);
     if (head.key.size() > maxKeyBytes)
         return tl::make_unexpected(RefusalReason::BadRequest);
     if (head.depth >= maxDepth)
