--- a/include/cornelhead/standin/load-worker.h
+++ b/include/cornelhead/standin/load-worker.h
@@ -59,6 +59,8 @@
     void takeResult(CallHandle call, const Result<HttpResponse> &response);
     void end(CallHandle call);
     void chooseTarget(Call &call);
+    void chooseOtherTarget(Call &call);
+    const std::vector<Address> &targetsOf(const Call &call) const;
     void scheduleNext();
 
     EventLoop *loop_;
--- a/src/bin/cornelhead-measure-moves.cc
+++ b/src/bin/cornelhead-measure-moves.cc
@@ -311,8 +311,7 @@
     const std::string only = settings.text("--kind");
     if (settings.has("--call-rate"))
         settled.callRate = settings.integer("--call-rate", 1, 100'000);
-    const std::uint64_t replayed
-            = settings.has("--replay")
+    const std::uint64_t replayed = settings.has("--replay")
             ? settings.integer("--replay", 0, std::numeric_limits<std::uint64_t>::max())
             : 0;
     settings.exitOnFaults();
--- a/src/rollout/judgement.cc
+++ b/src/rollout/judgement.cc
@@ -211,9 +211,9 @@
         if (kindWeight(kind) <= 0 || !detail::isWorthTesting(cell.past, kind))
             continue;
         if (detail::isSlowEvent(kind))
-            ratios[kind] = compareLatencies(
-                    cell.pending.newer, cell.pending.older,
-                    LatencyProfile(cell.past, detail::toleratedSlowdown(kind)));
+            ratios[kind]
+                    = compareLatencies(cell.pending.newer, cell.pending.older,
+                                       LatencyProfile(cell.past, detail::toleratedSlowdown(kind)));
         else
             ratios[kind] = compareCalls(detail::countEvents(cell.pending, kind),
                                         detail::toleranceOf(kind),
@@ -404,8 +404,7 @@
 {
     const bool isWhole = scope.route.empty() && scope.dataCentre.empty();
     const std::size_t effect = isWhole ? detail::wholeEffect : detail::partEffect;
-    const std::size_t slow
-            = scope.dataCentre.empty() ? detail::slowEvent : detail::slowHereEvent;
+    const std::size_t slow = scope.dataCentre.empty() ? detail::slowEvent : detail::slowHereEvent;
     for (const std::size_t kind : {detail::failureEvent, slow}) {
         if (detail::isWorthTesting(past, kind)
             && detail::ratiosToPast(stage, past, wholePast_, kind)[effect] > detail::clearedRatio)
@@ -447,9 +446,9 @@
         const detail::VersionSums &block = scopeTests.recent.back();
         const auto newCalls = static_cast<double>(block.newer.calls);
         const double expected = part * (newCalls + static_cast<double>(block.older.calls));
-        scopeTests.shunned
-                = std::max(0.0, scopeTests.shunned + (1.0 - detail::shunnedPart) * expected
-                                        + newCalls * std::log(detail::shunnedPart));
+        scopeTests.shunned = std::max(0.0,
+                                      scopeTests.shunned + (1.0 - detail::shunnedPart) * expected
+                                              + newCalls * std::log(detail::shunnedPart));
     }
 }
 
--- a/src/rollout/latency-test.cc
+++ b/src/rollout/latency-test.cc
@@ -130,10 +130,10 @@
         for (std::size_t j = 0; j < detail::commonShifts.size(); ++j) {
             const double shift = detail::commonShifts[j];
             mixed += detail::commonWeights[j]
-                    * std::exp(detail::logRatio(newer, older,
-                                                detail::slowerShares(profile, shift,
-                                                                     detail::effectShifts[i]),
-                                                profile.slowedBy(shift), profile.toleratedShift()));
+                    * std::exp(detail::logRatio(
+                            newer, older,
+                            detail::slowerShares(profile, shift, detail::effectShifts[i]),
+                            profile.slowedBy(shift), profile.toleratedShift()));
         }
         ratios[i] = std::log(std::max(mixed, 1e-300));
     }
--- a/src/rollout/simulated-calls.cc
+++ b/src/rollout/simulated-calls.cc
@@ -152,11 +152,11 @@
         const bool fails = random_->chance(scenario_->failRate);
         outcome.isFailure = outcome.isFailure || fails;
         const double tolerated = baseFailRate_ + detail::toleratedFailures;
-        outcome.trueLogOdds = fails
-                ? std::log(scenario_->failRate / tolerated)
-                : std::log((1.0 - scenario_->failRate) / (1.0 - tolerated));
+        outcome.trueLogOdds = fails ? std::log(scenario_->failRate / tolerated)
+                                    : std::log((1.0 - scenario_->failRate) / (1.0 - tolerated));
     } else if (outcome.isExposed && badFactor > 1.0 && !outcome.isCold) {
-        const double shift = std::log(badFactor / detail::toleratedSlowdown) / detail::latencySpread;
+        const double shift
+                = std::log(badFactor / detail::toleratedSlowdown) / detail::latencySpread;
         const double seen = noise / detail::latencySpread + shift;
         outcome.trueLogOdds = seen * shift - shift * shift / 2.0;
     }
--- a/src/rollout/simulated-move.cc
+++ b/src/rollout/simulated-move.cc
@@ -26,8 +26,8 @@
 /// Ticks that a call may last.
 constexpr std::size_t longestCallTicks = 32;
 /// The odds, as a logarithm, at which a judge is sure that a version is beyond the tolerance who
-/// knows how bad it may be but not whether, how and where: 250 to 1, times failing or slow in all, one of four routes, or one of
-/// three data centres.
+/// knows how bad it may be but not whether, how and where: 250 to 1, times failing or slow in all,
+/// one of four routes, or one of three data centres.
 const double sureLogOdds = std::log(250.0 * 2.0 * (1.0 + 4.0 + 3.0));
 
 const ServiceId service("bookings");
--- a/src/standin/load-worker.cc
+++ b/src/standin/load-worker.cc
@@ -127,14 +127,26 @@
 {
     const bool canDirect = settings_.direct.contains(call.kind->service);
     call.isDirect = settings_.nodes.empty() || (canDirect && random_.chance(0.5));
-    call.target = settings_.rule == ResendRule::Naive ? nextTarget_++ : random_.engine()();
+    call.target = settings_.rule == ResendRule::Naive ? nextTarget_++
+                                                      : random_.below(targetsOf(call).size());
+}
+
+void LoadWorker::chooseOtherTarget(Call &call)
+{
+    const std::size_t count = targetsOf(call).size();
+    if (count > 1)
+        call.target += 1 + random_.below(count - 1);
+}
+
+const std::vector<Address> &LoadWorker::targetsOf(const Call &call) const
+{
+    return call.isDirect ? settings_.direct.at(call.kind->service) : settings_.nodes;
 }
 
 void LoadWorker::sendAttempt(CallHandle call)
 {
     const CallKind &kind = *call->kind;
-    const std::vector<Address> &targets
-            = call->isDirect ? settings_.direct.at(kind.service) : settings_.nodes;
+    const std::vector<Address> &targets = targetsOf(*call);
     HttpRequest request{kind.method, call->isDirect ? "" : "/", {}, {}, {}};
     if (!call->isDirect)
         request.path += kind.service.value();
@@ -167,11 +179,12 @@
         return;
     }
     tally_.countResent();
-    ++call->target;
     if (settings_.rule == ResendRule::Naive) {
+        ++call->target;
         sendAttempt(call);
         return;
     }
+    chooseOtherTarget(*call);
     const Milliseconds delay = detail::resendDelay * (1U << std::min(call->attempts++, 6U));
     call->resend = loop_->after(delay + random_.jitter(delay), [this, call] { sendAttempt(call); });
 }
