--- a/include/cornelhead/routing/home-keys.h
+++ b/include/cornelhead/routing/home-keys.h
@@ -89,7 +89,7 @@
     bool takeOver(const Retirement &retirement, Moment moment);
     /// Counts a stopping node as no member at any time.  To be called once every successor took
     /// over.  Returns false when the two nodes see different members.
-    bool confirmRetired(const NodeId &node, const std::vector<NodeId> &members);
+    bool confirmRetired(const NodeId &node, const std::vector<NodeId> &members, Moment moment);
     /// Refuses a call that is not to be run, unless its key is remembered.  The refusal says
     /// `NotRun` only if this node knows that no call with the key was ever run.
     KeyVerdict refuse(const KeyedCall &call, RefusalReason reason, Moment moment);
--- a/src/proxy/key-handover.cc
+++ b/src/proxy/key-handover.cc
@@ -69,8 +69,7 @@
     if (!notice)
         return std::nullopt;
     const std::lock_guard lock(node.keysMutex);
-    node.keys.noteLeaving(notice->node, presentMoment());
-    const bool isAgreed = node.keys.confirmRetired(notice->node, notice->members);
+    const bool isAgreed = node.keys.confirmRetired(notice->node, notice->members, presentMoment());
     return std::string(isAgreed ? "agreed" : "not agreed");
 }
 
@@ -223,9 +222,9 @@
 
 void RetireCall::confirm()
 {
-    const std::string notice = encodeNotice({worker_.node.settings.self.id, members_});
+    const RetiredNotice notice{worker_.node.settings.self.id, members_};
     sendAll(
-            retiredPath, [&](const NodeInfo &) { return notice; },
+            retiredPath, [&](const NodeInfo &) { return encodeNotice(notice); },
             [this](bool) {
                 if (--awaited_ > 0)
                     return;
--- a/src/routing/home-keys.cc
+++ b/src/routing/home-keys.cc
@@ -150,13 +150,14 @@
     return true;
 }
 
-bool HomeKeys::confirmRetired(const NodeId &node, const std::vector<NodeId> &members)
+bool HomeKeys::confirmRetired(const NodeId &node, const std::vector<NodeId> &members, Moment moment)
 {
+    noteLeaving(node, moment);
     std::set<NodeId> here = detail::idsOf(ownership_.members());
     here.erase(node);
     if (here != std::set<NodeId>(members.begin(), members.end()))
         return false;
-    ownership_.retire(node);
+    ownership_.retire(node, moment.wallMs);
     return true;
 }
 
--- a/src/routing/key-ownership.cc
+++ b/src/routing/key-ownership.cc
@@ -144,6 +144,16 @@
     startEraIfChanged(wallMs);
 }
 
+void KeyOwnership::retire(const NodeId &node, std::int64_t wallMs)
+{
+    retired_.insert(node);
+    // A node that left in order does not count against the majority of those that stay.
+    const auto known = known_.find(node);
+    if (known != known_.end() && !present_.contains(known->second.proxy))
+        seenAt_.erase(known->second.proxy);
+    startEraIfChanged(wallMs);
+}
+
 void KeyOwnership::startEraIfChanged(std::int64_t wallMs)
 {
     updateSeen(wallMs);
--- a/test/e2e/graceful-stop.sh
+++ b/test/e2e/graceful-stop.sh
@@ -50,6 +50,18 @@
 wait_until 30 all_nodes_at 1 || fault "the configuration did not arrive"
 wait_until 30 all_answer || fault "the fleet does not answer"
 
+# Nodes that started together refuse keys born before they can vouch for them.
+can_book() {
+    local key
+    key=$(printf '%012x' "$(date +%s%3N)")
+    for host in "${hosts[@]}"; do
+        curl -sf -m 2 -X POST -H "Cornelhead-Customer: public-site" \
+            -H "Idempotency-Key: ${key:0:8}-${key:8:4}-7$(printf '%03x' $((RANDOM % 4096)))-8000-$(printf '%012x' $RANDOM$RANDOM)" \
+            "http://${node_ip[$host]}:8080/bookings/book" || return 1
+    done
+}
+wait_until 30 can_book || fault "no bookings are taken"
+
 nodes=$(for host in "${hosts[@]}"; do printf '%s:8080,' "${node_ip[$host]}"; done)
 launch load "$build/cornelhead-load" --nodes "${nodes%,}" --rate "${RATE:-200}" --seconds 0 \
     --ledger "$ledger" --resends 5 --deadline 10s \
--- a/test/routing/key-home-test.cc
+++ b/test/routing/key-home-test.cc
@@ -389,7 +389,7 @@
         const NodeId left = host.info.id;
         for (const NodeInfo &node : host.keys->successors()) {
             tell(node, [this, left, progress](HomeKeys &keys) {
-                retired += keys.confirmRetired(left, progress->members) ? 1 : 0;
+                retired += keys.confirmRetired(left, progress->members, moment()) ? 1 : 0;
             });
         }
     }
