--- a/include/cornelhead/node/node-settings.h
+++ b/include/cornelhead/node/node-settings.h
@@ -18,6 +18,8 @@
 struct NodeSettings
 {
     DataCentreId dataCentre;
+    /// All of the fleet; the homes of idempotency keys are spread over them.
+    std::vector<DataCentreId> dataCentres;
     Address listen;
     Address admin;
     Address inner;
--- a/include/cornelhead/routing/server-choice.h
+++ b/include/cornelhead/routing/server-choice.h
@@ -35,6 +35,8 @@
     /// Ejections since the last answer; sets how long the next one lasts.
     std::uint32_t ejections = 0;
     TimePoint ejectedUntil{};
+    /// Its data centre cannot be reached; it takes calls only when no other server does.
+    bool isCutOff = false;
     /// Until then it takes calls only when no other server does, as it was full.
     TimePoint avoidedUntil{};
     TimePoint lastAnswer{};
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -79,7 +79,9 @@
 
 start_node() { # HOST
     local ip=${node_ip[$1]}
-    launch "node-$1" "$build/cornelhead-node" --data-centre "${host_dc[$1]}" \
+    local dcs
+    dcs=$(printf '%s\n' "${host_dc[@]}" | sort -u | paste -sd,)
+    launch "node-$1" "$build/cornelhead-node" --data-centre "${host_dc[$1]}" --data-centres "$dcs" \
         --listen "$ip:8080" --admin "$ip:8081" --inner "$ip:8082" \
         --platform "$platform_address" --seeds "$fleet_seeds"
 }
--- a/src/node/node-settings.cc
+++ b/src/node/node-settings.cc
@@ -15,6 +15,8 @@
 
 Options:
   --data-centre NAME         Data centre of this host.
+  --data-centres NAMES       All data centres of the fleet, the same at each node, separated by
+                             commas. [default: ]
   --listen ADDRESS           Where callers connect. [default: 127.0.0.1:8080]
   --admin ADDRESS            Metrics, status and announcements. [default: 127.0.0.1:8081]
   --inner ADDRESS            Where other nodes connect. [default: 127.0.0.1:8082]
@@ -51,6 +53,8 @@
     constexpr std::uint64_t mostRelays = 16;
     NodeSettings node;
     node.dataCentre = DataCentreId(settings.text("--data-centre"));
+    for (const std::string &name : settings.list("--data-centres"))
+        node.dataCentres.emplace_back(name);
     node.listen = settings.address("--listen");
     node.admin = settings.address("--admin");
     node.inner = settings.address("--inner");
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -50,6 +50,7 @@
     ProxySettings proxy;
     proxy.self = self;
     proxy.listen = settings.listen;
+    proxy.dataCentres = settings.dataCentres;
     proxy.workers = settings.workers;
     proxy.seed = settings.seed + 1;
     return proxy;
--- a/src/routing/server-choice.cc
+++ b/src/routing/server-choice.cc
@@ -120,7 +120,9 @@
     {
         if (isFull(server) || (needFreeSlot && !hasFreeSlot(server)))
             return false;
-        if (!allowEjected && (isEjected(server, now) || server.avoidedUntil > now))
+        const bool isAvoided
+                = server.isCutOff || isEjected(server, now) || server.avoidedUntil > now;
+        if (!allowEjected && isAvoided)
             return false;
         return !wasTried(*tried, server);
     }
@@ -183,6 +185,7 @@
             const Record record
                     = found == records_.end() ? std::make_shared<ServerRecord>() : found->second;
             record->endpoint = endpoint;
+            record->isCutOff = table.unreachable.contains(endpoint.dataCentre);
             record->connectionShare = connectionShare(endpoint.connections, split);
             if (found == records_.end())
                 record->limit = endpoint.slots * detail::firstLimitRounds;
--- a/test/routing/routing-test.cc
+++ b/test/routing/routing-test.cc
@@ -184,6 +184,16 @@
     BOOST_TEST(book.ejected(ServiceId("bookings"), time) == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(takesServersOfACutOffDataCentreLast, ServersFixture)
+{
+    table.unreachable.insert(DataCentreId("akl-b"));
+    add("cut-off", "akl-b");
+    BOOST_TEST(chosenId() == "cut-off");
+    add("reachable", "hlz-a");
+    for (int i = 0; i < 50; ++i)
+        BOOST_TEST(chosenId() == "reachable");
+}
+
 BOOST_FIXTURE_TEST_CASE(aSilentConnectionDoesNotEjectALiveServer, ServersFixture)
 {
     add("a", "akl-a");
