--- a/src/node/node-settings.cc
+++ b/src/node/node-settings.cc
@@ -59,7 +59,7 @@
     node.admin = settings.address("--admin");
     node.inner = settings.address("--inner");
     node.platform = settings.addresses("--platform");
-    if (node.platform.empty())
+    if (settings.list("--platform").empty())
         settings.addFault("--platform", "", "give at least one address of the platform's service");
     node.seeds = settings.addresses("--seeds");
     node.workers = static_cast<std::uint32_t>(settings.integer("--workers", 1, mostWorkers));
