Keep the view of a keyed call as long as its admission; drop what nothing uses

Found by reading. A keyed call that waited for the release of its key, or came back from a home that was leaving, kept pointers into the configuration of its arrival, while only the newest view was kept alive: a configuration that changed in that moment would have left them dangling. The decision now holds the view that it was made from, for every way a call is started. No run had shown it, and no test brings it about yet.

KeyOwnership::isRetired had no caller. A relay always has a relay by DistributionStatus, so the node asks for that alone.

--- a/include/cornelhead/distribution/distribution.h
+++ b/include/cornelhead/distribution/distribution.h
@@ -49,6 +49,7 @@
     Revision revision;
     Digest digest;
     bool isRelay = false;
+    /// Whether a relay keeps this node current; true for a relay itself.
     bool hasRelay = false;
     bool platformReachable = false;
     std::size_t subscribers = 0;
--- a/include/cornelhead/proxy/dispatcher.h
+++ b/include/cornelhead/proxy/dispatcher.h
@@ -34,6 +34,8 @@
         std::optional<Admission> admission;
         std::optional<RefusalReason> refusal;
         LimitPlace limit;
+        // Holds what the admission points into, also when a newer view arrives meanwhile.
+        std::shared_ptr<const RoutingView> view;
     };
 
     // Whether a call whose home is leaving or gone may be sent on once more.
--- a/include/cornelhead/routing/key-ownership.h
+++ b/include/cornelhead/routing/key-ownership.h
@@ -83,7 +83,6 @@
     void noteLeaving(const NodeId &node, std::int64_t wallMs);
     /// Counts `node` as no member at any time, as it gave up all keys and told what it knew.
     void retire(const NodeId &node) { retired_.insert(node); }
-    bool isRetired(const NodeId &node) const { return retired_.contains(node); }
     /// Returns the present nodes of this data centre but the retired ones, this one included.
     std::vector<NodeInfo> members() const;
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -180,7 +180,7 @@
         const OutcomeBatch outcomes = proxy.takeOutcomes();
         const DistributionStatus state = distribution.status();
         rollout.setEligible(state.isRelay && !isDraining);
-        if (state.hasRelay || state.isRelay)
+        if (state.hasRelay)
             proxy.confirmMembership();
         if (outcomes.empty())
             return;
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -132,6 +132,7 @@
 Dispatcher::Decision Dispatcher::decide(const RequestHead &head, TimePoint time)
 {
     Decision decision;
+    decision.view = view_;
     const auto admission = admit(*view_->config, CallHead{head.customer, head.path, head.key});
     if (!admission) {
         decision.refusal = admission.error();
@@ -165,7 +166,7 @@
 void Dispatcher::startCall(evhttp_request *request, const RequestHead &head, Decision decision,
                            std::unique_ptr<KeyTicket> ticket)
 {
-    CallOrigin origin{head,         *decision.admission,       view_,
+    CallOrigin origin{head,         *decision.admission,       std::move(decision.view),
                       lastRequest_, std::move(decision.limit), std::move(ticket)};
     worker_.startCall(std::make_unique<Call>(worker_, request, std::move(origin))).start();
 }
@@ -260,8 +261,8 @@
             left, nullptr};
     if (redirect == Redirect::Allowed) {
         origin.redirect = [this, admission = decision.admission,
-                           view = view_](evhttp_request *again, SentOnOrigin back) {
-            Decision decided{admission, back.refusal, std::move(back.limit)};
+                           view = decision.view](evhttp_request *again, SentOnOrigin back) {
+            Decision decided{admission, back.refusal, std::move(back.limit), view};
             RequestHead shorter = back.head;
             shorter.deadline = back.allowed;
             takeBack(again, shorter, std::move(decided), back);
