--- a/include/cornelhead/net/http.h
+++ b/include/cornelhead/net/http.h
@@ -138,5 +138,7 @@
 
 /// Escapes text for use as a part of a path or query.
 std::string escapeUri(std::string_view text);
+/// Reverses `escapeUri`.
+std::string unescapeUri(std::string_view text);
 
 } // namespace cornelhead
--- a/include/cornelhead/platform/client.h
+++ b/include/cornelhead/platform/client.h
@@ -12,51 +12,17 @@
 #include "cornelhead/base/ids.h"
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/net/http.h"
+#include "cornelhead/platform/own-store-codec.h"
+#include "cornelhead/platform/store-codec.h"
+#include "cornelhead/platform/store-types.h"
 
 namespace cornelhead {
 
-/// Names a lease that the platform granted.
-using LeaseId = Id<struct LeaseTag>;
-
-/// One key with its value and the revision of its last write.
-struct KeyValue
-{
-    std::string key;
-    std::string value;
-    ModRevision modRevision;
-};
-
-/// All keys of a prefix at one moment.
-struct Listing
-{
-    std::vector<KeyValue> entries;
-    /// The store's revision at that moment; a watch continues after it.
-    ModRevision storeRevision;
-};
-
-/// What changed under a prefix.
-struct WatchAnswer
-{
-    std::vector<KeyValue> changed;
-    std::vector<std::string> removed;
-    ModRevision storeRevision;
-    /// True when the store no longer knows single changes since then: `changed` is the whole
-    /// prefix, `removed` is empty, and every key that `changed` lacks is gone.
-    bool isWhole = false;
-};
-
-/// What a write expects to replace.
-struct Expected
-{
-    /// 0 expects that the key does not exist.
-    ModRevision modRevision;
-};
-
 /// Calls the platform.  All callbacks run on the loop, never inside the call itself.
 ///
 /// Errors: `Conflict` when a compare-and-swap lost, `RateLimited`, `TooLarge`, `NotFound` for a
 /// lapsed lease, `Unavailable` when the call was certainly not run, `Unknown` when a write may have
-/// taken effect.  Values are UTF-8 text; others fail with `InvalidMessage` and are not sent.
+/// taken effect, `InvalidMessage` for a value that the codec cannot send.
 class PlatformClient
 {
 public:
@@ -65,16 +31,18 @@
 
     /// Tries `addresses` in turn when one cannot be reached.
     PlatformClient(EventLoop &loop, std::vector<Address> addresses, Milliseconds timeout,
-                   Metrics &metrics);
+                   Metrics &metrics,
+                   std::shared_ptr<const StoreCodec> codec = std::make_shared<OwnStoreCodec>());
 
     /// Names the caller's data centre in each call, so that tests can cut it off.
     void setDataCentre(const DataCentreId &dataCentre) { dataCentre_ = dataCentre; }
 
     void get(const std::string &key, Callback<std::optional<KeyValue>> callback);
     void list(const std::string &prefix, Callback<Listing> callback);
-    /// Writes only over `expected`; a lease removes the key when it lapses.
-    void put(const std::string &key, const std::string &value, Expected expected,
-             const std::optional<LeaseId> &lease, Callback<ModRevision> callback);
+    /// Writes only over `expected`, if that is given; a lease removes the key when it lapses.
+    void put(const std::string &key, const std::string &value,
+             const std::optional<Expected> &expected, const std::optional<LeaseId> &lease,
+             Callback<ModRevision> callback);
     void remove(const std::string &key, Expected expected, Callback<void> callback);
     /// Answers when something under `prefix` changed after `after`, or empty after `wait`.
     void watch(const std::string &prefix, ModRevision after, Milliseconds wait,
@@ -84,15 +52,18 @@
     void revoke(const LeaseId &lease, Callback<void> callback);
 
 private:
-    using ReadAnswer = std::function<void(Result<HttpResponse>)>;
+    using ReadAnswer = std::function<Result<void>(Result<HttpResponse>)>;
     struct Call;
 
     void start(const std::shared_ptr<Call> &call);
     void send(const std::shared_ptr<Call> &call, std::size_t attempts);
     void finish(const Call &call, Result<HttpResponse> answer);
+    void listFrom(const std::string &prefix, const std::shared_ptr<Listing> &soFar,
+                  const Callback<Listing> &callback);
 
     EventLoop *loop_;
     HttpClient http_;
+    std::shared_ptr<const StoreCodec> codec_;
     // Never empty.
     std::vector<Address> addresses_;
     std::size_t current_ = 0;
--- /dev/null
+++ b/include/cornelhead/platform/own-store-codec.h
@@ -0,0 +1,32 @@
+// The spelling of the key-value service that the project's own stand-in speaks.
+#pragma once
+
+#include "cornelhead/platform/store-codec.h"
+
+namespace cornelhead {
+
+/// JSON messages under /v1.  Values are UTF-8 text; others fail with `InvalidMessage`.
+class OwnStoreCodec : public StoreCodec
+{
+public:
+    HttpRequest get(const std::string &key) const override;
+    HttpRequest list(const std::string &prefix, const std::string &after) const override;
+    HttpRequest watch(const std::string &prefix, ModRevision after,
+                      Milliseconds wait) const override;
+    Result<HttpRequest> put(const std::string &key, const std::string &value,
+                            const std::optional<Expected> &expected,
+                            const std::optional<LeaseId> &lease) const override;
+    HttpRequest remove(const std::string &key, Expected expected) const override;
+    HttpRequest grantLease(Milliseconds ttl) const override;
+    HttpRequest keepAlive(const LeaseId &lease) const override;
+    HttpRequest revoke(const LeaseId &lease) const override;
+
+    Result<std::optional<KeyValue>> readGet(const HttpResponse &answer) const override;
+    Result<ListingPage> readList(const HttpResponse &answer) const override;
+    Result<WatchAnswer> readWatch(const HttpResponse &answer) const override;
+    Result<ModRevision> readPut(const HttpResponse &answer) const override;
+    Result<LeaseId> readLease(const HttpResponse &answer) const override;
+    Result<void> readDone(const HttpResponse &answer) const override;
+};
+
+} // namespace cornelhead
--- a/include/cornelhead/platform/wire.h
+++ b/include/cornelhead/platform/wire.h
@@ -6,7 +6,9 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cornelhead/platform/client.h"
+#include "cornelhead/platform/store-types.h"
+#include "cornelhead/net/http.h"
+#include "cornelhead/base/error.h"
 
 namespace cornelhead::detail {
 
--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -28,9 +28,12 @@
 struct StreamEnd
 { };
 
-/// The answer states no end, so it cannot be told from one that was cut.
+/// The answer states no end and came to one by an orderly close; `raw` is valid during the handler
+/// only.  It cannot be told from one that the server cut.
 struct UnboundedAnswer
-{ };
+{
+    evhttp_request *raw = nullptr;
+};
 
 using AttemptEnd = std::variant<WholeAnswer, StreamEnd, UnboundedAnswer, AttemptFailure>;
 
@@ -80,7 +83,7 @@
     AttemptEnd endOf(evhttp_request *raw) const;
     void watchOutput();
     void unwatchOutput();
-    void setNoDelay();
+    void tuneSocket();
 
     UpstreamPool &pool_;
     const Address to_;
--- /dev/null
+++ b/include/cornelhead/sidecar/entry-call.h
@@ -0,0 +1,77 @@
+// One call of a caller, from its arrival to its answer.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "cornelhead/proxy/attempt.h"
+#include "cornelhead/sidecar/entry-side.h"
+#include "cornelhead/sidecar/exchange.h"
+
+namespace cornelhead::detail {
+
+/// Sends a call to one host after the other until one answers, as far as that is safe.
+///
+/// A call that may have been run at a host is sent elsewhere only if it is idempotent.  When a
+/// connection to a host breaks or falls silent, the host is asked for the same call by its id on a
+/// new connection, which never runs it twice.
+class EntryCall : public std::enable_shared_from_this<EntryCall>
+{
+public:
+    EntryCall(EntrySide &side, evhttp_request *request);
+    ~EntryCall();
+    EntryCall(const EntryCall &) = delete;
+    EntryCall &operator=(const EntryCall &) = delete;
+
+    void start();
+
+private:
+    bool readHead();
+    bool findRoute();
+    void place();
+    void send(bool isResumed);
+    void fillHeaders(bool isResumed);
+    void armProgressTimer();
+    void onProgressDue();
+    void onEnd(const AttemptEnd &end);
+    void onHostAnswer(evhttp_request *raw);
+    void onFailure(AttemptFailure failure);
+    void onUnreachable();
+    void onRefused(HopReason reason);
+    void onUnknown(HopReason reason);
+    void tryElsewhere(EntryRefusal otherwise);
+    void releaseHost();
+    void retireAttempt();
+    void onFinishDue();
+    void onCallerGone();
+    void refuse(EntryRefusal refusal);
+    void logEnd(std::string_view outcome, int status);
+    double retryAfterSeconds() const;
+    Milliseconds timeLeft() const;
+
+    EntrySide &side_;
+    Exchange exchange_;
+    std::shared_ptr<const RouteTable> table_;
+    const HostRoute *route_ = nullptr;
+    std::string id_;
+    Milliseconds deadline_{};
+    TimePoint arrivedAt_{};
+    TimePoint finishBy_{};
+    bool isServerCall_ = false;
+    PlacementQuestion question_;
+    Placement::Host host_;
+    // The run and server that the current send is meant for; entries change while it runs.
+    HopRequest hop_;
+    std::unique_ptr<Attempt> attempt_;
+    Timer progressTimer_;
+    Timer finishTimer_;
+    std::uint32_t serversReached_ = 0;
+    std::uint32_t refusals_ = 0;
+    std::uint32_t resumes_ = 0;
+    Microseconds shortestWait_{};
+    bool maySwitchVersion_ = false;
+    bool isSentToServer_ = false;
+    bool isOver_ = false;
+};
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/include/cornelhead/sidecar/entry-publisher.h
@@ -0,0 +1,53 @@
+// Keeps one key of the key-value service at a wanted value, under a lease that is renewed.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "cornelhead/base/event-log.h"
+#include "cornelhead/net/event-loop.h"
+#include "cornelhead/platform/client.h"
+
+namespace cornelhead::detail {
+
+/// Publishes a host's entry.
+///
+/// A write whose answer was lost may take effect seconds later and bring back an older value, and a
+/// lease or a key may be taken away without any request showing it.  The owner therefore tells what
+/// the service lists, and whatever differs from the wanted value is written again.
+class EntryPublisher
+{
+public:
+    /// `onReach` is told after each renewal whether the service answered.
+    EntryPublisher(EventLoop &loop, PlatformClient &platform, std::string key, EventLog &log,
+                   std::function<void(bool)> onReach);
+
+    void publish(std::string value);
+    /// Ends the lease; nothing is published any more.
+    void withdraw();
+    void noteListed(const std::string &value);
+    void noteRemoved();
+
+private:
+    void renewLater(bool wasReached);
+    void renew();
+    void grant();
+    void write();
+    void fail(const Error &error);
+
+    EventLoop &loop_;
+    PlatformClient &platform_;
+    const std::string key_;
+    EventLog &log_;
+    std::function<void(bool)> onReach_;
+    std::optional<std::string> wanted_;
+    // What the service holds as far as is known; nothing when it must be written.
+    std::optional<std::string> written_;
+    std::optional<LeaseId> lease_;
+    bool isBusy_ = false;
+    bool isWithdrawn_ = false;
+    Timer timer_;
+};
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/include/cornelhead/sidecar/entry-side.h
@@ -0,0 +1,116 @@
+// The side of a node that takes calls from callers on its host and finds them a server.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cornelhead/base/event-log.h"
+#include "cornelhead/base/random.h"
+#include "cornelhead/config/route-table.h"
+#include "cornelhead/net/event-loop.h"
+#include "cornelhead/proxy/upstream-pool.h"
+#include "cornelhead/rollout/version-move.h"
+#include "cornelhead/routing/placement.h"
+#include "cornelhead/routing/poison.h"
+#include "cornelhead/routing/shared-retry-budget.h"
+#include "cornelhead/routing/weighted-split.h"
+#include "cornelhead/sidecar/dialect.h"
+#include "cornelhead/sidecar/hop.h"
+
+struct evhttp_request;
+
+namespace cornelhead::detail {
+
+class EntryCall;
+
+/// Why the entry answers a call itself.
+enum class EntryRefusal {
+    NotReady, ///< No configuration is known yet.
+    NoRoute,
+    BadRequest,
+    NoServer, ///< No host is known that may take the call.
+    Overload, ///< Every host that was asked refused the call.
+    Budget, ///< The call may be sent again, but the fleet's budget is spent.
+    Attempts, ///< The call used up its attempts.
+    Unknown, ///< The call may have been run and must not run twice.
+    Timeout,
+    Poison, ///< Servers died under this request.
+};
+constexpr std::size_t entryRefusalCount = 10;
+std::string_view entryRefusalName(EntryRefusal refusal);
+
+/// What the entry side asks of its node.
+struct EntryHandlers
+{
+    std::function<VersionMoveWatcher *(const ServiceId &)> moveOf;
+    std::function<void(const Address &, Revision)> onPeerRevision;
+};
+
+/// Settings of the entry side.
+struct EntrySettings
+{
+    DataCentreId dataCentre;
+    ServiceId callerService;
+    /// Calls that come from this host's own number are made by its server.
+    std::string ownIp;
+    double retryRatio = 0.0;
+    Milliseconds retryWindow{};
+    std::uint64_t seed = 0;
+};
+
+/// Carries calls from callers to the nodes of servers.
+class EntrySide
+{
+public:
+    EntrySide(EventLoop &loop, const Dialect &dialect, EntrySettings settings, PoisonBook &poison,
+              Metrics &metrics, EventLog &log, EntryHandlers handlers);
+    ~EntrySide();
+    EntrySide(const EntrySide &) = delete;
+    EntrySide &operator=(const EntrySide &) = delete;
+
+    void serve(evhttp_request *request);
+    void setConfiguration(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
+    void setHosts(const std::map<Address, HostDirectory::Known> &hosts) { placement_.update(hosts); }
+    /// Answers ask callers to close their connections from now on.
+    void stop() { isStopping_ = true; }
+    std::size_t active() const { return calls_.size(); }
+    /// To be called a few times a second.
+    void sweep();
+    const Placement &placement() const { return placement_; }
+
+private:
+    friend class EntryCall;
+
+    const ServiceId &chooseService(const HostRoute &route);
+    /// Fills in which version the call goes to, while its service moves.  Returns whether it may go
+    /// to the other one where that has no server.
+    bool chooseVersion(PlacementQuestion &question);
+    void noteReport(PlacedHost &host, const HopAnswer &answer);
+    void end(EntryCall &call);
+
+    EventLoop &loop_;
+    const Dialect &dialect_;
+    const EntrySettings settings_;
+    PoisonBook &poison_;
+    Metrics &metrics_;
+    EventLog &log_;
+    EntryHandlers handlers_;
+    Random random_;
+    UpstreamPool pool_;
+    Placement placement_;
+    SharedRetryBudget budget_;
+    std::shared_ptr<const RouteTable> table_;
+    std::map<RouteId, WeightedSplit> splits_;
+    std::map<ServiceId, WeightedSplit> moveSplits_;
+    std::map<EntryCall *, std::shared_ptr<EntryCall>> calls_;
+    std::vector<Counter *> refusals_;
+    Counter &served_;
+    Counter &retries_;
+    Counter &resumes_;
+    Summary &duration_;
+    bool isStopping_ = false;
+};
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/include/cornelhead/sidecar/exchange.h
@@ -0,0 +1,64 @@
+// One request on a listening socket of the node, which gets exactly one answer.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cornelhead/base/clock.h"
+#include "cornelhead/net/event-loop.h"
+#include "cornelhead/proxy/attempt.h"
+#include "cornelhead/routing/key-memory.h"
+
+struct evhttp_request;
+
+namespace cornelhead::detail {
+
+/// An answer that the node makes itself.
+struct OwnAnswer
+{
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+/// Answers one request.  Dropping it unanswered closes the caller's connection.
+class Exchange
+{
+public:
+    Exchange(EventLoop &loop, evhttp_request *request);
+    ~Exchange();
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    /// The request, or null once it is answered.
+    evhttp_request *request() const { return request_; }
+    /// Runs `onGone` once if the caller closes its connection before the answer.
+    void watch(std::function<void()> onGone);
+    /// Asks the caller to close its connection after the answer.
+    void closeAfterAnswer() { isLast_ = true; }
+    /// Adds a header to whatever answer comes.
+    void addHeader(const char *name, const std::string &value);
+    /// Leaves a header out of the answer that is passed on.
+    void leaveOut(const char *name) { leftOut_.push_back(name); }
+
+    void send(const OwnAnswer &answer);
+    /// Passes on a whole answer and moves its body.
+    void pass(evhttp_request *answer);
+    void pass(const RememberedAnswer &answer);
+
+private:
+    evhttp_request *take();
+    void drop();
+
+    EventLoop &loop_;
+    evhttp_request *request_;
+    std::function<void()> onGone_;
+    std::unique_ptr<event, EventDeleter> closed_;
+    std::vector<std::pair<std::string, std::string>> headers_;
+    std::vector<const char *> leftOut_;
+    bool isLast_ = false;
+};
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/include/cornelhead/sidecar/serving-side.h
@@ -0,0 +1,120 @@
+// The side of a node that stands before the host's backend server: the only way to it.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "cornelhead/base/event-log.h"
+#include "cornelhead/membership/local-server.h"
+#include "cornelhead/net/event-loop.h"
+#include "cornelhead/proxy/upstream-pool.h"
+#include "cornelhead/routing/key-memory.h"
+#include "cornelhead/routing/poison.h"
+#include "cornelhead/routing/server-gate.h"
+#include "cornelhead/routing/work-estimate.h"
+#include "cornelhead/sidecar/dialect.h"
+#include "cornelhead/sidecar/hop.h"
+
+struct evhttp_request;
+
+namespace cornelhead::detail {
+
+class ServingCall;
+
+/// What the serving side tells and asks its node.
+struct ServingHandlers
+{
+    /// The server went down, came back or was replaced.
+    std::function<void()> onServerChanged;
+    /// The server died while it ran these requests.
+    std::function<void(const std::vector<SuspectedDeath> &)> onDeaths;
+    std::function<Revision()> configurationRevision;
+};
+
+/// Runs calls of all nodes at the host's server.
+///
+/// Remembers each call by its request id until its deadline has passed, so that a caller's node
+/// whose connection broke can ask again without a second run.
+class ServingSide
+{
+public:
+    ServingSide(EventLoop &loop, const Dialect &dialect, const NodeId &run, const Address &server,
+                LocalServer &local, PoisonBook &poison, Metrics &metrics, EventLog &log,
+                ServingHandlers handlers);
+    ~ServingSide();
+    ServingSide(const ServingSide &) = delete;
+    ServingSide &operator=(const ServingSide &) = delete;
+
+    /// Takes a request that carries `hopRequestHeader`.
+    void serve(evhttp_request *request);
+    /// The server's state or slots have changed.
+    void refresh();
+    /// Refuses further calls; those that run end in their time.
+    void stop();
+    /// Calls that wait or run.
+    std::size_t active() const;
+    /// To be called a few times a second.
+    void sweep();
+    /// Asks the server for its health, if it is not known to be up.
+    void probe(const std::string &healthPath);
+
+private:
+    friend class ServingCall;
+
+    /// A call as its id is remembered.
+    struct Remembered
+    {
+        // Null once the call has ended.
+        std::shared_ptr<ServingCall> call;
+        HopResult result = HopResult::Unknown;
+        HopReason reason = HopReason::None;
+        /// The answer, for calls that must not run twice.
+        std::shared_ptr<const RememberedAnswer> answer;
+        TimePoint forgetAt{};
+    };
+
+    HopAnswer hopAnswer(HopResult result, HopReason reason) const;
+    void refuse(evhttp_request *request, HopResult result, HopReason reason);
+    /// Answers from what is remembered of the id; false when the call is to be treated as new.
+    bool resume(evhttp_request *request, const std::string &id, const HopRequest &hop);
+    HopReason refusalFor(const HopRequest &hop, evhttp_request *request) const;
+    void start(evhttp_request *request, const std::string &id, const HopRequest &hop);
+    void startWaiting();
+    void refuseAll(const std::vector<GateTicket> &tickets, HopReason reason);
+    void end(ServingCall &call);
+    void noteAnswer(const ServingCall &call, bool isFailure, Microseconds duration);
+    void noteBroken(const ServingCall &call);
+    void noteConnectFailed();
+    void takeHealth(const HttpResponse &answer);
+    Milliseconds reuseLimit() const { return reuseLimit_; }
+
+    EventLoop &loop_;
+    const Dialect &dialect_;
+    const NodeId run_;
+    const Address server_;
+    LocalServer &local_;
+    PoisonBook &poison_;
+    EventLog &log_;
+    ServingHandlers handlers_;
+    Counter &refusals_;
+    UpstreamPool pool_;
+    HttpClient health_;
+    ServerGate gate_;
+    WorkEstimate work_;
+    std::map<GateTicket, std::shared_ptr<ServingCall>> calls_;
+    std::map<std::string, Remembered> byId_;
+    GateTicket lastTicket_;
+    // Idle connections older than this may be closed by the server at any moment.
+    Milliseconds reuseLimit_;
+    std::uint64_t answers_ = 0;
+    std::uint64_t failures_ = 0;
+    double relativeWorkSum_ = 0.0;
+    // Calls whose connection broke lately, in case the server turns out to be dead.
+    std::vector<std::pair<SuspectedDeath, TimePoint>> broken_;
+    bool isProbing_ = false;
+    bool isStopping_ = false;
+};
+
+} // namespace cornelhead::detail
--- /dev/null
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -0,0 +1,45 @@
+// The settings of cornelhead-sidecar, read from flags and environment variables.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "cornelhead/base/address.h"
+#include "cornelhead/base/clock.h"
+#include "cornelhead/base/ids.h"
+#include "cornelhead/base/settings.h"
+
+namespace cornelhead {
+
+/// The usage text of cornelhead-sidecar.
+extern const char *const sidecarUsage;
+
+struct SidecarSettings
+{
+    DataCentreId dataCentre;
+    /// The service of this host's backend server.
+    ServiceId service;
+    /// Where this host's backend server listens.
+    Address server;
+    /// Where callers of this host connect.
+    Address outbound;
+    /// Where other nodes connect.
+    Address inbound;
+    /// Readiness checks and metrics.
+    Address readiness;
+    /// Where this host's backend server announces itself.
+    Address control;
+    Address platform;
+    /// How long a stopping process may live.
+    Milliseconds stopTimeout{};
+    /// The fleet's bound on repeated sends: a part of the calls in a window.
+    double retryRatio = 0.0;
+    Milliseconds retryWindow{};
+    std::string logLevel;
+    std::uint64_t seed = 0;
+};
+
+/// Reads and checks every setting; faults are collected in `settings`.
+SidecarSettings readSidecarSettings(Settings &settings);
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/membership/host-entry.cc
@@ -0,0 +1,135 @@
+// Implements host entries and their directory.
+#include "cornelhead/membership/host-entry.h"
+
+#include <set>
+
+#include <nlohmann/json.hpp>
+
+namespace cornelhead {
+namespace detail {
+
+using nlohmann::json;
+
+constexpr const char *drainingName = "draining";
+constexpr const char *servingName = "serving";
+
+json toJson(const HostedServer &server)
+{
+    return {{"id", server.id.value()},
+            {"service", server.service.value()},
+            {"version", server.version.value()},
+            {"slots", server.slots},
+            {"state", server.state == ServerState::Draining ? drainingName : servingName}};
+}
+
+HostedServer readHostedServer(const json &json)
+{
+    HostedServer server;
+    server.id = ServerId(json.at("id").get<std::string>());
+    server.service = ServiceId(json.at("service").get<std::string>());
+    server.version = VersionId(json.at("version").get<std::string>());
+    server.slots = json.at("slots").get<std::uint32_t>();
+    server.state = json.at("state").get<std::string>() == drainingName ? ServerState::Draining
+                                                                      : ServerState::Serving;
+    return server;
+}
+
+} // namespace detail
+
+std::string encodeHostEntry(const HostEntry &entry)
+{
+    nlohmann::json json = {{"node", entry.node.toString()},
+                           {"run", entry.run.value()},
+                           {"dataCentre", entry.dataCentre.value()}};
+    if (entry.server)
+        json["server"] = detail::toJson(*entry.server);
+    if (entry.isStopping)
+        json["stopping"] = true;
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Result<HostEntry> decodeHostEntry(std::string_view bytes)
+{
+    try {
+        const auto json = nlohmann::json::parse(bytes);
+        HostEntry entry;
+        const Result<Address> node = parseAddress(json.at("node").get<std::string>());
+        if (!node)
+            return tl::unexpected(node.error());
+        entry.node = *node;
+        entry.run = NodeId(json.at("run").get<std::string>());
+        entry.dataCentre = DataCentreId(json.at("dataCentre").get<std::string>());
+        if (json.contains("server"))
+            entry.server = detail::readHostedServer(json.at("server"));
+        entry.isStopping = json.value("stopping", false);
+        return entry;
+    } catch (const nlohmann::json::exception &) {
+        return fail(ErrorKind::InvalidMessage, "a host entry cannot be read",
+                    "check what else writes under the prefix of host entries");
+    }
+}
+
+bool HostDirectory::put(const HostEntry &entry)
+{
+    const auto [host, isNew] = hosts_.try_emplace(entry.node, Known{entry, std::nullopt});
+    const bool isChanged = isNew || !(host->second.entry == entry) || host->second.absentSince;
+    host->second = Known{entry, std::nullopt};
+    return isChanged;
+}
+
+bool HostDirectory::putFromPeer(const HostEntry &entry, TimePoint now)
+{
+    const auto host = hosts_.find(entry.node);
+    if (host != hosts_.end() && (!host->second.absentSince || host->second.entry == entry))
+        return false;
+    hosts_.insert_or_assign(entry.node, Known{entry, now});
+    return true;
+}
+
+bool HostDirectory::markAbsent(const Address &node, TimePoint now)
+{
+    const auto host = hosts_.find(node);
+    if (host == hosts_.end())
+        return false;
+    if (host->second.entry.isStopping) {
+        hosts_.erase(host);
+        return true;
+    }
+    if (!host->second.absentSince)
+        host->second.absentSince = now;
+    return false;
+}
+
+bool HostDirectory::replaceAll(const std::vector<HostEntry> &entries, TimePoint now)
+{
+    bool isChanged = false;
+    std::set<Address> listed;
+    for (const HostEntry &entry : entries) {
+        listed.insert(entry.node);
+        isChanged |= put(entry);
+    }
+    std::vector<Address> absent;
+    for (const auto &[node, known] : hosts_) {
+        if (!listed.contains(node))
+            absent.push_back(node);
+    }
+    for (const Address &node : absent)
+        isChanged |= markAbsent(node, now);
+    return isChanged;
+}
+
+void HostDirectory::restartGrace(TimePoint now)
+{
+    for (auto &[node, known] : hosts_) {
+        if (known.absentSince)
+            known.absentSince = now;
+    }
+}
+
+const HostDirectory::Known *HostDirectory::find(const Address &node) const
+{
+    const auto host = hosts_.find(node);
+    return host == hosts_.end() ? nullptr : &host->second;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/membership/local-server.cc
@@ -0,0 +1,87 @@
+// Implements the state of the host's own server.
+#include "cornelhead/membership/local-server.h"
+
+#include <tuple>
+
+namespace cornelhead {
+
+LocalServer::Verdict LocalServer::take(const ServerAnnouncement &announcement)
+{
+    // Servers that do not tell their start are told apart by their ids alone.
+    const bool isOtherUndated = announcement.startedAtMs == 0 && startedAtMs_ == 0 && server_
+            && server_->id != announcement.server.id;
+    const auto order = std::tie(announcement.startedAtMs, announcement.sequence);
+    if (!isOtherUndated && order <= std::tie(startedAtMs_, sequence_))
+        return Verdict::Stale;
+    if (departed_ == announcement.server.id && announcement.startedAtMs <= departedStartedAtMs_)
+        return Verdict::Stale;
+    const bool isNewRun = isOtherUndated || announcement.startedAtMs != startedAtMs_;
+    // A server that drains does not come back within one run.
+    const bool wasDraining = !isNewRun && server_ && server_->state == ServerState::Draining;
+    HostedServer server = announcement.server;
+    if (wasDraining)
+        server.state = ServerState::Draining;
+    const bool isChanged = isDown_ || server_ != server;
+    startedAtMs_ = announcement.startedAtMs;
+    sequence_ = announcement.sequence;
+    server_ = server;
+    isDown_ = false;
+    return isChanged ? Verdict::Changed : Verdict::Unchanged;
+}
+
+LocalServer::Verdict LocalServer::take(const ServerDeparture &departure)
+{
+    if (!server_ || server_->id != departure.id)
+        return Verdict::Stale;
+    departed_ = departure.id;
+    departedStartedAtMs_ = startedAtMs_;
+    const bool isChanged = server_->state != ServerState::Draining;
+    server_->state = ServerState::Draining;
+    return isChanged ? Verdict::Changed : Verdict::Unchanged;
+}
+
+bool LocalServer::adopt(const HostedServer &published)
+{
+    if (server_)
+        return false;
+    server_ = published;
+    isDown_ = true;
+    return true;
+}
+
+bool LocalServer::markDown()
+{
+    const bool isChanged = server_ && !isDown_;
+    isDown_ = true;
+    return isChanged;
+}
+
+bool LocalServer::markHealthy(const ServerId &id)
+{
+    if (!server_ || server_->id != id)
+        return false;
+    const bool isChanged = isDown_;
+    isDown_ = false;
+    return isChanged;
+}
+
+void LocalServer::markReplaced()
+{
+    isDown_ = true;
+}
+
+std::optional<HostedServer> LocalServer::published() const
+{
+    if (isDown_)
+        return std::nullopt;
+    return server_;
+}
+
+const HostedServer *LocalServer::usable() const
+{
+    if (!server_ || isDown_ || server_->state == ServerState::Draining)
+        return nullptr;
+    return &*server_;
+}
+
+} // namespace cornelhead
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -4,8 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <event2/buffer.h>
@@ -14,6 +12,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "cornelhead/net/socket-options.h"
+
 namespace cornelhead {
 namespace detail {
 
@@ -148,12 +148,10 @@
         call.output = evbuffer_add_cb(bufferevent_get_output(events), &onOutput, &call);
     }
 
-    // Else the end of a long request waits for a delayed acknowledgement.
-    static void sendWithoutDelay(const Call &call)
+    static void tuneSocket(const Call &call)
     {
-        const int on = 1;
-        bufferevent *events = evhttp_connection_get_bufferevent(call.connection.get());
-        setsockopt(bufferevent_getfd(events), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        tuneOutgoingSocket(
+                bufferevent_getfd(evhttp_connection_get_bufferevent(call.connection.get())));
     }
 
     static void unwatchOutput(Call &call)
@@ -193,7 +191,7 @@
     Impl::watchOutput(*call);
     evhttp_make_request(call->connection.get(), raw, detail::commandOf(request.method),
                         request.path.c_str());
-    Impl::sendWithoutDelay(*call);
+    Impl::tuneSocket(*call);
 }
 
 void HttpClient::forget(const Address &address)
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -126,6 +126,11 @@
     return result;
 }
 
+std::string unescapeUri(std::string_view text)
+{
+    return detail::decodeUri(std::string(text).c_str());
+}
+
 struct Responder::State
 {
     // Null once answered; evhttp keeps an unanswered request alive after its connection closed.
--- /dev/null
+++ b/src/net/socket-options.cc
@@ -0,0 +1,37 @@
+// Implements the socket options.
+#include "cornelhead/net/socket-options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cornelhead {
+namespace detail {
+
+constexpr int probeAfterSeconds = 1;
+constexpr int probeEverySeconds = 1;
+constexpr int lostProbes = 2;
+static_assert(probeAfterSeconds + probeEverySeconds * lostProbes
+              == silentConnectionLimit / std::chrono::seconds(1));
+
+void setOption(int socket, int level, int name, int value)
+{
+    setsockopt(socket, level, name, &value, sizeof value);
+}
+
+} // namespace detail
+
+void tuneOutgoingSocket(int socket)
+{
+    if (socket < 0)
+        return;
+    detail::setOption(socket, IPPROTO_TCP, TCP_NODELAY, 1);
+    detail::setOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    detail::setOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, detail::probeAfterSeconds);
+    detail::setOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, detail::probeEverySeconds);
+    detail::setOption(socket, IPPROTO_TCP, TCP_KEEPCNT, detail::lostProbes);
+    detail::setOption(socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      static_cast<int>(silentConnectionLimit.count()));
+}
+
+} // namespace cornelhead
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -1,10 +1,6 @@
 // Implements attempts over evhttp's client connections.
 #include "cornelhead/proxy/attempt.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <cstdlib>
 #include <string>
 #include <utility>
@@ -14,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/keyvalq_struct.h>
 
+#include "cornelhead/net/socket-options.h"
 #include "cornelhead/proxy/request-head.h"
 
 namespace cornelhead::detail {
@@ -90,17 +87,14 @@
         finish(AttemptFailure::NotSent);
         return;
     }
-    setNoDelay();
+    tuneSocket();
 }
 
-void Attempt::setNoDelay()
+void Attempt::tuneSocket()
 {
     if (!connection_)
         return;
-    const int fd = bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get()));
-    const int on = 1;
-    if (fd >= 0)
-        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    tuneOutgoingSocket(bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get())));
 }
 
 void Attempt::cancel()
@@ -170,7 +164,7 @@
     if (isStreaming_)
         return StreamEnd{};
     if (!statesItsEnd(raw))
-        return UnboundedAnswer{};
+        return UnboundedAnswer{raw};
     return WholeAnswer{raw};
 }
 
--- /dev/null
+++ b/src/rollout/version-move.cc
@@ -0,0 +1,257 @@
+// Implements stepped moves.
+#include "cornelhead/rollout/version-move.h"
+
+#include <algorithm>
+#include <array>
+
+#include <nlohmann/json.hpp>
+
+namespace cornelhead {
+namespace detail {
+
+struct Step
+{
+    std::uint32_t perMille;
+    /// The share is kept at least as long before the next step.
+    Milliseconds least;
+};
+
+/// The first share stays well below the tenth that a bad version may get; it lasts long enough for
+/// badness that sets in seconds after a server's start.
+constexpr std::array<Step, 4> steps = {{
+        {50, Milliseconds(4500)},
+        {200, Milliseconds(1500)},
+        {500, Milliseconds(1500)},
+        {1000, Milliseconds(2000)},
+}};
+/// Answers of the new version that the first share waits for.
+constexpr std::uint64_t leastAnswers = 30;
+/// All but the first step, and a second for the write to reach everyone.
+constexpr Milliseconds restOfMove(6000);
+/// Evidence older than this says little about a version whose badness may set in late.
+constexpr Milliseconds judgedWindow(3000);
+/// A server is slow after its start, whatever its version.
+constexpr Milliseconds coldTime(4000);
+/// Failures that could be chance or the fault of a called service are tolerated.
+constexpr double leastFailures = 4.0;
+constexpr double failureFactor = 3.0;
+constexpr double failureMargin = 0.08;
+/// Servers of one service differ in speed by two to three times.
+constexpr double leastTimed = 25.0;
+constexpr double slowFactor = 3.0;
+/// A node that should act may be gone; the next one waits this long for it.
+constexpr Milliseconds rankDelay(1500);
+constexpr Milliseconds revertRankDelay(300);
+
+const char *stateName(VersionMoveState state)
+{
+    switch (state) {
+    case VersionMoveState::Running:
+        return "running";
+    case VersionMoveState::Complete:
+        return "complete";
+    case VersionMoveState::Reverted:
+        return "reverted";
+    }
+    return "running";
+}
+
+std::optional<VersionMoveState> stateOf(std::string_view name)
+{
+    for (const VersionMoveState state : {VersionMoveState::Running, VersionMoveState::Complete,
+                                         VersionMoveState::Reverted}) {
+        if (name == stateName(state))
+            return state;
+    }
+    return std::nullopt;
+}
+
+} // namespace detail
+
+std::string encodeVersionMove(const VersionMove &move)
+{
+    const nlohmann::json json = {{"service", move.service.value()},
+                                 {"target", move.target.value()},
+                                 {"ordered", move.ordered.value()},
+                                 {"perMille", move.perMille},
+                                 {"state", detail::stateName(move.state)}};
+    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Result<VersionMove> decodeVersionMove(std::string_view bytes)
+{
+    try {
+        const auto json = nlohmann::json::parse(bytes);
+        const auto state = detail::stateOf(json.at("state").get<std::string>());
+        if (state) {
+            return VersionMove{ServiceId(json.at("service").get<std::string>()),
+                               VersionId(json.at("target").get<std::string>()),
+                               ModRevision(json.at("ordered").get<std::uint64_t>()),
+                               json.at("perMille").get<std::uint32_t>(), *state};
+        }
+    } catch (const nlohmann::json::exception &) {
+        // Told below, like an unknown state.
+    }
+    return fail(ErrorKind::InvalidMessage, "the record of a move cannot be read",
+                "check what else writes under the prefix of moves");
+}
+
+void VersionMoveWatcher::observeOrder(const VersionMoveOrder &order, TimePoint now)
+{
+    if (order_ && order_->ordered >= order.ordered)
+        return;
+    order_ = order;
+    orderedAt_ = now;
+    firstAnswerAt_.reset();
+    servers_.clear();
+    verdict_.clear();
+}
+
+void VersionMoveWatcher::observeRecord(const VersionMove &record, TimePoint now)
+{
+    if (record_ && record_->ordered > record.ordered)
+        return;
+    if (record_ == record)
+        return;
+    // A move that ended stays ended, whatever arrives late.
+    if (record_ && record_->ordered == record.ordered
+        && record_->state != VersionMoveState::Running)
+        return;
+    record_ = record;
+    recordAt_ = now;
+}
+
+void VersionMoveWatcher::addTally(const NodeId &run, const VersionId &version,
+                                  const ServerTally &tally, TimePoint now)
+{
+    if (!order_ || (isCurrent() && record_->state != VersionMoveState::Running))
+        return;
+    Server &server = servers_[run];
+    server.isTarget = version == order_->target;
+    if (!server.samples.empty() && server.samples.back().tally.answers >= tally.answers)
+        return;
+    if (server.samples.empty())
+        server.firstAnswer = now;
+    // A new server's first report covers all of its answers, an old server's many of long ago.
+    if (server.samples.empty() && server.isTarget)
+        server.samples.push_back(Sample{now, ServerTally{}});
+    server.samples.push_back(Sample{now, tally});
+    while (server.samples.size() > 2 && now - server.samples[1].at > detail::judgedWindow)
+        server.samples.pop_front();
+    if (server.isTarget && !firstAnswerAt_)
+        firstAnswerAt_ = now;
+    judge(now);
+}
+
+VersionMoveWatcher::Sums VersionMoveWatcher::sumsOf(bool isTarget, TimePoint now) const
+{
+    Sums sums;
+    for (const auto &[run, server] : servers_) {
+        if (server.isTarget != isTarget || server.samples.size() < 2)
+            continue;
+        const ServerTally &first = server.samples.front().tally;
+        const ServerTally &last = server.samples.back().tally;
+        const auto answers = static_cast<double>(last.answers - first.answers);
+        sums.answers += answers;
+        sums.failures += static_cast<double>(last.failures - first.failures);
+        const bool isWarm = !isTarget
+                || now - server.firstAnswer > detail::coldTime + detail::judgedWindow;
+        if (isWarm) {
+            sums.warmAnswers += answers;
+            sums.relativeWork += last.relativeWork - first.relativeWork;
+        }
+    }
+    return sums;
+}
+
+void VersionMoveWatcher::judge(TimePoint now)
+{
+    if (!verdict_.empty())
+        return;
+    const Sums newer = sumsOf(true, now);
+    const Sums older = sumsOf(false, now);
+    const double oldRate = older.answers > 0.0 ? older.failures / older.answers : 0.0;
+    if (newer.failures >= detail::leastFailures
+        && newer.failures / newer.answers
+                > oldRate * detail::failureFactor + detail::failureMargin) {
+        verdict_ = "answers failed: " + std::to_string(static_cast<int>(newer.failures)) + " of "
+                + std::to_string(static_cast<int>(newer.answers));
+        verdictAt_ = now;
+    } else if (newer.warmAnswers >= detail::leastTimed && older.warmAnswers >= detail::leastTimed
+               && newer.relativeWork / newer.warmAnswers
+                       > older.relativeWork / older.warmAnswers * detail::slowFactor) {
+        verdict_ = "answers are slow";
+        verdictAt_ = now;
+    }
+}
+
+std::uint64_t VersionMoveWatcher::targetAnswers() const
+{
+    std::uint64_t answers = 0;
+    for (const auto &[run, server] : servers_) {
+        if (server.isTarget && !server.samples.empty())
+            answers += server.samples.back().tally.answers;
+    }
+    return answers;
+}
+
+std::uint32_t VersionMoveWatcher::perMille() const
+{
+    if (!order_ || !verdict_.empty() || !isCurrent())
+        return 0;
+    return record_->state == VersionMoveState::Reverted ? 0 : record_->perMille;
+}
+
+std::optional<std::uint32_t> VersionMoveWatcher::dueShare(TimePoint now) const
+{
+    const auto step = std::find_if(
+            detail::steps.begin(), detail::steps.end(),
+            [&](const detail::Step &entry) { return entry.perMille == record_->perMille; });
+    if (step == detail::steps.end())
+        return detail::steps.front().perMille;
+    TimePoint since = recordAt_;
+    if (step == detail::steps.begin()) {
+        const bool mustHurry = now + detail::restOfMove > orderedAt_ + order_->allowed;
+        if (!firstAnswerAt_ || (targetAnswers() < detail::leastAnswers && !mustHurry))
+            return std::nullopt;
+        since = *firstAnswerAt_;
+    }
+    if (now - since < step->least)
+        return std::nullopt;
+    // Beyond the last step the move is complete.
+    return step + 1 == detail::steps.end() ? step->perMille : (step + 1)->perMille;
+}
+
+std::optional<VersionMove> VersionMoveWatcher::next(std::uint32_t rank, std::size_t targetHosts,
+                                                    TimePoint now)
+{
+    if (!order_ || (record_ && record_->ordered > order_->ordered))
+        return std::nullopt;
+    if (isCurrent() && record_->state != VersionMoveState::Running)
+        return std::nullopt;
+    VersionMove move{order_->service, order_->target, order_->ordered, 0,
+                     VersionMoveState::Running};
+    if (!verdict_.empty()) {
+        if (now < verdictAt_ + detail::revertRankDelay * rank)
+            return std::nullopt;
+        move.state = VersionMoveState::Reverted;
+        return move;
+    }
+    const Milliseconds wait = detail::rankDelay * rank;
+    if (!isCurrent()) {
+        if (now < orderedAt_ + wait)
+            return std::nullopt;
+        return move;
+    }
+    if (targetHosts == 0 || now < recordAt_ + wait)
+        return std::nullopt;
+    const std::optional<std::uint32_t> share = dueShare(now - wait);
+    if (!share)
+        return std::nullopt;
+    move.perMille = *share;
+    if (record_->perMille == *share)
+        move.state = VersionMoveState::Complete;
+    return move;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/routing/server-gate.cc
@@ -0,0 +1,121 @@
+// Implements the queue in front of a backend server.
+#include "cornelhead/routing/server-gate.h"
+
+#include <algorithm>
+
+namespace cornelhead {
+namespace detail {
+
+// The next of several running calls to end has, on average, less than half of its work left.
+constexpr int runningWorkDivisor = 2;
+// Loads are told for calls of this rank: priority 1.
+constexpr std::uint32_t middleRank = 2;
+
+} // namespace detail
+
+ServerGate::Verdict ServerGate::offer(const GateOffer &offer, TimePoint now,
+                                      std::vector<GateTicket> &hopeless)
+{
+    if (hasRoom() && waiting_.empty()) {
+        start(offer, now);
+        return Verdict::Start;
+    }
+    const Microseconds wait = waitBehind(workAhead(offer.rank), now);
+    if (now + wait + offer.work > offer.finishBy)
+        return Verdict::Refuse;
+    const auto behind
+            = std::find_if(waiting_.begin(), waiting_.end(), [&](const GateOffer &waiting) {
+                  return waiting.rank > offer.rank;
+              });
+    waiting_.insert(behind, offer);
+    removeHopeless(now, hopeless);
+    return Verdict::Wait;
+}
+
+void ServerGate::remove(GateTicket ticket)
+{
+    if (running_.erase(ticket) == 0)
+        waiting_.remove_if([&](const GateOffer &waiting) { return waiting.ticket == ticket; });
+}
+
+std::optional<GateTicket> ServerGate::startNext(TimePoint now, std::vector<GateTicket> &hopeless)
+{
+    if (!hasRoom())
+        return std::nullopt;
+    while (!waiting_.empty()) {
+        const GateOffer next = waiting_.front();
+        waiting_.pop_front();
+        if (now + next.work <= next.finishBy) {
+            start(next, now);
+            return next.ticket;
+        }
+        hopeless.push_back(next.ticket);
+    }
+    return std::nullopt;
+}
+
+std::vector<GateTicket> ServerGate::clearWaiting()
+{
+    std::vector<GateTicket> tickets;
+    for (const GateOffer &waiting : waiting_)
+        tickets.push_back(waiting.ticket);
+    waiting_.clear();
+    return tickets;
+}
+
+bool ServerGate::isWaiting(GateTicket ticket) const
+{
+    return std::any_of(waiting_.begin(), waiting_.end(),
+                       [&](const GateOffer &waiting) { return waiting.ticket == ticket; });
+}
+
+GateLoad ServerGate::load(TimePoint now) const
+{
+    GateLoad load;
+    load.running = static_cast<std::uint32_t>(running_.size());
+    load.waiting = static_cast<std::uint32_t>(waiting_.size());
+    load.slots = slots_;
+    if (!hasRoom())
+        load.wait = waitBehind(workAhead(detail::middleRank), now);
+    return load;
+}
+
+Microseconds ServerGate::waitBehind(Microseconds ahead, TimePoint now) const
+{
+    Microseconds left{};
+    for (const auto &[ticket, running] : running_)
+        left += std::max(Microseconds(0), running.expectedEnd - now);
+    return (ahead + left / detail::runningWorkDivisor) / std::max(1U, slots_);
+}
+
+Microseconds ServerGate::workAhead(std::uint32_t rank) const
+{
+    Microseconds ahead{};
+    for (const GateOffer &waiting : waiting_) {
+        if (waiting.rank > rank)
+            break;
+        ahead += waiting.work;
+    }
+    return ahead;
+}
+
+void ServerGate::start(const GateOffer &offer, TimePoint now)
+{
+    running_.emplace(offer.ticket, Running{now + offer.work});
+}
+
+void ServerGate::removeHopeless(TimePoint now, std::vector<GateTicket> &hopeless)
+{
+    Microseconds ahead{};
+    for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
+        if (now + waitBehind(ahead, now) + waiting->work <= waiting->finishBy) {
+            ahead += waiting->work;
+            ++waiting;
+            continue;
+        }
+        hopeless.push_back(waiting->ticket);
+        waiting = waiting_.erase(waiting);
+    }
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/sidecar/fleet-sync.cc
@@ -0,0 +1,490 @@
+// Implements the node's view of the fleet over watches, a lease and, at need, other nodes.
+#include "cornelhead/sidecar/fleet-sync.h"
+
+#include <nlohmann/json.hpp>
+
+#include "cornelhead/sidecar/entry-publisher.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr const char *syncPart = "fleet";
+constexpr const char *ownPrefix = "cornelhead/";
+constexpr const char *hostPrefix = "cornelhead/hosts/";
+constexpr const char *movePrefix = "cornelhead/moves/";
+
+/// A long poll is one priced call however long it waits; the service allows at most 30 s.
+constexpr Milliseconds watchWait(20000);
+/// Changes come in series; those within this time share one call.
+constexpr Milliseconds watchPause(120);
+constexpr Milliseconds callTimeout(1500);
+/// The service allows a few hundred calls a second over all nodes, which all come back at once.
+constexpr Milliseconds retryPause(300);
+/// Other nodes are asked after the service has been silent for so long, and then at this period.
+constexpr Milliseconds peerPeriod(500);
+constexpr Milliseconds peerTimeout(400);
+/// A revision that another node holds should come from the service within this time.
+constexpr Milliseconds peerLead(400);
+
+bool startsWith(const std::string &text, std::string_view prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace detail
+
+struct FleetSync::Impl
+{
+    EventLoop &loop;
+    const Dialect &dialect;
+    Address self;
+    EventLog &log;
+    Random random;
+    FleetHandlers handlers;
+    PlatformClient platform;
+    HttpClient peers;
+    detail::EntryPublisher publisher;
+    HostDirectory directory;
+    std::shared_ptr<const RouteTable> configuration;
+    std::string configurationBytes;
+    // Orders of moves as they lie in the service, told to other nodes.
+    std::map<std::string, KeyValue> orders;
+    std::map<std::string, KeyValue> moves;
+
+    struct Watch
+    {
+        std::string prefix;
+        ModRevision after;
+        bool isListed = false;
+        // Rises when a watch is abandoned, so that its late answer is ignored.
+        std::uint64_t generation = 0;
+        Timer pause;
+    };
+    Watch operatorWatch;
+    Watch ownWatch;
+    bool isReachable = false;
+    bool wasEverReachable = false;
+    Timer peerTimer;
+    Timer leadTimer;
+    Address leadPeer;
+    Revision leadRevision;
+
+    Impl(EventLoop &taskLoop, const Dialect &names, const Address &platformAddress,
+         const Address &ownAddress, Metrics &metrics, EventLog &eventLog, std::uint64_t seed,
+         FleetHandlers fleetHandlers)
+        : loop(taskLoop), dialect(names), self(ownAddress), log(eventLog), random(seed),
+          handlers(std::move(fleetHandlers)),
+          platform(loop, {platformAddress}, detail::callTimeout, metrics, names.store), peers(loop),
+          publisher(loop, platform, detail::hostPrefix + ownAddress.toString(), log,
+                    [this](bool reached) { noteReach(reached); })
+    {
+        operatorWatch.prefix = names.operatorPrefix;
+        ownWatch.prefix = detail::ownPrefix;
+    }
+
+    // Lists or watches, whichever is due, and goes on for ever.
+    void follow(Watch &watch)
+    {
+        const std::uint64_t generation = ++watch.generation;
+        const auto take = [this, &watch, generation](Result<WatchAnswer> answer) {
+            if (generation == watch.generation)
+                takeAnswer(watch, std::move(answer));
+        };
+        if (watch.isListed) {
+            platform.watch(watch.prefix, watch.after, detail::watchWait, take);
+            return;
+        }
+        platform.list(watch.prefix, [take](Result<Listing> listing) {
+            if (!listing)
+                take(tl::unexpected(listing.error()));
+            else
+                take(WatchAnswer{std::move(listing->entries), {}, listing->storeRevision, true});
+        });
+    }
+
+    void takeAnswer(Watch &watch, Result<WatchAnswer> answer)
+    {
+        if (!answer) {
+            noteReach(false, answer.error().describe());
+            followLater(watch, detail::retryPause + random.jitter(detail::retryPause));
+            return;
+        }
+        noteReach(true);
+        watch.after = std::max(watch.after, answer->storeRevision);
+        watch.isListed = true;
+        apply(watch, *answer);
+        followLater(watch, detail::watchPause);
+    }
+
+    void followLater(Watch &watch, Milliseconds pause)
+    {
+        watch.pause = loop.after(pause, [this, &watch] { follow(watch); });
+    }
+
+    void noteReach(bool reached, const std::string &why = {})
+    {
+        if (std::exchange(isReachable, reached) == reached)
+            return;
+        if (!reached) {
+            log.write(EventKind::Lifecycle, detail::syncPart, "dependency-lost",
+                      {{"dependency", "platform"}, {"why", why}});
+            peerTimer = loop.every(detail::peerPeriod, [this] { askRandomPeer(); });
+            return;
+        }
+        log.write(EventKind::Lifecycle, detail::syncPart, "dependency-regained",
+                  {{"dependency", "platform"}});
+        peerTimer = Timer();
+        directory.restartGrace(now(SteadyClock()));
+        // A long poll from before may hang on a path that was lost.
+        if (std::exchange(wasEverReachable, true)) {
+            followLater(operatorWatch, Milliseconds(0));
+            followLater(ownWatch, Milliseconds(0));
+        }
+    }
+
+    void apply(Watch &watch, const WatchAnswer &answer)
+    {
+        if (&watch == &operatorWatch)
+            applyOperator(answer);
+        else
+            applyOwn(answer);
+    }
+
+    void applyOperator(const WatchAnswer &answer)
+    {
+        for (const KeyValue &entry : answer.changed) {
+            if (entry.key == dialect.configurationKey)
+                takeConfiguration(entry.value, "platform");
+            else if (dialect.isMoveOrder(entry.key))
+                takeOrder(entry);
+        }
+    }
+
+    void takeOrder(const KeyValue &entry)
+    {
+        const Result<VersionMoveOrder> order = dialect.readMoveOrder(entry);
+        if (!order) {
+            log.write(EventKind::Failure, detail::syncPart, "move-order-refused",
+                      {{"key", entry.key}, {"why", order.error().describe()}});
+            return;
+        }
+        orders.insert_or_assign(entry.key, entry);
+        handlers.onMoveOrder(*order);
+    }
+
+    void takeConfiguration(const std::string &bytes, std::string_view source)
+    {
+        const auto table = dialect.readConfiguration(bytes);
+        if (!table) {
+            log.write(EventKind::Failure, detail::syncPart, "configuration-refused",
+                      {{"why", table.error().describe()}, {"source", source}});
+            return;
+        }
+        const Revision held = configuration ? configuration->revision() : Revision();
+        if (configuration && (*table)->revision() <= held)
+            return;
+        log.write(EventKind::Belief, detail::syncPart, "configuration-in-force",
+                  {{"revision", (*table)->revision().value()},
+                   {"before", held.value()},
+                   {"routes", (*table)->size()},
+                   {"source", source}});
+        configuration = *table;
+        configurationBytes = bytes;
+        handlers.onConfiguration(configuration);
+    }
+
+    void applyOwn(const WatchAnswer &answer)
+    {
+        const TimePoint time = now(SteadyClock());
+        std::vector<HostEntry> hosts;
+        std::optional<KeyValue> ownEntry;
+        for (const KeyValue &entry : answer.changed) {
+            if (detail::startsWith(entry.key, detail::movePrefix))
+                takeMove(entry);
+            else if (const auto host = readHost(entry))
+                hosts.push_back(*host);
+        }
+        bool isChanged = false;
+        if (answer.isWhole) {
+            isChanged = directory.replaceAll(hosts, time);
+            checkOwnEntry(hosts);
+        } else {
+            for (const HostEntry &host : hosts) {
+                isChanged |= putHost(host);
+                if (host.node == self)
+                    publisher.noteListed(encodeHostEntry(host));
+            }
+            for (const std::string &key : answer.removed)
+                isChanged |= removeHost(key, time);
+        }
+        if (isChanged || answer.isWhole)
+            handlers.onHosts();
+    }
+
+    void checkOwnEntry(const std::vector<HostEntry> &hosts)
+    {
+        for (const HostEntry &host : hosts) {
+            if (host.node == self) {
+                publisher.noteListed(encodeHostEntry(host));
+                return;
+            }
+        }
+        publisher.noteRemoved();
+    }
+
+    std::optional<HostEntry> readHost(const KeyValue &entry)
+    {
+        if (!detail::startsWith(entry.key, detail::hostPrefix))
+            return std::nullopt;
+        const Result<HostEntry> host = decodeHostEntry(entry.value);
+        if (host && detail::hostPrefix + host->node.toString() == entry.key)
+            return *host;
+        log.write(EventKind::Failure, detail::syncPart, "host-entry-refused",
+                  {{"key", entry.key},
+                   {"why", host ? "it names another host" : host.error().describe()}});
+        return std::nullopt;
+    }
+
+    bool putHost(const HostEntry &host)
+    {
+        if (!directory.put(host))
+            return false;
+        log.write(EventKind::Belief, detail::syncPart, "host-listed",
+                  {{"node", host.node.toString()},
+                   {"server", host.server ? host.server->id.value() : ""},
+                   {"service", host.server ? host.server->service.value() : ""},
+                   {"version", host.server ? host.server->version.value() : ""},
+                   {"draining", host.server && host.server->state == ServerState::Draining},
+                   {"stopping", host.isStopping}});
+        return true;
+    }
+
+    bool removeHost(const std::string &key, TimePoint time)
+    {
+        if (!detail::startsWith(key, detail::hostPrefix))
+            return false;
+        const Result<Address> node = parseAddress(key.substr(std::string_view(detail::hostPrefix).size()));
+        if (!node)
+            return false;
+        log.write(EventKind::Belief, detail::syncPart, "host-absent", {{"node", node->toString()}});
+        if (*node == self)
+            publisher.noteRemoved();
+        return directory.markAbsent(*node, time);
+    }
+
+    void takeMove(const KeyValue &entry)
+    {
+        const Result<VersionMove> move = decodeVersionMove(entry.value);
+        if (!move) {
+            log.write(EventKind::Failure, detail::syncPart, "move-record-refused",
+                      {{"key", entry.key}, {"why", move.error().describe()}});
+            return;
+        }
+        log.write(EventKind::Belief, detail::syncPart, "move-record",
+                  {{"service", move->service.value()},
+                   {"target", move->target.value()},
+                   {"perMille", move->perMille},
+                   {"state", static_cast<int>(move->state)}});
+        moves.insert_or_assign(entry.key, entry);
+        handlers.onMoveRecord(*move, entry.modRevision);
+    }
+
+    void askRandomPeer()
+    {
+        std::vector<Address> others;
+        for (const auto &[node, known] : directory.hosts()) {
+            if (node != self)
+                others.push_back(node);
+        }
+        if (!others.empty())
+            askPeer(others[random.below(others.size())]);
+    }
+
+    void askPeer(const Address &peer)
+    {
+        const HttpRequest request{HttpMethod::Get, peerStatePath, {}, {}, {}};
+        peers.send(peer, request, detail::peerTimeout, [this, peer](Result<HttpResponse> answer) {
+            if (answer && answer->status == 200)
+                takePeerState(peer, answer->body);
+        });
+    }
+
+    void takePeerState(const Address &peer, const std::string &body)
+    {
+        try {
+            const auto json = nlohmann::json::parse(body);
+            const auto bytes = json.at("configuration").get<std::string>();
+            if (!bytes.empty() && bytes != configurationBytes)
+                takeConfiguration(bytes, peer.toString());
+            for (const auto &entry : json.at("orders"))
+                takeOrder(readEntry(entry));
+            for (const auto &entry : json.at("moves"))
+                takeMove(readEntry(entry));
+            takePeerHosts(json.at("hosts"));
+        } catch (const nlohmann::json::exception &error) {
+            log.write(EventKind::Failure, detail::syncPart, "peer-state-refused",
+                      {{"node", peer.toString()}, {"why", error.what()}});
+        }
+    }
+
+    void takePeerHosts(const nlohmann::json &hosts)
+    {
+        bool isChanged = false;
+        for (const auto &entry : hosts) {
+            const Result<HostEntry> host = decodeHostEntry(entry.get<std::string>());
+            if (host && host->node != self)
+                isChanged |= isReachable ? false
+                                         : directory.putFromPeer(*host, now(SteadyClock()));
+        }
+        if (isChanged)
+            handlers.onHosts();
+    }
+
+    static KeyValue readEntry(const nlohmann::json &json)
+    {
+        return KeyValue{json.at("key").get<std::string>(), json.at("value").get<std::string>(),
+                        ModRevision(json.at("modRevision").get<std::uint64_t>())};
+    }
+
+    static nlohmann::json renderEntries(const std::map<std::string, KeyValue> &entries)
+    {
+        nlohmann::json list = nlohmann::json::array();
+        for (const auto &[key, entry] : entries) {
+            list.push_back({{"key", entry.key},
+                            {"value", entry.value},
+                            {"modRevision", entry.modRevision.value()}});
+        }
+        return list;
+    }
+
+    std::string renderState() const
+    {
+        nlohmann::json hosts = nlohmann::json::array();
+        for (const auto &[node, known] : directory.hosts())
+            hosts.push_back(encodeHostEntry(known.entry));
+        const nlohmann::json json = {{"configuration", configurationBytes},
+                                     {"orders", renderEntries(orders)},
+                                     {"moves", renderEntries(moves)},
+                                     {"hosts", std::move(hosts)}};
+        return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    }
+
+    void notePeerRevision(const Address &peer, Revision revision)
+    {
+        if (configuration && revision <= configuration->revision())
+            return;
+        if (revision <= leadRevision)
+            return;
+        leadRevision = revision;
+        leadPeer = peer;
+        leadTimer = loop.after(detail::peerLead, [this] {
+            if (!configuration || configuration->revision() < leadRevision)
+                askPeer(leadPeer);
+            leadRevision = Revision();
+        });
+    }
+
+    void writeMove(const VersionMove &move, ModRevision expected)
+    {
+        const std::string key = detail::movePrefix + move.service.value();
+        platform.put(key, encodeVersionMove(move), Expected{expected}, std::nullopt,
+                     [this, move, key](Result<ModRevision> written) {
+                         log.write(EventKind::Belief, detail::syncPart, "move-written",
+                                   {{"service", move.service.value()},
+                                    {"target", move.target.value()},
+                                    {"perMille", move.perMille},
+                                    {"state", static_cast<int>(move.state)},
+                                    {"outcome", written ? "ok" : written.error().describe()}});
+                         if (!written)
+                             return;
+                         takeMove(KeyValue{key, encodeVersionMove(move), *written});
+                         writeStatus(move);
+                     });
+    }
+
+    void writeStatus(const VersionMove &move)
+    {
+        const MoveStatusEntry status = dialect.renderMoveStatus(move);
+        platform.put(status.key, status.value, std::nullopt, std::nullopt,
+                     [this, move](const Result<ModRevision> &written) {
+                         if (written)
+                             return;
+                         log.write(EventKind::Failure, detail::syncPart, "move-status-unwritten",
+                                   {{"service", move.service.value()},
+                                    {"why", written.error().describe()}});
+                         statusTimer = loop.after(detail::retryPause,
+                                                  [this, move] { writeStatus(move); });
+                     });
+    }
+
+    Timer statusTimer;
+};
+
+FleetSync::FleetSync(EventLoop &loop, const Dialect &dialect, const Address &platform,
+                     const Address &self, Metrics &metrics, EventLog &log, std::uint64_t seed,
+                     FleetHandlers handlers)
+    : impl_(std::make_unique<Impl>(loop, dialect, platform, self, metrics, log, seed,
+                                   std::move(handlers)))
+{ }
+
+FleetSync::~FleetSync() = default;
+
+void FleetSync::start()
+{
+    impl_->follow(impl_->operatorWatch);
+    impl_->follow(impl_->ownWatch);
+}
+
+void FleetSync::publish(const HostEntry &entry)
+{
+    impl_->publisher.publish(encodeHostEntry(entry));
+}
+
+void FleetSync::withdraw()
+{
+    impl_->publisher.withdraw();
+}
+
+void FleetSync::notePeerRevision(const Address &peer, Revision revision)
+{
+    impl_->notePeerRevision(peer, revision);
+}
+
+bool FleetSync::isComplete() const
+{
+    return impl_->configuration && (impl_->ownWatch.isListed || !impl_->directory.hosts().empty());
+}
+
+bool FleetSync::isServiceReachable() const
+{
+    return impl_->isReachable;
+}
+
+const HostDirectory &FleetSync::directory() const
+{
+    return impl_->directory;
+}
+
+const std::shared_ptr<const RouteTable> &FleetSync::configuration() const
+{
+    return impl_->configuration;
+}
+
+void FleetSync::removeGone(const std::function<bool(const Address &)> &answeredLately)
+{
+    // While nothing is heard of the service, absence says nothing.
+    if (impl_->isReachable && impl_->directory.removeGone(now(SteadyClock()), answeredLately))
+        impl_->handlers.onHosts();
+}
+
+void FleetSync::writeMove(const VersionMove &move, ModRevision expected)
+{
+    impl_->writeMove(move, expected);
+}
+
+std::string FleetSync::renderState() const
+{
+    return impl_->renderState();
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/sidecar/hop.cc
@@ -0,0 +1,168 @@
+// Implements the headers between nodes: fields in a fixed order, separated by spaces, escaped.
+#include "cornelhead/sidecar/hop.h"
+
+#include <array>
+#include <charconv>
+#include <vector>
+
+#include "cornelhead/net/http.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr std::string_view hopVersion = "1";
+// Stands for empty text, which has no field of its own between two spaces.
+constexpr std::string_view emptyField = "-";
+constexpr double perMillion = 1e6;
+
+constexpr std::array<std::string_view, 11> reasonNames
+        = {"none",       "overload", "server-gone",   "other-server",  "stopping", "other-run",
+           "poison",     "withdrawn", "broken-answer", "timeout",       "bad-message"};
+
+class FieldWriter
+{
+public:
+    FieldWriter &text(std::string_view value)
+    {
+        return raw(value.empty() ? std::string(emptyField) : escapeUri(value));
+    }
+    FieldWriter &number(std::uint64_t value) { return raw(std::to_string(value)); }
+    FieldWriter &fraction(double value)
+    {
+        return number(static_cast<std::uint64_t>(value * perMillion));
+    }
+    std::string take() { return std::move(line_); }
+
+private:
+    FieldWriter &raw(const std::string &field)
+    {
+        line_ += ' ';
+        line_ += field;
+        return *this;
+    }
+
+    std::string line_ = std::string(hopVersion);
+};
+
+class FieldReader
+{
+public:
+    explicit FieldReader(std::string_view line) : rest_(line) { isSound_ = next() == hopVersion; }
+
+    std::string text()
+    {
+        const std::string_view field = next();
+        if (field == emptyField)
+            return {};
+        return unescapeUri(field);
+    }
+    std::uint64_t number()
+    {
+        const std::string_view field = next();
+        std::uint64_t value = 0;
+        const char *end = field.data() + field.size();
+        const auto [stop, error] = std::from_chars(field.data(), end, value);
+        isSound_ = isSound_ && error == std::errc() && stop == end;
+        return value;
+    }
+    double fraction() { return static_cast<double>(number()) / perMillion; }
+    bool isSound() const { return isSound_; }
+
+private:
+    std::string_view next()
+    {
+        const std::size_t end = std::min(rest_.find(' '), rest_.size());
+        const std::string_view field = rest_.substr(0, end);
+        rest_.remove_prefix(std::min(end + 1, rest_.size()));
+        isSound_ = isSound_ && !field.empty();
+        return field;
+    }
+
+    std::string_view rest_;
+    bool isSound_ = true;
+};
+
+tl::unexpected<Error> unreadableHop()
+{
+    return fail(ErrorKind::InvalidMessage, "a header between nodes cannot be read",
+                "check that all nodes run the same version");
+}
+
+} // namespace detail
+
+std::string encodeHopRequest(const HopRequest &request)
+{
+    detail::FieldWriter writer;
+    writer.text(request.run.value()).text(request.server.value()).text(request.service.value());
+    writer.text(request.callerService.value()).number(request.rank);
+    writer.number(request.isIdempotent ? 1 : 0).number(request.isResumed ? 1 : 0);
+    writer.number(static_cast<std::uint64_t>(request.objective.count()));
+    writer.text(request.route.value());
+    return writer.take();
+}
+
+Result<HopRequest> decodeHopRequest(std::string_view text)
+{
+    detail::FieldReader reader(text);
+    HopRequest request;
+    request.run = NodeId(reader.text());
+    request.server = ServerId(reader.text());
+    request.service = ServiceId(reader.text());
+    request.callerService = ServiceId(reader.text());
+    request.rank = static_cast<std::uint32_t>(reader.number());
+    request.isIdempotent = reader.number() != 0;
+    request.isResumed = reader.number() != 0;
+    request.objective = Milliseconds(reader.number());
+    request.route = RouteId(reader.text());
+    if (!reader.isSound())
+        return detail::unreadableHop();
+    return request;
+}
+
+std::string_view hopReasonName(HopReason reason)
+{
+    return detail::reasonNames[static_cast<std::size_t>(reason)];
+}
+
+std::string encodeHopAnswer(const HopAnswer &answer)
+{
+    const HostReport &report = answer.report;
+    detail::FieldWriter writer;
+    writer.number(static_cast<std::uint64_t>(answer.result));
+    writer.number(static_cast<std::uint64_t>(answer.reason));
+    writer.text(answer.run.value());
+    writer.number(report.running).number(report.waiting).number(report.slots);
+    writer.number(static_cast<std::uint64_t>(report.wait.count()));
+    writer.fraction(report.relativeWork).fraction(report.failureShare);
+    writer.number(report.answers).number(report.failures).fraction(report.relativeWorkSum);
+    writer.number(answer.configuration.value());
+    return writer.take();
+}
+
+Result<HopAnswer> decodeHopAnswer(std::string_view text)
+{
+    detail::FieldReader reader(text);
+    HopAnswer answer;
+    const std::uint64_t result = reader.number();
+    const std::uint64_t reason = reader.number();
+    answer.run = NodeId(reader.text());
+    HostReport &report = answer.report;
+    report.running = static_cast<std::uint32_t>(reader.number());
+    report.waiting = static_cast<std::uint32_t>(reader.number());
+    report.slots = static_cast<std::uint32_t>(reader.number());
+    report.wait = Microseconds(reader.number());
+    report.relativeWork = reader.fraction();
+    report.failureShare = reader.fraction();
+    report.answers = reader.number();
+    report.failures = reader.number();
+    report.relativeWorkSum = reader.fraction();
+    answer.configuration = Revision(reader.number());
+    if (!reader.isSound() || result > static_cast<std::uint64_t>(HopResult::Unknown)
+        || reason >= detail::reasonNames.size())
+        return detail::unreadableHop();
+    answer.result = static_cast<HopResult>(result);
+    answer.reason = static_cast<HopReason>(reason);
+    return answer;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/sidecar/sidecar-settings.cc
@@ -0,0 +1,59 @@
+// Reads the settings of cornelhead-sidecar.
+#include "cornelhead/sidecar/sidecar-settings.h"
+
+#include "cornelhead/base/random.h"
+
+namespace cornelhead {
+
+const char *const sidecarUsage
+        = R"(cornelhead-sidecar: the proxy beside one backend server, for its callers and its calls.
+
+Usage:
+  cornelhead-sidecar [options]
+  cornelhead-sidecar --help
+  cornelhead-sidecar --version
+
+Options:
+  --data-centre NAME       Data centre of this host.
+  --service NAME           Service of this host's backend server.
+  --server ADDRESS         Where this host's backend server listens. [default: 127.0.0.1:8085]
+  --outbound ADDRESS       Where callers of this host connect. [default: 127.0.0.1:8080]
+  --inbound ADDRESS        Where other nodes connect. [default: 127.0.0.1:8082]
+  --readiness ADDRESS      Readiness checks and metrics. [default: 127.0.0.1:8081]
+  --control ADDRESS        Where the backend server announces itself. [default: 127.0.0.1:8083]
+  --platform ADDRESS       Address of the platform's service. [default: 127.0.0.1:8090]
+  --stop-timeout DURATION  How long a stopping process may live. [default: 6s]
+  --retry-ratio RATIO      Repeated sends allowed for each call, over all nodes. [default: 0.2]
+  --retry-window DURATION  The window in which that holds. [default: 10s]
+  --log-level LEVEL        debug, info, warning or error. [default: info]
+  --seed N                 Seed of random choices; 0 takes a fresh one. [default: 0]
+  --help                   Print this text.
+  --version                Print the version.
+
+Each flag may also be set by an environment variable: --data-centre by CORNELHEAD_DATA_CENTRE.
+)";
+
+SidecarSettings readSidecarSettings(Settings &settings)
+{
+    SidecarSettings sidecar;
+    sidecar.dataCentre = DataCentreId(settings.text("--data-centre"));
+    sidecar.service = ServiceId(settings.text("--service"));
+    sidecar.server = settings.address("--server");
+    sidecar.outbound = settings.address("--outbound");
+    sidecar.inbound = settings.address("--inbound");
+    sidecar.readiness = settings.address("--readiness");
+    sidecar.control = settings.address("--control");
+    sidecar.platform = settings.address("--platform");
+    sidecar.stopTimeout
+            = settings.duration("--stop-timeout", Milliseconds(100), std::chrono::hours(1));
+    sidecar.retryRatio = settings.real("--retry-ratio", 0.0, 1.0);
+    sidecar.retryWindow
+            = settings.duration("--retry-window", Milliseconds(100), std::chrono::hours(1));
+    sidecar.logLevel = settings.choice("--log-level", {"info", "debug", "warning", "error"});
+    sidecar.seed = settings.integer("--seed", 0, UINT64_MAX);
+    if (sidecar.seed == 0)
+        sidecar.seed = freshSeed();
+    return sidecar;
+}
+
+} // namespace cornelhead
--- /dev/null
+++ b/src/sidecar/sidecar.cc
@@ -0,0 +1,439 @@
+// Joins the sides of a node.
+#include "cornelhead/sidecar/sidecar.h"
+
+#include <map>
+
+#include <event2/http.h>
+#include <nlohmann/json.hpp>
+
+#include "cornelhead/base/event-log.h"
+#include "cornelhead/proxy/counters.h"
+#include "cornelhead/proxy/listener.h"
+#include "cornelhead/proxy/request-head.h"
+#include "cornelhead/sidecar/entry-side.h"
+#include "cornelhead/sidecar/exchange.h"
+#include "cornelhead/sidecar/fleet-sync.h"
+#include "cornelhead/sidecar/serving-side.h"
+
+namespace cornelhead {
+namespace detail {
+
+constexpr const char *nodePart = "node";
+constexpr const char *metricsPath = "/metrics";
+constexpr const char *peerDeathsPath = "/cornelhead/deaths";
+constexpr Milliseconds sweepTime(250);
+/// A move's writes are considered this often; a bad version must be stopped within seconds.
+constexpr Milliseconds moveTime(200);
+constexpr Milliseconds probeTime(500);
+constexpr Milliseconds flushTime(100);
+constexpr Milliseconds peerTimeout(500);
+/// A host that answered within this time is there, whatever the service lists.
+constexpr Milliseconds answeredLately(2000);
+/// Callers look at readiness once a second and leave after two misses.
+constexpr Milliseconds callersLeave(2600);
+/// Kept between the end of this process and the moment at which it is killed.
+constexpr Milliseconds stopMargin(400);
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+constexpr int statusBadRequest = 400;
+
+nlohmann::json renderDeaths(const std::vector<SuspectedDeath> &deaths)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const SuspectedDeath &death : deaths) {
+        list.push_back({{"request", death.request.value()},
+                        {"server", death.server.value()},
+                        {"startedAgoUs", death.startedAgo.count()},
+                        {"brokeAgoUs", death.brokeAgo.count()}});
+    }
+    return list;
+}
+
+std::vector<SuspectedDeath> readDeaths(std::string_view text)
+{
+    std::vector<SuspectedDeath> deaths;
+    for (const auto &entry : nlohmann::json::parse(text)) {
+        deaths.push_back(SuspectedDeath{Fingerprint(entry.at("request").get<std::uint64_t>()),
+                                        ServerId(entry.at("server").get<std::string>()),
+                                        Microseconds(entry.at("startedAgoUs").get<std::int64_t>()),
+                                        Microseconds(entry.at("brokeAgoUs").get<std::int64_t>())});
+    }
+    return deaths;
+}
+
+NodeId newRun(const Address &self)
+{
+    return NodeId(self.toString() + "@" + std::to_string(wallClockMs()));
+}
+
+} // namespace detail
+
+struct Sidecar::Impl
+{
+    EventLoop &loop;
+    const SidecarSettings settings;
+    const Dialect dialect;
+    const NodeId run;
+    Metrics metrics;
+    EventLog log;
+    LocalServer local;
+    PoisonBook poison;
+    std::map<ServiceId, VersionMoveWatcher> moves;
+    std::map<ServiceId, ModRevision> moveRevisions;
+    FleetSync fleet;
+    detail::ServingSide serving;
+    detail::EntrySide entry;
+    detail::ProxyCounters listenerCounters;
+    detail::Listener outbound;
+    detail::Listener inbound;
+    HttpServer readiness;
+    HttpServer control;
+    HttpClient peers;
+    std::vector<Timer> timers;
+    Timer stopTimer;
+    std::function<void()> onStopped;
+    TimePoint stoppingSince{};
+    bool isStopping = false;
+    bool wasReady = false;
+
+    Impl(EventLoop &taskLoop, SidecarSettings nodeSettings, Dialect names)
+        : loop(taskLoop), settings(std::move(nodeSettings)), dialect(std::move(names)),
+          run(detail::newRun(settings.inbound)), log(metrics),
+          fleet(loop, dialect, settings.platform, settings.inbound, metrics, log,
+                settings.seed + 1, fleetHandlers()),
+          serving(loop, dialect, run, settings.server, local, poison, metrics, log,
+                  servingHandlers()),
+          entry(loop, dialect, entrySettings(), poison, metrics, log, entryHandlers()),
+          listenerCounters(metrics),
+          outbound(loop, listenerCounters,
+                   [this](evhttp_request *request) { entry.serve(request); }),
+          inbound(loop, listenerCounters,
+                  [this](evhttp_request *request) { serveNode(request); }),
+          readiness(loop, {}), control(loop, {}), peers(loop)
+    {
+        readiness.setHandler([this](const HttpRequest &request, const Responder &responder) {
+            responder.send(answerReadiness(request));
+        });
+        control.setHandler([this](const HttpRequest &request, const Responder &responder) {
+            responder.send(takeServerMessage(request));
+        });
+    }
+
+    FleetHandlers fleetHandlers()
+    {
+        FleetHandlers handlers;
+        handlers.onConfiguration = [this](std::shared_ptr<const RouteTable> table) {
+            entry.setConfiguration(std::move(table));
+        };
+        handlers.onHosts = [this] { takeHosts(); };
+        handlers.onMoveOrder = [this](const VersionMoveOrder &order) {
+            moves[order.service].observeOrder(order, now(SteadyClock()));
+        };
+        handlers.onMoveRecord = [this](const VersionMove &record, ModRevision revision) {
+            moves[record.service].observeRecord(record, now(SteadyClock()));
+            moveRevisions[record.service] = std::max(moveRevisions[record.service], revision);
+        };
+        return handlers;
+    }
+
+    detail::ServingHandlers servingHandlers()
+    {
+        detail::ServingHandlers handlers;
+        handlers.onServerChanged = [this] { publishEntry(); };
+        handlers.onDeaths
+                = [this](const std::vector<SuspectedDeath> &deaths) { spreadDeaths(deaths); };
+        handlers.configurationRevision = [this] {
+            return fleet.configuration() ? fleet.configuration()->revision() : Revision();
+        };
+        return handlers;
+    }
+
+    detail::EntrySettings entrySettings() const
+    {
+        return detail::EntrySettings{settings.dataCentre,  settings.service,
+                                     settings.outbound.ip, settings.retryRatio,
+                                     settings.retryWindow, settings.seed + 2};
+    }
+
+    detail::EntryHandlers entryHandlers()
+    {
+        detail::EntryHandlers handlers;
+        handlers.moveOf = [this](const ServiceId &service) {
+            const auto move = moves.find(service);
+            return move == moves.end() ? nullptr : &move->second;
+        };
+        handlers.onPeerRevision = [this](const Address &peer, Revision revision) {
+            fleet.notePeerRevision(peer, revision);
+        };
+        return handlers;
+    }
+
+    void takeHosts()
+    {
+        // An earlier run of this node may have published the server, which is then still there.
+        const HostDirectory::Known *own = fleet.directory().find(settings.inbound);
+        if (own && own->entry.run != run && own->entry.server
+            && local.adopt(*own->entry.server)) {
+            log.write(EventKind::Belief, detail::nodePart, "server-adopted",
+                      {{"server", own->entry.server->id.value()}});
+            serving.refresh();
+            probeServer();
+        }
+        entry.setHosts(fleet.directory().hosts());
+    }
+
+    void publishEntry()
+    {
+        HostEntry own;
+        own.node = settings.inbound;
+        own.run = run;
+        own.dataCentre = settings.dataCentre;
+        own.server = local.published();
+        own.isStopping = isStopping;
+        fleet.publish(own);
+    }
+
+    HttpResponse answerReadiness(const HttpRequest &request)
+    {
+        if (request.path == detail::metricsPath)
+            return HttpResponse{detail::statusOk, {{"Content-Type", "text/plain"}},
+                                metrics.render()};
+        if (request.path != dialect.readinessPath)
+            return HttpResponse{detail::statusNotFound, {}, {}};
+        const bool isReady = fleet.isComplete() && !isStopping;
+        if (std::exchange(wasReady, isReady) != isReady) {
+            log.write(EventKind::Lifecycle, detail::nodePart, isReady ? "ready" : "not-ready",
+                      {{"stopping", isStopping},
+                       {"configuration", static_cast<bool>(fleet.configuration())}});
+        }
+        return HttpResponse{isReady ? detail::statusOk : detail::statusUnavailable, {}, {}};
+    }
+
+    HttpResponse takeServerMessage(const HttpRequest &request)
+    {
+        const Result<ServerMessage> message = dialect.readServerMessage(request);
+        if (!message) {
+            const bool isUnknown = message.error().kind == ErrorKind::NotFound;
+            log.write(EventKind::Failure, detail::nodePart, "server-message-refused",
+                      {{"path", request.path}, {"why", message.error().describe()}});
+            return HttpResponse{isUnknown ? detail::statusNotFound : detail::statusBadRequest,
+                                {},
+                                message.error().describe()};
+        }
+        const auto verdict
+                = std::visit([this](const auto &content) { return local.take(content); }, *message);
+        if (verdict == LocalServer::Verdict::Changed) {
+            logServer();
+            serving.refresh();
+            publishEntry();
+        }
+        return dialect.renderAcknowledgement();
+    }
+
+    void logServer()
+    {
+        const auto server = local.published();
+        log.write(EventKind::Belief, detail::nodePart, "server-announced",
+                  {{"server", server ? server->id.value() : ""},
+                   {"service", server ? server->service.value() : ""},
+                   {"version", server ? server->version.value() : ""},
+                   {"draining", server && server->state == ServerState::Draining}});
+    }
+
+    void serveNode(evhttp_request *request)
+    {
+        const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+        if (!detail::findHeader(headers, hopRequestHeader).empty()) {
+            serving.serve(request);
+            return;
+        }
+        detail::Exchange exchange(loop, request);
+        const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+        const std::string path = uri && evhttp_uri_get_path(uri) ? evhttp_uri_get_path(uri) : "";
+        if (path == peerStatePath)
+            exchange.send(detail::OwnAnswer{detail::statusOk, {}, fleet.renderState()});
+        else if (path == detail::peerDeathsPath)
+            exchange.send(takeDeaths(detail::bodyOf(request)));
+        else
+            exchange.send(detail::OwnAnswer{detail::statusNotFound, {}, {}});
+    }
+
+    detail::OwnAnswer takeDeaths(std::string_view body)
+    {
+        try {
+            noteDeaths(detail::readDeaths(body));
+            return detail::OwnAnswer{detail::statusOk, {}, {}};
+        } catch (const nlohmann::json::exception &error) {
+            log.write(EventKind::Failure, detail::nodePart, "deaths-refused",
+                      {{"why", error.what()}});
+            return detail::OwnAnswer{detail::statusBadRequest, {}, {}};
+        }
+    }
+
+    void noteDeaths(const std::vector<SuspectedDeath> &deaths)
+    {
+        for (const SuspectedDeath &death : deaths) {
+            if (poison.noteDeath(death, now(SteadyClock()))) {
+                log.write(EventKind::Belief, detail::nodePart, "request-poisonous",
+                          {{"fingerprint", death.request.value()},
+                           {"server", death.server.value()}});
+            }
+        }
+    }
+
+    void spreadDeaths(const std::vector<SuspectedDeath> &deaths)
+    {
+        noteDeaths(deaths);
+        HttpRequest request{HttpMethod::Post, detail::peerDeathsPath, {}, {},
+                            detail::renderDeaths(deaths).dump()};
+        for (const auto &[node, known] : fleet.directory().hosts()) {
+            if (node == settings.inbound)
+                continue;
+            peers.send(node, request, detail::peerTimeout,
+                       [this, peer = node](const Result<HttpResponse> &answer) {
+                           if (!answer) {
+                               log.write(EventKind::Failure, detail::nodePart, "deaths-untold",
+                                         {{"node", peer.toString()},
+                                          {"why", answer.error().describe()}});
+                           }
+                       });
+        }
+    }
+
+    void probeServer()
+    {
+        if (!fleet.configuration())
+            return;
+        const HostService *service = fleet.configuration()->findService(settings.service);
+        if (service)
+            serving.probe(service->healthPath);
+    }
+
+    void sweep()
+    {
+        serving.sweep();
+        entry.sweep();
+        outbound.resumeAccepting();
+        inbound.resumeAccepting();
+        const TimePoint time = now(SteadyClock());
+        fleet.removeGone([this, time](const Address &node) {
+            const Placement::Host host = entry.placement().find(node);
+            return host && time - host->answeredAt < detail::answeredLately;
+        });
+    }
+
+    // Counts the live hosts that come before this one, which should act first.
+    std::uint32_t rank() const
+    {
+        std::uint32_t before = 0;
+        for (const auto &[node, known] : fleet.directory().hosts()) {
+            if (node == settings.inbound)
+                break;
+            before += known.entry.isStopping || known.absentSince ? 0 : 1;
+        }
+        return before;
+    }
+
+    void stepMoves()
+    {
+        if (!fleet.isServiceReachable() || isStopping)
+            return;
+        for (auto &[service, move] : moves) {
+            if (!move.order())
+                continue;
+            std::size_t targetHosts = 0;
+            for (const Placement::Host &host : entry.placement().hostsOf(service))
+                targetHosts += host->entry.server->version == move.order()->target ? 1 : 0;
+            const auto next = move.next(rank(), targetHosts, now(SteadyClock()));
+            if (!next || pendingMoves[service] == *next)
+                continue;
+            pendingMoves[service] = *next;
+            log.write(EventKind::Belief, detail::nodePart, "move-step",
+                      {{"service", service.value()},
+                       {"target", next->target.value()},
+                       {"perMille", next->perMille},
+                       {"state", static_cast<int>(next->state)},
+                       {"verdict", move.verdict()}});
+            fleet.writeMove(*next, moveRevisions[service]);
+        }
+    }
+
+    // The last write of each move, so that one step is not written at every tick.
+    std::map<ServiceId, VersionMove> pendingMoves;
+
+    void startTimers()
+    {
+        timers.push_back(loop.every(detail::sweepTime, [this] { sweep(); }));
+        timers.push_back(loop.every(detail::moveTime, [this] { stepMoves(); }));
+        timers.push_back(loop.every(detail::probeTime, [this] { probeServer(); }));
+        timers.push_back(loop.every(detail::flushTime, [this] { log.flush(); }));
+    }
+
+    void awaitEnd()
+    {
+        const auto since = now(SteadyClock()) - stoppingSince;
+        const bool isIdle = entry.active() == 0 && serving.active() == 0;
+        const bool mustEnd = since > settings.stopTimeout - detail::stopMargin;
+        if (!mustEnd && (!isIdle || since < detail::callersLeave))
+            return;
+        log.write(EventKind::Lifecycle, detail::nodePart, "stopped",
+                  {{"callsLeft", entry.active() + serving.active()}});
+        log.flush();
+        fleet.withdraw();
+        // The last answers and the end of the lease leave with the next turns of the loop.
+        constexpr Milliseconds lastWrites(30);
+        stopTimer = loop.after(lastWrites, [this] { onStopped(); });
+    }
+};
+
+Sidecar::Sidecar(EventLoop &loop, SidecarSettings settings, Dialect dialect)
+    : impl_(std::make_unique<Impl>(loop, std::move(settings), std::move(dialect)))
+{ }
+
+Sidecar::~Sidecar() = default;
+
+Result<void> Sidecar::start()
+{
+    const SidecarSettings &settings = impl_->settings;
+    Result<void> started = impl_->outbound.listen(settings.outbound, false);
+    if (started)
+        started = impl_->inbound.listen(settings.inbound, false);
+    if (started)
+        started = impl_->readiness.listen(settings.readiness);
+    if (started)
+        started = impl_->control.listen(settings.control);
+    if (!started)
+        return started;
+    impl_->log.write(EventKind::Lifecycle, detail::nodePart, "started",
+                     {{"run", impl_->run.value()},
+                      {"dataCentre", settings.dataCentre.value()},
+                      {"service", settings.service.value()},
+                      {"seed", settings.seed}});
+    impl_->fleet.start();
+    impl_->publishEntry();
+    impl_->startTimers();
+    return {};
+}
+
+void Sidecar::stop(std::function<void()> done)
+{
+    if (std::exchange(impl_->isStopping, true))
+        return;
+    impl_->log.write(EventKind::Lifecycle, detail::nodePart, "stopping", {});
+    impl_->onStopped = std::move(done);
+    impl_->stoppingSince = now(SteadyClock());
+    impl_->entry.stop();
+    impl_->serving.stop();
+    impl_->publishEntry();
+    constexpr Milliseconds pollTime(50);
+    impl_->stopTimer = impl_->loop.every(pollTime, [this] { impl_->awaitEnd(); });
+}
+
+void Sidecar::reload()
+{
+    impl_->log.write(EventKind::Lifecycle, detail::nodePart, "reload-asked",
+                     {{"effect", "none: settings are flags"}});
+}
+
+} // namespace cornelhead
--- a/support/parts.cmake
+++ b/support/parts.cmake
@@ -53,6 +53,7 @@
 cornelhead_part(distribution DEPENDS net config platform protocol membership rollout)
 cornelhead_part(proxy DEPENDS net routing LIBRARIES nlohmann_json::nlohmann_json)
 cornelhead_part(node DEPENDS distribution proxy)
+cornelhead_part(sidecar DEPENDS net platform membership rollout routing proxy)
 cornelhead_part(ctl DEPENDS net config platform rollout)
 cornelhead_part(standin DEPENDS net platform)
 
@@ -61,7 +62,14 @@
     target_link_libraries(distribution-test PRIVATE part-standin)
 endif()
 
+# The adapter for the users' platform lies outside of the product's parts, which know nothing of it.
+file(GLOB adapter_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
+add_library(part-adapter STATIC ${adapter_sources})
+target_link_libraries(part-adapter PUBLIC part-sidecar)
+cornelhead_part_tests(adapter)
+
 cornelhead_program(cornelhead-node node)
+cornelhead_program(cornelhead-sidecar adapter)
 cornelhead_program(cornelheadctl ctl)
 cornelhead_program(cornelhead-platform standin)
 cornelhead_program(cornelhead-backend standin)
