Put calls made by servers first only where they are, and end nothing at a stop that a server works on

Cause: clients connect from their host's own number, so every call passed as one that a server made and queued up to its deadline, without priority; a node that asked a silent host again closed the old connection, which the host took for the caller's end; a stopping node took calls that it could not end. Ruled out: telling callers apart by their address or port. Change: a call is a server's own if its id extends that of a call that the host's server runs now; the silent connection stays open until either answers; a stopping node refuses calls that would not end in time; distant servers are chosen only while the objective is at risk; series of changes share calls of the key-value service.

--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -2,8 +2,8 @@
 //
 // Load pattern: servers of one service differ two to three times in speed, some fail calls quickly
 // and therefore look idle, some are far away, and every node knows the load of the others only from
-// their last answers.  A call goes where it is expected to end first; failures and distance count
-// as time.
+// their last answers.  As long as an answer comes well within its objective, a little sooner is worth
+// little and bytes between data centres are saved; beyond that, time counts most.
 #pragma once
 
 #include <cstdint>
@@ -63,6 +63,8 @@
     bool isVersionExcluded = false;
     /// An answer within it is worth its whole credit.
     Microseconds objective{};
+    /// Bytes that the call and its answer are expected to have.
+    double bytes = 0.0;
     /// Hosts that refused or failed this call.
     std::set<Address> tried;
 };
@@ -93,6 +95,7 @@
     std::vector<Host> hostsOf(const ServiceId &service) const;
 
 private:
+    double costOf(const PlacedHost &host, const PlacementQuestion &question, TimePoint now) const;
     bool mayTake(const PlacedHost &host, const PlacementQuestion &question, TimePoint now) const;
 
     DataCentreId here_;
--- a/include/cornelhead/sidecar/entry-call.h
+++ b/include/cornelhead/sidecar/entry-call.h
@@ -34,6 +34,7 @@
     void armProgressTimer();
     void onProgressDue();
     void onEnd(const AttemptEnd &end);
+    void onSilentEnd(const AttemptEnd &end);
     void onHostAnswer(evhttp_request *raw);
     void onFailure(AttemptFailure failure);
     void onUnreachable();
@@ -41,7 +42,8 @@
     void onUnknown(HopReason reason);
     void tryElsewhere(EntryRefusal otherwise);
     void releaseHost();
-    void retireAttempt();
+    void retire(std::unique_ptr<Attempt> &attempt);
+    void cancelAttempts();
     void onFinishDue();
     void onCallerGone();
     void refuse(EntryRefusal refusal);
@@ -63,6 +65,9 @@
     // The run and server that the current send is meant for; entries change while it runs.
     HopRequest hop_;
     std::unique_ptr<Attempt> attempt_;
+    // The attempt before `attempt_`, at the same host, which gave no sign for a while.  It stays
+    // open, as the host would take its end for the caller's; whichever answers first counts.
+    std::unique_ptr<Attempt> silent_;
     Timer progressTimer_;
     Timer finishTimer_;
     std::uint32_t serversReached_ = 0;
--- a/include/cornelhead/sidecar/entry-side.h
+++ b/include/cornelhead/sidecar/entry-side.h
@@ -37,8 +37,9 @@
     Unknown, ///< The call may have been run and must not run twice.
     Timeout,
     Poison, ///< Servers died under this request.
+    Stopping, ///< The process would end before the call.
 };
-constexpr std::size_t entryRefusalCount = 10;
+constexpr std::size_t entryRefusalCount = 11;
 std::string_view entryRefusalName(EntryRefusal refusal);
 
 /// What the entry side asks of its node.
@@ -46,6 +47,8 @@
 {
     std::function<VersionMoveWatcher *(const ServiceId &)> moveOf;
     std::function<void(const Address &, Revision)> onPeerRevision;
+    /// Tells whether this host's server runs the call with that id now.
+    std::function<bool(const std::string &)> runsHere;
 };
 
 /// Settings of the entry side.
@@ -53,8 +56,6 @@
 {
     DataCentreId dataCentre;
     ServiceId callerService;
-    /// Calls that come from this host's own number are made by its server.
-    std::string ownIp;
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
     std::uint64_t seed = 0;
@@ -73,8 +74,9 @@
     void serve(evhttp_request *request);
     void setConfiguration(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
     void setHosts(const std::map<Address, HostDirectory::Known> &hosts) { placement_.update(hosts); }
-    /// Answers ask callers to close their connections from now on.
-    void stop() { isStopping_ = true; }
+    /// The process ends at `endsAt`: answers ask callers to close their connections from now on, and
+    /// calls that would last too long are refused.
+    void stop(TimePoint endsAt) { endsAt_ = endsAt; }
     std::size_t active() const { return calls_.size(); }
     /// To be called a few times a second.
     void sweep();
@@ -88,6 +90,8 @@
     /// to the other one where that has no server.
     bool chooseVersion(PlacementQuestion &question);
     void noteReport(PlacedHost &host, const HopAnswer &answer);
+    /// Learns the size of a route's calls.
+    void noteBytes(const RouteId &route, std::size_t bytes);
     void end(EntryCall &call);
 
     EventLoop &loop_;
@@ -104,13 +108,16 @@
     std::shared_ptr<const RouteTable> table_;
     std::map<RouteId, WeightedSplit> splits_;
     std::map<ServiceId, WeightedSplit> moveSplits_;
+    // Smoothed bytes of a call with its answer.
+    std::map<RouteId, double> bytes_;
     std::map<EntryCall *, std::shared_ptr<EntryCall>> calls_;
     std::vector<Counter *> refusals_;
     Counter &served_;
     Counter &retries_;
     Counter &resumes_;
     Summary &duration_;
-    bool isStopping_ = false;
+    // Set once the process is stopping.
+    std::optional<TimePoint> endsAt_;
 };
 
 } // namespace cornelhead::detail
--- a/include/cornelhead/sidecar/serving-side.h
+++ b/include/cornelhead/sidecar/serving-side.h
@@ -53,6 +53,8 @@
     void refresh();
     /// Refuses further calls; those that run end in their time.
     void stop();
+    /// Tells whether the server runs the call with that id now.
+    bool runs(const std::string &id) const;
     /// Calls that wait or run.
     std::size_t active() const;
     /// To be called a few times a second.
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -11,10 +11,16 @@
 constexpr double reportHalfLifeUs = 400'000.0;
 // Before a host has reported, its server is taken to need this part of the objective.
 constexpr double unknownRelativeWork = 0.3;
-// A call at another data centre costs bytes between them, worth this part of the objective.
-constexpr double remotePart = 0.35;
-// A failed answer costs a second try elsewhere, about two objectives.
-constexpr double failureCost = 2.0;
+// Costs are parts of a call's credit.  Time up to this part of the objective costs little, as the
+// answer is hardly ever late; beyond it nearly every further part of the objective is lost.
+constexpr double safePart = 0.6;
+constexpr double safeTimeCost = 0.3;
+constexpr double riskyTimeCost = 2.0;
+// Another data centre costs a round trip, and what the operators pay for bytes between them.
+constexpr double remoteCost = 0.08;
+constexpr double remoteCostPerByte = 1e-4;
+// A failed answer costs a second try elsewhere, or the whole credit.
+constexpr double failureCost = 1.5;
 // Nodes see the same reports, so they must not all take the same host.
 constexpr double jitterPart = 0.1;
 // An unreachable host is tried again after a pause that doubles up to the longest.
@@ -80,24 +86,33 @@
     return Microseconds(static_cast<std::int64_t>(work * (1.0 + queued / slots)));
 }
 
+double Placement::costOf(const PlacedHost &host, const PlacementQuestion &question,
+                         TimePoint now) const
+{
+    const double objective = static_cast<double>(std::max<std::int64_t>(1, question.objective.count()));
+    const double time
+            = static_cast<double>(expectedTime(host, question.objective, now).count()) / objective;
+    double cost = std::min(time, detail::safePart) * detail::safeTimeCost
+            + std::max(0.0, time - detail::safePart) * detail::riskyTimeCost;
+    cost += detail::failureCost * host.report.failureShare * detail::ageFactor(host, now);
+    if (host.entry.dataCentre != here_)
+        cost += detail::remoteCost + detail::remoteCostPerByte * question.bytes;
+    return cost;
+}
+
 Placement::Host Placement::choose(const PlacementQuestion &question, TimePoint now,
                                   Random &random) const
 {
     const auto service = byService_.find(question.service);
     if (service == byService_.end())
         return nullptr;
-    const double objectiveUs = static_cast<double>(question.objective.count());
     Host best;
     double bestCost = 0.0;
     for (const Host &host : service->second) {
         if (!mayTake(*host, question, now))
             continue;
-        double cost = static_cast<double>(expectedTime(*host, question.objective, now).count());
-        cost *= 1.0 + detail::jitterPart * random.unit();
-        cost += detail::failureCost * host->report.failureShare * detail::ageFactor(*host, now)
-                * objectiveUs;
-        if (host->entry.dataCentre != here_)
-            cost += detail::remotePart * objectiveUs;
+        const double jitter = 1.0 + detail::jitterPart * random.unit();
+        const double cost = costOf(*host, question, now) * jitter;
         if (!best || cost < bestCost) {
             best = host;
             bestCost = cost;
--- a/src/sidecar/entry-call.cc
+++ b/src/sidecar/entry-call.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 
 #include "cornelhead/proxy/request-head.h"
@@ -26,6 +27,8 @@
 constexpr std::uint32_t mostRefusals = 3;
 /// A call with less time left is not worth sending.
 constexpr Milliseconds leastTime(5);
+/// A stopping process takes only calls that would end in time even if they took this many objectives.
+constexpr int stoppingMargin = 2;
 /// Callers without a deadline wait as long as the route allows.
 constexpr Milliseconds noDeadline(0);
 /// Callers come back no sooner, so that a refused crowd does not return as one.
@@ -55,6 +58,7 @@
     case EntryRefusal::NoServer:
     case EntryRefusal::Overload:
     case EntryRefusal::Poison:
+    case EntryRefusal::Stopping:
         return statusUnavailable;
     }
     return statusUnavailable;
@@ -67,7 +71,7 @@
       arrivedAt_(now(SteadyClock()))
 {
     exchange_.leaveOut(hopAnswerHeader);
-    if (side_.isStopping_)
+    if (side_.endsAt_)
         exchange_.closeAfterAnswer();
 }
 
@@ -96,12 +100,17 @@
         refuse(EntryRefusal::Poison);
         return;
     }
+    if (side_.endsAt_ && arrivedAt_ + route_->objective * stoppingMargin > *side_.endsAt_) {
+        refuse(EntryRefusal::Stopping);
+        return;
+    }
     const Milliseconds limit
             = deadline_ == noDeadline ? route_->timeout : std::min(deadline_, route_->timeout);
     finishBy_ = arrivedAt_ + limit;
     finishTimer_ = side_.loop_.after(limit, [this] { onFinishDue(); });
     question_.service = side_.chooseService(*route_);
     question_.objective = route_->objective;
+    question_.bytes = side_.bytes_[route_->id];
     maySwitchVersion_ = side_.chooseVersion(question_);
     place();
 }
@@ -117,10 +126,9 @@
     if (!text.empty() && (error != std::errc() || end != text.data() + text.size() || deadline < 0))
         return false;
     deadline_ = Milliseconds(deadline);
-    char *peer = nullptr;
-    ev_uint16_t port = 0;
-    evhttp_connection_get_peer(evhttp_request_get_connection(exchange_.request()), &peer, &port);
-    isServerCall_ = peer && side_.settings_.ownIp == peer;
+    // A server that makes a call for another one extends that one's id.
+    const std::size_t dot = id_.rfind('.');
+    isServerCall_ = dot != std::string::npos && side_.handlers_.runsHere(id_.substr(0, dot));
     return !id_.empty();
 }
 
@@ -142,6 +150,9 @@
 
 void EntryCall::place()
 {
+    if (silent_)
+        silent_->cancel();
+    retire(silent_);
     const TimePoint time = now(SteadyClock());
     if (timeLeft() < leastTime) {
         refuse(EntryRefusal::Overload);
@@ -174,12 +185,20 @@
     Placement::begin(*host_);
     AttemptHandlers handlers;
     handlers.onHead = [](evhttp_request *) { return false; };
-    handlers.onEnd = [this](const AttemptEnd &end) { onEnd(end); };
+    // Attempts outlive their place in the call only until the loop's next turn.
+    const auto which = std::make_shared<Attempt *>(nullptr);
+    handlers.onEnd = [this, which](const AttemptEnd &end) {
+        if (*which == attempt_.get())
+            onEnd(end);
+        else if (*which == silent_.get())
+            onSilentEnd(end);
+    };
     ConnectionNeed need{host_->entry.node, {}, {}};
     if (isResumed)
         need.idleSince = TimePoint::max();
-    retireAttempt();
+    retire(attempt_);
     attempt_ = std::make_unique<Attempt>(side_.loop_, side_.pool_, need, std::move(handlers));
+    *which = attempt_.get();
     copyRequest(exchange_.request(), *attempt_);
     fillHeaders(isResumed);
     armProgressTimer();
@@ -223,17 +242,52 @@
         return;
     ++resumes_;
     side_.resumes_.add();
-    attempt_->cancel();
     releaseHost();
     side_.pool_.dropIdle(host_->entry.node, now(SteadyClock()) - leastPatience);
+    if (silent_)
+        silent_->cancel();
+    retire(silent_);
+    silent_ = std::move(attempt_);
     send(true);
 }
 
 // An attempt must not be freed inside its own callbacks.
-void EntryCall::retireAttempt()
+void EntryCall::retire(std::unique_ptr<Attempt> &attempt)
+{
+    if (attempt)
+        side_.loop_.post([kept = std::shared_ptr<Attempt>(std::move(attempt))] {});
+}
+
+void EntryCall::cancelAttempts()
+{
+    if (silent_)
+        silent_->cancel();
+    retire(silent_);
+    if (!attempt_)
+        return;
+    attempt_->cancel();
+    releaseHost();
+    retire(attempt_);
+}
+
+void EntryCall::onSilentEnd(const AttemptEnd &end)
 {
+    const auto keep = shared_from_this();
+    const auto *answer = std::get_if<WholeAnswer>(&end);
+    const bool isSound = answer
+            && decodeHopAnswer(findHeader(evhttp_request_get_input_headers(answer->raw),
+                                          hopAnswerHeader));
+    if (isOver_ || !isSound) {
+        retire(silent_);
+        return;
+    }
     if (attempt_)
-        side_.loop_.post([kept = std::shared_ptr<Attempt>(std::move(attempt_))] {});
+        attempt_->cancel();
+    else
+        Placement::begin(*host_);
+    retire(attempt_);
+    attempt_ = std::move(silent_);
+    onHostAnswer(answer->raw);
 }
 
 void EntryCall::releaseHost()
@@ -284,6 +338,10 @@
         const int status = evhttp_request_get_response_code(raw);
         side_.duration_.record(now(SteadyClock()) - arrivedAt_);
         logEnd("answered", status);
+        side_.noteBytes(route_->id,
+                        evbuffer_get_length(evhttp_request_get_input_buffer(raw))
+                                + evbuffer_get_length(
+                                        evhttp_request_get_input_buffer(exchange_.request())));
         exchange_.pass(raw);
         side_.end(*this);
     } else if (answer->result == HopResult::Shed) {
@@ -347,7 +405,7 @@
     }
     ++resumes_;
     side_.resumes_.add();
-    retireAttempt();
+    retire(attempt_);
     if (!provesNotRun(failure)) {
         side_.loop_.post([self = shared_from_this()] {
             if (!self->isOver_)
@@ -375,7 +433,7 @@
                       {"node", host_->entry.node.toString()},
                       {"failuresInRow", host_->failuresInRow}});
     question_.tried.insert(host_->entry.node);
-    retireAttempt();
+    retire(attempt_);
     side_.loop_.post([self = shared_from_this()] {
         if (!self->isOver_)
             self->place();
@@ -386,10 +444,7 @@
 {
     if (isOver_)
         return;
-    if (attempt_) {
-        attempt_->cancel();
-        releaseHost();
-    }
+    cancelAttempts();
     refuse(EntryRefusal::Timeout);
 }
 
@@ -398,10 +453,7 @@
     if (isOver_)
         return;
     isOver_ = true;
-    if (attempt_) {
-        attempt_->cancel();
-        releaseHost();
-    }
+    cancelAttempts();
     logEnd("caller-gone", 0);
     side_.end(*this);
 }
--- a/src/sidecar/entry-side.cc
+++ b/src/sidecar/entry-side.cc
@@ -15,7 +15,7 @@
 
 constexpr std::array<std::string_view, entryRefusalCount> refusalNames
         = {"not-ready", "no-route", "bad-request", "no-server", "overload",
-           "budget",    "attempts", "unknown",     "timeout",   "poison"};
+           "budget",    "attempts", "unknown",     "timeout",   "poison",  "stopping"};
 
 } // namespace
 
@@ -99,6 +99,14 @@
     }
 }
 
+void EntrySide::noteBytes(const RouteId &route, std::size_t bytes)
+{
+    // The last call's weight.
+    constexpr double weight = 0.1;
+    const auto [entry, isNew] = bytes_.try_emplace(route, static_cast<double>(bytes));
+    entry->second += weight * (static_cast<double>(bytes) - entry->second);
+}
+
 void EntrySide::end(EntryCall &call)
 {
     const auto owned = calls_.find(&call);
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -15,8 +15,11 @@
 
 /// A long poll is one priced call however long it waits; the service allows at most 30 s.
 constexpr Milliseconds watchWait(20000);
-/// Changes come in series; those within this time share one call.
-constexpr Milliseconds watchPause(120);
+/// Changes come in series; those within this time share one call.  A longer series shares more, as
+/// a change must be in force only after two seconds.
+constexpr Milliseconds watchPause(300);
+constexpr Milliseconds seriesPause(900);
+constexpr Milliseconds seriesGap(2500);
 constexpr Milliseconds callTimeout(1500);
 /// The service allows a few hundred calls a second over all nodes, which all come back at once.
 constexpr Milliseconds retryPause(300);
@@ -58,6 +61,7 @@
         bool isListed = false;
         // Rises when a watch is abandoned, so that its late answer is ignored.
         std::uint64_t generation = 0;
+        TimePoint lastChange{};
         Timer pause;
     };
     Watch operatorWatch;
@@ -112,8 +116,11 @@
         noteReach(true);
         watch.after = std::max(watch.after, answer->storeRevision);
         watch.isListed = true;
+        const TimePoint time = now(SteadyClock());
+        const bool isSeries = time - watch.lastChange < detail::seriesGap;
+        watch.lastChange = time;
         apply(watch, *answer);
-        followLater(watch, detail::watchPause);
+        followLater(watch, isSeries ? detail::seriesPause : detail::watchPause);
     }
 
     void followLater(Watch &watch, Milliseconds pause)
--- a/src/sidecar/serving-side.cc
+++ b/src/sidecar/serving-side.cc
@@ -289,6 +289,13 @@
     refuseAll(gate_.clearWaiting(), HopReason::Stopping);
 }
 
+bool ServingSide::runs(const std::string &id) const
+{
+    const auto remembered = byId_.find(id);
+    return remembered != byId_.end() && remembered->second.call
+            && !gate_.isWaiting(remembered->second.call->ticket());
+}
+
 std::size_t ServingSide::active() const
 {
     return calls_.size();
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -1,12 +1,15 @@
 // Joins the sides of a node.
 #include "cornelhead/sidecar/sidecar.h"
 
+#include <array>
+#include <cstdio>
 #include <map>
 
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
 
 #include "cornelhead/base/event-log.h"
+#include "cornelhead/base/random.h"
 #include "cornelhead/proxy/counters.h"
 #include "cornelhead/proxy/listener.h"
 #include "cornelhead/proxy/request-head.h"
@@ -32,7 +35,7 @@
 /// Callers look at readiness once a second and leave after two misses.
 constexpr Milliseconds callersLeave(2600);
 /// Kept between the end of this process and the moment at which it is killed.
-constexpr Milliseconds stopMargin(400);
+constexpr Milliseconds stopMargin(250);
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
@@ -62,9 +65,13 @@
     return deaths;
 }
 
-NodeId newRun(const Address &self)
+// Short, as it travels with every call; unique enough among the runs of one address.
+NodeId newRun(std::uint64_t seed)
 {
-    return NodeId(self.toString() + "@" + std::to_string(wallClockMs()));
+    constexpr int shownDigits = 8;
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(seed));
+    return NodeId(std::string(text.data(), shownDigits));
 }
 
 } // namespace detail
@@ -99,7 +106,7 @@
 
     Impl(EventLoop &taskLoop, SidecarSettings nodeSettings, Dialect names)
         : loop(taskLoop), settings(std::move(nodeSettings)), dialect(std::move(names)),
-          run(detail::newRun(settings.inbound)), log(metrics),
+          run(detail::newRun(freshSeed())), log(metrics),
           fleet(loop, dialect, settings.platform, settings.inbound, metrics, log,
                 settings.seed + 1, fleetHandlers()),
           serving(loop, dialect, run, settings.server, local, poison, metrics, log,
@@ -151,8 +158,7 @@
 
     detail::EntrySettings entrySettings() const
     {
-        return detail::EntrySettings{settings.dataCentre,  settings.service,
-                                     settings.outbound.ip, settings.retryRatio,
+        return detail::EntrySettings{settings.dataCentre, settings.service, settings.retryRatio,
                                      settings.retryWindow, settings.seed + 2};
     }
 
@@ -166,6 +172,7 @@
         handlers.onPeerRevision = [this](const Address &peer, Revision revision) {
             fleet.notePeerRevision(peer, revision);
         };
+        handlers.runsHere = [this](const std::string &id) { return serving.runs(id); };
         return handlers;
     }
 
@@ -423,7 +430,7 @@
     impl_->log.write(EventKind::Lifecycle, detail::nodePart, "stopping", {});
     impl_->onStopped = std::move(done);
     impl_->stoppingSince = now(SteadyClock());
-    impl_->entry.stop();
+    impl_->entry.stop(impl_->stoppingSince + impl_->settings.stopTimeout - detail::stopMargin);
     impl_->serving.stop();
     impl_->publishEntry();
     constexpr Milliseconds pollTime(50);
