--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -50,6 +50,8 @@
     std::uint32_t failuresInRow = 0;
     /// Unreachable: takes no call until then.
     TimePoint avoidedUntil{};
+    /// Its node said that it takes no calls now.
+    TimePoint closedUntil{};
     /// Last answer of any kind.
     TimePoint answeredAt{};
 };
@@ -87,6 +89,8 @@
     static void begin(PlacedHost &host) { ++host.inFlight; }
     static void end(PlacedHost &host) { --host.inFlight; }
     static void takeReport(PlacedHost &host, const HostReport &report, TimePoint now);
+    /// Notes that the node said that it takes no calls, as it stops or lacks its server.
+    static void noteClosed(PlacedHost &host, TimePoint now);
     /// Notes that the node could not be reached.
     static void noteUnreachable(PlacedHost &host, TimePoint now);
 
--- a/include/cornelhead/sidecar/entry-publisher.h
+++ b/include/cornelhead/sidecar/entry-publisher.h
@@ -24,8 +24,6 @@
                    std::function<void(bool)> onReach);
 
     void publish(std::string value);
-    /// Ends the lease; nothing is published any more.
-    void withdraw();
     void noteListed(const std::string &value);
     void noteRemoved();
 
@@ -46,7 +44,6 @@
     std::optional<std::string> written_;
     std::optional<LeaseId> lease_;
     bool isBusy_ = false;
-    bool isWithdrawn_ = false;
     Timer timer_;
 };
 
--- a/include/cornelhead/sidecar/fleet-sync.h
+++ b/include/cornelhead/sidecar/fleet-sync.h
@@ -44,8 +44,6 @@
     void start();
     /// Publishes this host's entry now and keeps it published.
     void publish(const HostEntry &entry);
-    /// Ends this host's lease, which removes its entry.
-    void withdraw();
     /// Another node has shown that it holds `revision`; fetches it if the service does not deliver.
     void notePeerRevision(const Address &peer, Revision revision);
 
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -184,7 +184,8 @@
 
     evhttp_request *raw = evhttp_request_new(&Impl::onDone, call);
     evkeyvalq *headers = evhttp_request_get_output_headers(raw);
-    evhttp_add_header(headers, "Host", to.toString().c_str());
+    if (!request.headers.contains("Host"))
+        evhttp_add_header(headers, "Host", to.toString().c_str());
     for (const auto &[name, value] : request.headers)
         evhttp_add_header(headers, name.c_str(), value.c_str());
     evbuffer_add(evhttp_request_get_output_buffer(raw), request.body.data(), request.body.size());
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -36,6 +36,8 @@
 constexpr double leastFailures = 4.0;
 constexpr double failureFactor = 3.0;
 constexpr double failureMargin = 0.08;
+constexpr double priorFailures = 2.0;
+constexpr double priorAnswers = 5.0;
 /// Servers of one service differ in speed by two to three times.
 constexpr double leastTimed = 25.0;
 constexpr double slowFactor = 3.0;
@@ -170,7 +172,9 @@
         return;
     const Sums newer = sumsOf(true, now);
     const Sums older = sumsOf(false, now);
-    const double oldRate = older.answers > 0.0 ? older.failures / older.answers : 0.0;
+    // Few answers of the old version say little; they are taken for worse than they look.
+    const double oldRate = (older.failures + detail::priorFailures)
+            / (older.answers + detail::priorAnswers);
     if (newer.failures >= detail::leastFailures
         && newer.failures / newer.answers
                 > oldRate * detail::failureFactor + detail::failureMargin) {
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -23,6 +23,10 @@
 constexpr double failureCost = 1.5;
 // Nodes see the same reports, so they must not all take the same host.
 constexpr double jitterPart = 0.1;
+// A node that takes no calls publishes the end of that, so this only spares calls in between.
+constexpr Milliseconds closedPause(400);
+// A report of this age still says whether the host would refuse a call.
+constexpr Milliseconds freshReport(300);
 // An unreachable host is tried again after a pause that doubles up to the longest.
 constexpr Milliseconds firstPause(300);
 constexpr Milliseconds longestPause(2000);
@@ -64,6 +68,12 @@
     if (question.version
         && (host.entry.server->version == *question.version) == question.isVersionExcluded)
         return false;
+    if (now < host.closedUntil)
+        return false;
+    // After a refusal the call is worth another try only where it is not refused again.
+    if (!question.tried.empty() && now - host.reportedAt < detail::freshReport
+        && expectedTime(host, question.objective, now) > question.objective)
+        return false;
     // After the pause of an unreachable host one call at a time tries it.
     return host.failuresInRow == 0 || (now >= host.avoidedUntil && host.inFlight == 0);
 }
@@ -131,6 +141,11 @@
     host.avoidedUntil = TimePoint();
 }
 
+void Placement::noteClosed(PlacedHost &host, TimePoint now)
+{
+    host.closedUntil = now + detail::closedPause;
+}
+
 void Placement::noteUnreachable(PlacedHost &host, TimePoint now)
 {
     const std::uint32_t doublings = std::min(host.failuresInRow, detail::pauseDoublings);
--- a/src/sidecar/entry-publisher.cc
+++ b/src/sidecar/entry-publisher.cc
@@ -25,20 +25,10 @@
 
 void EntryPublisher::publish(std::string value)
 {
-    if (isWithdrawn_)
-        return;
     wanted_ = std::move(value);
     write();
 }
 
-void EntryPublisher::withdraw()
-{
-    isWithdrawn_ = true;
-    timer_ = Timer();
-    if (lease_)
-        platform_.revoke(*lease_, [](const Result<void> &) {});
-}
-
 void EntryPublisher::noteListed(const std::string &value)
 {
     if (!isBusy_)
@@ -73,7 +63,7 @@
 
 void EntryPublisher::write()
 {
-    if (isWithdrawn_ || isBusy_ || !wanted_ || wanted_ == written_)
+    if (isBusy_ || !wanted_ || wanted_ == written_)
         return;
     if (!lease_) {
         grant();
@@ -107,8 +97,7 @@
 
 void EntryPublisher::renewLater(bool wasReached)
 {
-    if (!isWithdrawn_)
-        timer_ = loop_.after(wasReached ? renewPeriod : retryPeriod, [this] { renew(); });
+    timer_ = loop_.after(wasReached ? renewPeriod : retryPeriod, [this] { renew(); });
 }
 
 void EntryPublisher::renew()
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -249,6 +249,8 @@
         log.write(EventKind::Failure, detail::syncPart, "host-entry-refused",
                   {{"key", entry.key},
                    {"why", host ? "it names another host" : host.error().describe()}});
+        if (entry.key == detail::hostPrefix + self.toString())
+            publisher.noteRemoved();
         return std::nullopt;
     }
 
@@ -447,11 +449,6 @@
     impl_->publisher.publish(encodeHostEntry(entry));
 }
 
-void FleetSync::withdraw()
-{
-    impl_->publisher.withdraw();
-}
-
 void FleetSync::notePeerRevision(const Address &peer, Revision revision)
 {
     impl_->notePeerRevision(peer, revision);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -34,8 +34,12 @@
 constexpr Milliseconds answeredLately(2000);
 /// Callers look at readiness once a second and leave after two misses.
 constexpr Milliseconds callersLeave(2600);
+/// Until then a stopping node still lends its server to other nodes, whose calls end meanwhile.
+constexpr Milliseconds serverLent(1800);
 /// Kept between the end of this process and the moment at which it is killed.
 constexpr Milliseconds stopMargin(250);
+/// The last answers leave within it.
+constexpr Milliseconds lastAnswers(60);
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
@@ -102,6 +106,8 @@
     std::function<void()> onStopped;
     TimePoint stoppingSince{};
     bool isStopping = false;
+    // The stopping node's server takes no more calls.
+    bool isServerClosed = false;
     bool wasReady = false;
 
     Impl(EventLoop &taskLoop, SidecarSettings nodeSettings, Dialect names)
@@ -197,7 +203,7 @@
         own.run = run;
         own.dataCentre = settings.dataCentre;
         own.server = local.published();
-        own.isStopping = isStopping;
+        own.isStopping = isServerClosed;
         fleet.publish(own);
     }
 
@@ -380,6 +386,10 @@
     void awaitEnd()
     {
         const auto since = now(SteadyClock()) - stoppingSince;
+        if (since > detail::serverLent && !std::exchange(isServerClosed, true)) {
+            serving.stop();
+            publishEntry();
+        }
         const bool isIdle = entry.active() == 0 && serving.active() == 0;
         const bool mustEnd = since > settings.stopTimeout - detail::stopMargin;
         if (!mustEnd && (!isIdle || since < detail::callersLeave))
@@ -387,10 +397,11 @@
         log.write(EventKind::Lifecycle, detail::nodePart, "stopped",
                   {{"callsLeft", entry.active() + serving.active()}});
         log.flush();
-        fleet.withdraw();
-        // The last answers and the end of the lease leave with the next turns of the loop.
-        constexpr Milliseconds lastWrites(30);
-        stopTimer = loop.after(lastWrites, [this] { onStopped(); });
+        // The entry stays until its lease lapses, so that the next run finds its server there.
+        // Calls that arrive from now on are refused, so that none is cut by the end.
+        entry.stop(now(SteadyClock()));
+        outbound.stopListening();
+        stopTimer = loop.after(detail::lastAnswers, [this] { onStopped(); });
     }
 };
 
@@ -431,8 +442,6 @@
     impl_->onStopped = std::move(done);
     impl_->stoppingSince = now(SteadyClock());
     impl_->entry.stop(impl_->stoppingSince + impl_->settings.stopTimeout - detail::stopMargin);
-    impl_->serving.stop();
-    impl_->publishEntry();
     constexpr Milliseconds pollTime(50);
     impl_->stopTimer = impl_->loop.every(pollTime, [this] { impl_->awaitEnd(); });
 }
--- a/src/standin/platform-server.cc
+++ b/src/standin/platform-server.cc
@@ -63,6 +63,12 @@
     return result ? jsonResponse(200, "{}") : errorResponse(result.error());
 }
 
+Expected currentOf(KeyValueStore &store, const std::string &key)
+{
+    const std::optional<KeyValue> current = store.get(key);
+    return current ? Expected{current->modRevision} : Expected{};
+}
+
 /// Runs a write whose parameters are in the body; throws json::exception for a bad body.
 HttpResponse runWrite(KeyValueStore &store, Operation operation, const json &body)
 {
@@ -83,7 +89,9 @@
     }
     const std::optional<LeaseId> holder
             = body.contains("lease") ? std::optional(lease()) : std::nullopt;
-    const auto written = store.put(key(), body.at("value").get<std::string>(), expected(), holder);
+    // Without an expectation the write replaces whatever is there.
+    const Expected over = body.contains("expected") ? expected() : currentOf(store, key());
+    const auto written = store.put(key(), body.at("value").get<std::string>(), over, holder);
     return written ? jsonResponse(200, json{{"modRevision", written->value()}}.dump())
                    : errorResponse(written.error());
 }
--- /dev/null
+++ b/test/adapter/sidecar-fleet.h
@@ -0,0 +1,206 @@
+// A fleet of real sidecars with stand-ins of servers and the store, all on one event loop.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "cornelhead/sidecar/hop.h"
+#include "cornelhead/sidecar/sidecar.h"
+#include "platform/users-dialect.h"
+#include "support/users-configuration.h"
+#include "support/users-store.h"
+
+namespace cornelhead {
+
+/// A backend server in the users' spelling, whose answers a test may replace.
+class FakeServer
+{
+public:
+    FakeServer(EventLoop &loop, std::string serverId) : id(std::move(serverId)), server_(loop, {})
+    {
+        server_.setHandler([this](const HttpRequest &request, const Responder &responder) {
+            serve(request, responder);
+        });
+        address = listenOnFreePort(
+                [this](const Address &free) { return server_.listen(free).has_value(); });
+    }
+
+    static std::string header(const HttpRequest &request, const char *name)
+    {
+        const auto found = request.headers.find(name);
+        return found == request.headers.end() ? std::string() : found->second;
+    }
+    HttpResponse answerTo(const HttpRequest &request) const
+    {
+        return HttpResponse{200,
+                            {{"Cornelhead-Request-Id", header(request, "Cornelhead-Request-Id")},
+                             {"Cornelhead-Server-Seal", "seal-of-" + id}},
+                            "ran at " + id};
+    }
+
+    std::string id;
+    Address address;
+    /// Requests that it began to work on.
+    std::vector<HttpRequest> runs;
+    std::function<void(const HttpRequest &, const Responder &)> behaviour;
+
+private:
+    void serve(const HttpRequest &request, const Responder &responder)
+    {
+        if (request.path == "/healthz") {
+            responder.send(HttpResponse{200, {{"Cornelhead-Instance-Id", id}}, {}});
+            return;
+        }
+        if (header(request, "Cornelhead-Expect-Instance") != id) {
+            responder.send(HttpResponse{421, {{"Cornelhead-Instance-Id", id}}, {}});
+            return;
+        }
+        runs.push_back(request);
+        if (behaviour)
+            behaviour(request, responder);
+        else
+            responder.send(answerTo(request));
+    }
+
+    HttpServer server_;
+};
+
+/// One host: a server and the sidecar beside it.
+struct SidecarHost
+{
+    std::unique_ptr<FakeServer> server;
+    SidecarSettings settings;
+    std::unique_ptr<Sidecar> sidecar;
+    std::uint64_t sequence = 0;
+};
+
+struct SidecarFleet
+{
+    EventLoop loop;
+    UsersStore store{loop};
+    HttpClient client{loop};
+    std::deque<SidecarHost> hosts;
+    std::uint64_t lastId = 0;
+
+    /// Runs the loop until `isDone`; a test that never gets there fails.
+    void waitUntil(const std::function<bool()> &isDone)
+    {
+        constexpr int mostTurns = 3000;
+        for (int i = 0; i < mostTurns && !isDone(); ++i)
+            loop.runFor(Milliseconds(10));
+        BOOST_REQUIRE(isDone());
+    }
+
+    static Address freeAddress()
+    {
+        // Held by nobody once the probe is closed; ports are handed out only once.
+        static std::uint16_t next = static_cast<std::uint16_t>(32'000 + ::getpid() % 100 * 200);
+        return Address{"127.0.0.1", next++};
+    }
+
+    SidecarHost &add(const std::string &service, const std::string &serverId,
+                     const std::string &dataCentre = "akl-a", const std::string &version = "v1")
+    {
+        SidecarHost &host = hosts.emplace_back();
+        host.server = std::make_unique<FakeServer>(loop, serverId);
+        host.settings.dataCentre = DataCentreId(dataCentre);
+        host.settings.service = ServiceId(service);
+        host.settings.server = host.server->address;
+        host.settings.outbound = freeAddress();
+        host.settings.inbound = freeAddress();
+        host.settings.readiness = freeAddress();
+        host.settings.control = freeAddress();
+        host.settings.platform = store.address;
+        host.settings.stopTimeout = Milliseconds(6000);
+        host.settings.retryRatio = 0.2;
+        host.settings.retryWindow = Milliseconds(10'000);
+        host.settings.seed = 5;
+        startSidecar(host);
+        announce(host, version);
+        return host;
+    }
+    void startSidecar(SidecarHost &host)
+    {
+        host.sidecar = std::make_unique<Sidecar>(loop, host.settings, adapter::usersDialect());
+        const Result<void> started = host.sidecar->start();
+        BOOST_REQUIRE_MESSAGE(started, (started ? "" : started.error().describe()));
+    }
+
+    HttpResponse call(const Address &to, HttpRequest request)
+    {
+        std::optional<Result<HttpResponse>> answer;
+        client.send(to, request, Milliseconds(8000),
+                    [&](Result<HttpResponse> result) { answer = std::move(result); });
+        waitUntil([&] { return answer.has_value(); });
+        BOOST_REQUIRE_MESSAGE(*answer, (*answer ? "" : answer->error().describe()));
+        return **answer;
+    }
+    /// Sends one heartbeat and waits for its acknowledgement.
+    int announce(SidecarHost &host, const std::string &version = "v1",
+                 const std::string &state = "ready")
+    {
+        const std::string body = R"({"address":"x","born":1,"server-info":{"service":")"
+                + host.settings.service.value() + R"(","version":")" + version + R"(","zone":")"
+                + host.settings.dataCentre.value()
+                + R"(","slots":2},"status":{"state":")" + state
+                + R"(","seq":)" + std::to_string(++host.sequence) + R"(,"cold-left":"0ms"}})";
+        return call(host.settings.control,
+                    HttpRequest{HttpMethod::Put, "/instances/" + host.server->id, {}, {}, body})
+                .status;
+    }
+    void configure(const std::string &version, const std::string &rows)
+    {
+        store.write("op/config", usersConfiguration(version, rows));
+    }
+    bool isReady(const SidecarHost &host)
+    {
+        return call(host.settings.readiness, HttpRequest{HttpMethod::Get, "/readyz", {}, {}, {}})
+                       .status
+                == 200;
+    }
+    /// Waits until every sidecar knows every server.
+    void settle()
+    {
+        waitUntil([this] {
+            std::size_t listed = 0;
+            for (const KeyValue &entry : store.store.list("cornelhead/hosts/").entries)
+                listed += entry.value.find("\"server\"") != std::string::npos ? 1 : 0;
+            return listed == hosts.size();
+        });
+        for (SidecarHost &host : hosts)
+            waitUntil([&] { return isReady(host); });
+        // Longer than the pause between two polls of the store.
+        loop.runFor(Milliseconds(1100));
+    }
+    HttpRequest requestTo(const std::string &path, HttpMethod method = HttpMethod::Get,
+                          const std::string &body = {})
+    {
+        return HttpRequest{method,
+                           path,
+                           {},
+                           {{"Host", "site.example"},
+                            {"Cornelhead-Request-Id", "id" + std::to_string(++lastId)},
+                            {"Cornelhead-Deadline-Ms", "1500"}},
+                           body};
+    }
+    std::size_t runs() const
+    {
+        std::size_t sum = 0;
+        for (const SidecarHost &host : hosts)
+            sum += host.server->runs.size();
+        return sum;
+    }
+    std::string metricsOf(SidecarHost &host)
+    {
+        return call(host.settings.readiness, HttpRequest{HttpMethod::Get, "/metrics", {}, {}, {}})
+                .body;
+    }
+};
+
+} // namespace cornelhead
--- /dev/null
+++ b/test/adapter/sidecar-path-test.cc
@@ -0,0 +1,449 @@
+// Tests whole sidecars on loopback: the way of calls through two nodes, and what breaks on it.
+#include "adapter/sidecar-fleet.h"
+
+namespace cornelhead {
+
+const std::string bookRoute = usersRoute("book", "/book/", "non_idempotent", "bookings");
+const std::string lookRoute = usersRoute("look", "/look/", "idempotent", "bookings");
+
+struct PathFixture : SidecarFleet
+{
+    SidecarHost *entry = nullptr;
+
+    PathFixture()
+    {
+        configure("00000005", bookRoute + "," + lookRoute);
+        entry = &add("catalogue", "c1");
+        add("bookings", "b1");
+        add("bookings", "b2");
+        settle();
+    }
+    HttpResponse get(const std::string &path) { return call(entry->settings.outbound, requestTo(path)); }
+    HttpResponse post(const std::string &path)
+    {
+        return call(entry->settings.outbound, requestTo(path, HttpMethod::Post, "seat=4"));
+    }
+    void setBehaviour(std::function<void(const HttpRequest &, const Responder &)> behaviour)
+    {
+        for (SidecarHost &host : hosts)
+            host.server->behaviour = behaviour;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(sidecar_path, PathFixture)
+
+BOOST_AUTO_TEST_CASE(callIsForwardedWholeAndNothingOfTheNodesLeaks)
+{
+    HttpRequest request = requestTo("/book/4", HttpMethod::Post, "seat=4");
+    request.headers["Cornelhead-Caller-Service"] = "forged";
+    request.headers["Cornelhead-Expect-Instance"] = "forged";
+    request.headers["X-Other"] = "kept";
+    const HttpResponse answer = call(entry->settings.outbound, request);
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.headers.contains("Cornelhead-Server-Seal"));
+    BOOST_TEST(!answer.headers.contains(hopAnswerHeader));
+    BOOST_REQUIRE(runs() == 1U);
+    for (const SidecarHost &host : hosts) {
+        if (host.server->runs.empty())
+            continue;
+        const HttpRequest &run = host.server->runs.front();
+        BOOST_TEST(answer.body == "ran at " + host.server->id);
+        BOOST_TEST(run.path == "/book/4");
+        BOOST_TEST(run.body == "seat=4");
+        BOOST_TEST(FakeServer::header(run, "Cornelhead-Caller-Service") == "catalogue");
+        BOOST_TEST(FakeServer::header(run, "X-Other") == "kept");
+        BOOST_TEST(FakeServer::header(run, "Host") == "site.example");
+        BOOST_TEST(!run.headers.contains(hopRequestHeader));
+        const int left = std::stoi(FakeServer::header(run, "Cornelhead-Deadline-Ms"));
+        BOOST_TEST(left > 0);
+        BOOST_TEST(left <= 1500);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(unknownRouteIsNotFoundAndNothingRuns)
+{
+    BOOST_TEST(get("/nowhere/1").status == 404);
+    HttpRequest other = requestTo("/book/1");
+    other.headers["Host"] = "elsewhere.example";
+    BOOST_TEST(call(entry->settings.outbound, other).status == 404);
+    BOOST_TEST(runs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(brokenCallThatMayHaveRunIsNotSentAgain)
+{
+    setBehaviour([](const HttpRequest &, const Responder &responder) { responder.drop(); });
+    const HttpResponse answer = post("/book/1");
+    BOOST_TEST(answer.status == 502);
+    BOOST_TEST(runs() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(brokenIdempotentCallIsSentToAnotherServer)
+{
+    hosts[1].server->behaviour
+            = [](const HttpRequest &, const Responder &responder) { responder.drop(); };
+    for (int i = 0; i < 6; ++i)
+        BOOST_TEST(get("/look/1").status == 200);
+    BOOST_TEST(!hosts[1].server->runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(answerToAnotherRequestNeverReachesACaller)
+{
+    setBehaviour([this](const HttpRequest &request, const Responder &responder) {
+        HttpResponse answer = hosts[1].server->answerTo(request);
+        answer.headers["Cornelhead-Request-Id"] = "another";
+        responder.send(answer);
+    });
+    BOOST_TEST(post("/book/1").status == 502);
+    BOOST_TEST(get("/look/1").status >= 500);
+}
+
+BOOST_AUTO_TEST_CASE(successWithoutSignatureNeverReachesACaller)
+{
+    setBehaviour([](const HttpRequest &, const Responder &responder) {
+        responder.send(HttpResponse{200, {}, "made up"});
+    });
+    BOOST_TEST(post("/book/1").status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(refusalOfAServerThatDidNotRunTheCallIsTold)
+{
+    setBehaviour([](const HttpRequest &, const Responder &responder) {
+        responder.send(HttpResponse{503, {{"Cornelhead-Not-Executed", "1"}}, {}});
+    });
+    const HttpResponse answer = post("/book/1");
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.headers.contains("Retry-After"));
+    BOOST_TEST(runs() <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(leavingServerGetsNothingOnceItWasAcknowledged)
+{
+    BOOST_TEST(announce(hosts[1], "v1", "draining") == 200);
+    const std::size_t before = hosts[1].server->runs.size();
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(get("/look/1").status == 200);
+    BOOST_TEST(hosts[1].server->runs.size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(otherServerAtTheAddressIsNotGivenCalls)
+{
+    hosts[1].server->id = "b9";
+    hosts[2].server->id = "b8";
+    BOOST_TEST(post("/book/1").status == 503);
+    BOOST_TEST(runs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(slowServerDoesNotTakeAllCalls)
+{
+    std::vector<Responder> held;
+    hosts[1].server->behaviour
+            = [&](const HttpRequest &, const Responder &responder) { held.push_back(responder); };
+    int served = 0;
+    for (int i = 0; i < 12; ++i)
+        served += get("/look/1").status == 200 ? 1 : 0;
+    BOOST_TEST(served >= 9);
+    BOOST_TEST(held.size() <= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(callerThatLeavesEndsItsIdempotentCallAtTheServer)
+{
+    std::optional<Responder> held;
+    setBehaviour([&](const HttpRequest &, const Responder &responder) { held = responder; });
+    {
+        HttpClient leaving(loop);
+        leaving.send(entry->settings.outbound, requestTo("/look/1"), Milliseconds(100),
+                     [](const Result<HttpResponse> &) {});
+        waitUntil([&] { return held.has_value(); });
+        loop.runFor(Milliseconds(150));
+    }
+    waitUntil([&] { return held->isAbandoned(); });
+}
+
+BOOST_AUTO_TEST_CASE(nodesOfDeadHostsArePassedOver)
+{
+    hosts[1].sidecar.reset();
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(get("/look/1").status == 200);
+    BOOST_TEST(post("/book/1").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(callsGoOnWhileTheStoreIsAway)
+{
+    store.refuseWith = 503;
+    loop.runFor(Milliseconds(2000));
+    BOOST_TEST(get("/look/1").status == 200);
+    BOOST_TEST(isReady(*entry));
+    store.refuseWith.reset();
+    configure("00000009", bookRoute);
+    waitUntil([&] { return get("/look/1").status == 404; });
+}
+
+BOOST_AUTO_TEST_CASE(brokenAnswersOfTheStoreChangeNothing)
+{
+    store.garbles = true;
+    store.erase("cornelhead/hosts/" + hosts[1].settings.inbound.toString());
+    loop.runFor(Milliseconds(1500));
+    BOOST_TEST(get("/look/1").status == 200);
+    store.garbles = false;
+    waitUntil([&] {
+        return store.read("cornelhead/hosts/" + hosts[1].settings.inbound.toString()).has_value();
+    });
+}
+
+BOOST_AUTO_TEST_CASE(olderOrBrokenConfigurationIsNotTaken)
+{
+    configure("00000004", bookRoute);
+    loop.runFor(Milliseconds(1500));
+    BOOST_TEST(get("/look/1").status == 200);
+    store.write("op/config", "{\"version\":\"00000010\",\"routes\":");
+    loop.runFor(Milliseconds(1500));
+    BOOST_TEST(get("/look/1").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(entryThatWasTakenAwayIsPublishedAgain)
+{
+    const std::string key = "cornelhead/hosts/" + hosts[1].settings.inbound.toString();
+    store.erase(key);
+    waitUntil([&] { return store.read(key).has_value(); });
+    store.write(key, "bytes of another writer");
+    waitUntil([&] { return store.read(key)->find("b1") != std::string::npos; });
+}
+
+BOOST_AUTO_TEST_CASE(entryIsThereThoughAnswersOfWritesAreLost)
+{
+    store.losesWriteAnswers = true;
+    announce(hosts[1], "v1", "draining");
+    const std::string key = "cornelhead/hosts/" + hosts[1].settings.inbound.toString();
+    waitUntil([&] { return store.read(key)->find("draining") != std::string::npos; });
+    store.losesWriteAnswers = false;
+}
+
+BOOST_AUTO_TEST_CASE(restartedNodeFindsItsServerAgain)
+{
+    SidecarHost &host = hosts[1];
+    host.sidecar.reset();
+    // The test's own idle connections to it end.
+    loop.runFor(Milliseconds(50));
+    startSidecar(host);
+    waitUntil([&] {
+        return isReady(host)
+                && call(host.settings.outbound, requestTo("/look/1")).body == "ran at b1";
+    });
+}
+
+BOOST_AUTO_TEST_CASE(stoppingNodeEndsWhatItTookAndTakesNoMoreFromOthers)
+{
+    std::optional<Responder> held;
+    std::optional<HttpRequest> heldRequest;
+    for (std::size_t i : {1U, 2U}) {
+        hosts[i].server->behaviour = [&](const HttpRequest &request, const Responder &responder) {
+            if (held) {
+                responder.send(hosts[1].server->answerTo(request));
+                return;
+            }
+            held = responder;
+            heldRequest = request;
+        };
+    }
+    std::optional<Result<HttpResponse>> answer;
+    client.send(entry->settings.outbound, requestTo("/book/1", HttpMethod::Post),
+                Milliseconds(5000), [&](Result<HttpResponse> result) { answer = result; });
+    waitUntil([&] { return held.has_value(); });
+    bool isStopped = false;
+    entry->sidecar->stop([&] { isStopped = true; });
+    BOOST_TEST(!isReady(*entry));
+    BOOST_TEST(get("/look/1").headers.at("Connection") == "close");
+    held->send(hosts[1].server->answerTo(*heldRequest));
+    waitUntil([&] { return answer.has_value(); });
+    BOOST_TEST((*answer)->status == 200);
+    waitUntil([&] { return isStopped; });
+}
+
+BOOST_AUTO_TEST_CASE(metricsTellServedAndRefusedCalls)
+{
+    get("/look/1");
+    get("/nowhere/1");
+    const std::string metrics = metricsOf(*entry);
+    BOOST_TEST(metrics.find("cornelhead_entry_answers_total 1") != std::string::npos);
+    BOOST_TEST(metrics.find(R"(cornelhead_entry_refusals_total{reason="no-route"} 1)")
+               != std::string::npos);
+    BOOST_TEST(metrics.find("cornelhead_entry_duration_us") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(goodVersionIsMovedToAndItsStatusWritten)
+{
+    SidecarHost &newer = add("bookings", "b3", "akl-a", "v2");
+    store.write("op/rollout/bookings",
+                R"({"service":"bookings","target-version":"v2","ramp":"12s"})");
+    waitUntil([&] {
+        (void)get("/look/1");
+        const auto status = store.read("status/rollout/bookings");
+        return status && status->find("complete") != std::string::npos;
+    });
+    const std::size_t before = newer.server->runs.size();
+    BOOST_TEST(get("/look/1").body == "ran at b3");
+    BOOST_TEST(newer.server->runs.size() == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(badVersionIsTakenBackAndGetsNothingMore)
+{
+    SidecarHost &newer = add("bookings", "b3", "akl-a", "v2");
+    newer.server->behaviour = [](const HttpRequest &request, const Responder &responder) {
+        responder.send(HttpResponse{500,
+                                    {{"Cornelhead-Request-Id",
+                                      FakeServer::header(request, "Cornelhead-Request-Id")},
+                                     {"Cornelhead-Server-Seal", "seal"}},
+                                    {}});
+    };
+    store.write("op/rollout/bookings",
+                R"({"service":"bookings","target-version":"v2","ramp":"12s"})");
+    waitUntil([&] {
+        (void)get("/look/1");
+        const auto status = store.read("status/rollout/bookings");
+        return status && status->find("reverted") != std::string::npos;
+    });
+    const std::size_t before = newer.server->runs.size();
+    BOOST_TEST(before <= 50U);
+    for (int i = 0; i < 30; ++i)
+        (void)get("/look/1");
+    BOOST_TEST(newer.server->runs.size() == before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+/// Speaks to the serving side of one node as another node would.
+struct ResumeFixture : SidecarFleet
+{
+    std::vector<std::pair<HttpRequest, Responder>> held;
+    SidecarHost *host = nullptr;
+    NodeId run;
+
+    ResumeFixture()
+    {
+        configure("00000005", bookRoute);
+        host = &add("bookings", "b1");
+        settle();
+        host->server->behaviour = [this](const HttpRequest &request, const Responder &responder) {
+            held.emplace_back(request, responder);
+        };
+        const auto published
+                = store.read("cornelhead/hosts/" + host->settings.inbound.toString());
+        run = decodeHostEntry(*published)->run;
+    }
+    HttpRequest hopRequest(const std::string &id, bool isResumed, const NodeId &toRun)
+    {
+        HopRequest hop;
+        hop.run = toRun;
+        hop.server = ServerId("b1");
+        hop.service = ServiceId("bookings");
+        hop.callerService = ServiceId("catalogue");
+        hop.isResumed = isResumed;
+        hop.objective = Milliseconds(500);
+        hop.route = RouteId("book");
+        HttpRequest request = requestTo("/book/1", HttpMethod::Post, "seat=4");
+        request.headers["Cornelhead-Request-Id"] = id;
+        request.headers[hopRequestHeader] = encodeHopRequest(hop);
+        return request;
+    }
+    static HopAnswer hopOf(const HttpResponse &answer)
+    {
+        return decodeHopAnswer(answer.headers.at(hopAnswerHeader)).value();
+    }
+    /// Sends a call whose connection breaks once the node has it.
+    void sendAndBreak(const std::string &id, const std::function<bool()> &hasIt)
+    {
+        HttpClient breaking(loop);
+        breaking.send(host->settings.inbound, hopRequest(id, false, run), Milliseconds(5000),
+                      [](const Result<HttpResponse> &) {});
+        waitUntil(hasIt);
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(sidecar_resume, ResumeFixture)
+
+BOOST_AUTO_TEST_CASE(runningCallIsResumedWithoutASecondRun)
+{
+    sendAndBreak("one", [this] { return held.size() == 1; });
+    std::optional<Result<HttpResponse>> answer;
+    client.send(host->settings.inbound, hopRequest("one", true, run), Milliseconds(5000),
+                [&](Result<HttpResponse> result) { answer = result; });
+    loop.runFor(Milliseconds(200));
+    BOOST_TEST(held.size() == 1U);
+    held[0].second.send(host->server->answerTo(held[0].first));
+    waitUntil([&] { return answer.has_value(); });
+    BOOST_TEST((*answer)->status == 200);
+    BOOST_TEST((hopOf(**answer).result == HopResult::Answered));
+    BOOST_TEST(host->server->runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(answerMadeWhileNobodyListenedIsDelivered)
+{
+    sendAndBreak("one", [this] { return held.size() == 1; });
+    loop.runFor(Milliseconds(100));
+    held[0].second.send(host->server->answerTo(held[0].first));
+    loop.runFor(Milliseconds(200));
+    const HttpResponse answer = call(host->settings.inbound, hopRequest("one", true, run));
+    BOOST_TEST(answer.status == 200);
+    BOOST_TEST(answer.body == "ran at b1");
+    BOOST_TEST(answer.headers.contains("Cornelhead-Server-Seal"));
+    BOOST_TEST(host->server->runs.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(callWithdrawnBeforeItWasSentNeverRuns)
+{
+    // Two slots and the spare place are taken, so the fourth call waits.
+    for (const char *id : {"a", "b", "c"}) {
+        client.send(host->settings.inbound, hopRequest(id, false, run), Milliseconds(8000),
+                    [](const Result<HttpResponse> &) {});
+    }
+    waitUntil([this] { return held.size() == 3; });
+    {
+        HttpClient breaking(loop);
+        breaking.send(host->settings.inbound, hopRequest("four", false, run), Milliseconds(5000),
+                      [](const Result<HttpResponse> &) {});
+        loop.runFor(Milliseconds(100));
+    }
+    loop.runFor(Milliseconds(100));
+    const HttpResponse answer = call(host->settings.inbound, hopRequest("four", true, run));
+    BOOST_TEST((hopOf(answer).result == HopResult::NotRun));
+    BOOST_TEST((hopOf(answer).reason == HopReason::Withdrawn));
+    for (auto &[request, responder] : held)
+        responder.send(host->server->answerTo(request));
+    loop.runFor(Milliseconds(300));
+    BOOST_TEST(host->server->runs.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(nodeThatWasRestartedCannotKnow)
+{
+    const HttpResponse answer
+            = call(host->settings.inbound, hopRequest("one", true, NodeId("earlier")));
+    BOOST_TEST((hopOf(answer).result == HopResult::Unknown));
+    BOOST_TEST((hopOf(answer).reason == HopReason::OtherRun));
+    BOOST_TEST(host->server->runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(callThatNeverArrivedIsRunWhenItIsResumed)
+{
+    std::optional<Result<HttpResponse>> answer;
+    client.send(host->settings.inbound, hopRequest("one", true, run), Milliseconds(5000),
+                [&](Result<HttpResponse> result) { answer = result; });
+    waitUntil([this] { return held.size() == 1; });
+    held[0].second.send(host->server->answerTo(held[0].first));
+    waitUntil([&] { return answer.has_value(); });
+    BOOST_TEST((hopOf(**answer).result == HopResult::Answered));
+}
+
+BOOST_AUTO_TEST_CASE(brokenHopHeadersAreRefused)
+{
+    HttpRequest request = hopRequest("one", false, run);
+    for (const char *bad : {"1", "2 a b", "1 a b c d x 0 0 5 r", "1 a  b c d 1 0 0 5 r"}) {
+        request.headers[hopRequestHeader] = bad;
+        const HttpResponse answer = call(host->settings.inbound, request);
+        BOOST_TEST((hopOf(answer).reason == HopReason::BadMessage));
+    }
+    BOOST_TEST(host->server->runs.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- /dev/null
+++ b/test/adapter/users-messages-test.cc
@@ -0,0 +1,261 @@
+// Tests each message of the users' platform: whole ones, and broken ones of other writers.
+#include <boost/test/unit_test.hpp>
+
+#include "platform/base64.h"
+#include "platform/users-messages.h"
+#include "platform/users-store-codec.h"
+#include "support/property.h"
+#include "support/users-configuration.h"
+
+namespace cornelhead::adapter {
+
+const std::string oneRoute = usersRoute("r1", "/book/", "non_idempotent", "bookings");
+
+bool isFault(const std::string &configuration)
+{
+    return !readConfiguration(configuration).has_value();
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const std::size_t at = text.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+BOOST_AUTO_TEST_SUITE(users_messages)
+
+BOOST_AUTO_TEST_CASE(configurationIsReadWhole)
+{
+    const auto table = readConfiguration(usersConfiguration(
+            "0000001c", oneRoute + ","
+                    + usersRoute("r2", "/look/", "idempotent", "",
+                                 R"([{"service":"bookings","weight":90},)"
+                                 R"({"service":"catalogue","weight":10}])")));
+    BOOST_REQUIRE(table);
+    BOOST_TEST((*table)->revision().value() == 28U);
+    const HostRoute *booking = (*table)->match("site.example", "/book/1");
+    BOOST_REQUIRE(booking);
+    BOOST_TEST(!booking->isIdempotent);
+    BOOST_TEST(booking->timeout.count() == 2000);
+    BOOST_TEST(booking->objective.count() == 500);
+    BOOST_TEST(booking->attempts == 2U);
+    const HostRoute *look = (*table)->match("site.example", "/look/");
+    BOOST_REQUIRE(look);
+    BOOST_TEST(look->isIdempotent);
+    BOOST_REQUIRE(look->targets.size() == 2U);
+    BOOST_TEST(look->targets[1].weight == 10U);
+    BOOST_TEST((*table)->findService(ServiceId("catalogue"))->healthPath == "/healthz");
+}
+
+BOOST_AUTO_TEST_CASE(timesMayBeFractionsOfASecond)
+{
+    const auto table = readConfiguration(
+            replaced(usersConfiguration("00000001", oneRoute), "2000ms", "2.5s"));
+    BOOST_REQUIRE(table);
+    BOOST_TEST((*table)->match("site.example", "/book/")->timeout.count() == 2500);
+}
+
+BOOST_AUTO_TEST_CASE(brokenConfigurationsAreFaults)
+{
+    const std::string sound = usersConfiguration("00000001", oneRoute);
+    BOOST_REQUIRE(!isFault(sound));
+    BOOST_TEST(isFault(""));
+    BOOST_TEST(isFault("[]"));
+    BOOST_TEST(isFault(replaced(sound, "\"00000001\"", "1")));
+    BOOST_TEST(isFault(replaced(sound, "00000001", "0000000g")));
+    BOOST_TEST(isFault(replaced(sound, "00000001", "00000000")));
+    BOOST_TEST(isFault(replaced(sound, "2000ms", "2000")));
+    BOOST_TEST(isFault(replaced(sound, "2000ms", "-5ms")));
+    BOOST_TEST(isFault(replaced(sound, ",2,\"bookings\"", ",2")));
+    BOOST_TEST(isFault(replaced(sound, "\"bookings\"]", "\"nowhere\"]")));
+    BOOST_TEST(isFault(replaced(sound, "\"bookings\"]", "7]")));
+    BOOST_TEST(isFault(replaced(sound, "\"bookings\"]", "null]")));
+    BOOST_TEST(isFault(replaced(sound, "\"site.example\"", "\"\"")));
+    BOOST_TEST(isFault(replaced(sound, "\"kind\"", "\"sort\"")));
+    const std::string split = R"([{"service":"bookings","weight":-1}])";
+    BOOST_TEST(isFault(usersConfiguration(
+            "00000001", usersRoute("r", "/x/", "idempotent", "", split))));
+    BOOST_TEST(isFault(usersConfiguration(
+            "00000001", usersRoute("r", "/x/", "idempotent", "", "[]"))));
+}
+
+BOOST_AUTO_TEST_CASE(configurationCutAnywhereIsAFault)
+{
+    const std::string sound = usersConfiguration("00000001", oneRoute);
+    for (std::size_t size = 0; size < sound.size(); ++size)
+        BOOST_TEST(isFault(sound.substr(0, size)), "cut at " << size);
+}
+
+BOOST_AUTO_TEST_CASE(anyBytesAreReadOrRefused)
+{
+    const std::string sound = usersConfiguration("00000001", oneRoute);
+    checkProperty(41, 3000, [&](std::uint16_t at, std::uint8_t byte) {
+        std::string changed = sound;
+        changed[at % changed.size()] = static_cast<char>(byte);
+        (void)readConfiguration(changed);
+        (void)readMoveOrder(KeyValue{"op/rollout/x", changed, ModRevision(1)});
+        HttpRequest request{HttpMethod::Put, "/instances/i-1", {}, {}, changed};
+        (void)readServerMessage(request);
+    });
+}
+
+BOOST_AUTO_TEST_CASE(unknownKindMayRunOnceAtMost)
+{
+    const auto table = readConfiguration(
+            usersConfiguration("00000001", usersRoute("r", "/x/", "streamed", "bookings")));
+    BOOST_REQUIRE(table);
+    BOOST_TEST(!(*table)->match("site.example", "/x/")->isIdempotent);
+}
+
+BOOST_AUTO_TEST_CASE(orderOfAMoveIsRead)
+{
+    BOOST_TEST(isMoveOrder("op/rollout/catalogue"));
+    BOOST_TEST(!isMoveOrder("op/config"));
+    const auto order = readMoveOrder(KeyValue{
+            "op/rollout/catalogue",
+            R"({"service":"catalogue","target-version":"v2","ramp":"12s"})", ModRevision(9)});
+    BOOST_REQUIRE(order);
+    BOOST_TEST(order->target.value() == "v2");
+    BOOST_TEST(order->allowed.count() == 12'000);
+    BOOST_TEST(order->ordered.value() == 9U);
+    for (const char *bad : {"", "{}", R"({"service":"a","target-version":2,"ramp":"12s"})",
+                            R"({"service":"a","target-version":"v2","ramp":12})"})
+        BOOST_TEST(!readMoveOrder(KeyValue{"op/rollout/a", bad, ModRevision(1)}));
+}
+
+BOOST_AUTO_TEST_CASE(statusOfAMoveIsWritten)
+{
+    const MoveStatusEntry status = renderMoveStatus(VersionMove{
+            ServiceId("catalogue"), VersionId("v2"), ModRevision(9), 0,
+            VersionMoveState::Reverted});
+    BOOST_TEST(status.key == "status/rollout/catalogue");
+    BOOST_TEST(status.value.find(R"("state":"reverted")") != std::string::npos);
+    BOOST_TEST(status.value.find(R"("target-version":"v2")") != std::string::npos);
+}
+
+const std::string heartbeat
+        = R"({"address":"10.0.0.9:8080","born":1764800000000,"server-info":{"service":"bookings",)"
+          R"("version":"v1","zone":"akl-a","slots":9},"status":{"state":"ready","seq":4,)"
+          R"("cold-left":"0ms"}})";
+
+Result<ServerMessage> messageOf(const std::string &body, HttpMethod method = HttpMethod::Put,
+                                const std::string &path = "/instances/i-7")
+{
+    return readServerMessage(HttpRequest{method, path, {}, {}, body});
+}
+
+BOOST_AUTO_TEST_CASE(heartbeatIsRead)
+{
+    const auto message = messageOf(heartbeat);
+    BOOST_REQUIRE(message);
+    const auto &announcement = std::get<ServerAnnouncement>(*message);
+    BOOST_TEST(announcement.server.id.value() == "i-7");
+    BOOST_TEST(announcement.server.slots == 9U);
+    BOOST_TEST(announcement.sequence == 4U);
+    BOOST_TEST(announcement.startedAtMs == 1764800000000);
+    BOOST_TEST((announcement.server.state == ServerState::Serving));
+    const auto leaving = messageOf(replaced(heartbeat, "ready", "draining"));
+    BOOST_TEST((std::get<ServerAnnouncement>(*leaving).server.state == ServerState::Draining));
+    BOOST_TEST(std::holds_alternative<ServerDeparture>(*messageOf("", HttpMethod::Delete)));
+}
+
+BOOST_AUTO_TEST_CASE(heartbeatsOfOtherWritersNameNoServer)
+{
+    const auto kindOf = [](const Result<ServerMessage> &message) { return message.error().kind; };
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+                 {"\"ready\"", "\"asleep\""},
+                 {"\"seq\":4", "\"seq\":\"4\""},
+                 {"\"slots\":9", "\"slots\":0"},
+                 {"1764800000000", "1764800000000.5"},
+                 {"1764800000000", "\"1764800000000\""},
+                 {"\"service\":\"bookings\",", ""},
+                 {"\"version\":\"v1\"", "\"version\":null"}}) {
+        const auto message = messageOf(replaced(heartbeat, from, to));
+        BOOST_REQUIRE(!message);
+        BOOST_TEST((kindOf(message) == ErrorKind::InvalidMessage));
+    }
+    BOOST_TEST((kindOf(messageOf(heartbeat, HttpMethod::Post)) == ErrorKind::NotFound));
+    BOOST_TEST((kindOf(messageOf(heartbeat, HttpMethod::Put, "/instances/")) == ErrorKind::NotFound));
+    BOOST_TEST((kindOf(messageOf(heartbeat, HttpMethod::Put, "/other/i")) == ErrorKind::NotFound));
+}
+
+BOOST_AUTO_TEST_CASE(base64IsReversible)
+{
+    BOOST_TEST(encodeBase64("node-1") == "bm9kZS0x");
+    BOOST_TEST(encodeBase64("a") == "YQ==");
+    checkProperty(5, 500, [](const std::string &bytes) {
+        RC_ASSERT(decodeBase64(encodeBase64(bytes)) == bytes);
+    });
+    for (const char *bad : {"a", "ab=c", "a===", "a b=", "YQ=", "Y\nQ="})
+        BOOST_TEST(!decodeBase64(bad));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+struct CodecFixture
+{
+    UsersStoreCodec codec;
+    static HttpResponse answer(int status, const std::string &body = {})
+    {
+        return HttpResponse{status, {}, body};
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(users_store_codec, CodecFixture)
+
+BOOST_AUTO_TEST_CASE(writesAreTransactions)
+{
+    const auto request = codec.put("my/leader", "node-1", Expected{ModRevision(7)},
+                                   LeaseId("77120"));
+    BOOST_REQUIRE(request);
+    BOOST_TEST(request->path == "/kv-txn");
+    BOOST_TEST(request->body.find(R"("mod-rev":7)") != std::string::npos);
+    BOOST_TEST(request->body.find(R"("lease-id":77120)") != std::string::npos);
+    BOOST_TEST(request->body.find("bm9kZS0x") != std::string::npos);
+    const auto unconditional = codec.put("k", "v", std::nullopt, std::nullopt);
+    BOOST_TEST(unconditional->body.find(R"("expect-rev":[])") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(statusesAreTypedErrors)
+{
+    const auto kindOf = [&](int status) { return codec.readPut(answer(status)).error().kind; };
+    BOOST_TEST((kindOf(412) == ErrorKind::Conflict));
+    BOOST_TEST((kindOf(404) == ErrorKind::NotFound));
+    BOOST_TEST((kindOf(429) == ErrorKind::RateLimited));
+    BOOST_TEST((kindOf(503) == ErrorKind::Unavailable));
+    BOOST_TEST((kindOf(500) == ErrorKind::Unknown));
+    BOOST_TEST((codec.readWatch(answer(410)).error().kind == ErrorKind::Stale));
+    BOOST_TEST(!codec.readGet(answer(404)).value().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(eventsAndPagesAreRead)
+{
+    const auto watch = codec.readWatch(answer(
+            200, R"({"events":[{"key":"a","value":"YQ==","mod-rev":4,"created":4,"lease-id":0},)"
+                 R"({"key":"b","mod-rev":5,"deleted":true}],"at-rev":9})"));
+    BOOST_REQUIRE(watch);
+    BOOST_TEST(watch->changed.at(0).value == "a");
+    BOOST_TEST(watch->removed.at(0) == "b");
+    BOOST_TEST(watch->storeRevision.value() == 9U);
+    const auto page = codec.readList(answer(200, R"({"items":[],"has-more":true,"at-rev":3})"));
+    BOOST_REQUIRE(page);
+    BOOST_TEST(page->hasMore);
+}
+
+BOOST_AUTO_TEST_CASE(brokenAnswersAreUnknown)
+{
+    for (const char *bad : {"", "{", "7", R"({"events":7,"at-rev":1})", R"({"events":[]})",
+                            R"({"events":[{"key":"a","value":"*","mod-rev":1}],"at-rev":1})",
+                            R"({"events":[{"key":"a","mod-rev":1}],"at-rev":1})"}) {
+        const auto watch = codec.readWatch(answer(200, bad));
+        BOOST_REQUIRE(!watch);
+        BOOST_TEST((watch.error().kind == ErrorKind::Unknown));
+    }
+    BOOST_TEST(!codec.readLease(answer(200, R"({"lease-id":"x"})")));
+    BOOST_TEST(!codec.readPut(answer(200, "{}")));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead::adapter
--- /dev/null
+++ b/test/membership/local-server-test.cc
@@ -0,0 +1,180 @@
+// Tests what a node believes of the server beside it, and of other hosts.
+#include <boost/test/unit_test.hpp>
+
+#include "cornelhead/membership/host-entry.h"
+#include "cornelhead/membership/local-server.h"
+
+namespace cornelhead {
+
+ServerAnnouncement announcementOf(const std::string &id, std::int64_t startedAtMs,
+                                  std::uint64_t sequence,
+                                  ServerState state = ServerState::Serving)
+{
+    ServerAnnouncement announcement;
+    announcement.server = HostedServer{ServerId(id), ServiceId("bookings"), VersionId("v1"), 9,
+                                       state};
+    announcement.startedAtMs = startedAtMs;
+    announcement.sequence = sequence;
+    return announcement;
+}
+
+using Verdict = LocalServer::Verdict;
+
+BOOST_AUTO_TEST_SUITE(local_server)
+
+BOOST_AUTO_TEST_CASE(lateHeartbeatOfAFormerRunChangesNothing)
+{
+    LocalServer server;
+    BOOST_TEST((server.take(announcementOf("old", 100, 1)) == Verdict::Changed));
+    BOOST_TEST((server.take(announcementOf("new", 200, 1)) == Verdict::Changed));
+    BOOST_TEST((server.take(announcementOf("old", 100, 9)) == Verdict::Stale));
+    BOOST_TEST(server.usable()->id.value() == "new");
+}
+
+BOOST_AUTO_TEST_CASE(overtakenHeartbeatDoesNotUndoALeave)
+{
+    LocalServer server;
+    server.take(announcementOf("s", 100, 1));
+    server.take(announcementOf("s", 100, 3, ServerState::Draining));
+    BOOST_TEST((server.take(announcementOf("s", 100, 2)) == Verdict::Stale));
+    BOOST_TEST((server.take(announcementOf("s", 100, 4)) == Verdict::Unchanged));
+    BOOST_TEST(!server.usable());
+}
+
+BOOST_AUTO_TEST_CASE(restartUnderTheSameIdCountsAnew)
+{
+    LocalServer server;
+    server.take(announcementOf("s", 100, 50, ServerState::Draining));
+    BOOST_TEST((server.take(announcementOf("s", 200, 1)) == Verdict::Changed));
+    BOOST_TEST(server.usable());
+}
+
+BOOST_AUTO_TEST_CASE(departedServerIsNotBroughtBackByALateHeartbeat)
+{
+    LocalServer server;
+    server.take(announcementOf("s", 100, 1));
+    BOOST_TEST((server.take(ServerDeparture{ServerId("s")}) == Verdict::Changed));
+    BOOST_TEST(!server.usable());
+    server.take(announcementOf("s", 100, 2));
+    BOOST_TEST(!server.usable());
+    BOOST_TEST((server.take(ServerDeparture{ServerId("other")}) == Verdict::Stale));
+}
+
+BOOST_AUTO_TEST_CASE(serversThatDoNotTellTheirStartAreToldApartByTheirIds)
+{
+    LocalServer server;
+    server.take(announcementOf("one", 0, 7));
+    BOOST_TEST((server.take(announcementOf("two", 0, 1)) == Verdict::Changed));
+    BOOST_TEST(server.usable()->id.value() == "two");
+}
+
+BOOST_AUTO_TEST_CASE(downServerIsNotPublishedUntilItAnswers)
+{
+    LocalServer server;
+    server.take(announcementOf("s", 100, 1));
+    BOOST_TEST(server.markDown());
+    BOOST_TEST(!server.published());
+    BOOST_TEST(!server.markHealthy(ServerId("other")));
+    BOOST_TEST(server.markHealthy(ServerId("s")));
+    BOOST_TEST(server.published().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(adoptedServerTakesCallsOnlyOnceItAnswered)
+{
+    LocalServer server;
+    const HostedServer published = announcementOf("s", 0, 0).server;
+    BOOST_TEST(server.adopt(published));
+    BOOST_TEST(!server.usable());
+    BOOST_TEST(server.markHealthy(ServerId("s")));
+    BOOST_TEST(server.usable());
+    BOOST_TEST(!server.adopt(published));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+struct DirectoryFixture
+{
+    HostDirectory directory;
+    TimePoint time{Milliseconds(1000)};
+    HostEntry entry;
+
+    DirectoryFixture()
+    {
+        entry.node = Address{"10.0.0.1", 80};
+        entry.run = NodeId("r1");
+        entry.dataCentre = DataCentreId("akl-a");
+        entry.server = announcementOf("s", 1, 1).server;
+    }
+    bool sweep(bool answers = false)
+    {
+        return directory.removeGone(time, [answers](const Address &) { return answers; });
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(host_directory, DirectoryFixture)
+
+BOOST_AUTO_TEST_CASE(entryReadsBackAsItWasWritten)
+{
+    entry.isStopping = true;
+    const Result<HostEntry> read = decodeHostEntry(encodeHostEntry(entry));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((*read == entry));
+    for (const char *bad : {"", "[]", "{}", R"({"node":"x","run":"r","dataCentre":"d"})",
+                            R"({"node":7,"run":"r","dataCentre":"d"})"})
+        BOOST_TEST(!decodeHostEntry(bad));
+}
+
+BOOST_AUTO_TEST_CASE(hostWhoseLeaseLapsedStaysForTheGrace)
+{
+    directory.put(entry);
+    directory.markAbsent(entry.node, time);
+    time += HostDirectory::absenceGrace;
+    BOOST_TEST(!sweep());
+    time += Milliseconds(1);
+    BOOST_TEST(sweep());
+    BOOST_TEST(directory.hosts().empty());
+}
+
+BOOST_AUTO_TEST_CASE(hostThatAnswersStaysThoughItIsNotListed)
+{
+    directory.put(entry);
+    directory.markAbsent(entry.node, time);
+    time += Milliseconds(60'000);
+    BOOST_TEST(!sweep(true));
+    BOOST_TEST(sweep(false));
+}
+
+BOOST_AUTO_TEST_CASE(hostThatSaidItStopsGoesAtOnce)
+{
+    entry.isStopping = true;
+    directory.put(entry);
+    BOOST_TEST(directory.markAbsent(entry.node, time));
+    BOOST_TEST(directory.hosts().empty());
+}
+
+BOOST_AUTO_TEST_CASE(outageOfTheServiceRestartsTheGrace)
+{
+    directory.put(entry);
+    directory.replaceAll({}, time);
+    time += Milliseconds(9000);
+    directory.restartGrace(time);
+    BOOST_TEST(!sweep());
+    BOOST_TEST(directory.put(entry));
+    time += Milliseconds(9000);
+    BOOST_TEST(!sweep());
+}
+
+BOOST_AUTO_TEST_CASE(peerDoesNotReplaceWhatTheServiceLists)
+{
+    directory.put(entry);
+    HostEntry told = entry;
+    told.run = NodeId("r0");
+    BOOST_TEST(!directory.putFromPeer(told, time));
+    BOOST_TEST(directory.find(entry.node)->entry.run.value() == "r1");
+    directory.markAbsent(entry.node, time);
+    BOOST_TEST(directory.putFromPeer(told, time));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- /dev/null
+++ b/test/rollout/version-move-test.cc
@@ -0,0 +1,170 @@
+// Tests stepped moves: good versions are done in time, bad ones are stopped within their share.
+#include <boost/test/unit_test.hpp>
+
+#include "cornelhead/base/random.h"
+#include "cornelhead/rollout/version-move.h"
+#include "support/property.h"
+
+namespace cornelhead {
+
+/// One service with four old and four new servers, and a watcher that sees every answer.
+struct MoveFixture
+{
+    VersionMoveWatcher watcher;
+    Random random{testSeed(17)};
+    TimePoint start{Milliseconds(1000)};
+    TimePoint time = start;
+    std::map<int, ServerTally> tallies;
+    int toNew = 0;
+    int badOfNew = 0;
+    TimePoint fiftiethBad{};
+    TimePoint lastToNew{};
+
+    MoveFixture()
+    {
+        watcher.observeOrder(VersionMoveOrder{ServiceId("catalogue"), VersionId("v2"),
+                                              ModRevision(5), Milliseconds(16'000)},
+                             time);
+    }
+    bool isOver() const
+    {
+        return watcher.record() && watcher.record()->state != VersionMoveState::Running;
+    }
+    /// Plays calls at 300 a second; `isBad` and `slowness` describe the new version.
+    template <typename IsBad>
+    void play(Milliseconds length, IsBad isBad, double slowness = 1.0)
+    {
+        for (const TimePoint end = time + length; time < end; time += Microseconds(3333)) {
+            const bool isNew = random.below(1000) < watcher.perMille();
+            const int server = static_cast<int>(random.below(4)) + (isNew ? 4 : 0);
+            ServerTally &tally = tallies[server];
+            ++tally.answers;
+            tally.relativeWork += 0.3 * (isNew ? slowness : 1.0) * (0.5 + random.unit());
+            const bool fails = isNew ? isBad() : random.chance(0.004);
+            tally.failures += fails ? 1 : 0;
+            noteNew(isNew, fails || (isNew && slowness > 3.0));
+            watcher.addTally(NodeId("n" + std::to_string(server)),
+                             VersionId(isNew ? "v2" : "v1"), tally, time);
+            if (const auto next = watcher.next(0, 4, time))
+                watcher.observeRecord(*next, time + Milliseconds(1));
+        }
+    }
+    void noteNew(bool isNew, bool isBad)
+    {
+        if (!isNew)
+            return;
+        ++toNew;
+        lastToNew = time;
+        if (isBad && ++badOfNew == 50)
+            fiftiethBad = time;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(version_move, MoveFixture)
+
+BOOST_AUTO_TEST_CASE(goodVersionIsCompleteWithinTheAllowedTime)
+{
+    play(Milliseconds(15'000), [this] { return random.chance(0.004); });
+    BOOST_REQUIRE(isOver());
+    BOOST_TEST((watcher.record()->state == VersionMoveState::Complete));
+    BOOST_TEST(watcher.perMille() == 1000U);
+}
+
+BOOST_AUTO_TEST_CASE(versionThatFailsIsReverted)
+{
+    play(Milliseconds(15'000), [this] { return random.chance(0.5); });
+    BOOST_REQUIRE(isOver());
+    BOOST_TEST((watcher.record()->state == VersionMoveState::Reverted));
+    BOOST_TEST(watcher.perMille() == 0U);
+    BOOST_TEST(toNew < 100);
+}
+
+// Badness that sets in three seconds after the start, when the first share has been served well.
+BOOST_AUTO_TEST_CASE(versionThatFailsLateIsReverted)
+{
+    play(Milliseconds(15'000),
+         [this] { return time - start > Milliseconds(3500) && random.chance(0.5); });
+    BOOST_TEST((watcher.record()->state == VersionMoveState::Reverted));
+    // A tenth of the calls until the deadline, and fifty.
+    BOOST_TEST(toNew < 480 + 50);
+}
+
+BOOST_AUTO_TEST_CASE(versionThatFailsUnderLoadIsReverted)
+{
+    play(Milliseconds(15'000),
+         [this] { return watcher.perMille() >= 500 && random.chance(0.4); });
+    BOOST_TEST((watcher.record()->state == VersionMoveState::Reverted));
+    BOOST_TEST(toNew < 480 + 50);
+}
+
+BOOST_AUTO_TEST_CASE(slowVersionIsReverted)
+{
+    play(Milliseconds(15'000), [this] { return random.chance(0.004); }, 4.5);
+    BOOST_TEST((watcher.record()->state == VersionMoveState::Reverted));
+    BOOST_TEST(toNew < 480 + 50);
+    if (badOfNew >= 50)
+        BOOST_TEST((lastToNew - fiftiethBad < Milliseconds(5000)));
+}
+
+// A called service is down: both versions fail alike, which says nothing about the new one.
+BOOST_AUTO_TEST_CASE(failuresOfBothVersionsDoNotRevert)
+{
+    for (int i = 0; i < 2000; ++i, time += Milliseconds(5)) {
+        for (const int server : {0, 4}) {
+            ServerTally &tally = tallies[server];
+            ++tally.answers;
+            tally.failures += random.chance(0.3) ? 1 : 0;
+            watcher.addTally(NodeId("n" + std::to_string(server)),
+                             VersionId(server == 4 ? "v2" : "v1"), tally, time);
+        }
+    }
+    BOOST_TEST(watcher.verdict() == "");
+}
+
+BOOST_AUTO_TEST_CASE(endedMoveIsNotReopenedByALateRecord)
+{
+    const VersionMove running{ServiceId("catalogue"), VersionId("v2"), ModRevision(5), 500,
+                              VersionMoveState::Running};
+    VersionMove reverted = running;
+    reverted.state = VersionMoveState::Reverted;
+    watcher.observeRecord(reverted, time);
+    watcher.observeRecord(running, time);
+    BOOST_TEST(watcher.perMille() == 0U);
+    BOOST_TEST(!watcher.next(0, 4, time + Milliseconds(60'000)));
+}
+
+BOOST_AUTO_TEST_CASE(lowerRanksWaitForTheOneThatShouldAct)
+{
+    BOOST_TEST(!watcher.next(2, 4, time + Milliseconds(2900)));
+    BOOST_TEST(watcher.next(2, 4, time + Milliseconds(3000)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(newOrderReplacesAnEndedMove)
+{
+    VersionMove reverted{ServiceId("catalogue"), VersionId("v2"), ModRevision(5), 50,
+                         VersionMoveState::Reverted};
+    watcher.observeRecord(reverted, time);
+    watcher.observeOrder(VersionMoveOrder{ServiceId("catalogue"), VersionId("v3"), ModRevision(9),
+                                          Milliseconds(16'000)},
+                         time);
+    const auto next = watcher.next(0, 4, time);
+    BOOST_REQUIRE(next);
+    BOOST_TEST(next->target.value() == "v3");
+    BOOST_TEST((next->state == VersionMoveState::Running));
+}
+
+BOOST_AUTO_TEST_CASE(recordReadsBackAsItWasWritten)
+{
+    const VersionMove move{ServiceId("catalogue"), VersionId("v2"), ModRevision(5), 200,
+                           VersionMoveState::Reverted};
+    const auto read = decodeVersionMove(encodeVersionMove(move));
+    BOOST_REQUIRE(read);
+    BOOST_TEST((*read == move));
+    for (const char *bad : {"", "{}", "7", R"({"service":"a","target":"b","ordered":1,)"
+                                           R"("perMille":1,"state":"done"})"})
+        BOOST_TEST(!decodeVersionMove(bad));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- /dev/null
+++ b/test/support/users-store.h
@@ -0,0 +1,218 @@
+// A stand-in of the users' key-value service for tests: their spelling over the project's store.
+#pragma once
+
+#include <list>
+#include <optional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "cornelhead/net/http.h"
+#include "cornelhead/standin/key-value-store.h"
+#include "platform/base64.h"
+#include "support/free-address.h"
+
+namespace cornelhead {
+
+/// Serves one store on loopback.  Faults are switched on by its members.
+class UsersStore
+{
+public:
+    explicit UsersStore(EventLoop &loop) : loop_(loop), server_(loop, {})
+    {
+        server_.setHandler([this](const HttpRequest &request, const Responder &responder) {
+            ++calls;
+            serve(request, responder);
+        });
+        address = listenOnFreePort(
+                [this](const Address &free) { return server_.listen(free).has_value(); });
+        tick_ = loop.every(Milliseconds(20), [this] { announce(); });
+    }
+
+    /// Writes as the operator does.
+    void write(const std::string &key, const std::string &value)
+    {
+        const auto current = store.get(key);
+        store.put(key, value, Expected{current ? current->modRevision : ModRevision()},
+                  std::nullopt);
+        announce();
+    }
+    std::optional<std::string> read(const std::string &key)
+    {
+        const auto entry = store.get(key);
+        return entry ? std::optional(entry->value) : std::nullopt;
+    }
+    void erase(const std::string &key)
+    {
+        if (const auto current = store.get(key))
+            (void)store.remove(key, Expected{current->modRevision});
+        announce();
+    }
+
+    KeyValueStore store{{}, SteadyClock(), 1};
+    Address address;
+    /// Refuses every call with this status.
+    std::optional<int> refuseWith;
+    /// Does writes, but closes the connection in place of an answer.
+    bool losesWriteAnswers = false;
+    /// Answers with bytes that are no message.
+    bool garbles = false;
+    /// Items of a page.
+    std::size_t page = 500;
+    std::size_t calls = 0;
+
+private:
+    struct Watch
+    {
+        std::string prefix;
+        ModRevision after;
+        TimePoint end;
+        Responder responder;
+    };
+    using Json = nlohmann::json;
+
+    Json itemOf(const KeyValue &entry) const
+    {
+        return {{"key", entry.key},
+                {"value", adapter::encodeBase64(entry.value)},
+                {"mod-rev", entry.modRevision.value()},
+                {"created", entry.modRevision.value()},
+                {"lease-id", 0}};
+    }
+
+    void serve(const HttpRequest &request, const Responder &responder)
+    {
+        if (refuseWith) {
+            responder.send(HttpResponse{*refuseWith, {}, {}});
+            return;
+        }
+        if (garbles) {
+            responder.send(jsonResponse(200, "{\"items\": 7"));
+            return;
+        }
+        const bool isWrite = request.method != HttpMethod::Get;
+        if (request.path == "/kv-watch") {
+            watches_.push_back(Watch{request.query.at("prefix"),
+                                     ModRevision(std::stoull(request.query.at("after"))),
+                                     now(SteadyClock())
+                                             + Milliseconds(std::stoll(request.query.at("wait-ms"))),
+                                     responder});
+            announce();
+            return;
+        }
+        const HttpResponse answer = run(request);
+        if (isWrite && losesWriteAnswers)
+            responder.drop();
+        else
+            responder.send(answer);
+        announce();
+    }
+
+    HttpResponse run(const HttpRequest &request)
+    {
+        if (request.path == "/kv-key")
+            return runGet(request);
+        if (request.path == "/kv-range")
+            return runList(request);
+        if (request.path == "/kv-txn")
+            return runTransaction(Json::parse(request.body));
+        if (request.path == "/kv-lease")
+            return jsonResponse(200, Json{{"lease-id", grant()}, {"ttl_time", "6000ms"}}.dump());
+        const std::string id = request.path.substr(request.path.rfind('/') + 1);
+        const auto lease = leases_.find(id);
+        const bool isEnd = request.method == HttpMethod::Delete;
+        if (lease == leases_.end()
+            || !(isEnd ? store.revoke(lease->second) : store.keepAlive(lease->second)))
+            return HttpResponse{404, {}, {}};
+        return jsonResponse(200, R"({"ttl_time":"6000ms"})");
+    }
+
+    std::uint64_t grant()
+    {
+        const std::uint64_t id = 77'000 + leases_.size();
+        leases_.emplace(std::to_string(id), store.grant(Milliseconds(6000)).value());
+        return id;
+    }
+
+    HttpResponse runGet(const HttpRequest &request)
+    {
+        const auto entry = store.get(request.query.at("key"));
+        if (!entry)
+            return HttpResponse{404, {}, {}};
+        return jsonResponse(200, itemOf(*entry).dump());
+    }
+
+    HttpResponse runList(const HttpRequest &request)
+    {
+        const Listing listing = store.list(request.query.at("prefix"));
+        const auto after = request.query.find("after");
+        Json items = Json::array();
+        bool hasMore = false;
+        for (const KeyValue &entry : listing.entries) {
+            if (after != request.query.end() && entry.key <= after->second)
+                continue;
+            if (items.size() == page) {
+                hasMore = true;
+                break;
+            }
+            items.push_back(itemOf(entry));
+        }
+        return jsonResponse(200, Json{{"items", items},
+                                      {"has-more", hasMore},
+                                      {"at-rev", listing.storeRevision.value()}}
+                                         .dump());
+    }
+
+    HttpResponse runTransaction(const Json &body)
+    {
+        const Json &put = body.at("puts").at(0);
+        const auto key = put.at("key").get<std::string>();
+        const auto current = store.get(key);
+        ModRevision expected = current ? current->modRevision : ModRevision();
+        if (!body.at("expect-rev").empty())
+            expected = ModRevision(body.at("expect-rev").at(0).at("mod-rev").get<std::uint64_t>());
+        std::optional<LeaseId> lease;
+        if (put.contains("lease-id")) {
+            const auto found = leases_.find(std::to_string(put.at("lease-id").get<std::uint64_t>()));
+            if (found == leases_.end())
+                return HttpResponse{404, {}, {}};
+            lease = found->second;
+        }
+        const auto value = adapter::decodeBase64(put.at("value").get<std::string>());
+        const auto written = store.put(key, value.value(), Expected{expected}, lease);
+        if (!written)
+            return HttpResponse{written.error().kind == ErrorKind::Conflict ? 412 : 404, {}, {}};
+        return jsonResponse(200, Json{{"mod-rev", written->value()}}.dump());
+    }
+
+    void announce()
+    {
+        watches_.remove_if([this](const Watch &watch) {
+            const auto changes = store.changes(watch.prefix, watch.after);
+            if (!changes) {
+                watch.responder.send(HttpResponse{410, {}, {}});
+                return true;
+            }
+            if (changes->changed.empty() && changes->removed.empty()
+                && now(SteadyClock()) < watch.end)
+                return false;
+            Json events = Json::array();
+            for (const KeyValue &entry : changes->changed)
+                events.push_back(itemOf(entry));
+            for (const std::string &key : changes->removed)
+                events.push_back({{"key", key}, {"mod-rev", 0}, {"deleted", true}});
+            watch.responder.send(jsonResponse(
+                    200,
+                    Json{{"events", events}, {"at-rev", changes->storeRevision.value()}}.dump()));
+            return true;
+        });
+    }
+
+    EventLoop &loop_;
+    HttpServer server_;
+    std::list<Watch> watches_;
+    std::map<std::string, LeaseId> leases_;
+    Timer tick_;
+};
+
+} // namespace cornelhead
