Queue calls that are late anyway behind others, halve the retry budget, end stopped processes cleanly

Ruled out: a crash in the running path: sanitizer runs of the path tests point at the end only. Change: the elapsed time of a caller's tries is told with the call; listeners outlive the sides; what was posted for later holds no node.

--- a/include/cornelhead/routing/shared-retry-budget.h
+++ b/include/cornelhead/routing/shared-retry-budget.h
@@ -39,8 +39,9 @@
     };
 
     static constexpr int bucketsPerWindow = 20;
-    /// Kept below the fleet's bound, as arrivals are counted elsewhere and a little later.
-    static constexpr double margin = 0.75;
+    /// Kept below the fleet's bound, as the calls that a repeated call makes count as repeats where
+    /// they arrive, where this node does not see them.
+    static constexpr double margin = 0.5;
     /// Repeats in a window that need no first sends; few enough that hundreds of nodes stay within
     /// the bound's own slack.
     static constexpr std::uint32_t freeRepeats = 1;
--- a/include/cornelhead/sidecar/entry-call.h
+++ b/include/cornelhead/sidecar/entry-call.h
@@ -59,6 +59,8 @@
     Milliseconds deadline_{};
     TimePoint arrivedAt_{};
     TimePoint finishBy_{};
+    // Before this try began.
+    Milliseconds elapsed_{};
     bool isServerCall_ = false;
     PlacementQuestion question_;
     Placement::Host host_;
--- a/include/cornelhead/sidecar/entry-side.h
+++ b/include/cornelhead/sidecar/entry-side.h
@@ -90,6 +90,9 @@
     /// to the other one where that has no server.
     bool chooseVersion(PlacementQuestion &question);
     void noteReport(PlacedHost &host, const HopAnswer &answer);
+    /// Returns how long ago a caller began with a call of which it has `left` to wait.  Callers of a
+    /// route give its tries the same time in all, so the longest time seen tells the first ones.
+    Milliseconds elapsedOf(const RouteId &route, Milliseconds left);
     /// Learns the size of a route's calls.
     void noteBytes(const RouteId &route, std::size_t bytes);
     void end(EntryCall &call);
@@ -110,6 +113,7 @@
     std::map<ServiceId, WeightedSplit> moveSplits_;
     // Smoothed bytes of a call with its answer.
     std::map<RouteId, double> bytes_;
+    std::map<RouteId, Milliseconds> longestDeadlines_;
     std::map<EntryCall *, std::shared_ptr<EntryCall>> calls_;
     std::vector<Counter *> refusals_;
     Counter &served_;
--- a/include/cornelhead/sidecar/exchange.h
+++ b/include/cornelhead/sidecar/exchange.h
@@ -43,6 +43,8 @@
     /// Leaves a header out of the answer that is passed on.
     void leaveOut(const char *name) { leftOut_.push_back(name); }
 
+    /// Closes the caller's connection without an answer.
+    void abandon();
     void send(const OwnAnswer &answer);
     /// Passes on a whole answer and moves its body.
     void pass(evhttp_request *answer);
@@ -50,7 +52,6 @@
 
 private:
     evhttp_request *take();
-    void drop();
 
     EventLoop &loop_;
     evhttp_request *request_;
--- a/include/cornelhead/sidecar/hop.h
+++ b/include/cornelhead/sidecar/hop.h
@@ -26,6 +26,9 @@
     ServiceId callerService;
     /// 0 for a call that a server makes while it runs another one, else 1 + the route's priority.
     std::uint32_t rank = 1;
+    /// What is left of the objective, counted from the caller's first try; 0 when it has passed, so
+    /// that the call goes behind those that may still meet theirs.
+    Milliseconds objectiveLeft{};
     bool isIdempotent = false;
     /// Sent to the same run before, on a connection that broke or fell silent.
     bool isResumed = false;
--- a/include/cornelhead/sidecar/serving-side.h
+++ b/include/cornelhead/sidecar/serving-side.h
@@ -83,6 +83,7 @@
     bool resume(evhttp_request *request, const std::string &id, const HopRequest &hop);
     HopReason refusalFor(const HopRequest &hop, evhttp_request *request) const;
     void start(evhttp_request *request, const std::string &id, const HopRequest &hop);
+    void startSoon();
     void startWaiting();
     void refuseAll(const std::vector<GateTicket> &tickets, HopReason reason);
     void end(ServingCall &call);
@@ -115,6 +116,7 @@
     double relativeWorkSum_ = 0.0;
     // Calls whose connection broke lately, in case the server turns out to be dead.
     std::vector<std::pair<SuspectedDeath, TimePoint>> broken_;
+    Timer startTimer_;
     bool isProbing_ = false;
     bool isStopping_ = false;
 };
--- a/src/sidecar/entry-call.cc
+++ b/src/sidecar/entry-call.cc
@@ -107,6 +107,8 @@
     const Milliseconds limit
             = deadline_ == noDeadline ? route_->timeout : std::min(deadline_, route_->timeout);
     finishBy_ = arrivedAt_ + limit;
+    if (deadline_ != noDeadline && !isServerCall_)
+        elapsed_ = side_.elapsedOf(route_->id, deadline_);
     finishTimer_ = side_.loop_.after(limit, [this] { onFinishDue(); });
     question_.service = side_.chooseService(*route_);
     question_.objective = route_->objective;
@@ -175,6 +177,8 @@
     hop_.rank = isServerCall_ ? 0 : 1 + route_->priority;
     hop_.isIdempotent = route_->isIdempotent;
     hop_.objective = route_->objective;
+    const auto spent = elapsed_ + std::chrono::duration_cast<Milliseconds>(time - arrivedAt_);
+    hop_.objectiveLeft = std::max(Milliseconds(0), route_->objective - spent);
     hop_.route = route_->id;
     resumes_ = 0;
     send(false);
@@ -263,6 +267,7 @@
     if (silent_)
         silent_->cancel();
     retire(silent_);
+    progressTimer_ = Timer();
     if (!attempt_)
         return;
     attempt_->cancel();
@@ -284,7 +289,7 @@
     if (attempt_)
         attempt_->cancel();
     else
-        Placement::begin(*host_);
+        Placement::begin(*host_); // The pause before another attempt had released it.
     retire(attempt_);
     attempt_ = std::move(silent_);
     onHostAnswer(answer->raw);
@@ -411,10 +416,7 @@
     side_.resumes_.add();
     retire(attempt_);
     if (!provesNotRun(failure)) {
-        side_.loop_.post([self = shared_from_this()] {
-            if (!self->isOver_)
-                self->send(true);
-        });
+        progressTimer_ = side_.loop_.after(Milliseconds(0), [this] { send(true); });
         return;
     }
     // The host is down or cut off; a call that may run twice need not wait for it.
@@ -438,10 +440,7 @@
                       {"failuresInRow", host_->failuresInRow}});
     question_.tried.insert(host_->entry.node);
     retire(attempt_);
-    side_.loop_.post([self = shared_from_this()] {
-        if (!self->isOver_)
-            self->place();
-    });
+    progressTimer_ = side_.loop_.after(Milliseconds(0), [this] { place(); });
 }
 
 void EntryCall::onFinishDue()
@@ -459,6 +458,7 @@
     isOver_ = true;
     cancelAttempts();
     logEnd("caller-gone", 0);
+    exchange_.abandon();
     side_.end(*this);
 }
 
--- a/src/sidecar/entry-side.cc
+++ b/src/sidecar/entry-side.cc
@@ -1,6 +1,7 @@
 // Implements the entry side of a node.
 #include "cornelhead/sidecar/entry-side.h"
 
+#include <algorithm>
 #include <array>
 
 #include "cornelhead/sidecar/entry-call.h"
@@ -99,6 +100,13 @@
     }
 }
 
+Milliseconds EntrySide::elapsedOf(const RouteId &route, Milliseconds left)
+{
+    Milliseconds &longest = longestDeadlines_[route];
+    longest = std::max(longest, left);
+    return longest - left;
+}
+
 void EntrySide::noteBytes(const RouteId &route, std::size_t bytes)
 {
     // The last call's weight.
--- a/src/sidecar/exchange.cc
+++ b/src/sidecar/exchange.cc
@@ -19,8 +19,7 @@
 
 Exchange::~Exchange()
 {
-    if (request_)
-        drop();
+    abandon();
 }
 
 void Exchange::watch(std::function<void()> onGone)
@@ -55,8 +54,10 @@
     return request;
 }
 
-void Exchange::drop()
+void Exchange::abandon()
 {
+    if (!request_)
+        return;
     evhttp_connection *connection = evhttp_request_get_connection(request_);
     if (connection) {
         // evhttp frees the connection once writing to the closed socket fails.
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -97,6 +97,7 @@
     writer.text(request.callerService.value()).number(request.rank);
     writer.number(request.isIdempotent ? 1 : 0).number(request.isResumed ? 1 : 0);
     writer.number(static_cast<std::uint64_t>(request.objective.count()));
+    writer.number(static_cast<std::uint64_t>(request.objectiveLeft.count()));
     writer.text(request.route.value());
     return writer.take();
 }
@@ -113,6 +114,7 @@
     request.isIdempotent = reader.number() != 0;
     request.isResumed = reader.number() != 0;
     request.objective = Milliseconds(reader.number());
+    request.objectiveLeft = Milliseconds(reader.number());
     request.route = RouteId(reader.text());
     if (!reader.isSound())
         return detail::unreadableHop();
--- a/src/sidecar/serving-call.cc
+++ b/src/sidecar/serving-call.cc
@@ -205,6 +205,7 @@
         constexpr int refused = 503;
         exchange_->send(OwnAnswer{refused, {}, {}});
     }
+    exchange_->abandon();
     side_.end(*this);
 }
 
--- a/src/sidecar/serving-side.cc
+++ b/src/sidecar/serving-side.cc
@@ -26,6 +26,9 @@
 /// A queue is worth waiting in as long as the answer may earn its whole credit; the rest of the
 /// objective covers the network and what the estimates miss.
 constexpr double waitPart = 0.85;
+/// Calls that are late anyway come after all priorities, and wait for at most so many objectives.
+constexpr std::uint32_t lateRanks = 100;
+constexpr int lateObjectives = 1;
 constexpr Milliseconds sweepPeriod(250);
 
 Milliseconds deadlineOf(const evkeyvalq *headers, const std::string &name)
@@ -38,6 +41,28 @@
     return Milliseconds(value);
 }
 
+/// Where a call stands in the queue, and until when its answer is worth a slot.
+struct Usefulness
+{
+    std::uint32_t rank = 0;
+    TimePoint usefulBy{};
+};
+
+Usefulness usefulnessOf(const HopRequest &hop, Microseconds work, TimePoint time,
+                        TimePoint finishBy)
+{
+    // A server that waits for the call holds a slot meanwhile, so it may use the whole deadline.
+    if (hop.rank == 0)
+        return Usefulness{0, finishBy};
+    const auto usefulTime = Microseconds(static_cast<std::int64_t>(
+            static_cast<double>(Microseconds(hop.objectiveLeft).count()) * waitPart));
+    if (work < usefulTime)
+        return Usefulness{hop.rank, std::min(finishBy, time + usefulTime)};
+    // The answer will be late in any case: it fills what calls that may be in time leave over.
+    const Microseconds lateTime = hop.objective * lateObjectives;
+    return Usefulness{hop.rank + lateRanks, std::min(finishBy, time + lateTime)};
+}
+
 } // namespace
 
 ServingSide::ServingSide(EventLoop &loop, const Dialect &dialect, const NodeId &run,
@@ -154,15 +179,11 @@
     calls_.emplace(lastTicket_, call);
     byId_[id] = Remembered{call, {}, {}, nullptr, finishBy + rememberGrace};
 
-    const Microseconds objective = hop.objective;
-    const auto usefulTime = Microseconds(static_cast<std::int64_t>(
-            static_cast<double>(objective.count()) * waitPart));
-    // A server that waits for the call holds a slot meanwhile, so it may use the whole deadline.
-    const TimePoint usefulBy = hop.rank == 0 ? finishBy : std::min(finishBy, time + usefulTime);
+    const Microseconds work = work_.expected(hop.route, hop.objective);
+    const Usefulness use = usefulnessOf(hop, work, time, finishBy);
     std::vector<GateTicket> hopeless;
     const ServerGate::Verdict verdict = gate_.offer(
-            GateOffer{lastTicket_, hop.rank, work_.expected(hop.route, objective), usefulBy}, time,
-            hopeless);
+            GateOffer{lastTicket_, use.rank, work, use.usefulBy}, time, hopeless);
     refuseAll(hopeless, HopReason::Overload);
     if (verdict == ServerGate::Verdict::Start)
         call->run();
@@ -223,7 +244,13 @@
         loop_.post([kept = owned->second] {});
         calls_.erase(owned);
     }
-    loop_.post([this] { startWaiting(); });
+    startSoon();
+}
+
+// Outside of the callback that made room.
+void ServingSide::startSoon()
+{
+    startTimer_ = loop_.after(Milliseconds(0), [this] { startWaiting(); });
 }
 
 void ServingSide::noteAnswer(const ServingCall &call, bool isFailure, Microseconds duration)
@@ -277,7 +304,7 @@
 {
     if (const HostedServer *server = local_.usable()) {
         gate_.setSlots(server->slots);
-        loop_.post([this] { startWaiting(); });
+        startSoon();
     } else {
         refuseAll(gate_.clearWaiting(), HopReason::ServerGone);
     }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -93,11 +93,12 @@
     std::map<ServiceId, VersionMoveWatcher> moves;
     std::map<ServiceId, ModRevision> moveRevisions;
     FleetSync fleet;
-    detail::ServingSide serving;
-    detail::EntrySide entry;
+    // The listeners own the requests that the sides still answer when they are destroyed.
     detail::ProxyCounters listenerCounters;
     detail::Listener outbound;
     detail::Listener inbound;
+    detail::ServingSide serving;
+    detail::EntrySide entry;
     HttpServer readiness;
     HttpServer control;
     HttpClient peers;
@@ -115,14 +116,14 @@
           run(detail::newRun(freshSeed())), log(metrics),
           fleet(loop, dialect, settings.platform, settings.inbound, metrics, log,
                 settings.seed + 1, fleetHandlers()),
-          serving(loop, dialect, run, settings.server, local, poison, metrics, log,
-                  servingHandlers()),
-          entry(loop, dialect, entrySettings(), poison, metrics, log, entryHandlers()),
           listenerCounters(metrics),
           outbound(loop, listenerCounters,
                    [this](evhttp_request *request) { entry.serve(request); }),
           inbound(loop, listenerCounters,
                   [this](evhttp_request *request) { serveNode(request); }),
+          serving(loop, dialect, run, settings.server, local, poison, metrics, log,
+                  servingHandlers()),
+          entry(loop, dialect, entrySettings(), poison, metrics, log, entryHandlers()),
           readiness(loop, {}), control(loop, {}), peers(loop)
     {
         readiness.setHandler([this](const HttpRequest &request, const Responder &responder) {
--- a/test/adapter/sidecar-path-test.cc
+++ b/test/adapter/sidecar-path-test.cc
@@ -259,6 +259,30 @@
     waitUntil([&] { return isStopped; });
 }
 
+// The host that holds a booking dies; its outcome is asked for until the caller's time is over.
+BOOST_AUTO_TEST_CASE(callsOfADeadHostEndAtTheirDeadlines)
+{
+    std::vector<Responder> held;
+    setBehaviour([&](const HttpRequest &, const Responder &responder) {
+        held.push_back(responder);
+    });
+    std::size_t answers = 0;
+    std::size_t calls = 0;
+    for (int deadline = 560; deadline < 1000; deadline += 4, ++calls) {
+        HttpRequest request = requestTo("/book/1", HttpMethod::Post);
+        request.headers["Cornelhead-Deadline-Ms"] = std::to_string(deadline);
+        client.send(entry->settings.outbound, request, Milliseconds(5000),
+                    [&](const Result<HttpResponse> &answer) {
+                        ++answers;
+                        BOOST_TEST(answer.has_value());
+                    });
+    }
+    waitUntil([this] { return runs() >= 4; });
+    hosts[1].sidecar.reset();
+    hosts[2].sidecar.reset();
+    waitUntil([&] { return answers == calls; });
+}
+
 BOOST_AUTO_TEST_CASE(metricsTellServedAndRefusedCalls)
 {
     get("/look/1");
@@ -339,6 +363,7 @@
         hop.callerService = ServiceId("catalogue");
         hop.isResumed = isResumed;
         hop.objective = Milliseconds(500);
+        hop.objectiveLeft = Milliseconds(500);
         hop.route = RouteId("book");
         HttpRequest request = requestTo("/book/1", HttpMethod::Post, "seat=4");
         request.headers["Cornelhead-Request-Id"] = id;
@@ -436,7 +461,7 @@
 BOOST_AUTO_TEST_CASE(brokenHopHeadersAreRefused)
 {
     HttpRequest request = hopRequest("one", false, run);
-    for (const char *bad : {"1", "2 a b", "1 a b c d x 0 0 5 r", "1 a  b c d 1 0 0 5 r"}) {
+    for (const char *bad : {"1", "2 a b", "1 a b c d x 0 0 5 5 r", "1 a  b c d 1 0 0 5 5 r"}) {
         request.headers[hopRequestHeader] = bad;
         const HttpResponse answer = call(host->settings.inbound, request);
         BOOST_TEST((hopOf(answer).reason == HopReason::BadMessage));
