--- a/include/cornelhead/base/event-log.h
+++ b/include/cornelhead/base/event-log.h
@@ -40,8 +40,7 @@
     EventField(std::string_view fieldName, bool flag) : name(fieldName), value(flag) { }
     EventField(std::string_view fieldName, double number) : name(fieldName), value(number) { }
     template <typename Integer>
-        requires std::is_integral_v<Integer>
-    EventField(std::string_view fieldName, Integer number)
+    requires std::is_integral_v<Integer> EventField(std::string_view fieldName, Integer number)
         : name(fieldName), value(static_cast<std::int64_t>(number))
     { }
 
--- a/include/cornelhead/platform/client.h
+++ b/include/cornelhead/platform/client.h
@@ -38,7 +38,7 @@
     void setDataCentre(const DataCentreId &dataCentre) { dataCentre_ = dataCentre; }
 
     void get(const std::string &key, Callback<std::optional<KeyValue>> callback);
-    void list(const std::string &prefix, Callback<Listing> callback);
+    void list(const std::string &prefix, const Callback<Listing> &callback);
     /// Writes only over `expected`, if that is given; a lease removes the key when it lapses.
     void put(const std::string &key, const std::string &value,
              const std::optional<Expected> &expected, const std::optional<LeaseId> &lease,
--- a/include/cornelhead/platform/wire.h
+++ b/include/cornelhead/platform/wire.h
@@ -6,9 +6,9 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cornelhead/platform/store-types.h"
-#include "cornelhead/net/http.h"
 #include "cornelhead/base/error.h"
+#include "cornelhead/net/http.h"
+#include "cornelhead/platform/store-types.h"
 
 namespace cornelhead::detail {
 
--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -2,8 +2,8 @@
 //
 // Load pattern: servers of one service differ two to three times in speed, some fail calls quickly
 // and therefore look idle, some are far away, and every node knows the load of the others only from
-// their last answers.  As long as an answer comes well within its objective, a little sooner is worth
-// little and bytes between data centres are saved; beyond that, time counts most.
+// their last answers.  As long as an answer comes well within its objective, a little sooner is
+// worth little and bytes between data centres are saved; beyond that, time counts most.
 #pragma once
 
 #include <cstdint>
--- a/include/cornelhead/sidecar/entry-publisher.h
+++ b/include/cornelhead/sidecar/entry-publisher.h
@@ -19,9 +19,9 @@
 class EntryPublisher
 {
 public:
-    /// `onReach` is told after each renewal whether the service answered.
+    /// `onReach` is told after each call whether the service answered, and if not, why.
     EntryPublisher(EventLoop &loop, PlatformClient &platform, std::string key, EventLog &log,
-                   std::function<void(bool)> onReach);
+                   std::function<void(bool, const std::string &)> onReach);
 
     void publish(std::string value);
     void noteListed(const std::string &value);
@@ -38,7 +38,7 @@
     PlatformClient &platform_;
     const std::string key_;
     EventLog &log_;
-    std::function<void(bool)> onReach_;
+    std::function<void(bool, const std::string &)> onReach_;
     std::optional<std::string> wanted_;
     // What the service holds as far as is known; nothing when it must be written.
     std::optional<std::string> written_;
--- a/include/cornelhead/sidecar/entry-side.h
+++ b/include/cornelhead/sidecar/entry-side.h
@@ -73,9 +73,12 @@
 
     void serve(evhttp_request *request);
     void setConfiguration(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
-    void setHosts(const std::map<Address, HostDirectory::Known> &hosts) { placement_.update(hosts); }
-    /// The process ends at `endsAt`: answers ask callers to close their connections from now on, and
-    /// calls that would last too long are refused.
+    void setHosts(const std::map<Address, HostDirectory::Known> &hosts)
+    {
+        placement_.update(hosts);
+    }
+    /// The process ends at `endsAt`: answers ask callers to close their connections from now on,
+    /// and calls that would last too long are refused.
     void stop(TimePoint endsAt) { endsAt_ = endsAt; }
     std::size_t active() const { return calls_.size(); }
     /// To be called a few times a second.
@@ -90,8 +93,8 @@
     /// to the other one where that has no server.
     bool chooseVersion(PlacementQuestion &question);
     void noteReport(PlacedHost &host, const HopAnswer &answer);
-    /// Returns how long ago a caller began with a call of which it has `left` to wait.  Callers of a
-    /// route give its tries the same time in all, so the longest time seen tells the first ones.
+    /// Returns how long ago a caller began with a call of which it has `left` to wait.  Callers of
+    /// a route give its tries the same time in all, so the longest time seen tells the first ones.
     Milliseconds elapsedOf(const RouteId &route, Milliseconds left);
     /// Learns the size of a route's calls.
     void noteBytes(const RouteId &route, std::size_t bytes);
--- a/src/config/route-table.cc
+++ b/src/config/route-table.cc
@@ -67,7 +67,7 @@
     for (const HostService &service : declarations_.services)
         services_.emplace(service.id, &service);
     for (const HostRoute &route : declarations_.routes) {
-        const Result<void> checked = detail::checkRoute(route);
+        Result<void> checked = detail::checkRoute(route);
         if (!checked)
             return checked;
         for (const RouteTarget &target : route.targets) {
--- a/src/membership/host-entry.cc
+++ b/src/membership/host-entry.cc
@@ -30,7 +30,7 @@
     server.version = VersionId(json.at("version").get<std::string>());
     server.slots = json.at("slots").get<std::uint32_t>();
     server.state = json.at("state").get<std::string>() == drainingName ? ServerState::Draining
-                                                                      : ServerState::Serving;
+                                                                       : ServerState::Serving;
     return server;
 }
 
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -78,13 +78,14 @@
 
 void PlatformClient::get(const std::string &key, Callback<std::optional<KeyValue>> callback)
 {
-    const auto read = [codec = codec_](const HttpResponse &answer) { return codec->readGet(answer); };
+    const auto read
+            = [codec = codec_](const HttpResponse &answer) { return codec->readGet(answer); };
     start(std::make_shared<Call>(
             Call{"get", codec_->get(key), timeout_,
                  detail::reader<std::optional<KeyValue>>(false, read, std::move(callback))}));
 }
 
-void PlatformClient::list(const std::string &prefix, Callback<Listing> callback)
+void PlatformClient::list(const std::string &prefix, const Callback<Listing> &callback)
 {
     listFrom(prefix, std::make_shared<Listing>(), callback);
 }
@@ -125,7 +126,8 @@
         });
         return;
     }
-    const auto read = [codec = codec_](const HttpResponse &answer) { return codec->readPut(answer); };
+    const auto read
+            = [codec = codec_](const HttpResponse &answer) { return codec->readPut(answer); };
     start(std::make_shared<Call>(
             Call{"put", std::move(*request), timeout_,
                  detail::reader<ModRevision>(true, read, std::move(callback))}));
--- a/src/platform/own-store-codec.cc
+++ b/src/platform/own-store-codec.cc
@@ -69,8 +69,8 @@
 HttpRequest OwnStoreCodec::watch(const std::string &prefix, ModRevision after,
                                  Milliseconds wait) const
 {
-    return detail::readRequestTo("/v1/watch?prefix=" + escapeUri(prefix) + "&after="
-                                 + std::to_string(after.value())
+    return detail::readRequestTo("/v1/watch?prefix=" + escapeUri(prefix)
+                                 + "&after=" + std::to_string(after.value())
                                  + "&wait=" + std::to_string(wait.count()));
 }
 
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -60,8 +60,8 @@
 
 std::optional<VersionMoveState> stateOf(std::string_view name)
 {
-    for (const VersionMoveState state : {VersionMoveState::Running, VersionMoveState::Complete,
-                                         VersionMoveState::Reverted}) {
+    for (const VersionMoveState state :
+         {VersionMoveState::Running, VersionMoveState::Complete, VersionMoveState::Reverted}) {
         if (name == stateName(state))
             return state;
     }
@@ -156,8 +156,8 @@
         const auto answers = static_cast<double>(last.answers - first.answers);
         sums.answers += answers;
         sums.failures += static_cast<double>(last.failures - first.failures);
-        const bool isWarm = !isTarget
-                || now - server.firstAnswer > detail::coldTime + detail::judgedWindow;
+        const bool isWarm
+                = !isTarget || now - server.firstAnswer > detail::coldTime + detail::judgedWindow;
         if (isWarm) {
             sums.warmAnswers += answers;
             sums.relativeWork += last.relativeWork - first.relativeWork;
@@ -173,8 +173,8 @@
     const Sums newer = sumsOf(true, now);
     const Sums older = sumsOf(false, now);
     // Few answers of the old version say little; they are taken for worse than they look.
-    const double oldRate = (older.failures + detail::priorFailures)
-            / (older.answers + detail::priorAnswers);
+    const double oldRate
+            = (older.failures + detail::priorFailures) / (older.answers + detail::priorAnswers);
     if (newer.failures >= detail::leastFailures
         && newer.failures / newer.answers
                 > oldRate * detail::failureFactor + detail::failureMargin) {
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -87,7 +87,8 @@
             = report.relativeWork > 0.0 ? report.relativeWork : detail::unknownRelativeWork;
     const double work = relativeWork * objectiveUs;
     const double fresh = detail::ageFactor(host, now);
-    const double others = std::max(0.0, static_cast<double>(report.running + report.waiting)
+    const double others = std::max(0.0,
+                                   static_cast<double>(report.running + report.waiting)
                                            - static_cast<double>(host.inFlightAtReport))
             * fresh;
     const double slots = std::max(1U, host.entry.server->slots);
@@ -99,7 +100,8 @@
 double Placement::costOf(const PlacedHost &host, const PlacementQuestion &question,
                          TimePoint now) const
 {
-    const double objective = static_cast<double>(std::max<std::int64_t>(1, question.objective.count()));
+    const double objective
+            = static_cast<double>(std::max<std::int64_t>(1, question.objective.count()));
     const double time
             = static_cast<double>(expectedTime(host, question.objective, now).count()) / objective;
     double cost = std::min(time, detail::safePart) * detail::safeTimeCost
--- a/src/routing/server-gate.cc
+++ b/src/routing/server-gate.cc
@@ -24,9 +24,8 @@
     if (now + wait + offer.work > offer.finishBy)
         return Verdict::Refuse;
     const auto behind
-            = std::find_if(waiting_.begin(), waiting_.end(), [&](const GateOffer &waiting) {
-                  return waiting.rank > offer.rank;
-              });
+            = std::find_if(waiting_.begin(), waiting_.end(),
+                           [&](const GateOffer &waiting) { return waiting.rank > offer.rank; });
     waiting_.insert(behind, offer);
     removeHopeless(now, hopeless);
     return Verdict::Wait;
--- a/src/sidecar/entry-call.cc
+++ b/src/sidecar/entry-call.cc
@@ -27,7 +27,8 @@
 constexpr std::uint32_t mostRefusals = 3;
 /// A call with less time left is not worth sending.
 constexpr Milliseconds leastTime(5);
-/// A stopping process takes only calls that would end in time even if they took this many objectives.
+/// A stopping process takes only calls that would end in time even if they took this many
+/// objectives.
 constexpr int stoppingMargin = 2;
 /// Callers without a deadline wait as long as the route allows.
 constexpr Milliseconds noDeadline(0);
@@ -147,6 +148,8 @@
 
 Milliseconds EntryCall::timeLeft() const
 {
+    if (finishBy_ == TimePoint())
+        return deadline_;
     return std::chrono::duration_cast<Milliseconds>(finishBy_ - now(SteadyClock()));
 }
 
@@ -326,9 +329,8 @@
     }
     releaseHost();
     side_.noteReport(*host_, *answer);
-    shortestWait_ = shortestWait_ == Microseconds(0)
-            ? answer->report.wait
-            : std::min(shortestWait_, answer->report.wait);
+    shortestWait_ = shortestWait_ == Microseconds(0) ? answer->report.wait
+                                                     : std::min(shortestWait_, answer->report.wait);
     if (answer->result == HopResult::NotRun) {
         onRefused(answer->reason);
         return;
@@ -490,10 +492,21 @@
     if (!side_.log_.hasRoom(kind))
         return;
     const TimePoint time = now(SteadyClock());
+    if (!route_) {
+        const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
+        side_.log_.write(kind, entryPart, "call-unrouted",
+                         {{"id", id_},
+                          {"revision", table_ ? table_->revision().value() : 0},
+                          {"outcome", outcome},
+                          {"status", status},
+                          {"host", findHeader(headers, "Host")},
+                          {"uri", evhttp_request_get_uri(exchange_.request())}});
+        return;
+    }
     side_.log_.write(kind, entryPart, "call-ended",
                      {{"id", id_},
-                      {"route", route_ ? route_->id.value() : ""},
-                      {"revision", table_ ? table_->revision().value() : 0},
+                      {"route", route_->id.value()},
+                      {"revision", table_->revision().value()},
                       {"outcome", outcome},
                       {"status", status},
                       {"service", question_.service.value()},
--- a/src/sidecar/entry-publisher.cc
+++ b/src/sidecar/entry-publisher.cc
@@ -18,7 +18,7 @@
 } // namespace
 
 EntryPublisher::EntryPublisher(EventLoop &loop, PlatformClient &platform, std::string key,
-                               EventLog &log, std::function<void(bool)> onReach)
+                               EventLog &log, std::function<void(bool, const std::string &)> onReach)
     : loop_(loop), platform_(platform), key_(std::move(key)), log_(log),
       onReach_(std::move(onReach))
 { }
@@ -78,7 +78,7 @@
                           return;
                       }
                       written_ = value;
-                      onReach_(true);
+                      onReach_(true, {});
                       write();
                   });
 }
@@ -91,7 +91,7 @@
     if (error.kind == ErrorKind::NotFound)
         lease_.reset();
     else
-        onReach_(false);
+        onReach_(false, error.describe());
     renewLater(false);
 }
 
@@ -109,7 +109,7 @@
     }
     platform_.keepAlive(*lease_, [this](const Result<void> &result) {
         if (result) {
-            onReach_(true);
+            onReach_(true, {});
             renewLater(true);
             return;
         }
@@ -118,7 +118,7 @@
             written_.reset();
             write();
         } else {
-            onReach_(false);
+            onReach_(false, result.error().describe());
         }
         renewLater(false);
     });
--- a/src/sidecar/entry-side.cc
+++ b/src/sidecar/entry-side.cc
@@ -15,8 +15,8 @@
 constexpr std::uint32_t wholeMove = 1000;
 
 constexpr std::array<std::string_view, entryRefusalCount> refusalNames
-        = {"not-ready", "no-route", "bad-request", "no-server", "overload",
-           "budget",    "attempts", "unknown",     "timeout",   "poison",  "stopping"};
+        = {"not-ready", "no-route", "bad-request", "no-server", "overload", "budget",
+           "attempts",  "unknown",  "timeout",     "poison",    "stopping"};
 
 } // namespace
 
@@ -76,7 +76,8 @@
     question.isVersionExcluded = true;
     if (perMille == 0)
         return false;
-    const std::vector<std::uint32_t> weights = {wholeMove - std::min(perMille, wholeMove), perMille};
+    const std::vector<std::uint32_t> weights
+            = {wholeMove - std::min(perMille, wholeMove), perMille};
     auto split = moveSplits_.find(question.service);
     if (split == moveSplits_.end() || split->second.weights() != weights) {
         split = moveSplits_.insert_or_assign(question.service, WeightedSplit(weights, random_))
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -80,7 +80,7 @@
           handlers(std::move(fleetHandlers)),
           platform(loop, {platformAddress}, detail::callTimeout, metrics, names.store), peers(loop),
           publisher(loop, platform, detail::hostPrefix + ownAddress.toString(), log,
-                    [this](bool reached) { noteReach(reached); })
+                    [this](bool reached, const std::string &why) { noteReach(reached, why); })
     {
         operatorWatch.prefix = names.operatorPrefix;
         ownWatch.prefix = detail::ownPrefix;
@@ -272,7 +272,8 @@
     {
         if (!detail::startsWith(key, detail::hostPrefix))
             return false;
-        const Result<Address> node = parseAddress(key.substr(std::string_view(detail::hostPrefix).size()));
+        const Result<Address> node
+                = parseAddress(key.substr(std::string_view(detail::hostPrefix).size()));
         if (!node)
             return false;
         log.write(EventKind::Belief, detail::syncPart, "host-absent", {{"node", node->toString()}});
@@ -342,8 +343,7 @@
         for (const auto &entry : hosts) {
             const Result<HostEntry> host = decodeHostEntry(entry.get<std::string>());
             if (host && host->node != self)
-                isChanged |= isReachable ? false
-                                         : directory.putFromPeer(*host, now(SteadyClock()));
+                isChanged |= isReachable ? false : directory.putFromPeer(*host, now(SteadyClock()));
         }
         if (isChanged)
             handlers.onHosts();
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -16,8 +16,8 @@
 constexpr double perMillion = 1e6;
 
 constexpr std::array<std::string_view, 11> reasonNames
-        = {"none",       "overload", "server-gone",   "other-server",  "stopping", "other-run",
-           "poison",     "withdrawn", "broken-answer", "timeout",       "bad-message"};
+        = {"none",   "overload",  "server-gone",   "other-server", "stopping",   "other-run",
+           "poison", "withdrawn", "broken-answer", "timeout",      "bad-message"};
 
 class FieldWriter
 {
--- a/src/sidecar/serving-call.cc
+++ b/src/sidecar/serving-call.cc
@@ -171,9 +171,9 @@
         remembered_ = std::make_shared<const RememberedAnswer>(copyAnswer(answer));
     if (!isCallerGone_) {
         side_.gate_.remove(ticket_);
-        exchange_->addHeader(hopAnswerHeader,
-                             encodeHopAnswer(side_.hopAnswer(HopResult::Answered,
-                                                             HopReason::None)));
+        exchange_->addHeader(
+                hopAnswerHeader,
+                encodeHopAnswer(side_.hopAnswer(HopResult::Answered, HopReason::None)));
         exchange_->pass(answer);
     }
     finish(HopResult::Answered, HopReason::None);
--- a/src/sidecar/serving-side.cc
+++ b/src/sidecar/serving-side.cc
@@ -155,8 +155,8 @@
         return true;
     }
     if (!remembered.answer) {
-        refuse(request, remembered.result == HopResult::Answered ? HopResult::Unknown
-                                                                  : remembered.result,
+        refuse(request,
+               remembered.result == HopResult::Answered ? HopResult::Unknown : remembered.result,
                remembered.reason);
         return true;
     }
@@ -182,8 +182,8 @@
     const Microseconds work = work_.expected(hop.route, hop.objective);
     const Usefulness use = usefulnessOf(hop, work, time, finishBy);
     std::vector<GateTicket> hopeless;
-    const ServerGate::Verdict verdict = gate_.offer(
-            GateOffer{lastTicket_, use.rank, work, use.usefulBy}, time, hopeless);
+    const ServerGate::Verdict verdict
+            = gate_.offer(GateOffer{lastTicket_, use.rank, work, use.usefulBy}, time, hopeless);
     refuseAll(hopeless, HopReason::Overload);
     if (verdict == ServerGate::Verdict::Start)
         call->run();
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -114,13 +114,12 @@
     Impl(EventLoop &taskLoop, SidecarSettings nodeSettings, Dialect names)
         : loop(taskLoop), settings(std::move(nodeSettings)), dialect(std::move(names)),
           run(detail::newRun(freshSeed())), log(metrics),
-          fleet(loop, dialect, settings.platform, settings.inbound, metrics, log,
-                settings.seed + 1, fleetHandlers()),
+          fleet(loop, dialect, settings.platform, settings.inbound, metrics, log, settings.seed + 1,
+                fleetHandlers()),
           listenerCounters(metrics),
           outbound(loop, listenerCounters,
                    [this](evhttp_request *request) { entry.serve(request); }),
-          inbound(loop, listenerCounters,
-                  [this](evhttp_request *request) { serveNode(request); }),
+          inbound(loop, listenerCounters, [this](evhttp_request *request) { serveNode(request); }),
           serving(loop, dialect, run, settings.server, local, poison, metrics, log,
                   servingHandlers()),
           entry(loop, dialect, entrySettings(), poison, metrics, log, entryHandlers()),
@@ -187,8 +186,7 @@
     {
         // An earlier run of this node may have published the server, which is then still there.
         const HostDirectory::Known *own = fleet.directory().find(settings.inbound);
-        if (own && own->entry.run != run && own->entry.server
-            && local.adopt(*own->entry.server)) {
+        if (own && own->entry.run != run && own->entry.server && local.adopt(*own->entry.server)) {
             log.write(EventKind::Belief, detail::nodePart, "server-adopted",
                       {{"server", own->entry.server->id.value()}});
             serving.refresh();
@@ -211,8 +209,8 @@
     HttpResponse answerReadiness(const HttpRequest &request)
     {
         if (request.path == detail::metricsPath)
-            return HttpResponse{detail::statusOk, {{"Content-Type", "text/plain"}},
-                                metrics.render()};
+            return HttpResponse{
+                    detail::statusOk, {{"Content-Type", "text/plain"}}, metrics.render()};
         if (request.path != dialect.readinessPath)
             return HttpResponse{detail::statusNotFound, {}, {}};
         const bool isReady = fleet.isComplete() && !isStopping;
@@ -289,9 +287,9 @@
     {
         for (const SuspectedDeath &death : deaths) {
             if (poison.noteDeath(death, now(SteadyClock()))) {
-                log.write(EventKind::Belief, detail::nodePart, "request-poisonous",
-                          {{"fingerprint", death.request.value()},
-                           {"server", death.server.value()}});
+                log.write(
+                        EventKind::Belief, detail::nodePart, "request-poisonous",
+                        {{"fingerprint", death.request.value()}, {"server", death.server.value()}});
             }
         }
     }
@@ -299,7 +297,10 @@
     void spreadDeaths(const std::vector<SuspectedDeath> &deaths)
     {
         noteDeaths(deaths);
-        HttpRequest request{HttpMethod::Post, detail::peerDeathsPath, {}, {},
+        HttpRequest request{HttpMethod::Post,
+                            detail::peerDeathsPath,
+                            {},
+                            {},
                             detail::renderDeaths(deaths).dump()};
         for (const auto &[node, known] : fleet.directory().hosts()) {
             if (node == settings.inbound)
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -147,8 +147,7 @@
     {
         const std::string body = R"({"address":"x","born":1,"server-info":{"service":")"
                 + host.settings.service.value() + R"(","version":")" + version + R"(","zone":")"
-                + host.settings.dataCentre.value()
-                + R"(","slots":2},"status":{"state":")" + state
+                + host.settings.dataCentre.value() + R"(","slots":2},"status":{"state":")" + state
                 + R"(","seq":)" + std::to_string(++host.sequence) + R"(,"cold-left":"0ms"}})";
         return call(host.settings.control,
                     HttpRequest{HttpMethod::Put, "/instances/" + host.server->id, {}, {}, body})
--- a/test/adapter/sidecar-path-test.cc
+++ b/test/adapter/sidecar-path-test.cc
@@ -18,7 +18,10 @@
         add("bookings", "b2");
         settle();
     }
-    HttpResponse get(const std::string &path) { return call(entry->settings.outbound, requestTo(path)); }
+    HttpResponse get(const std::string &path)
+    {
+        return call(entry->settings.outbound, requestTo(path));
+    }
     HttpResponse post(const std::string &path)
     {
         return call(entry->settings.outbound, requestTo(path, HttpMethod::Post, "seat=4"));
@@ -263,9 +266,8 @@
 BOOST_AUTO_TEST_CASE(callsOfADeadHostEndAtTheirDeadlines)
 {
     std::vector<Responder> held;
-    setBehaviour([&](const HttpRequest &, const Responder &responder) {
-        held.push_back(responder);
-    });
+    setBehaviour(
+            [&](const HttpRequest &, const Responder &responder) { held.push_back(responder); });
     std::size_t answers = 0;
     std::size_t calls = 0;
     for (int deadline = 560; deadline < 1000; deadline += 4, ++calls) {
@@ -313,11 +315,11 @@
 {
     SidecarHost &newer = add("bookings", "b3", "akl-a", "v2");
     newer.server->behaviour = [](const HttpRequest &request, const Responder &responder) {
-        responder.send(HttpResponse{500,
-                                    {{"Cornelhead-Request-Id",
-                                      FakeServer::header(request, "Cornelhead-Request-Id")},
-                                     {"Cornelhead-Server-Seal", "seal"}},
-                                    {}});
+        responder.send(HttpResponse{
+                500,
+                {{"Cornelhead-Request-Id", FakeServer::header(request, "Cornelhead-Request-Id")},
+                 {"Cornelhead-Server-Seal", "seal"}},
+                {}});
     };
     store.write("op/rollout/bookings",
                 R"({"service":"bookings","target-version":"v2","ramp":"12s"})");
@@ -350,8 +352,7 @@
         host->server->behaviour = [this](const HttpRequest &request, const Responder &responder) {
             held.emplace_back(request, responder);
         };
-        const auto published
-                = store.read("cornelhead/hosts/" + host->settings.inbound.toString());
+        const auto published = store.read("cornelhead/hosts/" + host->settings.inbound.toString());
         run = decodeHostEntry(*published)->run;
     }
     HttpRequest hopRequest(const std::string &id, bool isResumed, const NodeId &toRun)
--- a/test/adapter/users-messages-test.cc
+++ b/test/adapter/users-messages-test.cc
@@ -27,11 +27,12 @@
 
 BOOST_AUTO_TEST_CASE(configurationIsReadWhole)
 {
-    const auto table = readConfiguration(usersConfiguration(
-            "0000001c", oneRoute + ","
-                    + usersRoute("r2", "/look/", "idempotent", "",
-                                 R"([{"service":"bookings","weight":90},)"
-                                 R"({"service":"catalogue","weight":10}])")));
+    const auto table = readConfiguration(
+            usersConfiguration("0000001c",
+                               oneRoute + ","
+                                       + usersRoute("r2", "/look/", "idempotent", "",
+                                                    R"([{"service":"bookings","weight":90},)"
+                                                    R"({"service":"catalogue","weight":10}])")));
     BOOST_REQUIRE(table);
     BOOST_TEST((*table)->revision().value() == 28U);
     const HostRoute *booking = (*table)->match("site.example", "/book/1");
@@ -74,10 +75,10 @@
     BOOST_TEST(isFault(replaced(sound, "\"site.example\"", "\"\"")));
     BOOST_TEST(isFault(replaced(sound, "\"kind\"", "\"sort\"")));
     const std::string split = R"([{"service":"bookings","weight":-1}])";
-    BOOST_TEST(isFault(usersConfiguration(
-            "00000001", usersRoute("r", "/x/", "idempotent", "", split))));
-    BOOST_TEST(isFault(usersConfiguration(
-            "00000001", usersRoute("r", "/x/", "idempotent", "", "[]"))));
+    BOOST_TEST(isFault(
+            usersConfiguration("00000001", usersRoute("r", "/x/", "idempotent", "", split))));
+    BOOST_TEST(isFault(
+            usersConfiguration("00000001", usersRoute("r", "/x/", "idempotent", "", "[]"))));
 }
 
 BOOST_AUTO_TEST_CASE(configurationCutAnywhereIsAFault)
@@ -113,8 +114,8 @@
     BOOST_TEST(isMoveOrder("op/rollout/catalogue"));
     BOOST_TEST(!isMoveOrder("op/config"));
     const auto order = readMoveOrder(KeyValue{
-            "op/rollout/catalogue",
-            R"({"service":"catalogue","target-version":"v2","ramp":"12s"})", ModRevision(9)});
+            "op/rollout/catalogue", R"({"service":"catalogue","target-version":"v2","ramp":"12s"})",
+            ModRevision(9)});
     BOOST_REQUIRE(order);
     BOOST_TEST(order->target.value() == "v2");
     BOOST_TEST(order->allowed.count() == 12'000);
@@ -126,9 +127,9 @@
 
 BOOST_AUTO_TEST_CASE(statusOfAMoveIsWritten)
 {
-    const MoveStatusEntry status = renderMoveStatus(VersionMove{
-            ServiceId("catalogue"), VersionId("v2"), ModRevision(9), 0,
-            VersionMoveState::Reverted});
+    const MoveStatusEntry status
+            = renderMoveStatus(VersionMove{ServiceId("catalogue"), VersionId("v2"), ModRevision(9),
+                                           0, VersionMoveState::Reverted});
     BOOST_TEST(status.key == "status/rollout/catalogue");
     BOOST_TEST(status.value.find(R"("state":"reverted")") != std::string::npos);
     BOOST_TEST(status.value.find(R"("target-version":"v2")") != std::string::npos);
@@ -176,7 +177,8 @@
         BOOST_TEST((kindOf(message) == ErrorKind::InvalidMessage));
     }
     BOOST_TEST((kindOf(messageOf(heartbeat, HttpMethod::Post)) == ErrorKind::NotFound));
-    BOOST_TEST((kindOf(messageOf(heartbeat, HttpMethod::Put, "/instances/")) == ErrorKind::NotFound));
+    BOOST_TEST(
+            (kindOf(messageOf(heartbeat, HttpMethod::Put, "/instances/")) == ErrorKind::NotFound));
     BOOST_TEST((kindOf(messageOf(heartbeat, HttpMethod::Put, "/other/i")) == ErrorKind::NotFound));
 }
 
@@ -206,8 +208,8 @@
 
 BOOST_AUTO_TEST_CASE(writesAreTransactions)
 {
-    const auto request = codec.put("my/leader", "node-1", Expected{ModRevision(7)},
-                                   LeaseId("77120"));
+    const auto request
+            = codec.put("my/leader", "node-1", Expected{ModRevision(7)}, LeaseId("77120"));
     BOOST_REQUIRE(request);
     BOOST_TEST(request->path == "/kv-txn");
     BOOST_TEST(request->body.find(R"("mod-rev":7)") != std::string::npos);
@@ -231,9 +233,10 @@
 
 BOOST_AUTO_TEST_CASE(eventsAndPagesAreRead)
 {
-    const auto watch = codec.readWatch(answer(
-            200, R"({"events":[{"key":"a","value":"YQ==","mod-rev":4,"created":4,"lease-id":0},)"
-                 R"({"key":"b","mod-rev":5,"deleted":true}],"at-rev":9})"));
+    const auto watch = codec.readWatch(
+            answer(200,
+                   R"({"events":[{"key":"a","value":"YQ==","mod-rev":4,"created":4,"lease-id":0},)"
+                   R"({"key":"b","mod-rev":5,"deleted":true}],"at-rev":9})"));
     BOOST_REQUIRE(watch);
     BOOST_TEST(watch->changed.at(0).value == "a");
     BOOST_TEST(watch->removed.at(0) == "b");
--- a/test/config/route-table-test.cc
+++ b/test/config/route-table-test.cc
@@ -19,19 +19,19 @@
 
 RouteDeclarations declarationsOf(std::vector<HostRoute> routes)
 {
-    return RouteDeclarations{std::move(routes), {HostService{ServiceId("bookings"), "/health", 9}},
-                             {}};
+    return RouteDeclarations{
+            std::move(routes), {HostService{ServiceId("bookings"), "/health", 9}}, {}};
 }
 
 BOOST_AUTO_TEST_SUITE(route_table)
 
 BOOST_AUTO_TEST_CASE(longestPrefixOfTheHostWins)
 {
-    const auto table
-            = RouteTable::build(Revision(1), declarationsOf({routeOf("short", "a.example", "/x/"),
-                                                             routeOf("long", "a.example", "/x/y/"),
-                                                             routeOf("other", "b.example", "/")}))
-                      .value();
+    const auto table = RouteTable::build(Revision(1),
+                                         declarationsOf({routeOf("short", "a.example", "/x/"),
+                                                         routeOf("long", "a.example", "/x/y/"),
+                                                         routeOf("other", "b.example", "/")}))
+                               .value();
     const auto idOf = [&](std::string_view host, std::string_view path) {
         const HostRoute *route = table->match(host, path);
         return route ? route->id.value() : std::string("none");
--- a/test/membership/local-server-test.cc
+++ b/test/membership/local-server-test.cc
@@ -7,12 +7,11 @@
 namespace cornelhead {
 
 ServerAnnouncement announcementOf(const std::string &id, std::int64_t startedAtMs,
-                                  std::uint64_t sequence,
-                                  ServerState state = ServerState::Serving)
+                                  std::uint64_t sequence, ServerState state = ServerState::Serving)
 {
     ServerAnnouncement announcement;
-    announcement.server = HostedServer{ServerId(id), ServiceId("bookings"), VersionId("v1"), 9,
-                                       state};
+    announcement.server
+            = HostedServer{ServerId(id), ServiceId("bookings"), VersionId("v1"), 9, state};
     announcement.startedAtMs = startedAtMs;
     announcement.sequence = sequence;
     return announcement;
--- a/test/rollout/version-move-test.cc
+++ b/test/rollout/version-move-test.cc
@@ -43,8 +43,8 @@
             const bool fails = isNew ? isBad() : random.chance(0.004);
             tally.failures += fails ? 1 : 0;
             noteNew(isNew, fails || (isNew && slowness > 3.0));
-            watcher.addTally(NodeId("n" + std::to_string(server)),
-                             VersionId(isNew ? "v2" : "v1"), tally, time);
+            watcher.addTally(NodeId("n" + std::to_string(server)), VersionId(isNew ? "v2" : "v1"),
+                             tally, time);
             if (const auto next = watcher.next(0, 4, time))
                 watcher.observeRecord(*next, time + Milliseconds(1));
         }
@@ -91,15 +91,15 @@
 
 BOOST_AUTO_TEST_CASE(versionThatFailsUnderLoadIsReverted)
 {
-    play(Milliseconds(15'000),
-         [this] { return watcher.perMille() >= 500 && random.chance(0.4); });
+    play(Milliseconds(15'000), [this] { return watcher.perMille() >= 500 && random.chance(0.4); });
     BOOST_TEST((watcher.record()->state == VersionMoveState::Reverted));
     BOOST_TEST(toNew < 480 + 50);
 }
 
 BOOST_AUTO_TEST_CASE(slowVersionIsReverted)
 {
-    play(Milliseconds(15'000), [this] { return random.chance(0.004); }, 4.5);
+    play(
+            Milliseconds(15'000), [this] { return random.chance(0.004); }, 4.5);
     BOOST_TEST((watcher.record()->state == VersionMoveState::Reverted));
     BOOST_TEST(toNew < 480 + 50);
     if (badOfNew >= 50)
@@ -160,8 +160,9 @@
     const auto read = decodeVersionMove(encodeVersionMove(move));
     BOOST_REQUIRE(read);
     BOOST_TEST((*read == move));
-    for (const char *bad : {"", "{}", "7", R"({"service":"a","target":"b","ordered":1,)"
-                                           R"("perMille":1,"state":"done"})"})
+    for (const char *bad : {"", "{}", "7",
+                            R"({"service":"a","target":"b","ordered":1,)"
+                            R"("perMille":1,"state":"done"})"})
         BOOST_TEST(!decodeVersionMove(bad));
 }
 
--- a/test/routing/placement-test.cc
+++ b/test/routing/placement-test.cc
@@ -166,7 +166,8 @@
 
 BOOST_AUTO_TEST_SUITE(call_shares)
 
-// Nodes of very unequal traffic all retry whenever they may; the sum stays within the fleet's bound.
+// Nodes of very unequal traffic all retry whenever they may; the sum stays within the fleet's
+// bound.
 BOOST_AUTO_TEST_CASE(sumOfAllNodesStaysWithinTheFleetsBudget)
 {
     const double ratio = 0.2;
--- a/test/support/users-store.h
+++ b/test/support/users-store.h
@@ -92,11 +92,10 @@
         }
         const bool isWrite = request.method != HttpMethod::Get;
         if (request.path == "/kv-watch") {
-            watches_.push_back(Watch{request.query.at("prefix"),
-                                     ModRevision(std::stoull(request.query.at("after"))),
-                                     now(SteadyClock())
-                                             + Milliseconds(std::stoll(request.query.at("wait-ms"))),
-                                     responder});
+            watches_.push_back(Watch{
+                    request.query.at("prefix"), ModRevision(std::stoull(request.query.at("after"))),
+                    now(SteadyClock()) + Milliseconds(std::stoll(request.query.at("wait-ms"))),
+                    responder});
             announce();
             return;
         }
@@ -157,10 +156,11 @@
             }
             items.push_back(itemOf(entry));
         }
-        return jsonResponse(200, Json{{"items", items},
-                                      {"has-more", hasMore},
-                                      {"at-rev", listing.storeRevision.value()}}
-                                         .dump());
+        return jsonResponse(200,
+                            Json{{"items", items},
+                                 {"has-more", hasMore},
+                                 {"at-rev", listing.storeRevision.value()}}
+                                    .dump());
     }
 
     HttpResponse runTransaction(const Json &body)
@@ -173,7 +173,8 @@
             expected = ModRevision(body.at("expect-rev").at(0).at("mod-rev").get<std::uint64_t>());
         std::optional<LeaseId> lease;
         if (put.contains("lease-id")) {
-            const auto found = leases_.find(std::to_string(put.at("lease-id").get<std::uint64_t>()));
+            const auto found
+                    = leases_.find(std::to_string(put.at("lease-id").get<std::uint64_t>()));
             if (found == leases_.end())
                 return HttpResponse{404, {}, {}};
             lease = found->second;
