Tell later tries by the usual deadline, list after long series, hold servers of unknown versions

Change: a majority vote for the usual deadline; one listing in place of a long series and after an outage; servers of another version wait 3 s for an order; no spill to a version that is judged. Tests: laterTriesAreToldFromFirstOnesAmongPatientCallers, serverOfAnUnknownVersionWaitsForTheOrderOfItsMove.

--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -41,6 +41,8 @@
 struct PlacedHost
 {
     HostEntry entry;
+    /// When this node first heard of it.
+    TimePoint knownSince{};
     HostReport report;
     /// When `report` came; the epoch before the first one.
     TimePoint reportedAt{};
@@ -63,6 +65,9 @@
     /// Takes only servers of this version, or, with `isExcluded`, only others.
     std::optional<VersionId> version;
     bool isVersionExcluded = false;
+    /// The version that the service has while no move is known.  Servers of another one may belong
+    /// to a move whose order has not arrived yet, so they take calls only after a while.
+    std::optional<VersionId> usualVersion;
     /// An answer within it is worth its whole credit.
     Microseconds objective{};
     /// Bytes that the call and its answer are expected to have.
@@ -80,7 +85,7 @@
     explicit Placement(DataCentreId here) : here_(std::move(here)) { }
 
     /// Takes the hosts listed now; what is known of a node's run that stays is kept.
-    void update(const std::map<Address, HostDirectory::Known> &hosts);
+    void update(const std::map<Address, HostDirectory::Known> &hosts, TimePoint now);
     /// Returns null when no host may take the call.
     Host choose(const PlacementQuestion &question, TimePoint now, Random &random) const;
     /// Returns the expected time from now until a call that `host` takes now ends.
@@ -94,6 +99,9 @@
     /// Notes that the node could not be reached.
     static void noteUnreachable(PlacedHost &host, TimePoint now);
 
+    /// Returns the version of most servers of `service`, or `before` while any server has it.
+    std::optional<VersionId> usualVersion(const ServiceId &service,
+                                          const std::optional<VersionId> &before) const;
     Host find(const Address &node) const;
     /// Hosts of `service` with a server that may take calls.
     std::vector<Host> hostsOf(const ServiceId &service) const;
--- a/include/cornelhead/sidecar/entry-side.h
+++ b/include/cornelhead/sidecar/entry-side.h
@@ -15,6 +15,7 @@
 #include "cornelhead/routing/placement.h"
 #include "cornelhead/routing/poison.h"
 #include "cornelhead/routing/shared-retry-budget.h"
+#include "cornelhead/routing/usual-deadline.h"
 #include "cornelhead/routing/weighted-split.h"
 #include "cornelhead/sidecar/dialect.h"
 #include "cornelhead/sidecar/hop.h"
@@ -73,10 +74,7 @@
 
     void serve(evhttp_request *request);
     void setConfiguration(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
-    void setHosts(const std::map<Address, HostDirectory::Known> &hosts)
-    {
-        placement_.update(hosts);
-    }
+    void setHosts(const std::map<Address, HostDirectory::Known> &hosts);
     /// The process ends at `endsAt`: answers ask callers to close their connections from now on,
     /// and calls that would last too long are refused.
     void stop(TimePoint endsAt) { endsAt_ = endsAt; }
@@ -93,8 +91,7 @@
     /// to the other one where that has no server.
     bool chooseVersion(PlacementQuestion &question);
     void noteReport(PlacedHost &host, const HopAnswer &answer);
-    /// Returns how long ago a caller began with a call of which it has `left` to wait.  Callers of
-    /// a route give its tries the same time in all, so the longest time seen tells the first ones.
+    /// Returns how long ago a caller began with a call of which it has `left` to wait.
     Milliseconds elapsedOf(const RouteId &route, Milliseconds left);
     /// Learns the size of a route's calls.
     void noteBytes(const RouteId &route, std::size_t bytes);
@@ -114,9 +111,10 @@
     std::shared_ptr<const RouteTable> table_;
     std::map<RouteId, WeightedSplit> splits_;
     std::map<ServiceId, WeightedSplit> moveSplits_;
+    std::map<ServiceId, std::optional<VersionId>> usualVersions_;
     // Smoothed bytes of a call with its answer.
     std::map<RouteId, double> bytes_;
-    std::map<RouteId, Milliseconds> longestDeadlines_;
+    std::map<RouteId, UsualDeadline> usualDeadlines_;
     std::map<EntryCall *, std::shared_ptr<EntryCall>> calls_;
     std::vector<Counter *> refusals_;
     Counter &served_;
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -27,6 +27,8 @@
 constexpr Milliseconds closedPause(400);
 // A report of this age still says whether the host would refuse a call.
 constexpr Milliseconds freshReport(300);
+// An order arrives within its pause in a series of changes, and a margin.
+constexpr Milliseconds unknownMove(3000);
 // An unreachable host is tried again after a pause that doubles up to the longest.
 constexpr Milliseconds firstPause(300);
 constexpr Milliseconds longestPause(2000);
@@ -40,7 +42,7 @@
 
 } // namespace detail
 
-void Placement::update(const std::map<Address, HostDirectory::Known> &hosts)
+void Placement::update(const std::map<Address, HostDirectory::Known> &hosts, TimePoint now)
 {
     std::map<Address, Host> kept;
     byService_.clear();
@@ -51,6 +53,8 @@
             host = old->second;
         else
             host = std::make_shared<PlacedHost>();
+        if (host->knownSince == TimePoint())
+            host->knownSince = now;
         host->entry = known.entry;
         if (known.entry.server)
             byService_[known.entry.server->service].push_back(host);
@@ -70,6 +74,9 @@
         return false;
     if (now < host.closedUntil)
         return false;
+    if (question.usualVersion && host.entry.server->version != *question.usualVersion
+        && now - host.knownSince < detail::unknownMove)
+        return false;
     // After a refusal the call is worth another try only where it is not refused again.
     if (!question.tried.empty() && now - host.reportedAt < detail::freshReport
         && expectedTime(host, question.objective, now) > question.objective)
@@ -157,6 +164,20 @@
     host.avoidedUntil = now + pause;
 }
 
+std::optional<VersionId> Placement::usualVersion(const ServiceId &service,
+                                                 const std::optional<VersionId> &before) const
+{
+    std::map<VersionId, std::size_t> counts;
+    for (const Host &host : hostsOf(service))
+        ++counts[host->entry.server->version];
+    if (before && counts.contains(*before))
+        return before;
+    const auto most = std::max_element(
+            counts.begin(), counts.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+    return most == counts.end() ? std::nullopt : std::optional(most->first);
+}
+
 Placement::Host Placement::find(const Address &node) const
 {
     const auto host = hosts_.find(node);
--- a/src/sidecar/entry-publisher.cc
+++ b/src/sidecar/entry-publisher.cc
@@ -18,7 +18,8 @@
 } // namespace
 
 EntryPublisher::EntryPublisher(EventLoop &loop, PlatformClient &platform, std::string key,
-                               EventLog &log, std::function<void(bool, const std::string &)> onReach)
+                               EventLog &log,
+                               std::function<void(bool, const std::string &)> onReach)
     : loop_(loop), platform_(platform), key_(std::move(key)), log_(log),
       onReach_(std::move(onReach))
 { }
--- a/src/sidecar/entry-side.cc
+++ b/src/sidecar/entry-side.cc
@@ -51,6 +51,17 @@
     call->start();
 }
 
+void EntrySide::setHosts(const std::map<Address, HostDirectory::Known> &hosts)
+{
+    placement_.update(hosts, now(SteadyClock()));
+    for (const auto &[node, known] : hosts) {
+        if (!known.entry.server)
+            continue;
+        std::optional<VersionId> &usual = usualVersions_[known.entry.server->service];
+        usual = placement_.usualVersion(known.entry.server->service, usual);
+    }
+}
+
 const ServiceId &EntrySide::chooseService(const HostRoute &route)
 {
     if (route.targets.size() == 1)
@@ -69,8 +80,10 @@
 bool EntrySide::chooseVersion(PlacementQuestion &question)
 {
     VersionMoveWatcher *move = handlers_.moveOf(question.service);
-    if (!move || !move->order())
+    if (!move || !move->order()) {
+        question.usualVersion = usualVersions_[question.service];
         return false;
+    }
     const std::uint32_t perMille = move->perMille();
     question.version = move->order()->target;
     question.isVersionExcluded = true;
@@ -84,7 +97,8 @@
                         .first;
     }
     question.isVersionExcluded = split->second.pick() == 0;
-    return true;
+    // Calls of the old version never spill over to one that is still judged.
+    return !question.isVersionExcluded;
 }
 
 void EntrySide::noteReport(PlacedHost &host, const HopAnswer &answer)
@@ -103,9 +117,7 @@
 
 Milliseconds EntrySide::elapsedOf(const RouteId &route, Milliseconds left)
 {
-    Milliseconds &longest = longestDeadlines_[route];
-    longest = std::max(longest, left);
-    return longest - left;
+    return usualDeadlines_[route].elapsed(left);
 }
 
 void EntrySide::noteBytes(const RouteId &route, std::size_t bytes)
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -20,6 +20,8 @@
 constexpr Milliseconds watchPause(300);
 constexpr Milliseconds seriesPause(900);
 constexpr Milliseconds seriesGap(2500);
+/// Bytes that take a link of 10 Mbit/s a twentieth of a second.
+constexpr std::size_t longAnswer = 64 * 1024;
 constexpr Milliseconds callTimeout(1500);
 /// The service allows a few hundred calls a second over all nodes, which all come back at once.
 constexpr Milliseconds retryPause(300);
@@ -123,6 +125,14 @@
         followLater(watch, isSeries ? detail::seriesPause : detail::watchPause);
     }
 
+    static std::size_t sizeOf(const WatchAnswer &answer)
+    {
+        std::size_t bytes = 0;
+        for (const KeyValue &entry : answer.changed)
+            bytes += entry.value.size();
+        return bytes;
+    }
+
     void followLater(Watch &watch, Milliseconds pause)
     {
         watch.pause = loop.after(pause, [this, &watch] { follow(watch); });
@@ -144,6 +154,8 @@
         directory.restartGrace(now(SteadyClock()));
         // A long poll from before may hang on a path that was lost.
         if (std::exchange(wasEverReachable, true)) {
+            operatorWatch.isListed = false;
+            ownWatch.isListed = false;
             followLater(operatorWatch, Milliseconds(0));
             followLater(ownWatch, Milliseconds(0));
         }
@@ -159,7 +171,12 @@
 
     void applyOperator(const WatchAnswer &answer)
     {
-        for (const KeyValue &entry : answer.changed) {
+        // A series of changes holds each version whole; only the last of a key matters.
+        std::map<std::string_view, const KeyValue *> last;
+        for (const KeyValue &entry : answer.changed)
+            last[entry.key] = &entry;
+        for (const auto &[key, newest] : last) {
+            const KeyValue &entry = *newest;
             if (entry.key == dialect.configurationKey)
                 takeConfiguration(entry.value, "platform");
             else if (dialect.isMoveOrder(entry.key))
@@ -181,6 +198,8 @@
 
     void takeConfiguration(const std::string &bytes, std::string_view source)
     {
+        if (bytes == configurationBytes)
+            return;
         const auto table = dialect.readConfiguration(bytes);
         if (!table) {
             log.write(EventKind::Failure, detail::syncPart, "configuration-refused",
@@ -456,7 +475,7 @@
 
 bool FleetSync::isComplete() const
 {
-    return impl_->configuration && (impl_->ownWatch.isListed || !impl_->directory.hosts().empty());
+    return impl_->configuration && !impl_->directory.hosts().empty();
 }
 
 bool FleetSync::isServiceReachable() const
--- a/test/routing/placement-test.cc
+++ b/test/routing/placement-test.cc
@@ -3,6 +3,7 @@
 
 #include "cornelhead/routing/placement.h"
 #include "cornelhead/routing/shared-retry-budget.h"
+#include "cornelhead/routing/usual-deadline.h"
 #include "cornelhead/routing/weighted-split.h"
 #include "cornelhead/routing/work-estimate.h"
 #include "support/property.h"
@@ -26,7 +27,7 @@
         entry.server = HostedServer{ServerId("s" + std::to_string(port)), ServiceId("bookings"),
                                     VersionId(version), 9, ServerState::Serving};
         directory.put(entry);
-        placement.update(directory.hosts());
+        placement.update(directory.hosts(), time);
         return entry.node;
     }
     PlacementQuestion question() const
@@ -135,17 +136,35 @@
     BOOST_TEST((choose(asked) == older));
 }
 
+// Servers of a new version are announced before the order of their move has arrived.
+BOOST_AUTO_TEST_CASE(serverOfAnUnknownVersionWaitsForTheOrderOfItsMove)
+{
+    const Address older = add(1);
+    BOOST_TEST((placement.usualVersion(ServiceId("bookings"), std::nullopt) == VersionId("v1")));
+    const Address newer = add(2, "akl-a", "v2");
+    add(3, "akl-a", "v2");
+    report(older, reportOf(0.9, 30));
+    PlacementQuestion asked = question();
+    asked.usualVersion = placement.usualVersion(ServiceId("bookings"), VersionId("v1"));
+    BOOST_TEST((asked.usualVersion == VersionId("v1")));
+    BOOST_TEST((choose(asked) == older));
+    time += Milliseconds(4000);
+    report(older, reportOf(0.9, 30));
+    report(newer, reportOf(0.2));
+    BOOST_TEST((choose(asked) == newer));
+}
+
 BOOST_AUTO_TEST_CASE(leavingServersAndStoppingNodesTakeNothing)
 {
     HostEntry entry = directory.find(add(1))->entry;
     entry.server->state = ServerState::Draining;
     directory.put(entry);
-    placement.update(directory.hosts());
+    placement.update(directory.hosts(), time);
     BOOST_TEST(!choose(question()));
     entry.server->state = ServerState::Serving;
     entry.isStopping = true;
     directory.put(entry);
-    placement.update(directory.hosts());
+    placement.update(directory.hosts(), time);
     BOOST_TEST(!choose(question()));
 }
 
@@ -158,7 +177,7 @@
     HostEntry entry = directory.find(node)->entry;
     entry.run = NodeId("later");
     directory.put(entry);
-    placement.update(directory.hosts());
+    placement.update(directory.hosts(), time);
     BOOST_TEST(placement.find(node)->report.failureShare == 0.0);
 }
 
@@ -240,6 +259,25 @@
     BOOST_TEST(std::abs(short_.count() - 60'000) < 1000);
 }
 
+// A few callers wait longer than the rest; their calls must not make all others look like later
+// tries.
+BOOST_AUTO_TEST_CASE(laterTriesAreToldFromFirstOnesAmongPatientCallers)
+{
+    UsualDeadline deadline;
+    Random random(testSeed(23));
+    int mistaken = 0;
+    for (int i = 0; i < 1000; ++i) {
+        const bool isPatient = random.chance(0.04);
+        const bool isLater = random.chance(0.3);
+        const Milliseconds left(isPatient ? 30'000 : isLater ? 700 + i % 200 : 1200);
+        const Milliseconds elapsed = deadline.elapsed(left);
+        if (i < 50)
+            continue;
+        mistaken += (elapsed > Milliseconds(0)) != (isLater && !isPatient) ? 1 : 0;
+    }
+    BOOST_TEST(mistaken == 0);
+}
+
 BOOST_AUTO_TEST_CASE(failuresAreForgottenWithTime)
 {
     WorkEstimate estimate;
