List after long series, ask near nodes for newer configurations only, read entries of hosts less often

Change: the question for a state names the revision held and goes to the own data centre four times of five; entries of hosts are read after 600 ms, in a series after 1.5 s, and the last step of a move lasts 3 s for that; long series end in one listing. Test: stateForAnotherNodeHoldsTheConfigurationOnlyIfItIsNewer.

--- a/include/cornelhead/sidecar/fleet-sync.h
+++ b/include/cornelhead/sidecar/fleet-sync.h
@@ -56,15 +56,17 @@
 
     /// Writes the record of a move over the revision that was read, and then its status.
     void writeMove(const VersionMove &move, ModRevision expected);
-    /// Renders what another node may need while the service turns it away.
-    std::string renderState() const;
+    /// Renders what another node may need while the service turns it away; the configuration only
+    /// if it is newer than the one that node holds.
+    std::string renderState(Revision held) const;
 
 private:
     struct Impl;
     std::unique_ptr<Impl> impl_;
 };
 
-/// The path on the address for other nodes under which a node tells its state.
+/// The path on the address for other nodes under which a node tells its state; the query is the
+/// revision of the configuration that the asking node holds.
 constexpr const char *peerStatePath = "/cornelhead/state";
 
 } // namespace cornelhead
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -17,17 +17,18 @@
 };
 
 /// The first share stays well below the tenth that a bad version may get; it lasts long enough for
-/// badness that sets in seconds after a server's start.
+/// badness that sets in seconds after a server's start; the last, until every node has read the
+/// record and calls at the old servers have ended.
 constexpr std::array<Step, 4> steps = {{
         {50, Milliseconds(4500)},
         {200, Milliseconds(1500)},
         {500, Milliseconds(1500)},
-        {1000, Milliseconds(2000)},
+        {1000, Milliseconds(3000)},
 }};
 /// Answers of the new version that the first share waits for.
 constexpr std::uint64_t leastAnswers = 30;
 /// All but the first step, and a second for the write to reach everyone.
-constexpr Milliseconds restOfMove(6000);
+constexpr Milliseconds restOfMove(7000);
 /// Evidence older than this says little about a version whose badness may set in late.
 constexpr Milliseconds judgedWindow(3000);
 /// A server is slow after its start, whatever its version.
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -19,6 +19,10 @@
 /// a change must be in force only after two seconds.
 constexpr Milliseconds watchPause(300);
 constexpr Milliseconds seriesPause(900);
+/// Entries of hosts may be older, as a host refuses truthfully what it cannot take, and each change
+/// costs a call of every node.
+constexpr Milliseconds hostsPause(600);
+constexpr Milliseconds hostsSeriesPause(1500);
 constexpr Milliseconds seriesGap(2500);
 /// Bytes that take a link of 10 Mbit/s a twentieth of a second.
 constexpr std::size_t longAnswer = 64 * 1024;
@@ -28,6 +32,8 @@
 /// Other nodes are asked after the service has been silent for so long, and then at this period.
 constexpr Milliseconds peerPeriod(500);
 constexpr Milliseconds peerTimeout(400);
+/// Part of the questions that go to any data centre, in case the own one is cut off as a whole.
+constexpr double farPeers = 0.2;
 /// A revision that another node holds should come from the service within this time.
 constexpr Milliseconds peerLead(400);
 
@@ -64,6 +70,9 @@
         // Rises when a watch is abandoned, so that its late answer is ignored.
         std::uint64_t generation = 0;
         TimePoint lastChange{};
+        /// After a change, and after one of a series.
+        Milliseconds pauseTime{};
+        Milliseconds seriesPause{};
         Timer pause;
     };
     Watch operatorWatch;
@@ -85,7 +94,11 @@
                     [this](bool reached, const std::string &why) { noteReach(reached, why); })
     {
         operatorWatch.prefix = names.operatorPrefix;
+        operatorWatch.pauseTime = detail::watchPause;
+        operatorWatch.seriesPause = detail::seriesPause;
         ownWatch.prefix = detail::ownPrefix;
+        ownWatch.pauseTime = detail::hostsPause;
+        ownWatch.seriesPause = detail::hostsSeriesPause;
     }
 
     // Lists or watches, whichever is due, and goes on for ever.
@@ -117,12 +130,19 @@
         }
         noteReach(true);
         watch.after = std::max(watch.after, answer->storeRevision);
-        watch.isListed = true;
+        const bool wasListing = !std::exchange(watch.isListed, true);
+        apply(watch, *answer);
+        if (wasListing) {
+            follow(watch);
+            return;
+        }
         const TimePoint time = now(SteadyClock());
         const bool isSeries = time - watch.lastChange < detail::seriesGap;
         watch.lastChange = time;
-        apply(watch, *answer);
-        followLater(watch, isSeries ? detail::seriesPause : detail::watchPause);
+        // A watch would bring every version of a series, a listing only the last.
+        if (isSeries && sizeOf(*answer) > detail::longAnswer)
+            watch.isListed = false;
+        followLater(watch, isSeries ? watch.seriesPause : watch.pauseTime);
     }
 
     static std::size_t sizeOf(const WatchAnswer &answer)
@@ -318,20 +338,33 @@
         handlers.onMoveRecord(*move, entry.modRevision);
     }
 
+    // Nodes of the own data centre first, as states are long and bytes between data centres dear.
     void askRandomPeer()
     {
+        const HostDirectory::Known *own = directory.find(self);
+        std::vector<Address> near;
         std::vector<Address> others;
         for (const auto &[node, known] : directory.hosts()) {
-            if (node != self)
-                others.push_back(node);
+            if (node == self)
+                continue;
+            others.push_back(node);
+            if (own && known.entry.dataCentre == own->entry.dataCentre)
+                near.push_back(node);
         }
-        if (!others.empty())
-            askPeer(others[random.below(others.size())]);
+        const std::vector<Address> &asked
+                = near.empty() || random.chance(detail::farPeers) ? others : near;
+        if (!asked.empty())
+            askPeer(asked[random.below(asked.size())]);
     }
 
     void askPeer(const Address &peer)
     {
-        const HttpRequest request{HttpMethod::Get, peerStatePath, {}, {}, {}};
+        const Revision held = configuration ? configuration->revision() : Revision();
+        const HttpRequest request{HttpMethod::Get,
+                                  peerStatePath + std::string("?") + std::to_string(held.value()),
+                                  {},
+                                  {},
+                                  {}};
         peers.send(peer, request, detail::peerTimeout, [this, peer](Result<HttpResponse> answer) {
             if (answer && answer->status == 200)
                 takePeerState(peer, answer->body);
@@ -385,15 +418,17 @@
         return list;
     }
 
-    std::string renderState() const
+    std::string renderState(Revision held) const
     {
+        const bool isNewer = configuration && configuration->revision() > held;
         nlohmann::json hosts = nlohmann::json::array();
         for (const auto &[node, known] : directory.hosts())
             hosts.push_back(encodeHostEntry(known.entry));
-        const nlohmann::json json = {{"configuration", configurationBytes},
-                                     {"orders", renderEntries(orders)},
-                                     {"moves", renderEntries(moves)},
-                                     {"hosts", std::move(hosts)}};
+        const nlohmann::json json
+                = {{"configuration", isNewer ? configurationBytes : std::string()},
+                   {"orders", renderEntries(orders)},
+                   {"moves", renderEntries(moves)},
+                   {"hosts", std::move(hosts)}};
         return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     }
 
@@ -505,9 +540,9 @@
     impl_->writeMove(move, expected);
 }
 
-std::string FleetSync::renderState() const
+std::string FleetSync::renderState(Revision held) const
 {
-    return impl_->renderState();
+    return impl_->renderState(held);
 }
 
 } // namespace cornelhead
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdio>
+#include <cstdlib>
 #include <map>
 
 #include <event2/http.h>
@@ -264,13 +265,21 @@
         const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
         const std::string path = uri && evhttp_uri_get_path(uri) ? evhttp_uri_get_path(uri) : "";
         if (path == peerStatePath)
-            exchange.send(detail::OwnAnswer{detail::statusOk, {}, fleet.renderState()});
+            exchange.send(
+                    detail::OwnAnswer{detail::statusOk, {}, fleet.renderState(heldRevision(uri))});
         else if (path == detail::peerDeathsPath)
             exchange.send(takeDeaths(detail::bodyOf(request)));
         else
             exchange.send(detail::OwnAnswer{detail::statusNotFound, {}, {}});
     }
 
+    // A query that is no number asks for everything.
+    static Revision heldRevision(const evhttp_uri *uri)
+    {
+        const char *query = evhttp_uri_get_query(uri);
+        return Revision(query ? std::strtoull(query, nullptr, 10) : 0);
+    }
+
     detail::OwnAnswer takeDeaths(std::string_view body)
     {
         try {
--- a/test/adapter/sidecar-path-test.cc
+++ b/test/adapter/sidecar-path-test.cc
@@ -181,6 +181,19 @@
     waitUntil([&] { return get("/look/1").status == 404; });
 }
 
+// Nodes that the store turns away ask others twice a second; a configuration may be long.
+BOOST_AUTO_TEST_CASE(stateForAnotherNodeHoldsTheConfigurationOnlyIfItIsNewer)
+{
+    const auto stateFor = [this](const std::string &query) {
+        return call(entry->settings.inbound,
+                    HttpRequest{HttpMethod::Get, "/cornelhead/state" + query, {}, {}, {}})
+                .body;
+    };
+    BOOST_TEST(stateFor("?5").find(R"("configuration":"")") != std::string::npos);
+    for (const char *query : {"?4", "?0", "", "?x"})
+        BOOST_TEST(stateFor(query).find("00000005") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(brokenAnswersOfTheStoreChangeNothing)
 {
     store.garbles = true;
