--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -111,6 +111,7 @@
     // The stopping node's server takes no more calls.
     bool isServerClosed = false;
     bool wasReady = false;
+    bool isPublished = false;
 
     Impl(EventLoop &taskLoop, SidecarSettings nodeSettings, Dialect names)
         : loop(taskLoop), settings(std::move(nodeSettings)), dialect(std::move(names)),
@@ -194,6 +195,9 @@
             probeServer();
         }
         entry.setHosts(fleet.directory().hosts());
+        // Only now, as the entry of the earlier run must have been read before it is replaced.
+        if (!std::exchange(isPublished, true))
+            publishEntry();
     }
 
     void publishEntry()
@@ -440,7 +444,6 @@
                       {"service", settings.service.value()},
                       {"seed", settings.seed}});
     impl_->fleet.start();
-    impl_->publishEntry();
     impl_->startTimers();
     return {};
 }
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -10,6 +10,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "cornelhead/proxy/evhttp-handles.h"
 #include "cornelhead/sidecar/hop.h"
 #include "cornelhead/sidecar/sidecar.h"
 #include "platform/users-dialect.h"
@@ -97,11 +98,22 @@
         BOOST_REQUIRE(isDone());
     }
 
+    /// Returns an address that nobody holds, below the ports that the system gives to connections.
     static Address freeAddress()
     {
-        // Held by nobody once the probe is closed; ports are handed out only once.
-        static std::uint16_t next = static_cast<std::uint16_t>(32'000 + ::getpid() % 100 * 200);
-        return Address{"127.0.0.1", next++};
+        constexpr int firstPort = 10'000;
+        constexpr int ports = 9'000;
+        static int next = static_cast<int>(::getpid() % 45) * 200;
+        for (int tries = 0; tries < ports; ++tries) {
+            const Address address{"127.0.0.1",
+                                  static_cast<std::uint16_t>(firstPort + next++ % ports)};
+            const int socket = detail::openListenSocket(address.toString().c_str(), false);
+            if (socket < 0)
+                continue;
+            ::close(socket);
+            return address;
+        }
+        throw std::runtime_error("no free port");
     }
 
     SidecarHost &add(const std::string &service, const std::string &serverId,
