Drop an unused member and a comment that promised more than the code does

The entry side kept a reference to the metrics that nothing used; idle connections to servers are closed by a constant, not by what Keep-Alive says. Behaviour is unchanged; built, format checked, no tests run.

--- a/include/cornelhead/sidecar/entry-side.h
+++ b/include/cornelhead/sidecar/entry-side.h
@@ -101,7 +101,6 @@
     const Dialect &dialect_;
     const EntrySettings settings_;
     PoisonBook &poison_;
-    Metrics &metrics_;
     EventLog &log_;
     EntryHandlers handlers_;
     Random random_;
--- a/src/sidecar/serving-side.cc
+++ b/src/sidecar/serving-side.cc
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr const char *servingPart = "serving";
-/// Idle connections are closed ahead of the server, which tells its own limit in Keep-Alive.
+/// Idle connections are closed well ahead of servers, which keep theirs for many seconds; a limit
+/// told in Keep-Alive is not read.
 constexpr Milliseconds defaultReuseLimit(3500);
 constexpr Milliseconds healthTimeout(500);
 /// Calls without a deadline are given up after it.
