Judge moves by sums that are asked for, and by late answers

Of 65 nodes each sees a 65th of the new version's answers, so the node that steps the move had two samples of a server in three seconds at best and raised the share without evidence; and a version that is slow for a part of its calls only stays below three times the old one's mean.

Ruled out: the order of the move arriving late (the first share was in force 0.3 s after the servers); a record written twice (the loser of the race gets a conflict).

Change: while a move goes on, the first two nodes by rank ask the servers' nodes for their sums each 700 ms; answers of a cold server, told by its heartbeat, are not timed; answers later than their objective are counted and compared with the old version's; the first share waits for timed answers too. The lines of a step carry the sums that decided.

A new version whose servers are all on slow hosts may be taken back wrongly.

--- a/include/cornelhead/membership/local-server.h
+++ b/include/cornelhead/membership/local-server.h
@@ -19,6 +19,8 @@
     std::int64_t startedAtMs = 0;
     /// Rises with each heartbeat of a run.
     std::uint64_t sequence = 0;
+    /// How much longer the server is slow after its start.
+    Milliseconds coldLeft{};
 };
 
 /// A backend server says that it is leaving for good.
--- a/include/cornelhead/rollout/version-move.h
+++ b/include/cornelhead/rollout/version-move.h
@@ -1,7 +1,8 @@
 // Moves of a service to another version in steps, judged from what serving nodes report.
 //
-// Load pattern: the new version may fail at once, late, under load or on one route.  The share is
-// raised by one node, but any node stops sending to a version that it has seen to be bad.
+// Load pattern: the new version may fail at once, late, under load or on one route, or be slow.  In
+// a large fleet each node sees few of its answers, so the nodes that may raise the share ask its
+// servers' nodes for their sums; any node stops sending to a version that it has seen to be bad.
 #pragma once
 
 #include <cstdint>
@@ -53,7 +54,21 @@
 {
     std::uint64_t answers = 0;
     std::uint64_t failures = 0;
-    /// Sum of the answers' times, each relative to the objective of its route.
+    /// Answers whose time says something of the version: none of a server that is still cold.
+    std::uint64_t timed = 0;
+    /// Timed answers that took the server longer than the objective of their route.
+    std::uint64_t late = 0;
+    /// Sum of the timed answers' times, each relative to the objective of its route.
+    double relativeWork = 0.0;
+};
+
+/// What one version's servers answered lately, over all that were heard of.
+struct VersionEvidence
+{
+    double answers = 0.0;
+    double failures = 0.0;
+    double timed = 0.0;
+    double late = 0.0;
     double relativeWork = 0.0;
 };
 
@@ -73,8 +88,12 @@
 
     const std::optional<VersionMoveOrder> &order() const { return order_; }
     const std::optional<VersionMove> &record() const { return record_; }
+    /// Tells whether the move goes on and its versions are still judged.
+    bool isJudged() const;
     /// Calls of a thousand that this node may send to the new version.
     std::uint32_t perMille() const;
+    /// What is judged: answers of the new version, or of all others, in the last seconds.
+    VersionEvidence evidenceOf(bool isTarget) const;
     /// Why the new version was found to be bad; empty while it was not.
     const std::string &verdict() const { return verdict_; }
 
@@ -87,23 +106,13 @@
     struct Server
     {
         bool isTarget = false;
-        TimePoint firstAnswer{};
         // Oldest first; spans the window that is judged.
         std::deque<Sample> samples;
     };
-    struct Sums
-    {
-        double answers = 0.0;
-        double failures = 0.0;
-        double relativeWork = 0.0;
-        double warmAnswers = 0.0;
-    };
-
     bool isCurrent() const { return record_ && order_ && record_->ordered == order_->ordered; }
-    Sums sumsOf(bool isTarget, TimePoint now) const;
     void judge(TimePoint now);
     std::optional<std::uint32_t> dueShare(TimePoint now) const;
-    std::uint64_t targetAnswers() const;
+    bool isWellKnown() const;
 
     std::optional<VersionMoveOrder> order_;
     TimePoint orderedAt_{};
--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -31,9 +31,12 @@
     double relativeWork = 0.0;
     /// Share of the last answers that were failures of the server.
     double failureShare = 0.0;
-    /// Since the start of the node: answers, failures, and the sum of relative work.
+    /// Since the start of the node: answers, failures, answers of a server that was no longer cold,
+    /// those of them that took longer than their objective, and the sum of their relative work.
     std::uint64_t answers = 0;
     std::uint64_t failures = 0;
+    std::uint64_t timedAnswers = 0;
+    std::uint64_t lateAnswers = 0;
     double relativeWorkSum = 0.0;
 };
 
--- a/include/cornelhead/sidecar/serving-side.h
+++ b/include/cornelhead/sidecar/serving-side.h
@@ -51,6 +51,10 @@
     void serve(evhttp_request *request);
     /// The server's state or slots have changed.
     void refresh();
+    /// Answers that begin before `coldUntil` say nothing of the speed of the server's version.
+    void setColdUntil(TimePoint coldUntil) { coldUntil_ = coldUntil; }
+    /// What other nodes may know of the server, as with each answer.
+    HopAnswer report() const { return hopAnswer(HopResult::Answered, HopReason::None); }
     /// Refuses further calls; those that run end in their time.
     void stop();
     /// Tells whether the server runs the call with that id now.
@@ -113,7 +117,10 @@
     Milliseconds reuseLimit_;
     std::uint64_t answers_ = 0;
     std::uint64_t failures_ = 0;
+    std::uint64_t timedAnswers_ = 0;
+    std::uint64_t lateAnswers_ = 0;
     double relativeWorkSum_ = 0.0;
+    TimePoint coldUntil_{};
     // Calls whose connection broke lately, in case the server turns out to be dead.
     std::vector<std::pair<SuspectedDeath, TimePoint>> broken_;
     Timer startTimer_;
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include <nlohmann/json.hpp>
 
@@ -25,20 +26,24 @@
         {500, Milliseconds(1500)},
         {1000, Milliseconds(3000)},
 }};
-/// Answers of the new version that the first share waits for.
+/// Answers of the new version, and timed ones among them, that the first share waits for.
 constexpr std::uint64_t leastAnswers = 30;
+constexpr std::uint64_t leastTimedAnswers = 25;
 /// All but the first step, and a second for the write to reach everyone.
 constexpr Milliseconds restOfMove(7000);
 /// Evidence older than this says little about a version whose badness may set in late.
 constexpr Milliseconds judgedWindow(3000);
-/// A server is slow after its start, whatever its version.
-constexpr Milliseconds coldTime(4000);
 /// Failures that could be chance or the fault of a called service are tolerated.
 constexpr double leastFailures = 4.0;
 constexpr double failureFactor = 3.0;
 constexpr double failureMargin = 0.08;
 constexpr double priorFailures = 2.0;
 constexpr double priorAnswers = 5.0;
+/// Objectives are about three times the usual work, so late answers show a version that is several
+/// times slower for a part of its calls, while a slow host makes few of them late.
+constexpr double leastLate = 5.0;
+constexpr double lateFactor = 2.5;
+constexpr double lateMargin = 0.04;
 /// Servers of one service differ in speed by two to three times.
 constexpr double leastTimed = 25.0;
 constexpr double slowFactor = 3.0;
@@ -46,6 +51,51 @@
 constexpr Milliseconds rankDelay(1500);
 constexpr Milliseconds revertRankDelay(300);
 
+std::string countOf(double part, double whole)
+{
+    return std::to_string(static_cast<int>(part)) + " of "
+            + std::to_string(static_cast<int>(whole));
+}
+
+// Few answers of the old version say little; they are taken for worse than they look.
+double cautiousRate(double bad, double answers)
+{
+    return (bad + priorFailures) / (answers + priorAnswers);
+}
+
+bool hasTooManyFailures(const VersionEvidence &newer, const VersionEvidence &older)
+{
+    const double allowed
+            = cautiousRate(older.failures, older.answers) * failureFactor + failureMargin;
+    return newer.failures >= leastFailures && newer.failures > newer.answers * allowed;
+}
+
+bool hasTooManyLateAnswers(const VersionEvidence &newer, const VersionEvidence &older)
+{
+    const double allowed
+            = std::min(1.0, cautiousRate(older.late, older.timed) * lateFactor + lateMargin);
+    const double deviation = std::sqrt(newer.timed * allowed * (1.0 - allowed));
+    return newer.late >= leastLate && newer.late > newer.timed * allowed + deviation;
+}
+
+bool isSlowOnTheWhole(const VersionEvidence &newer, const VersionEvidence &older)
+{
+    return newer.timed >= leastTimed && older.timed >= leastTimed
+            && newer.relativeWork / newer.timed > older.relativeWork / older.timed * slowFactor;
+}
+
+// Returns why the new version is bad; empty when it is not known to be.
+std::string verdictOn(const VersionEvidence &newer, const VersionEvidence &older)
+{
+    if (hasTooManyFailures(newer, older))
+        return "answers failed: " + countOf(newer.failures, newer.answers);
+    if (hasTooManyLateAnswers(newer, older))
+        return "answers late: " + countOf(newer.late, newer.timed);
+    if (isSlowOnTheWhole(newer, older))
+        return "answers are slow";
+    return {};
+}
+
 const char *stateName(VersionMoveState state)
 {
     switch (state) {
@@ -127,14 +177,12 @@
 void VersionMoveWatcher::addTally(const NodeId &run, const VersionId &version,
                                   const ServerTally &tally, TimePoint now)
 {
-    if (!order_ || (isCurrent() && record_->state != VersionMoveState::Running))
+    if (!isJudged())
         return;
     Server &server = servers_[run];
     server.isTarget = version == order_->target;
     if (!server.samples.empty() && server.samples.back().tally.answers >= tally.answers)
         return;
-    if (server.samples.empty())
-        server.firstAnswer = now;
     // A new server's first report covers all of its answers, an old server's many of long ago.
     if (server.samples.empty() && server.isTarget)
         server.samples.push_back(Sample{now, ServerTally{}});
@@ -146,23 +194,19 @@
     judge(now);
 }
 
-VersionMoveWatcher::Sums VersionMoveWatcher::sumsOf(bool isTarget, TimePoint now) const
+VersionEvidence VersionMoveWatcher::evidenceOf(bool isTarget) const
 {
-    Sums sums;
+    VersionEvidence sums;
     for (const auto &[run, server] : servers_) {
         if (server.isTarget != isTarget || server.samples.size() < 2)
             continue;
         const ServerTally &first = server.samples.front().tally;
         const ServerTally &last = server.samples.back().tally;
-        const auto answers = static_cast<double>(last.answers - first.answers);
-        sums.answers += answers;
+        sums.answers += static_cast<double>(last.answers - first.answers);
         sums.failures += static_cast<double>(last.failures - first.failures);
-        const bool isWarm
-                = !isTarget || now - server.firstAnswer > detail::coldTime + detail::judgedWindow;
-        if (isWarm) {
-            sums.warmAnswers += answers;
-            sums.relativeWork += last.relativeWork - first.relativeWork;
-        }
+        sums.timed += static_cast<double>(last.timed - first.timed);
+        sums.late += static_cast<double>(last.late - first.late);
+        sums.relativeWork += last.relativeWork - first.relativeWork;
     }
     return sums;
 }
@@ -171,33 +215,26 @@
 {
     if (!verdict_.empty())
         return;
-    const Sums newer = sumsOf(true, now);
-    const Sums older = sumsOf(false, now);
-    // Few answers of the old version say little; they are taken for worse than they look.
-    const double oldRate
-            = (older.failures + detail::priorFailures) / (older.answers + detail::priorAnswers);
-    if (newer.failures >= detail::leastFailures
-        && newer.failures / newer.answers
-                > oldRate * detail::failureFactor + detail::failureMargin) {
-        verdict_ = "answers failed: " + std::to_string(static_cast<int>(newer.failures)) + " of "
-                + std::to_string(static_cast<int>(newer.answers));
-        verdictAt_ = now;
-    } else if (newer.warmAnswers >= detail::leastTimed && older.warmAnswers >= detail::leastTimed
-               && newer.relativeWork / newer.warmAnswers
-                       > older.relativeWork / older.warmAnswers * detail::slowFactor) {
-        verdict_ = "answers are slow";
-        verdictAt_ = now;
-    }
+    verdict_ = detail::verdictOn(evidenceOf(true), evidenceOf(false));
+    verdictAt_ = now;
 }
 
-std::uint64_t VersionMoveWatcher::targetAnswers() const
+bool VersionMoveWatcher::isWellKnown() const
 {
     std::uint64_t answers = 0;
+    std::uint64_t timed = 0;
     for (const auto &[run, server] : servers_) {
-        if (server.isTarget && !server.samples.empty())
-            answers += server.samples.back().tally.answers;
+        if (!server.isTarget || server.samples.empty())
+            continue;
+        answers += server.samples.back().tally.answers;
+        timed += server.samples.back().tally.timed;
     }
-    return answers;
+    return answers >= detail::leastAnswers && timed >= detail::leastTimedAnswers;
+}
+
+bool VersionMoveWatcher::isJudged() const
+{
+    return order_ && (!isCurrent() || record_->state == VersionMoveState::Running);
 }
 
 std::uint32_t VersionMoveWatcher::perMille() const
@@ -217,7 +254,7 @@
     TimePoint since = recordAt_;
     if (step == detail::steps.begin()) {
         const bool mustHurry = now + detail::restOfMove > orderedAt_ + order_->allowed;
-        if (!firstAnswerAt_ || (targetAnswers() < detail::leastAnswers && !mustHurry))
+        if (!firstAnswerAt_ || (!isWellKnown() && !mustHurry))
             return std::nullopt;
         since = *firstAnswerAt_;
     }
--- a/src/sidecar/entry-side.cc
+++ b/src/sidecar/entry-side.cc
@@ -111,10 +111,19 @@
     if (VersionMoveWatcher *move = handlers_.moveOf(host.entry.server->service)) {
         const HostReport &report = answer.report;
         move->addTally(host.entry.run, host.entry.server->version,
-                       ServerTally{report.answers, report.failures, report.relativeWorkSum}, time);
+                       ServerTally{report.answers, report.failures, report.timedAnswers,
+                                   report.lateAnswers, report.relativeWorkSum},
+                       time);
     }
 }
 
+void EntrySide::takeReport(const Address &node, const HopAnswer &answer)
+{
+    const Placement::Host host = placement_.find(node);
+    if (host && host->entry.run == answer.run)
+        noteReport(*host, answer);
+}
+
 Milliseconds EntrySide::elapsedOf(const RouteId &route, Milliseconds left)
 {
     return usualDeadlines_[route].elapsed(left);
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -136,7 +136,8 @@
     writer.number(report.running).number(report.waiting).number(report.slots);
     writer.number(static_cast<std::uint64_t>(report.wait.count()));
     writer.fraction(report.relativeWork).fraction(report.failureShare);
-    writer.number(report.answers).number(report.failures).fraction(report.relativeWorkSum);
+    writer.number(report.answers).number(report.failures).number(report.timedAnswers);
+    writer.number(report.lateAnswers).fraction(report.relativeWorkSum);
     writer.number(answer.configuration.value());
     return writer.take();
 }
@@ -157,6 +158,8 @@
     report.failureShare = reader.fraction();
     report.answers = reader.number();
     report.failures = reader.number();
+    report.timedAnswers = reader.number();
+    report.lateAnswers = reader.number();
     report.relativeWorkSum = reader.fraction();
     answer.configuration = Revision(reader.number());
     if (!reader.isSound() || result > static_cast<std::uint64_t>(HopResult::Unknown)
--- a/src/sidecar/serving-side.cc
+++ b/src/sidecar/serving-side.cc
@@ -90,6 +90,8 @@
     answer.report.failureShare = work_.failureShare();
     answer.report.answers = answers_;
     answer.report.failures = failures_;
+    answer.report.timedAnswers = timedAnswers_;
+    answer.report.lateAnswers = lateAnswers_;
     answer.report.relativeWorkSum = relativeWorkSum_;
     return answer;
 }
@@ -260,8 +262,12 @@
     work_.note(call.hop().route, duration, objective, isFailure);
     ++answers_;
     failures_ += isFailure ? 1 : 0;
-    if (!isFailure) {
-        poison_.noteAnswer(call.fingerprint());
+    if (isFailure)
+        return;
+    poison_.noteAnswer(call.fingerprint());
+    if (call.startedAt() >= coldUntil_) {
+        ++timedAnswers_;
+        lateAnswers_ += duration > objective ? 1 : 0;
         relativeWorkSum_ += static_cast<double>(duration.count())
                 / static_cast<double>(std::max<std::int64_t>(1, objective.count()));
     }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -25,9 +25,17 @@
 constexpr const char *nodePart = "node";
 constexpr const char *metricsPath = "/metrics";
 constexpr const char *peerDeathsPath = "/cornelhead/deaths";
+constexpr const char *peerReportPath = "/cornelhead/report";
 constexpr Milliseconds sweepTime(250);
 /// A move's writes are considered this often; a bad version must be stopped within seconds.
 constexpr Milliseconds moveTime(200);
+/// While a move goes on, the nodes that may act on it ask the service's servers for their sums.  A
+/// bad version is stopped within five seconds of its fiftieth bad answer, of which this is a part.
+constexpr Milliseconds tallyTime(700);
+/// Nodes that ask: the one that acts, and the one that acts if it does not.
+constexpr std::uint32_t askingRanks = 2;
+/// Servers of the old version that are asked; their mean is what the new one is compared with.
+constexpr std::size_t mostOldAsked = 8;
 constexpr Milliseconds probeTime(500);
 constexpr Milliseconds flushTime(100);
 constexpr Milliseconds peerTimeout(500);
@@ -240,6 +248,9 @@
         }
         const auto verdict
                 = std::visit([this](const auto &content) { return local.take(content); }, *message);
+        const auto *announcement = std::get_if<ServerAnnouncement>(&*message);
+        if (announcement && verdict != LocalServer::Verdict::Stale)
+            serving.setColdUntil(now(SteadyClock()) + announcement->coldLeft);
         if (verdict == LocalServer::Verdict::Changed) {
             logServer();
             serving.refresh();
@@ -271,6 +282,9 @@
         if (path == peerStatePath)
             exchange.send(
                     detail::OwnAnswer{detail::statusOk, {}, fleet.renderState(heldRevision(uri))});
+        else if (path == detail::peerReportPath)
+            exchange.send(
+                    detail::OwnAnswer{detail::statusOk, {}, encodeHopAnswer(serving.report())});
         else if (path == detail::peerDeathsPath)
             exchange.send(takeDeaths(detail::bodyOf(request)));
         else
@@ -377,16 +391,64 @@
             if (!next || pendingMoves[service] == *next)
                 continue;
             pendingMoves[service] = *next;
-            log.write(EventKind::Belief, detail::nodePart, "move-step",
-                      {{"service", service.value()},
-                       {"target", next->target.value()},
-                       {"perMille", next->perMille},
-                       {"state", static_cast<int>(next->state)},
-                       {"verdict", move.verdict()}});
+            logStep(*next, move);
             fleet.writeMove(*next, moveRevisions[service]);
         }
     }
 
+    void logStep(const VersionMove &next, const VersionMoveWatcher &move)
+    {
+        const VersionEvidence newer = move.evidenceOf(true);
+        const VersionEvidence older = move.evidenceOf(false);
+        log.write(EventKind::Belief, detail::nodePart, "move-step",
+                  {{"service", next.service.value()},
+                   {"target", next.target.value()},
+                   {"perMille", next.perMille},
+                   {"state", static_cast<int>(next.state)},
+                   {"verdict", move.verdict()},
+                   {"newAnswers", newer.answers},
+                   {"newFailures", newer.failures},
+                   {"newTimed", newer.timed},
+                   {"newLate", newer.late},
+                   {"oldAnswers", older.answers},
+                   {"oldFailures", older.failures},
+                   {"oldTimed", older.timed},
+                   {"oldLate", older.late}});
+    }
+
+    void askTallies()
+    {
+        if (isStopping || rank() >= detail::askingRanks)
+            return;
+        for (const auto &[service, move] : moves) {
+            if (!move.isJudged())
+                continue;
+            std::size_t oldAsked = 0;
+            for (const Placement::Host &host : entry.placement().hostsOf(service)) {
+                const bool isTarget = host->entry.server->version == move.order()->target;
+                if (isTarget || oldAsked++ < detail::mostOldAsked)
+                    askReport(host->entry.node);
+            }
+        }
+    }
+
+    void askReport(const Address &node)
+    {
+        const HttpRequest request{HttpMethod::Get, detail::peerReportPath, {}, {}, {}};
+        peers.send(node, request, detail::peerTimeout,
+                   [this, node](const Result<HttpResponse> &answer) {
+                       const Result<HopAnswer> report = answer
+                               ? decodeHopAnswer(answer->body)
+                               : Result<HopAnswer>(tl::unexpected(answer.error()));
+                       if (report)
+                           entry.takeReport(node, *report);
+                       else
+                           log.write(
+                                   EventKind::Failure, detail::nodePart, "report-unread",
+                                   {{"node", node.toString()}, {"why", report.error().describe()}});
+                   });
+    }
+
     // The last write of each move, so that one step is not written at every tick.
     std::map<ServiceId, VersionMove> pendingMoves;
 
@@ -394,6 +456,7 @@
     {
         timers.push_back(loop.every(detail::sweepTime, [this] { sweep(); }));
         timers.push_back(loop.every(detail::moveTime, [this] { stepMoves(); }));
+        timers.push_back(loop.every(detail::tallyTime, [this] { askTallies(); }));
         timers.push_back(loop.every(detail::probeTime, [this] { probeServer(); }));
         timers.push_back(loop.every(detail::flushTime, [this] { log.flush(); }));
     }
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -200,6 +200,31 @@
                             {"Cornelhead-Deadline-Ms", "1500"}},
                            body};
     }
+    /// A call to the node beside a server as another node sends it, one that the fleet may not
+    /// know.
+    HttpRequest hopRequestTo(const SidecarHost &host, const std::string &id, bool isResumed,
+                             const NodeId &toRun)
+    {
+        HopRequest hop;
+        hop.run = toRun;
+        hop.server = ServerId(host.server->id);
+        hop.service = host.settings.service;
+        hop.callerService = ServiceId("catalogue");
+        hop.isResumed = isResumed;
+        hop.objective = Milliseconds(500);
+        hop.objectiveLeft = Milliseconds(500);
+        hop.route = RouteId("book");
+        HttpRequest request = requestTo("/book/1", HttpMethod::Post, "seat=4");
+        request.headers["Cornelhead-Request-Id"] = id;
+        request.headers[hopRequestHeader] = encodeHopRequest(hop);
+        return request;
+    }
+    NodeId runOf(const SidecarHost &host)
+    {
+        const auto published = store.read("cornelhead/hosts/" + host.settings.inbound.toString());
+        BOOST_REQUIRE(published);
+        return decodeHostEntry(*published)->run;
+    }
     std::size_t runs() const
     {
         std::size_t sum = 0;
--- a/test/adapter/sidecar-path-test.cc
+++ b/test/adapter/sidecar-path-test.cc
@@ -348,6 +348,32 @@
     BOOST_TEST(newer.server->runs.size() == before);
 }
 
+// In a large fleet the node that steps a move sees hardly any answer of the new version itself.
+BOOST_AUTO_TEST_CASE(badVersionIsTakenBackThoughOnlyUnlistedNodesCalledIt)
+{
+    SidecarHost &newer = add("bookings", "b3", "akl-a", "v2");
+    settle();
+    newer.server->behaviour = [](const HttpRequest &request, const Responder &responder) {
+        responder.send(HttpResponse{
+                500,
+                {{"Cornelhead-Request-Id", FakeServer::header(request, "Cornelhead-Request-Id")},
+                 {"Cornelhead-Server-Seal", "seal"}},
+                {}});
+    };
+    store.write("op/rollout/bookings",
+                R"({"service":"bookings","target-version":"v2","ramp":"60s"})");
+    const NodeId oldRun = runOf(hosts[1]);
+    const NodeId newRun = runOf(newer);
+    int calls = 0;
+    waitUntil([&] {
+        const std::string id = "far" + std::to_string(++calls);
+        (void)call(hosts[1].settings.inbound, hopRequestTo(hosts[1], id + "old", false, oldRun));
+        (void)call(newer.settings.inbound, hopRequestTo(newer, id, false, newRun));
+        const auto status = store.read("status/rollout/bookings");
+        return status && status->find("reverted") != std::string::npos;
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 /// Speaks to the serving side of one node as another node would.
@@ -365,24 +391,11 @@
         host->server->behaviour = [this](const HttpRequest &request, const Responder &responder) {
             held.emplace_back(request, responder);
         };
-        const auto published = store.read("cornelhead/hosts/" + host->settings.inbound.toString());
-        run = decodeHostEntry(*published)->run;
+        run = runOf(*host);
     }
     HttpRequest hopRequest(const std::string &id, bool isResumed, const NodeId &toRun)
     {
-        HopRequest hop;
-        hop.run = toRun;
-        hop.server = ServerId("b1");
-        hop.service = ServiceId("bookings");
-        hop.callerService = ServiceId("catalogue");
-        hop.isResumed = isResumed;
-        hop.objective = Milliseconds(500);
-        hop.objectiveLeft = Milliseconds(500);
-        hop.route = RouteId("book");
-        HttpRequest request = requestTo("/book/1", HttpMethod::Post, "seat=4");
-        request.headers["Cornelhead-Request-Id"] = id;
-        request.headers[hopRequestHeader] = encodeHopRequest(hop);
-        return request;
+        return hopRequestTo(*host, id, isResumed, toRun);
     }
     static HopAnswer hopOf(const HttpResponse &answer)
     {
--- a/test/rollout/version-move-test.cc
+++ b/test/rollout/version-move-test.cc
@@ -19,6 +19,8 @@
     int badOfNew = 0;
     TimePoint fiftiethBad{};
     TimePoint lastToNew{};
+    /// Part of the new version's answers that `slowness` of `play` meets.
+    double slowShare = 1.0;
 
     MoveFixture()
     {
@@ -39,10 +41,14 @@
             const int server = static_cast<int>(random.below(4)) + (isNew ? 4 : 0);
             ServerTally &tally = tallies[server];
             ++tally.answers;
-            tally.relativeWork += 0.3 * (isNew ? slowness : 1.0) * (0.5 + random.unit());
+            ++tally.timed;
+            const bool isSlow = isNew && random.chance(slowShare);
+            const double work = 0.3 * (isSlow ? slowness : 1.0) * (0.5 + random.unit());
+            tally.relativeWork += work;
+            tally.late += work > 1.0 ? 1 : 0;
             const bool fails = isNew ? isBad() : random.chance(0.004);
             tally.failures += fails ? 1 : 0;
-            noteNew(isNew, fails || (isNew && slowness > 3.0));
+            noteNew(isNew, fails || (isSlow && slowness > 3.0));
             watcher.addTally(NodeId("n" + std::to_string(server)), VersionId(isNew ? "v2" : "v1"),
                              tally, time);
             if (const auto next = watcher.next(0, 4, time))
@@ -106,6 +112,25 @@
         BOOST_TEST((lastToNew - fiftiethBad < Milliseconds(5000)));
 }
 
+// Two fifths of its answers are four times slower: their mean is no more than that of a slow host.
+BOOST_AUTO_TEST_CASE(versionThatIsSlowForAPartOfItsCallsIsReverted)
+{
+    slowShare = 0.4;
+    play(
+            Milliseconds(15'000), [this] { return random.chance(0.004); }, 4.0);
+    BOOST_TEST((watcher.record()->state == VersionMoveState::Reverted));
+    BOOST_TEST(toNew < 480 + 50);
+}
+
+// All of the new version's servers are on hosts of half the speed.
+BOOST_AUTO_TEST_CASE(goodVersionOnSlowHostsIsComplete)
+{
+    play(
+            Milliseconds(15'000), [this] { return random.chance(0.004); }, 2.0);
+    BOOST_REQUIRE(isOver());
+    BOOST_TEST((watcher.record()->state == VersionMoveState::Complete));
+}
+
 // A called service is down: both versions fail alike, which says nothing about the new one.
 BOOST_AUTO_TEST_CASE(failuresOfBothVersionsDoNotRevert)
 {
