Let one node of a data centre follow the store for the others, and ask a lost store by renewals alone

While the store was away each node made two to three full calls each 450 ms.

After a failure the store is asked by renewals of the lease, a tenth of a call.

Left: restarts of all nodes list everything anew, and renewals of relays.

--- a/include/cornelhead/membership/host-entry.h
+++ b/include/cornelhead/membership/host-entry.h
@@ -42,6 +42,8 @@
     std::optional<HostedServer> server;
     /// The node is stopping: it takes no further calls from other nodes.
     bool isStopping = false;
+    /// Nodes that this one can feed with changes of the key-value service.
+    std::uint32_t followers = 0;
 
     friend bool operator==(const HostEntry &, const HostEntry &) = default;
 };
--- a/include/cornelhead/sidecar/entry-publisher.h
+++ b/include/cornelhead/sidecar/entry-publisher.h
@@ -26,9 +26,13 @@
     void publish(std::string value);
     void noteListed(const std::string &value);
     void noteRemoved();
+    /// How often the lease is renewed, which also shows that the service is reached.
+    void renewEvery(Milliseconds period);
+    void renewNow();
 
 private:
-    void renewLater(bool wasReached);
+    void renewLater(Milliseconds pause);
+    void noteFailure(const Error &error);
     void renew();
     void grant();
     void write();
@@ -44,6 +48,8 @@
     std::optional<std::string> written_;
     std::optional<LeaseId> lease_;
     bool isBusy_ = false;
+    std::uint32_t failuresInRow_ = 0;
+    Milliseconds renewPeriod_ = Milliseconds(1700);
     Timer timer_;
 };
 
--- a/include/cornelhead/sidecar/fleet-sync.h
+++ b/include/cornelhead/sidecar/fleet-sync.h
@@ -1,5 +1,5 @@
 // Keeps a node's view of the fleet: the configuration, the hosts and the moves, from the key-value
-// service, or from other nodes while the service turns this one away.
+// service, through a relay, or from any node while neither answers.
 #pragma once
 
 #include <functional>
@@ -17,6 +17,8 @@
 #include "cornelhead/rollout/version-move.h"
 #include "cornelhead/sidecar/dialect.h"
 
+struct evhttp_request;
+
 namespace cornelhead {
 
 /// What the owner is told.  All run on the loop.
@@ -52,7 +54,13 @@
     bool isServiceReachable() const;
     const HostDirectory &directory() const;
     const std::shared_ptr<const RouteTable> &configuration() const;
-    void removeGone(const std::function<bool(const Address &)> &answeredLately);
+    /// Removes hosts that are gone and chooses from where to follow the service.  To be called a
+    /// few times a second.
+    void sweep(const std::function<bool(const Address &)> &answeredLately);
+    /// Answers a request to `changeFeedPath`, now or later.
+    void serveFollower(evhttp_request *request);
+    /// Closes the connections of nodes that wait for changes.
+    void dropFollowers();
 
     /// Writes the record of a move over the revision that was read, and then its status.
     void writeMove(const VersionMove &move, ModRevision expected);
--- a/include/cornelhead/sidecar/sidecar-settings.h
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -30,6 +30,8 @@
     /// Where this host's backend server announces itself.
     Address control;
     Address platform;
+    /// What this host's link carries, in Mbit/s.
+    double linkMbps = 1000.0;
     /// How long a stopping process may live.
     Milliseconds stopTimeout{};
     /// The fleet's bound on repeated sends: a part of the calls in a window.
--- a/src/membership/host-entry.cc
+++ b/src/membership/host-entry.cc
@@ -40,7 +40,8 @@
 {
     nlohmann::json json = {{"node", entry.node.toString()},
                            {"run", entry.run.value()},
-                           {"dataCentre", entry.dataCentre.value()}};
+                           {"dataCentre", entry.dataCentre.value()},
+                           {"followers", entry.followers}};
     if (entry.server)
         json["server"] = detail::toJson(*entry.server);
     if (entry.isStopping)
@@ -62,6 +63,7 @@
         if (json.contains("server"))
             entry.server = detail::readHostedServer(json.at("server"));
         entry.isStopping = json.value("stopping", false);
+        entry.followers = json.value("followers", 0U);
         return entry;
     } catch (const nlohmann::json::exception &) {
         return fail(ErrorKind::InvalidMessage, "a host entry cannot be read",
--- a/src/platform/wire.cc
+++ b/src/platform/wire.cc
@@ -89,7 +89,8 @@
 {
     return {{"changed", entriesToJson(answer.changed)},
             {"removed", answer.removed},
-            {"storeRevision", answer.storeRevision.value()}};
+            {"storeRevision", answer.storeRevision.value()},
+            {"isWhole", answer.isWhole}};
 }
 
 KeyValue readKeyValue(const json &json)
@@ -116,7 +117,8 @@
 {
     return WatchAnswer{readEntries(json.at("changed")),
                        json.at("removed").get<std::vector<std::string>>(),
-                       ModRevision(json.at("storeRevision").get<std::uint64_t>()), false};
+                       ModRevision(json.at("storeRevision").get<std::uint64_t>()),
+                       json.value("isWhole", false)};
 }
 
 } // namespace cornelhead::detail
--- a/src/sidecar/entry-publisher.cc
+++ b/src/sidecar/entry-publisher.cc
@@ -10,10 +10,10 @@
 constexpr const char *publisherPart = "publisher";
 /// Long enough to outlast a freeze of a few seconds, short enough that a dead host goes soon.
 constexpr Milliseconds leaseTime(6000);
-/// Renewals cost a tenth of a call; three may be lost before the lease lapses.
-constexpr Milliseconds renewPeriod(1700);
-/// Entries must be back within two seconds of the service's return.
-constexpr Milliseconds retryPeriod(400);
+/// A single lost answer does not mean that the service is away.
+constexpr Milliseconds firstRetry(150);
+/// Entries must be back within two seconds of the service's return, and each node asks.
+constexpr Milliseconds retryPeriod(500);
 
 } // namespace
 
@@ -57,7 +57,8 @@
         }
         lease_ = *lease;
         written_.reset();
-        renewLater(true);
+        failuresInRow_ = 0;
+        renewLater(renewPeriod_);
         write();
     });
 }
@@ -79,6 +80,7 @@
                           return;
                       }
                       written_ = value;
+                      failuresInRow_ = 0;
                       onReach_(true, {});
                       write();
                   });
@@ -89,39 +91,68 @@
     log_.write(EventKind::Failure, publisherPart, "publication-failed",
                {{"key", key_}, {"why", error.describe()}});
     written_.reset();
-    if (error.kind == ErrorKind::NotFound)
+    noteFailure(error);
+}
+
+// Until the service answers it is asked by renewals alone, where there is a lease to renew.
+void EntryPublisher::noteFailure(const Error &error)
+{
+    if (error.kind == ErrorKind::NotFound) {
+        // The service is there, but the lease has lapsed or was taken away.
+        failuresInRow_ = 0;
         lease_.reset();
-    else
+        onReach_(true, {});
+        renewLater(Milliseconds(0));
+        return;
+    }
+    if (++failuresInRow_ > 1)
         onReach_(false, error.describe());
-    renewLater(false);
+    renewLater(failuresInRow_ > 1 ? retryPeriod : firstRetry);
 }
 
-void EntryPublisher::renewLater(bool wasReached)
+void EntryPublisher::renewEvery(Milliseconds period)
 {
-    timer_ = loop_.after(wasReached ? renewPeriod : retryPeriod, [this] { renew(); });
+    const bool isSooner = period < renewPeriod_;
+    renewPeriod_ = period;
+    if (isSooner && failuresInRow_ == 0)
+        renewNow();
+}
+
+void EntryPublisher::renewNow()
+{
+    if (!isBusy_)
+        renewLater(Milliseconds(0));
+}
+
+void EntryPublisher::renewLater(Milliseconds pause)
+{
+    timer_ = loop_.after(pause, [this] { renew(); });
 }
 
 void EntryPublisher::renew()
 {
-    if (!lease_ || (wanted_ && wanted_ != written_)) {
-        renewLater(false);
-        write();
+    if (isBusy_)
+        return;
+    if (!lease_) {
+        if (wanted_)
+            grant();
+        else
+            renewLater(renewPeriod_);
         return;
     }
+    isBusy_ = true;
     platform_.keepAlive(*lease_, [this](const Result<void> &result) {
-        if (result) {
-            onReach_(true, {});
-            renewLater(true);
+        isBusy_ = false;
+        if (!result) {
+            if (result.error().kind == ErrorKind::NotFound)
+                written_.reset();
+            noteFailure(result.error());
             return;
         }
-        if (result.error().kind == ErrorKind::NotFound) {
-            lease_.reset();
-            written_.reset();
-            write();
-        } else {
-            onReach_(false, result.error().describe());
-        }
-        renewLater(false);
+        failuresInRow_ = 0;
+        onReach_(true, {});
+        renewLater(renewPeriod_);
+        write();
     });
 }
 
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -1,9 +1,11 @@
-// Implements the node's view of the fleet over watches, a lease and, at need, other nodes.
+// Implements the node's view of the fleet.
 #include "cornelhead/sidecar/fleet-sync.h"
 
 #include <nlohmann/json.hpp>
 
+#include "cornelhead/membership/relay-choice.h"
 #include "cornelhead/sidecar/entry-publisher.h"
+#include "cornelhead/sidecar/store-follower.h"
 
 namespace cornelhead {
 namespace detail {
@@ -13,22 +15,14 @@
 constexpr const char *hostPrefix = "cornelhead/hosts/";
 constexpr const char *movePrefix = "cornelhead/moves/";
 
-/// A long poll is one priced call however long it waits; the service allows at most 30 s.
-constexpr Milliseconds watchWait(20000);
-/// Changes come in series; those within this time share one call.  A longer series shares more, as
-/// a change must be in force only after two seconds.
-constexpr Milliseconds watchPause(300);
-constexpr Milliseconds seriesPause(900);
-/// Entries of hosts may be older, as a host refuses truthfully what it cannot take, and each change
-/// costs a call of every node.
-constexpr Milliseconds hostsPause(600);
-constexpr Milliseconds hostsSeriesPause(1500);
-constexpr Milliseconds seriesGap(2500);
-/// Bytes that take a link of 10 Mbit/s a twentieth of a second.
-constexpr std::size_t longAnswer = 64 * 1024;
-constexpr Milliseconds callTimeout(1500);
+/// The service answers in milliseconds, when it is slow in some hundreds.
+constexpr Milliseconds callTimeout(1000);
 /// The service allows a few hundred calls a second over all nodes, which all come back at once.
 constexpr Milliseconds retryPause(300);
+/// Renewals cost a tenth of a call; the first keeps a lease of six seconds over two lost ones, the
+/// second is a relay's, whose followers must learn within a second that it lost the service.
+constexpr Milliseconds usualRenewal(1700);
+constexpr Milliseconds relayRenewal(600);
 /// Other nodes are asked after the service has been silent for so long, and then at this period.
 constexpr Milliseconds peerPeriod(500);
 constexpr Milliseconds peerTimeout(400);
@@ -54,6 +48,7 @@
     FleetHandlers handlers;
     PlatformClient platform;
     HttpClient peers;
+    detail::StoreFollower follower;
     detail::EntryPublisher publisher;
     HostDirectory directory;
     std::shared_ptr<const RouteTable> configuration;
@@ -62,23 +57,6 @@
     std::map<std::string, KeyValue> orders;
     std::map<std::string, KeyValue> moves;
 
-    struct Watch
-    {
-        std::string prefix;
-        ModRevision after;
-        bool isListed = false;
-        // Rises when a watch is abandoned, so that its late answer is ignored.
-        std::uint64_t generation = 0;
-        TimePoint lastChange{};
-        /// After a change, and after one of a series.
-        Milliseconds pauseTime{};
-        Milliseconds seriesPause{};
-        Timer pause;
-    };
-    Watch operatorWatch;
-    Watch ownWatch;
-    bool isReachable = false;
-    bool wasEverReachable = false;
     Timer peerTimer;
     Timer leadTimer;
     Address leadPeer;
@@ -90,105 +68,41 @@
         : loop(taskLoop), dialect(names), self(ownAddress), log(eventLog), random(seed),
           handlers(std::move(fleetHandlers)),
           platform(loop, {platformAddress}, detail::callTimeout, metrics, names.store), peers(loop),
+          follower(loop, platform, names.operatorPrefix, detail::ownPrefix, log, seed + 1,
+                   followerHandlers()),
           publisher(loop, platform, detail::hostPrefix + ownAddress.toString(), log,
-                    [this](bool reached, const std::string &why) { noteReach(reached, why); })
-    {
-        operatorWatch.prefix = names.operatorPrefix;
-        operatorWatch.pauseTime = detail::watchPause;
-        operatorWatch.seriesPause = detail::seriesPause;
-        ownWatch.prefix = detail::ownPrefix;
-        ownWatch.pauseTime = detail::hostsPause;
-        ownWatch.seriesPause = detail::hostsSeriesPause;
-    }
+                    [this](bool reached, const std::string &why) {
+                        follower.noteReach(reached, why);
+                    })
+    { }
 
-    // Lists or watches, whichever is due, and goes on for ever.
-    void follow(Watch &watch)
+    detail::FollowerHandlers followerHandlers()
     {
-        const std::uint64_t generation = ++watch.generation;
-        const auto take = [this, &watch, generation](Result<WatchAnswer> answer) {
-            if (generation == watch.generation)
-                takeAnswer(watch, std::move(answer));
-        };
-        if (watch.isListed) {
-            platform.watch(watch.prefix, watch.after, detail::watchWait, take);
-            return;
-        }
-        platform.list(watch.prefix, [take](Result<Listing> listing) {
-            if (!listing)
-                take(tl::unexpected(listing.error()));
+        detail::FollowerHandlers followed;
+        followed.onAnswer = [this](Subtree subtree, const WatchAnswer &answer) {
+            if (subtree == Subtree::Operators)
+                applyOperator(answer);
             else
-                take(WatchAnswer{std::move(listing->entries), {}, listing->storeRevision, true});
-        });
-    }
-
-    void takeAnswer(Watch &watch, Result<WatchAnswer> answer)
-    {
-        if (!answer) {
-            noteReach(false, answer.error().describe());
-            followLater(watch, detail::retryPause + random.jitter(detail::retryPause));
-            return;
-        }
-        noteReach(true);
-        watch.after = std::max(watch.after, answer->storeRevision);
-        const bool wasListing = !std::exchange(watch.isListed, true);
-        apply(watch, *answer);
-        if (wasListing) {
-            follow(watch);
-            return;
-        }
-        const TimePoint time = now(SteadyClock());
-        const bool isSeries = time - watch.lastChange < detail::seriesGap;
-        watch.lastChange = time;
-        // A watch would bring every version of a series, a listing only the last.
-        if (isSeries && sizeOf(*answer) > detail::longAnswer)
-            watch.isListed = false;
-        followLater(watch, isSeries ? watch.seriesPause : watch.pauseTime);
-    }
-
-    static std::size_t sizeOf(const WatchAnswer &answer)
-    {
-        std::size_t bytes = 0;
-        for (const KeyValue &entry : answer.changed)
-            bytes += entry.value.size();
-        return bytes;
-    }
-
-    void followLater(Watch &watch, Milliseconds pause)
-    {
-        watch.pause = loop.after(pause, [this, &watch] { follow(watch); });
+                applyOwn(answer);
+        };
+        followed.chooseRelay = [this](const std::set<Address> &avoided) {
+            return chooseRelay(self, directory.hosts(), avoided);
+        };
+        followed.onDirect = [this] { publisher.renewNow(); };
+        followed.onCurrent = [this](bool isCurrent) { noteCurrent(isCurrent); };
+        return followed;
     }
 
-    void noteReach(bool reached, const std::string &why = {})
+    void noteCurrent(bool isCurrent)
     {
-        if (std::exchange(isReachable, reached) == reached)
-            return;
-        if (!reached) {
-            log.write(EventKind::Lifecycle, detail::syncPart, "dependency-lost",
-                      {{"dependency", "platform"}, {"why", why}});
+        if (isCurrent) {
+            peerTimer = Timer();
+            directory.restartGrace(now(SteadyClock()));
+        } else {
             peerTimer = loop.every(detail::peerPeriod, [this] { askRandomPeer(); });
-            return;
-        }
-        log.write(EventKind::Lifecycle, detail::syncPart, "dependency-regained",
-                  {{"dependency", "platform"}});
-        peerTimer = Timer();
-        directory.restartGrace(now(SteadyClock()));
-        // A long poll from before may hang on a path that was lost.
-        if (std::exchange(wasEverReachable, true)) {
-            operatorWatch.isListed = false;
-            ownWatch.isListed = false;
-            followLater(operatorWatch, Milliseconds(0));
-            followLater(ownWatch, Milliseconds(0));
         }
     }
 
-    void apply(Watch &watch, const WatchAnswer &answer)
-    {
-        if (&watch == &operatorWatch)
-            applyOperator(answer);
-        else
-            applyOwn(answer);
-    }
-
     void applyOperator(const WatchAnswer &answer)
     {
         // A series of changes holds each version whole; only the last of a key matters.
@@ -395,7 +309,8 @@
         for (const auto &entry : hosts) {
             const Result<HostEntry> host = decodeHostEntry(entry.get<std::string>());
             if (host && host->node != self)
-                isChanged |= isReachable ? false : directory.putFromPeer(*host, now(SteadyClock()));
+                isChanged |= !follower.isCurrent()
+                        && directory.putFromPeer(*host, now(SteadyClock()));
         }
         if (isChanged)
             handlers.onHosts();
@@ -494,8 +409,7 @@
 
 void FleetSync::start()
 {
-    impl_->follow(impl_->operatorWatch);
-    impl_->follow(impl_->ownWatch);
+    impl_->follower.start();
 }
 
 void FleetSync::publish(const HostEntry &entry)
@@ -515,7 +429,7 @@
 
 bool FleetSync::isServiceReachable() const
 {
-    return impl_->isReachable;
+    return impl_->follower.isReachable();
 }
 
 const HostDirectory &FleetSync::directory() const
@@ -528,13 +442,27 @@
     return impl_->configuration;
 }
 
-void FleetSync::removeGone(const std::function<bool(const Address &)> &answeredLately)
+void FleetSync::sweep(const std::function<bool(const Address &)> &answeredLately)
 {
+    impl_->follower.sweep();
+    impl_->publisher.renewEvery(impl_->follower.feed().hasFollowers() ? detail::relayRenewal
+                                                                      : detail::usualRenewal);
     // While nothing is heard of the service, absence says nothing.
-    if (impl_->isReachable && impl_->directory.removeGone(now(SteadyClock()), answeredLately))
+    if (impl_->follower.isCurrent()
+        && impl_->directory.removeGone(now(SteadyClock()), answeredLately))
         impl_->handlers.onHosts();
 }
 
+void FleetSync::serveFollower(evhttp_request *request)
+{
+    impl_->follower.feed().serve(request);
+}
+
+void FleetSync::dropFollowers()
+{
+    impl_->follower.feed().drop();
+}
+
 void FleetSync::writeMove(const VersionMove &move, ModRevision expected)
 {
     impl_->writeMove(move, expected);
--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -22,6 +22,7 @@
   --readiness ADDRESS      Readiness checks and metrics. [default: 127.0.0.1:8081]
   --control ADDRESS        Where the backend server announces itself. [default: 127.0.0.1:8083]
   --platform ADDRESS       Address of the platform's service. [default: 127.0.0.1:8090]
+  --link-mbps RATE         What this host's link carries, in Mbit/s. [default: 1000]
   --stop-timeout DURATION  How long a stopping process may live. [default: 6s]
   --retry-ratio RATIO      Repeated sends allowed for each call, over all nodes. [default: 0.2]
   --retry-window DURATION  The window in which that holds. [default: 10s]
@@ -44,6 +45,7 @@
     sidecar.readiness = settings.address("--readiness");
     sidecar.control = settings.address("--control");
     sidecar.platform = settings.address("--platform");
+    sidecar.linkMbps = settings.real("--link-mbps", 0.1, 1e6);
     sidecar.stopTimeout
             = settings.duration("--stop-timeout", Milliseconds(100), std::chrono::hours(1));
     sidecar.retryRatio = settings.real("--retry-ratio", 0.0, 1.0);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -11,9 +11,11 @@
 
 #include "cornelhead/base/event-log.h"
 #include "cornelhead/base/random.h"
+#include "cornelhead/membership/relay-choice.h"
 #include "cornelhead/proxy/counters.h"
 #include "cornelhead/proxy/listener.h"
 #include "cornelhead/proxy/request-head.h"
+#include "cornelhead/sidecar/change-feed.h"
 #include "cornelhead/sidecar/entry-side.h"
 #include "cornelhead/sidecar/exchange.h"
 #include "cornelhead/sidecar/fleet-sync.h"
@@ -143,6 +145,12 @@
         });
     }
 
+    // The listeners, which own the requests of followers, are destroyed before the view of the
+    // fleet.
+    ~Impl() { fleet.dropFollowers(); }
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+
     FleetHandlers fleetHandlers()
     {
         FleetHandlers handlers;
@@ -216,6 +224,7 @@
         own.dataCentre = settings.dataCentre;
         own.server = local.published();
         own.isStopping = isServerClosed;
+        own.followers = followersOfLink(settings.linkMbps);
         fleet.publish(own);
     }
 
@@ -276,9 +285,13 @@
             serving.serve(request);
             return;
         }
-        detail::Exchange exchange(loop, request);
         const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
         const std::string path = uri && evhttp_uri_get_path(uri) ? evhttp_uri_get_path(uri) : "";
+        if (path == changeFeedPath) {
+            fleet.serveFollower(request);
+            return;
+        }
+        detail::Exchange exchange(loop, request);
         if (path == peerStatePath)
             exchange.send(
                     detail::OwnAnswer{detail::statusOk, {}, fleet.renderState(heldRevision(uri))});
@@ -359,7 +372,7 @@
         outbound.resumeAccepting();
         inbound.resumeAccepting();
         const TimePoint time = now(SteadyClock());
-        fleet.removeGone([this, time](const Address &node) {
+        fleet.sweep([this, time](const Address &node) {
             const Placement::Host host = entry.placement().find(node);
             return host && time - host->answeredAt < detail::answeredLately;
         });
--- /dev/null
+++ b/test/membership/relay-choice-test.cc
@@ -0,0 +1,78 @@
+// Tests which nodes follow the service for the others.
+#include <boost/test/unit_test.hpp>
+
+#include "cornelhead/membership/relay-choice.h"
+
+namespace cornelhead {
+
+struct RelayFixture
+{
+    std::map<Address, HostDirectory::Known> hosts;
+
+    static Address addressOf(int number)
+    {
+        return Address{"10.0.0." + std::to_string(100 + number), 8000};
+    }
+    HostDirectory::Known &add(int number, double linkMbps, const std::string &dataCentre = "akl-a")
+    {
+        HostEntry entry;
+        entry.node = addressOf(number);
+        entry.dataCentre = DataCentreId(dataCentre);
+        entry.followers = followersOfLink(linkMbps);
+        return hosts[entry.node] = HostDirectory::Known{entry, std::nullopt};
+    }
+    std::map<Address, std::size_t> followersByRelay(const std::set<Address> &avoided = {}) const
+    {
+        std::map<Address, std::size_t> relays;
+        for (const auto &[node, known] : hosts) {
+            if (const auto relay = chooseRelay(node, hosts, avoided))
+                ++relays[*relay];
+        }
+        return relays;
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(relay_choice, RelayFixture)
+
+BOOST_AUTO_TEST_CASE(oneWideLinkFeedsItsDataCentre)
+{
+    for (int i = 0; i < 20; ++i)
+        add(i, i == 7 ? 200.0 : 10.0);
+    add(40, 1000.0, "akl-b");
+    const auto relays = followersByRelay();
+    BOOST_REQUIRE(relays.size() == 1U);
+    BOOST_TEST((relays.begin()->first == addressOf(7)));
+    BOOST_TEST(relays.begin()->second == 19U);
+    BOOST_TEST(!chooseRelay(addressOf(40), hosts, {}));
+}
+
+BOOST_AUTO_TEST_CASE(narrowLinksShareTheirFollowers)
+{
+    for (int i = 0; i < 20; ++i)
+        add(i, 10.0);
+    std::size_t followers = 0;
+    for (const auto &[relay, fed] : followersByRelay()) {
+        BOOST_TEST(fed <= followersOfLink(10.0));
+        BOOST_TEST(!chooseRelay(relay, hosts, {}));
+        followers += fed;
+    }
+    BOOST_TEST(followers >= 15U);
+}
+
+BOOST_AUTO_TEST_CASE(stoppingAbsentAndAvoidedNodesFeedNobody)
+{
+    for (int i = 0; i < 6; ++i)
+        add(i, 1000.0);
+    hosts.at(addressOf(0)).entry.isStopping = true;
+    hosts.at(addressOf(1)).absentSince = TimePoint(Milliseconds(1));
+    BOOST_TEST((chooseRelay(addressOf(5), hosts, {}) == addressOf(2)));
+    BOOST_TEST((chooseRelay(addressOf(5), hosts, {addressOf(2)}) == addressOf(3)));
+    // Nobody else is left.
+    const std::set<Address> others = {addressOf(2), addressOf(3), addressOf(4)};
+    BOOST_TEST(!chooseRelay(addressOf(5), hosts, others));
+    BOOST_TEST(!chooseRelay(addressOf(9), hosts, {}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- /dev/null
+++ b/test/platform/change-journal-test.cc
@@ -0,0 +1,99 @@
+// Tests that a journal tells its readers what the service itself would tell them.
+#include <boost/test/unit_test.hpp>
+
+#include "cornelhead/base/random.h"
+#include "cornelhead/platform/change-journal.h"
+#include "support/property.h"
+
+namespace cornelhead {
+
+KeyValue entryOf(const std::string &key, const std::string &value, std::uint64_t revision)
+{
+    return KeyValue{key, value, ModRevision(revision)};
+}
+
+BOOST_AUTO_TEST_SUITE(change_journal)
+
+BOOST_AUTO_TEST_CASE(readerBeforeTheFirstListingGetsTheWhole)
+{
+    ChangeJournal journal;
+    journal.take({{entryOf("a", "1", 4), entryOf("b", "1", 7)}, {}, ModRevision(9), true});
+    const WatchAnswer whole = journal.since(ModRevision(8));
+    BOOST_TEST(whole.isWhole);
+    BOOST_TEST(whole.changed.size() == 2U);
+    BOOST_TEST(whole.storeRevision.value() == 9U);
+    const WatchAnswer nothing = journal.since(ModRevision(9));
+    BOOST_TEST(!nothing.isWhole);
+    BOOST_TEST(nothing.changed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(removalsAreToldOnceToEachReader)
+{
+    ChangeJournal journal;
+    journal.take({{entryOf("a", "1", 4), entryOf("b", "1", 7)}, {}, ModRevision(9), true});
+    journal.take({{}, {"a"}, ModRevision(11), false});
+    BOOST_TEST(journal.hasChangesSince(ModRevision(9)));
+    BOOST_REQUIRE(journal.since(ModRevision(9)).removed.size() == 1U);
+    BOOST_TEST(journal.since(ModRevision(11)).removed.empty());
+    BOOST_TEST(!journal.hasChangesSince(ModRevision(11)));
+}
+
+BOOST_AUTO_TEST_CASE(listingAfterAGapTellsWhatIsGone)
+{
+    ChangeJournal journal;
+    journal.take({{entryOf("a", "1", 4), entryOf("b", "1", 7)}, {}, ModRevision(9), true});
+    journal.take({{entryOf("b", "2", 15)}, {}, ModRevision(20), true});
+    const WatchAnswer changes = journal.since(ModRevision(9));
+    BOOST_TEST(!changes.isWhole);
+    BOOST_REQUIRE(changes.removed.size() == 1U);
+    BOOST_TEST(changes.removed.front() == "a");
+    BOOST_TEST(changes.changed.front().value == "2");
+}
+
+// A reader that was fed by another journal, which was further, must not be set back.
+BOOST_AUTO_TEST_CASE(readerThatIsFurtherHearsNothing)
+{
+    ChangeJournal journal;
+    journal.take({{entryOf("a", "1", 4)}, {}, ModRevision(9), true});
+    const WatchAnswer nothing = journal.since(ModRevision(30));
+    BOOST_TEST(nothing.changed.empty());
+    BOOST_TEST(!nothing.isWhole);
+    BOOST_TEST(nothing.storeRevision.value() == 30U);
+}
+
+BOOST_AUTO_TEST_CASE(readerThatPollsNowAndThenHoldsWhatTheServiceHolds)
+{
+    Random random{testSeed(23)};
+    ChangeJournal journal;
+    std::map<std::string, std::string> store;
+    std::map<std::string, std::string> reader;
+    ModRevision after;
+    std::uint64_t revision = 1;
+    journal.take({{}, {}, ModRevision(revision), true});
+    for (int i = 0; i < 20'000; ++i) {
+        const std::string key = "k" + std::to_string(random.below(40));
+        ++revision;
+        if (random.chance(0.4)) {
+            store.erase(key);
+            journal.take({{}, {key}, ModRevision(revision), false});
+        } else {
+            store[key] = std::to_string(revision);
+            journal.take({{entryOf(key, store[key], revision)}, {}, ModRevision(revision), false});
+        }
+        if (!random.chance(0.004))
+            continue;
+        const WatchAnswer answer = journal.since(after);
+        after = answer.storeRevision;
+        if (answer.isWhole)
+            reader.clear();
+        for (const KeyValue &entry : answer.changed)
+            reader[entry.key] = entry.value;
+        for (const std::string &removed : answer.removed)
+            reader.erase(removed);
+        BOOST_REQUIRE(reader == store);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
--- a/test/support/users-store.h
+++ b/test/support/users-store.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <list>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -21,7 +22,7 @@
     explicit UsersStore(EventLoop &loop) : loop_(loop), server_(loop, {})
     {
         server_.setHandler([this](const HttpRequest &request, const Responder &responder) {
-            ++calls;
+            ++callsTo[request.path.substr(0, request.path.find('/', 1))];
             serve(request, responder);
         });
         address = listenOnFreePort(
@@ -59,7 +60,8 @@
     bool garbles = false;
     /// Items of a page.
     std::size_t page = 500;
-    std::size_t calls = 0;
+    /// Calls by the first part of their path.
+    std::map<std::string, std::size_t> callsTo;
 
 private:
     struct Watch
