--- a/src/sidecar/store-follower.cc
+++ b/src/sidecar/store-follower.cc
@@ -225,11 +225,12 @@
 {
     const HttpRequest request{
             HttpMethod::Get, encodeFeedPoll({watches_[0].after, watches_[1].after}), {}, {}, {}};
-    peers_.send(*relay_, request, feedWait + feedGrace,
-                [this, relay = *relay_, generation = generation_](const Result<HttpResponse> &answer) {
-                    if (generation == generation_)
-                        takeFeed(relay, answer);
-                });
+    peers_.send(
+            *relay_, request, feedWait + feedGrace,
+            [this, relay = *relay_, generation = generation_](const Result<HttpResponse> &answer) {
+                if (generation == generation_)
+                    takeFeed(relay, answer);
+            });
 }
 
 void StoreFollower::takeFeed(const Address &relay, const Result<HttpResponse> &answer)
