Renew the lease also when a renewal falls due during another call

Cause: found in the read of the diff: a renewal that fell due while a write waited for its answer was dropped and nothing set the timer again, so the lease lapsed after six seconds and the host's entry was away until the lapse was heard of.

--- a/src/sidecar/entry-publisher.cc
+++ b/src/sidecar/entry-publisher.cc
@@ -10,7 +10,7 @@
 constexpr const char *publisherPart = "publisher";
 /// Long enough to outlast a freeze of a few seconds, short enough that a dead host goes soon.
 constexpr Milliseconds leaseTime(6000);
-/// A single lost answer does not mean that the service is away.
+/// A single lost answer does not mean that the service is away, and one call is made at a time.
 constexpr Milliseconds firstRetry(150);
 /// Entries must be back within two seconds of the service's return, and each node asks.
 constexpr Milliseconds retryPeriod(500);
@@ -131,8 +131,10 @@
 
 void EntryPublisher::renew()
 {
-    if (isBusy_)
+    if (isBusy_) {
+        renewLater(firstRetry);
         return;
+    }
     if (!lease_) {
         if (wanted_)
             grant();
--- a/test/adapter/relay-test.cc
+++ b/test/adapter/relay-test.cc
@@ -108,6 +108,17 @@
     awaitRoute("/after/1");
 }
 
+// The renewal falls due while a write of the same node waits for its answer.
+BOOST_AUTO_TEST_CASE(leaseIsRenewedThoughTheServiceAnswersWritesLate)
+{
+    const std::size_t grants = store.callsTo["/kv-lease"];
+    store.writeDelay = Milliseconds(800);
+    announce(relay(), "v1", "draining");
+    // Longer than a lease lasts.
+    loop.runFor(Milliseconds(8000));
+    BOOST_TEST(store.callsTo["/kv-lease"] == grants);
+}
+
 BOOST_AUTO_TEST_CASE(brokenPollsAreRefused)
 {
     for (const char *bad : {"", "?", "?5", "?5-", "?5-6-7", "?x-6", "?-6"}) {
--- a/test/support/users-store.h
+++ b/test/support/users-store.h
@@ -56,6 +56,8 @@
     std::optional<int> refuseWith;
     /// Does writes, but closes the connection in place of an answer.
     bool losesWriteAnswers = false;
+    /// Writes take effect at once, but are answered only after it.
+    Milliseconds writeDelay{};
     /// Answers with bytes that are no message.
     bool garbles = false;
     /// Items of a page.
@@ -104,6 +106,9 @@
         const HttpResponse answer = run(request);
         if (isWrite && losesWriteAnswers)
             responder.drop();
+        else if (request.path == "/kv-txn" && writeDelay > Milliseconds(0))
+            late_.push_back(
+                    loop_.after(writeDelay, [responder, answer] { responder.send(answer); }));
         else
             responder.send(answer);
         announce();
@@ -215,6 +220,7 @@
     HttpServer server_;
     std::list<Watch> watches_;
     std::map<std::string, LeaseId> leases_;
+    std::list<Timer> late_;
     Timer tick_;
 };
 
