List the operators' keys again after an outage or a lost relay

Test: operatorsKeysAreListedAfterAnOutage, failing before, passing after. One listing a node more after each outage.

--- a/src/sidecar/store-follower.cc
+++ b/src/sidecar/store-follower.cc
@@ -70,6 +70,8 @@
 void StoreFollower::restartWatches()
 {
     ++generation_;
+    // Configurations are long, and a watch would bring every version since.
+    watches_[0].isListed = false;
     for (Watch &watch : watches_) {
         watch.failuresInRow = 0;
         follow(watch);
--- a/test/adapter/relay-test.cc
+++ b/test/adapter/relay-test.cc
@@ -108,6 +108,19 @@
     awaitRoute("/after/1");
 }
 
+// A watch would bring every version since, which a narrow link carries for seconds.
+BOOST_AUTO_TEST_CASE(operatorsKeysAreListedAfterAnOutage)
+{
+    store.refuseWith = 503;
+    loop.runFor(Milliseconds(1500));
+    for (int i = 0; i < 5; ++i)
+        configureRoute("0000001" + std::to_string(i), "r" + std::to_string(i));
+    const std::size_t listings = store.callsTo["/kv-range"];
+    store.refuseWith.reset();
+    awaitRoute("/r4/1");
+    BOOST_TEST(store.callsTo["/kv-range"] > listings);
+}
+
 // The renewal falls due while a write of the same node waits for its answer.
 BOOST_AUTO_TEST_CASE(leaseIsRenewedThoughTheServiceAnswersWritesLate)
 {
