--- a/test/adapter/sidecar-path-test.cc
+++ b/test/adapter/sidecar-path-test.cc
@@ -26,6 +26,15 @@
     {
         return call(entry->settings.outbound, requestTo(path, HttpMethod::Post, "seat=4"));
     }
+    /// The behaviour of a server whose version fails every call.
+    static void failCall(const HttpRequest &request, const Responder &responder)
+    {
+        responder.send(HttpResponse{
+                500,
+                {{"Cornelhead-Request-Id", FakeServer::header(request, "Cornelhead-Request-Id")},
+                 {"Cornelhead-Server-Seal", "seal"}},
+                {}});
+    }
     void setBehaviour(std::function<void(const HttpRequest &, const Responder &)> behaviour)
     {
         for (SidecarHost &host : hosts)
@@ -327,13 +336,7 @@
 BOOST_AUTO_TEST_CASE(badVersionIsTakenBackAndGetsNothingMore)
 {
     SidecarHost &newer = add("bookings", "b3", "akl-a", "v2");
-    newer.server->behaviour = [](const HttpRequest &request, const Responder &responder) {
-        responder.send(HttpResponse{
-                500,
-                {{"Cornelhead-Request-Id", FakeServer::header(request, "Cornelhead-Request-Id")},
-                 {"Cornelhead-Server-Seal", "seal"}},
-                {}});
-    };
+    newer.server->behaviour = failCall;
     store.write("op/rollout/bookings",
                 R"({"service":"bookings","target-version":"v2","ramp":"12s"})");
     waitUntil([&] {
@@ -353,13 +356,7 @@
 {
     SidecarHost &newer = add("bookings", "b3", "akl-a", "v2");
     settle();
-    newer.server->behaviour = [](const HttpRequest &request, const Responder &responder) {
-        responder.send(HttpResponse{
-                500,
-                {{"Cornelhead-Request-Id", FakeServer::header(request, "Cornelhead-Request-Id")},
-                 {"Cornelhead-Server-Seal", "seal"}},
-                {}});
-    };
+    newer.server->behaviour = failCall;
     store.write("op/rollout/bookings",
                 R"({"service":"bookings","target-version":"v2","ramp":"60s"})");
     const NodeId oldRun = runOf(hosts[1]);
