Log and count what a server names in its responses, and the calls it gets

Change: Server-Limit and Server-Leaving are read, logged (server-notice, limited-server-calls) and counted. Nothing acts on them yet.

--- a/include/cornelhead/membership/local-server.h
+++ b/include/cornelhead/membership/local-server.h
@@ -6,6 +6,7 @@
 
 #include "cornelhead/base/clock.h"
 #include "cornelhead/membership/host-entry.h"
+#include "cornelhead/membership/server-notice.h"
 
 namespace cornelhead {
 
@@ -42,6 +43,8 @@
 
     UpdateResult apply(const ServerAnnouncement &announcement);
     UpdateResult apply(const ServerDeparture &departure);
+    /// Applies what the known server reported in a response.
+    UpdateResult apply(const ServerNotice &notice);
     /// Sets the server from what an earlier run of this node published, as down until it passes a
     /// health check: it may have announced to the earlier run that it leaves, and a late heartbeat
     /// may say otherwise.  Returns false if a server is known already.
@@ -59,6 +62,8 @@
     std::optional<HostedServer> published() const;
     /// The server, or null unless it may receive new calls.
     const HostedServer *usable() const;
+    /// What the known run of the server last reported in a response.
+    const ServerNotice &notice() const { return notice_; }
     bool isDown() const { return isDown_; }
     bool hasServer() const { return server_.has_value(); }
     /// Returns whether no server is known, or the known one has announced that it leaves for good.
@@ -68,6 +73,8 @@
     std::optional<HostedServer> server_;
     std::int64_t startedAtMs_ = 0;
     std::uint64_t sequence_ = 0;
+    // Of the current run; empty until its first response.
+    ServerNotice notice_;
     bool isDown_ = false;
     // The server was adopted and has not passed a health check since.
     bool isUnconfirmed_ = false;
--- a/include/cornelhead/sidecar/dialect.h
+++ b/include/cornelhead/sidecar/dialect.h
@@ -36,6 +36,10 @@
     std::string serverId;
     /// Seconds after which a refused caller may retry; may hold a fraction.
     std::string retryAfter;
+    /// Calls per second that the responding server accepts from all hosts together.
+    std::string serverLimit;
+    /// The responding server accepts no further calls.
+    std::string serverLeaving;
 };
 
 /// What a backend server reports to its node.
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 #include "cornelhead/base/event-log.h"
 #include "cornelhead/membership/local-server.h"
@@ -85,6 +87,10 @@
     void onCallEnd(InboundCall &call);
     void recordResponse(const InboundCall &call, bool isFailure, Microseconds duration);
     void recordBrokenCall(const InboundCall &call);
+    /// Applies what the server reported about itself in the headers of a response.
+    void observeNotice(std::string_view limit, std::string_view leaving);
+    void logLimitedCalls();
+    void countServerCall();
     void onConnectFailed();
     void onHealthResponse(const HttpResponse &response);
     Milliseconds maxReuseAge() const { return maxReuseAge_; }
@@ -98,6 +104,8 @@
     EventLog &log_;
     InboundHandlers handlers_;
     Counter &refusals_;
+    Counter &serverCalls_;
+    Gauge &serverLimit_;
     UpstreamPool pool_;
     HttpClient healthClient_;
     ServerGate gate_;
@@ -120,6 +128,9 @@
     // crashed, with the time of the break.
     std::vector<std::pair<SuspectedDeath, TimePoint>> brokenCalls_;
     Timer startTimer_;
+    // Calls sent to the server since `limitedSince_`, which is set while the server names a limit.
+    std::uint64_t limitedCalls_ = 0;
+    std::optional<TimePoint> limitedSince_;
     bool isStartScheduled_ = false;
     bool isProbing_ = false;
     bool isStopping_ = false;
--- a/src/membership/local-server.cc
+++ b/src/membership/local-server.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/membership/local-server.h"
 
 #include <tuple>
+#include <utility>
 
 namespace cornelhead {
 
@@ -23,6 +24,8 @@
     if (wasDraining)
         server.state = ServerState::Draining;
     isUnconfirmed_ = isUnconfirmed_ && !isNewRun;
+    if (isNewRun)
+        notice_ = ServerNotice();
     const bool isChanged = isDown_ != isUnconfirmed_ || server_ != server;
     startedAtMs_ = announcement.startedAtMs;
     sequence_ = announcement.sequence;
@@ -42,6 +45,12 @@
     return isChanged ? UpdateResult::Changed : UpdateResult::Unchanged;
 }
 
+LocalServer::UpdateResult LocalServer::apply(const ServerNotice &notice)
+{
+    return std::exchange(notice_, notice) == notice ? UpdateResult::Unchanged
+                                                    : UpdateResult::Changed;
+}
+
 bool LocalServer::adopt(const HostedServer &published)
 {
     if (server_)
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -83,6 +83,7 @@
         timer_ = proxy_.loop_.after(std::max(timeLeft, Milliseconds(0)) + deadlineGrace,
                                     [this] { onTimeout(); });
     });
+    proxy_.countServerCall();
     attempt_->send(evhttp_request_get_command(exchange_->request()),
                    evhttp_request_get_uri(exchange_->request()));
 }
@@ -157,11 +158,16 @@
         proxy_.handlers_.onServerChanged();
         return;
     }
-    if (!isForeign && !findHeader(headers, names.notRun.c_str()).empty()) {
+    const bool isNotRun = !isForeign && !findHeader(headers, names.notRun.c_str()).empty();
+    const bool isValid = isValidResponse(response);
+    if (isNotRun || isValid)
+        proxy_.observeNotice(findHeader(headers, names.serverLimit.c_str()),
+                             findHeader(headers, names.serverLeaving.c_str()));
+    if (isNotRun) {
         finish(HopResult::Shed, HopReason::Overload);
         return;
     }
-    if (!isValidResponse(response)) {
+    if (!isValid) {
         proxy_.log_.write(EventKind::Failure, inboundPart, "answer-refused",
                           {{"id", id_}, {"status", status}, {"answeredId", id}});
         proxy_.recordResponse(*this, true, Microseconds(0));
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -23,6 +23,8 @@
 /// Connections that broke within this time before the server was found down are attributed to its
 /// crash.
 constexpr Milliseconds deathWindow(1000);
+/// Interval of log lines about the calls that a limited server gets.
+constexpr Milliseconds limitedCallsInterval(4000);
 /// Share of the remaining objective by which a call must end at the server; the rest covers the
 /// network and errors of the estimates.
 constexpr double objectiveShare = 0.85;
@@ -71,6 +73,8 @@
     : loop_(loop), dialect_(dialect), run_(run), server_(server), local_(local), poison_(poison),
       log_(log), handlers_(std::move(handlers)),
       refusals_(metrics.counter("cornelhead_serving_refusals_total")),
+      serverCalls_(metrics.counter("cornelhead_server_calls_total")),
+      serverLimit_(metrics.gauge("cornelhead_server_limit_per_1000_s")),
       pool_(loop.base(), metrics.counter("cornelhead_server_connections_total")),
       healthClient_(loop), maxReuseAge_(defaultMaxReuseAge)
 { }
@@ -294,6 +298,47 @@
                               time);
 }
 
+void InboundProxy::observeNotice(std::string_view limit, std::string_view leaving)
+{
+    const Result<ServerNotice> notice = readServerNotice(limit, leaving);
+    if (!notice) {
+        log_.write(EventKind::Failure, inboundPart, "server-notice-refused",
+                   {{"why", notice.error().describe()}});
+        return;
+    }
+    if (local_.apply(*notice) != LocalServer::UpdateResult::Changed)
+        return;
+    logLimitedCalls();
+    const double perSecond = notice->limit ? notice->limit->perSecond() : 0.0;
+    serverLimit_.set(static_cast<std::int64_t>(perSecond * 1000.0));
+    log_.write(EventKind::StateChange, inboundPart, "server-notice",
+               {{"isLimited", notice->limit.has_value()},
+                {"limitPerSecond", perSecond},
+                {"isLeaving", notice->isLeaving}});
+}
+
+void InboundProxy::countServerCall()
+{
+    serverCalls_.add();
+    ++limitedCalls_;
+}
+
+// Logs how many calls the limited server got since the last such line.
+void InboundProxy::logLimitedCalls()
+{
+    const TimePoint time = now(SteadyClock());
+    const auto since = limitedSince_;
+    const std::optional<CallRate> limit = local_.notice().limit;
+    limitedSince_ = limit ? std::optional(time) : std::nullopt;
+    const std::uint64_t calls = std::exchange(limitedCalls_, 0);
+    if (!since)
+        return;
+    log_.write(EventKind::StateChange, inboundPart, "limited-server-calls",
+               {{"calls", calls},
+                {"overMs", std::chrono::duration_cast<Milliseconds>(time - *since).count()},
+                {"limitPerSecond", limit ? limit->perSecond() : 0.0}});
+}
+
 void InboundProxy::onConnectFailed()
 {
     pool_.dropIdle(server_, TimePoint::max());
@@ -353,6 +398,8 @@
                   [&](const auto &entry) { return time - entry.second > deathWindow; });
     work_.decay(CallRecords::sweepPeriod);
     pool_.closeIdle(time - maxReuseAge_);
+    if (limitedSince_ && time - *limitedSince_ >= limitedCallsInterval)
+        logLimitedCalls();
     poison_.expire(time);
 }
 
--- a/test/membership/local-server-test.cc
+++ b/test/membership/local-server-test.cc
@@ -40,6 +40,18 @@
     BOOST_TEST(!server.usable());
 }
 
+BOOST_AUTO_TEST_CASE(noticeHoldsForOneRunOfTheServer)
+{
+    LocalServer server;
+    server.apply(announcementOf("s", 100, 1));
+    BOOST_TEST((server.apply(ServerNotice{CallRate(12.5), false}) == UpdateResult::Changed));
+    BOOST_TEST((server.apply(ServerNotice{CallRate(12.5), false}) == UpdateResult::Unchanged));
+    server.apply(announcementOf("s", 100, 2));
+    BOOST_TEST((server.notice().limit == CallRate(12.5)));
+    server.apply(announcementOf("s", 200, 1));
+    BOOST_TEST(!server.notice().limit);
+}
+
 BOOST_AUTO_TEST_CASE(restartUnderTheSameIdIsANewRun)
 {
     LocalServer server;
