Keep calls to a server within the limit that it names, for all hosts together

Cause: InboundCall read the response headers that decide about the call at hand and dropped the others, so admission, placement and the reports between nodes knew of no limit.

Change: the gate of the node beside the server, through which all its calls pass, paces them. Calls that the limit would delay too long are handed back or refused at once. Limit and demand travel with responses between nodes, so that placement prefers servers with room; calls carry the limit that the caller's node knows, for a node that has restarted beside its server.

A simulated fleet serves at least 0.95 of what a fleet of the same capacity without limits serves in time.

--- a/include/cornelhead/membership/local-server.h
+++ b/include/cornelhead/membership/local-server.h
@@ -45,6 +45,9 @@
     UpdateResult apply(const ServerDeparture &departure);
     /// Applies what the known server reported in a response.
     UpdateResult apply(const ServerNotice &notice);
+    /// Applies the limit that the server reported to another node, unless this run of the node has
+    /// heard from the server itself.
+    UpdateResult applyKnownLimit(CallRate limit);
     /// Sets the server from what an earlier run of this node published, as down until it passes a
     /// health check: it may have announced to the earlier run that it leaves, and a late heartbeat
     /// may say otherwise.  Returns false if a server is known already.
@@ -64,6 +67,8 @@
     const HostedServer *usable() const;
     /// What the known run of the server last reported in a response.
     const ServerNotice &notice() const { return notice_; }
+    /// Start of the known run, as in `HostedServer`.
+    std::int64_t startedAtMs() const { return startedAtMs_; }
     bool isDown() const { return isDown_; }
     bool hasServer() const { return server_.has_value(); }
     /// Returns whether no server is known, or the known one has announced that it leaves for good.
@@ -73,8 +78,10 @@
     std::optional<HostedServer> server_;
     std::int64_t startedAtMs_ = 0;
     std::uint64_t sequence_ = 0;
-    // Of the current run; empty until its first response.
+    // Of the current run.
     ServerNotice notice_;
+    // The server has reported `notice_` to this node.
+    bool hasHeardNotice_ = false;
     bool isDown_ = false;
     // The server was adopted and has not passed a health check since.
     bool isUnconfirmed_ = false;
--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -18,7 +18,9 @@
 
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/random.h"
+#include "cornelhead/base/units.h"
 #include "cornelhead/membership/host-entry.h"
+#include "cornelhead/routing/server-notices.h"
 
 namespace cornelhead {
 
@@ -43,6 +45,13 @@
     std::uint64_t lateAnswers = 0;
     /// Sum of the relative service times of the timed responses.
     double relativeWorkSum = 0.0;
+    /// What the server last reported about itself, and when this run of it started, as in
+    /// `HostedServer`.
+    ServerNotice notice;
+    std::int64_t serverStartedAtMs = 0;
+    /// The rate at which calls arrive at the node of a limited server; not reported without a
+    /// limit.
+    CallRate demand;
 };
 
 /// The state held of a host.  Lives while the host is listed or a call to it is in flight.
@@ -130,6 +139,8 @@
     std::optional<VersionId> defaultVersion(const ServiceId &service,
                                             const std::optional<VersionId> &previous) const;
     Host find(const Address &node) const;
+    /// Returns the limit that the host's server last reported, also to an earlier run of its node.
+    std::optional<CallRate> knownLimit(const HostState &host) const;
     /// Returns the number of servers of a version that are not draining.
     std::size_t countServers(const ServiceId &service, const VersionId &version) const;
     /// Returns the hosts that have a server of `service`.
@@ -169,6 +180,7 @@
     PlacementPolicy policy_;
     std::map<Address, Host> hosts_;
     std::map<ServiceId, ServiceHosts> byService_;
+    ServerNotices notices_;
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/routing/server-gate.h
+++ b/include/cornelhead/routing/server-gate.h
@@ -3,7 +3,9 @@
 // Load pattern: for seconds, more calls arrive than the server's slots can finish, and nested calls
 // from other servers compete with calls of clients.  Nested calls go first, as slots are already
 // spent on their outer calls, then routes by priority.  A call that cannot finish in time is
-// refused at once, so that slots are spent only on responses that are still useful.
+// refused at once, so that slots are spent only on responses that are still useful.  A server may
+// also limit the rate of its calls; as all calls to it pass through this gate, the limit holds for
+// all hosts together.
 #pragma once
 
 #include <cstdint>
@@ -14,6 +16,7 @@
 
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/ids.h"
+#include "cornelhead/routing/call-pacer.h"
 
 namespace cornelhead {
 
@@ -41,6 +44,9 @@
     std::uint32_t slots = 0;
     /// Expected wait of a new call of normal priority.
     Microseconds wait{};
+    /// The server's limit, and the rate at which calls arrive.
+    std::optional<CallRate> limit;
+    CallRate demand;
 };
 
 /// Decides which calls run, wait or are refused.  Does no I/O and reads no clock.
@@ -58,6 +64,9 @@
     };
 
     void setSlots(std::uint32_t slots) { slots_ = slots; }
+    void setLimit(std::optional<CallRate> limit, TimePoint now) { pacer_.setLimit(limit, now); }
+    /// Records a call that arrived, also if it is not offered.
+    void recordArrival(TimePoint now) { pacer_.recordArrival(now); }
 
     /// Starts, queues or refuses a call.  Waiting calls that expire because of it are removed and
     /// appended to `expired`.
@@ -72,7 +81,10 @@
 
     bool isWaiting(GateTicket ticket) const;
     /// Returns whether a new call would start at once.
-    bool isOpen() const { return hasRoom() && waiting_.empty(); }
+    bool isOpen(TimePoint now) const { return waiting_.empty() && mayStart(now); }
+    /// Returns the time until the limit allows the next waiting call to start; nothing if no call
+    /// waits, or if it waits for a slot.
+    std::optional<Microseconds> limitWait(TimePoint now) const;
     GateLoad load(TimePoint now) const;
 
 private:
@@ -81,15 +93,28 @@
         TimePoint expectedEnd{};
     };
 
+    /// What a call waits behind.
+    struct Queue
+    {
+        std::size_t calls = 0;
+        /// Their service time.
+        Microseconds work{};
+    };
+
     bool hasRoom() const { return running_.size() < slots_ + spareInFlight; }
-    /// Returns the expected wait of a call behind `ahead` of queued service time.
-    Microseconds waitBehind(Microseconds ahead, TimePoint now) const;
-    /// Returns the queued service time that a new call of `rank` would wait behind.
-    Microseconds workAhead(std::uint32_t rank) const;
+    bool mayStart(TimePoint now) const
+    {
+        return hasRoom() && pacer_.waitBehind(0, now) == Microseconds(0);
+    }
+    /// Returns the expected wait of a call behind `ahead`.
+    Microseconds waitBehind(const Queue &ahead, TimePoint now) const;
+    /// Returns what a new call of `rank` would wait behind.
+    Queue queueAhead(std::uint32_t rank) const;
     void start(const GateRequest &offer, TimePoint now);
     void removeExpired(TimePoint now, std::vector<GateTicket> &expired);
 
     std::uint32_t slots_ = 1;
+    CallPacer pacer_;
     std::map<GateTicket, Running> running_;
     // In start order: by rank, then by arrival.
     std::list<GateRequest> waiting_;
--- a/include/cornelhead/sidecar/hop.h
+++ b/include/cornelhead/sidecar/hop.h
@@ -37,6 +37,9 @@
     /// The route's latency objective.
     Milliseconds objective{};
     RouteId route;
+    /// The limit that the server reported to the caller's node, in case that the server's node has
+    /// restarted since.
+    std::optional<CallRate> knownLimit;
 };
 
 std::string encodeHopRequest(const HopRequest &request);
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -89,6 +89,7 @@
     void recordBrokenCall(const InboundCall &call);
     /// Applies what the server reported about itself in the headers of a response.
     void observeNotice(std::string_view limit, std::string_view leaving);
+    void onNoticeChanged();
     void logLimitedCalls();
     void countServerCall();
     void onConnectFailed();
@@ -128,6 +129,8 @@
     // crashed, with the time of the break.
     std::vector<std::pair<SuspectedDeath, TimePoint>> brokenCalls_;
     Timer startTimer_;
+    // Runs when the server's limit allows the next waiting call.
+    Timer paceTimer_;
     // Calls sent to the server since `limitedSince_`, which is set while the server names a limit.
     std::uint64_t limitedCalls_ = 0;
     std::optional<TimePoint> limitedSince_;
--- a/src/membership/local-server.cc
+++ b/src/membership/local-server.cc
@@ -24,8 +24,10 @@
     if (wasDraining)
         server.state = ServerState::Draining;
     isUnconfirmed_ = isUnconfirmed_ && !isNewRun;
-    if (isNewRun)
+    if (isNewRun) {
         notice_ = ServerNotice();
+        hasHeardNotice_ = false;
+    }
     const bool isChanged = isDown_ != isUnconfirmed_ || server_ != server;
     startedAtMs_ = announcement.startedAtMs;
     sequence_ = announcement.sequence;
@@ -47,10 +49,19 @@
 
 LocalServer::UpdateResult LocalServer::apply(const ServerNotice &notice)
 {
+    hasHeardNotice_ = true;
     return std::exchange(notice_, notice) == notice ? UpdateResult::Unchanged
                                                     : UpdateResult::Changed;
 }
 
+LocalServer::UpdateResult LocalServer::applyKnownLimit(CallRate limit)
+{
+    if (hasHeardNotice_ || notice_.limit)
+        return UpdateResult::Unchanged;
+    notice_.limit = limit;
+    return UpdateResult::Changed;
+}
+
 bool LocalServer::adopt(const HostedServer &published)
 {
     if (server_)
--- a/src/routing/hand-back.cc
+++ b/src/routing/hand-back.cc
@@ -25,7 +25,8 @@
 
 void HandBackPolicy::record(const ServiceId &service, const HostReport &report)
 {
-    const bool isFull = report.running + report.waiting > report.slots;
+    const bool isFull = report.running + report.waiting > report.slots
+            || (report.notice.limit && report.wait > Microseconds(0));
     double &share = fullShares_[service];
     share += detail::fullShareWeight * ((isFull ? 1.0 : 0.0) - share);
 }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -11,6 +11,7 @@
 
 // The load that a report shows decays with this half-life.
 constexpr double reportHalfLifeUs = 400'000.0;
+constexpr double demandHalfLifeUs = 1'000'000.0;
 // Costs are fractions of the value of a call.  Time up to this fraction of the objective costs
 // little, as the response is hardly ever late; beyond it much of the value is at risk.
 constexpr double safeFraction = 0.6;
@@ -21,6 +22,8 @@
 constexpr double remoteCostPerByte = 1e-4;
 // A failure costs a retry elsewhere or the whole call.
 constexpr double failureCost = 1.5;
+// More calls than a limited server accepts: the others are handed back or refused.
+constexpr double excessCost = 0.5;
 // All nodes see the same reports; jitter keeps them from choosing the same host.
 constexpr double jitterFraction = 0.1;
 // The node publishes when it accepts calls again, so this time only avoids refused calls until
@@ -37,10 +40,26 @@
 constexpr Milliseconds maxBackoff(2000);
 constexpr std::uint32_t maxBackoffDoublings = 3;
 
-double ageFactor(const HostState &host, TimePoint now)
+double decayWithAge(const HostState &host, TimePoint now, double halfLifeUs)
 {
     const auto age = static_cast<double>((now - host.reportedAt).count());
-    return std::exp2(-age / reportHalfLifeUs);
+    return std::exp2(-age / halfLifeUs);
+}
+
+double ageFactor(const HostState &host, TimePoint now)
+{
+    return decayWithAge(host, now, reportHalfLifeUs);
+}
+
+// Returns the share of the calls to a limited server that it does not accept.
+double excessDemand(const HostState &host, TimePoint now)
+{
+    const std::optional<CallRate> &limit = host.report.notice.limit;
+    if (!limit)
+        return 0.0;
+    const double demand
+            = host.report.demand.perSecond() * decayWithAge(host, now, demandHalfLifeUs);
+    return demand <= limit->perSecond() ? 0.0 : 1.0 - limit->perSecond() / demand;
 }
 
 } // namespace detail
@@ -70,6 +89,7 @@
         hosts.means = meansOf(service);
     byService_ = std::move(byService);
     hosts_ = std::move(kept);
+    notices_.evictExpired(now);
 }
 
 Placement::ServiceMeans Placement::meansOf(const ServiceId &service) const
@@ -124,7 +144,12 @@
     const double others = reported * freshness + assumed * (1.0 - freshness);
     const double busy = others + static_cast<double>(host.inFlight);
     const double queued = std::max(0.0, busy + 1.0 - slots);
-    return Microseconds(static_cast<std::int64_t>(work * (1.0 + queued / slots)));
+    double timeUs = work * (1.0 + queued / slots);
+    if (report.notice.limit) {
+        const Microseconds wait = report.wait - (now - host.reportedAt);
+        timeUs = std::max(timeUs, work + static_cast<double>(wait.count()));
+    }
+    return Microseconds(static_cast<std::int64_t>(timeUs));
 }
 
 double Placement::costOf(const HostState &host, const PlacementRequest &request,
@@ -137,6 +162,7 @@
     double cost = std::min(time, detail::safeFraction) * detail::safeTimeCost
             + std::max(0.0, time - detail::safeFraction) * detail::riskyTimeCost;
     cost += detail::failureCost * host.report.failureShare * detail::ageFactor(host, now);
+    cost += detail::excessCost * detail::excessDemand(host, now);
     if (host.entry.dataCentre != localDataCentre_)
         cost += detail::remoteCost + detail::remoteCostPerByte * request.bytes;
     return cost;
@@ -215,6 +241,7 @@
     host.backoffUntil = TimePoint();
     if (!host.entry.server)
         return;
+    notices_.record(host.entry.server->id, report.serverStartedAtMs, report.notice, now);
     const auto service = byService_.find(host.entry.server->service);
     if (service == byService_.end())
         return;
@@ -253,6 +280,11 @@
     return mostCommon == counts.end() ? std::nullopt : std::optional(mostCommon->first);
 }
 
+std::optional<CallRate> Placement::knownLimit(const HostState &host) const
+{
+    return host.entry.server ? notices_.find(*host.entry.server).limit : std::nullopt;
+}
+
 Placement::Host Placement::find(const Address &node) const
 {
     const auto host = hosts_.find(node);
--- a/src/routing/server-gate.cc
+++ b/src/routing/server-gate.cc
@@ -17,11 +17,11 @@
 ServerGate::Verdict ServerGate::offer(const GateRequest &offer, TimePoint now,
                                       std::vector<GateTicket> &expired)
 {
-    if (isOpen()) {
+    if (isOpen(now)) {
         start(offer, now);
         return Verdict::Start;
     }
-    const Microseconds wait = waitBehind(workAhead(offer.rank), now);
+    const Microseconds wait = waitBehind(queueAhead(offer.rank), now);
     if (now + wait + offer.work > offer.finishBy)
         return Verdict::Refuse;
     const auto position
@@ -40,9 +40,7 @@
 
 std::optional<GateTicket> ServerGate::startNext(TimePoint now, std::vector<GateTicket> &expired)
 {
-    if (!hasRoom())
-        return std::nullopt;
-    while (!waiting_.empty()) {
+    while (!waiting_.empty() && mayStart(now)) {
         const GateRequest next = waiting_.front();
         waiting_.pop_front();
         if (now + next.work <= next.finishBy) {
@@ -75,26 +73,39 @@
     load.running = static_cast<std::uint32_t>(running_.size());
     load.waiting = static_cast<std::uint32_t>(waiting_.size());
     load.slots = slots_;
-    if (!hasRoom())
-        load.wait = waitBehind(workAhead(detail::reportedRank), now);
+    load.wait = waitBehind(queueAhead(detail::reportedRank), now);
+    load.limit = pacer_.limit();
+    load.demand = pacer_.demand(now);
     return load;
 }
 
-Microseconds ServerGate::waitBehind(Microseconds ahead, TimePoint now) const
+std::optional<Microseconds> ServerGate::limitWait(TimePoint now) const
+{
+    if (waiting_.empty() || !hasRoom())
+        return std::nullopt;
+    return pacer_.waitBehind(0, now);
+}
+
+Microseconds ServerGate::waitBehind(const Queue &ahead, TimePoint now) const
 {
+    const Microseconds paced = pacer_.waitBehind(ahead.calls, now);
+    if (running_.size() + ahead.calls < slots_ + spareInFlight)
+        return paced;
     Microseconds remaining{};
     for (const auto &[ticket, running] : running_)
         remaining += std::max(Microseconds(0), running.expectedEnd - now);
-    return (ahead + remaining / detail::runningWorkDivisor) / std::max(1U, slots_);
+    return std::max(paced,
+                    (ahead.work + remaining / detail::runningWorkDivisor) / std::max(1U, slots_));
 }
 
-Microseconds ServerGate::workAhead(std::uint32_t rank) const
+ServerGate::Queue ServerGate::queueAhead(std::uint32_t rank) const
 {
-    Microseconds ahead{};
+    Queue ahead;
     for (const GateRequest &waiting : waiting_) {
         if (waiting.rank > rank)
             break;
-        ahead += waiting.work;
+        ++ahead.calls;
+        ahead.work += waiting.work;
     }
     return ahead;
 }
@@ -102,14 +113,16 @@
 void ServerGate::start(const GateRequest &offer, TimePoint now)
 {
     running_.emplace(offer.ticket, Running{now + offer.work});
+    pacer_.start(now);
 }
 
 void ServerGate::removeExpired(TimePoint now, std::vector<GateTicket> &expired)
 {
-    Microseconds ahead{};
+    Queue ahead;
     for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
         if (now + waitBehind(ahead, now) + waiting->work <= waiting->finishBy) {
-            ahead += waiting->work;
+            ++ahead.calls;
+            ahead.work += waiting->work;
             ++waiting;
             continue;
         }
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -28,6 +28,10 @@
         return raw(value.empty() ? std::string(emptyField) : escapeUri(value));
     }
     FieldWriter &number(std::uint64_t value) { return raw(std::to_string(value)); }
+    FieldWriter &rate(const std::optional<CallRate> &value)
+    {
+        return number(value ? 1 : 0).fraction(value ? value->perSecond() : 0.0);
+    }
     FieldWriter &fraction(double value)
     {
         return number(static_cast<std::uint64_t>(value * perMillion));
@@ -67,6 +71,12 @@
         return value;
     }
     double fraction() { return static_cast<double>(number()) / perMillion; }
+    std::optional<CallRate> rate()
+    {
+        const bool isPresent = number() != 0;
+        const CallRate value(fraction());
+        return isPresent ? std::optional(value) : std::nullopt;
+    }
     bool isValid() const { return isValid_; }
     bool isAtEnd() const { return rest_.empty(); }
 
@@ -101,6 +111,7 @@
     writer.number(static_cast<std::uint64_t>(request.objective.count()));
     writer.number(static_cast<std::uint64_t>(request.objectiveLeft.count()));
     writer.text(request.route.value()).number(request.mayHandBack ? 1 : 0);
+    writer.rate(request.knownLimit);
     return writer.finish();
 }
 
@@ -118,8 +129,10 @@
     request.objective = Milliseconds(reader.number());
     request.objectiveLeft = Milliseconds(reader.number());
     request.route = RouteId(reader.text());
-    // Absent in calls of earlier versions of the node.
+    // The remaining fields are absent in calls of earlier versions of the node.
     request.mayHandBack = !reader.isAtEnd() && reader.number() != 0;
+    if (!reader.isAtEnd())
+        request.knownLimit = reader.rate();
     if (!reader.isValid())
         return detail::invalidHopHeader();
     return request;
@@ -143,6 +156,8 @@
     writer.number(report.answers).number(report.failures).number(report.timedAnswers);
     writer.number(report.lateAnswers).fraction(report.relativeWorkSum);
     writer.number(response.configuration.value());
+    writer.rate(report.notice.limit).fraction(report.demand.perSecond());
+    writer.number(static_cast<std::uint64_t>(report.serverStartedAtMs));
     return writer.finish();
 }
 
@@ -166,6 +181,12 @@
     report.lateAnswers = reader.number();
     report.relativeWorkSum = reader.fraction();
     response.configuration = Revision(reader.number());
+    // The remaining fields are absent in responses of earlier versions of the node.
+    if (!reader.isAtEnd()) {
+        report.notice.limit = reader.rate();
+        report.demand = CallRate(reader.fraction());
+        report.serverStartedAtMs = static_cast<std::int64_t>(reader.number());
+    }
     if (!reader.isValid() || result > static_cast<std::uint64_t>(HopResult::Unknown)
         || reason >= detail::reasonNames.size())
         return detail::invalidHopHeader();
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -96,6 +96,9 @@
     response.report.timedAnswers = timedAnswers_;
     response.report.lateAnswers = lateAnswers_;
     response.report.relativeWorkSum = relativeWorkSum_;
+    response.report.notice.limit = load.limit;
+    response.report.demand = load.limit ? load.demand : CallRate();
+    response.report.serverStartedAtMs = local_.startedAtMs();
     return response;
 }
 
@@ -142,9 +145,16 @@
 void InboundProxy::admit(evhttp_request *request, const std::string &id, const HopRequest &hop)
 {
     const HopReason reason = refusalFor(hop, request);
-    if (reason != HopReason::None)
+    if (reason != HopReason::None) {
         refuse(request, HopResult::NotRun, reason);
-    else if (hop.mayHandBack && !gate_.isOpen())
+        return;
+    }
+    if (hop.knownLimit
+        && local_.applyKnownLimit(*hop.knownLimit) == LocalServer::UpdateResult::Changed)
+        onNoticeChanged();
+    const TimePoint time = now(SteadyClock());
+    gate_.recordArrival(time);
+    if (hop.mayHandBack && !gate_.isOpen(time))
         refuse(request, HopResult::NotRun, HopReason::Busy);
     else
         start(request, id, hop);
@@ -206,6 +216,8 @@
         call->run();
     else if (verdict == ServerGate::Verdict::Refuse)
         call->refuse(HopReason::Overload);
+    else
+        scheduleWaitingCalls();
 }
 
 void InboundProxy::refuseAll(const std::vector<GateTicket> &tickets, HopReason reason)
@@ -228,6 +240,10 @@
             gate_.remove(*ticket);
     }
     refuseAll(tooLate, HopReason::Overload);
+    if (const auto wait = gate_.limitWait(now(SteadyClock()))) {
+        paceTimer_ = loop_.after(std::chrono::ceil<Milliseconds>(*wait),
+                                 [this] { startWaitingCalls(); });
+    }
 }
 
 void InboundProxy::onCallEnd(InboundCall &call)
@@ -247,6 +263,8 @@
                     {"running", load.running},
                     {"waiting", load.waiting},
                     {"slots", load.slots},
+                    {"limitPerSecond", load.limit ? load.limit->perSecond() : 0.0},
+                    {"demandPerSecond", load.demand.perSecond()},
                     {"relativeWork", work_.relativeWork()}});
     }
     // The call must not be freed inside its own callbacks.
@@ -306,15 +324,21 @@
                    {{"why", notice.error().describe()}});
         return;
     }
-    if (local_.apply(*notice) != LocalServer::UpdateResult::Changed)
-        return;
+    if (local_.apply(*notice) == LocalServer::UpdateResult::Changed)
+        onNoticeChanged();
+}
+
+void InboundProxy::onNoticeChanged()
+{
+    const ServerNotice &notice = local_.notice();
     logLimitedCalls();
-    const double perSecond = notice->limit ? notice->limit->perSecond() : 0.0;
+    const double perSecond = notice.limit ? notice.limit->perSecond() : 0.0;
     serverLimit_.set(static_cast<std::int64_t>(perSecond * 1000.0));
     log_.write(EventKind::StateChange, inboundPart, "server-notice",
-               {{"isLimited", notice->limit.has_value()},
+               {{"isLimited", notice.limit.has_value()},
                 {"limitPerSecond", perSecond},
-                {"isLeaving", notice->isLeaving}});
+                {"isLeaving", notice.isLeaving}});
+    refresh();
 }
 
 void InboundProxy::countServerCall()
@@ -366,6 +390,7 @@
 {
     if (const HostedServer *server = local_.usable()) {
         gate_.setSlots(server->slots);
+        gate_.setLimit(local_.notice().limit, now(SteadyClock()));
         scheduleWaitingCalls();
     } else {
         refuseAll(gate_.removeWaiting(), HopReason::ServerGone);
@@ -426,6 +451,11 @@
     if (!local_.markHealthy(ServerId(id->second)))
         return;
     log_.write(EventKind::StateChange, inboundPart, "server-healthy", {{"server", id->second}});
+    const auto header = [&response](const std::string &name) {
+        const auto found = response.headers.find(name);
+        return found == response.headers.end() ? std::string() : found->second;
+    };
+    observeNotice(header(dialect_.headers.serverLimit), header(dialect_.headers.serverLeaving));
     refresh();
     handlers_.onServerChanged();
 }
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -189,6 +189,7 @@
             = elapsedBeforeArrival_ + std::chrono::duration_cast<Milliseconds>(time - arrivedAt_);
     hop_.objectiveLeft = std::max(Milliseconds(0), route_->objective - elapsed);
     hop_.route = route_->id;
+    hop_.knownLimit = proxy_.placement_.knownLimit(*host_);
     const std::vector<Placement::Host> &busy = placementRequest_.busy;
     hop_.mayHandBack = std::find(busy.begin(), busy.end(), host_) == busy.end()
             && proxy_.handBack_.allows(hop_.service, handBacks_);
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -23,7 +23,8 @@
 class FakeServer
 {
 public:
-    FakeServer(EventLoop &loop, std::string serverId) : id(std::move(serverId)), server_(loop, {})
+    FakeServer(EventLoop &loop, std::string serverId)
+        : id(std::move(serverId)), loop_(loop), server_(loop, {})
     {
         server_.setHandler([this](const HttpRequest &request, const Responder &responder) {
             serve(request, responder);
@@ -39,16 +40,33 @@
     }
     HttpResponse answerTo(const HttpRequest &request) const
     {
-        return HttpResponse{200,
-                            {{"Cornelhead-Request-Id", header(request, "Cornelhead-Request-Id")},
-                             {"Cornelhead-Server-Seal", "seal-of-" + id}},
-                            "ran at " + id};
+        HttpResponse response{200,
+                              {{"Cornelhead-Request-Id", header(request, "Cornelhead-Request-Id")},
+                               {"Cornelhead-Server-Seal", "seal-of-" + id}},
+                              "ran at " + id};
+        addNotice(response);
+        return response;
+    }
+    /// Adds what the server reports about itself.
+    void addNotice(HttpResponse &response) const
+    {
+        if (!limit.empty())
+            response.headers["Server-Limit"] = limit;
+        if (isLeaving)
+            response.headers["Server-Leaving"] = "1";
     }
 
     std::string id;
     Address address;
     /// Requests that the server started to run.
     std::vector<HttpRequest> runs;
+    /// When it started them.
+    std::vector<TimePoint> runTimes;
+    /// Time after which it responds.
+    Milliseconds work{};
+    /// Calls per second that the server accepts, as text; empty for no limit.
+    std::string limit;
+    bool isLeaving = false;
     /// Replaces the default response if set.
     std::function<void(const HttpRequest &, const Responder &)> behaviour;
 
@@ -56,7 +74,9 @@
     void serve(const HttpRequest &request, const Responder &responder)
     {
         if (request.path == "/healthz") {
-            responder.send(HttpResponse{200, {{"Cornelhead-Instance-Id", id}}, {}});
+            HttpResponse response{isLeaving ? 503 : 200, {{"Cornelhead-Instance-Id", id}}, {}};
+            addNotice(response);
+            responder.send(response);
             return;
         }
         if (header(request, "Cornelhead-Expect-Instance") != id) {
@@ -64,13 +84,19 @@
             return;
         }
         runs.push_back(request);
+        runTimes.push_back(now(SteadyClock()));
         if (behaviour)
             behaviour(request, responder);
-        else
+        else if (work == Milliseconds(0))
             responder.send(answerTo(request));
+        else
+            delayedResponses_.push_back(loop_.after(
+                    work, [this, request, responder] { responder.send(answerTo(request)); }));
     }
 
+    EventLoop &loop_;
     HttpServer server_;
+    std::vector<Timer> delayedResponses_;
 };
 
 /// One host: a server and the sidecar beside it.
--- a/test/routing/fleet-load-test.cc
+++ b/test/routing/fleet-load-test.cc
@@ -105,6 +105,40 @@
     }
 }
 
+// Servers named a limit in their responses, and every node sent them calls as before.
+BOOST_AUTO_TEST_CASE(limitedServersGetNoMoreCallsThanAllHostsTogetherMaySend)
+{
+    for (FleetLoadSettings settings : {fleetOf13Nodes(), fleetOf66Nodes(), fleetOf196Nodes()}) {
+        for (const double limit : {0.5, 0.05}) {
+            settings.limitedShare = 0.7;
+            settings.limit = limit;
+            settings.restartInterval = Milliseconds(300);
+            FleetLoadSettings unaware = settings;
+            unaware.appliesLimits = false;
+            BOOST_TEST(FleetLoad(settings).run().mostOfLimit <= 1.0);
+            BOOST_TEST(FleetLoad(unaware).run().mostOfLimit > 1.0);
+        }
+    }
+}
+
+// The hosts hear of the limits one by one, and must find the servers that have room.
+BOOST_AUTO_TEST_CASE(limitedFleetServesAsManyInTimeAsAFleetOfTheSameCapacity)
+{
+    for (FleetLoadSettings settings : {fleetOf13Nodes(), fleetOf66Nodes(), fleetOf196Nodes()}) {
+        settings.limitedShare = 0.7;
+        settings.limit = 0.3;
+        const double remainingCapacity = 0.7 * 0.3 + 0.3;
+        for (const double load : {0.4, 0.65}) {
+            settings.load = load;
+            FleetLoadSettings smaller = settings;
+            smaller.limitedShare = 0.0;
+            smaller.load = load / remainingCapacity;
+            BOOST_TEST(FleetLoad(settings).run().shareInTime()
+                       >= 0.95 * FleetLoad(smaller).run().shareInTime());
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
--- a/test/routing/fleet-load.h
+++ b/test/routing/fleet-load.h
@@ -3,9 +3,12 @@
 #pragma once
 
 #include <cmath>
+#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +38,12 @@
     double slowAbove = 0.8;
     double slowdownWhenFull = 1.5;
     Milliseconds duration{20'000};
+    /// This share of the servers names a limit in its responses, as a share of what it can finish.
+    double limitedShare = 0.0;
+    double limit = 0.5;
+    /// Interval at which the node of some server restarts; none do if 0.
+    Milliseconds restartInterval{0};
+    bool appliesLimits = true;
     PlacementPolicy policy;
     bool usesHandBack = true;
     std::uint64_t seed = 1;
@@ -51,6 +60,15 @@
     double remote = 0;
     /// Busy time of the busiest server relative to the mean.
     double busiest = 0;
+    /// The most calls that a limited server got, from hosts that had heard of its limit, within
+    /// `limitWindow`, relative to what its limit allows; `limitSettleTime` after it first named the
+    /// limit.
+    double mostOfLimit = 0;
+
+    static constexpr Milliseconds limitWindow{4000};
+    static constexpr Milliseconds limitSettleTime{3000};
+    /// What a limited server may get in the window.
+    static double allowedCalls(CallRate limit) { return 4.0 * limit.perSecond() * 1.5 + 5.0; }
 
     double shareInTime() const { return inTime / calls; }
     double shareLate() const { return late / calls; }
@@ -75,6 +93,10 @@
         const double capacity = capacityPerSecond();
         const TimePoint end = time_ + settings_.duration;
         scheduleArrivals(capacity * settings_.load, end);
+        for (TimePoint next = time_ + settings_.restartInterval;
+             settings_.restartInterval > Milliseconds(0) && next < end;
+             next += settings_.restartInterval)
+            at(next, [this] { restartNode(); });
         while (!events_.empty()) {
             const Event event = events_.top();
             events_.pop();
@@ -96,6 +118,8 @@
         Entry(DataCentreId dataCentre, PlacementPolicy policy) : placement(dataCentre, policy) { }
         Placement placement;
         HandBackPolicy handBack;
+        /// Nodes of servers that have named a limit in responses to this host.
+        std::set<Address> limitsHeard;
     };
     struct Server
     {
@@ -105,6 +129,11 @@
         ServerGate gate;
         WorkEstimate work;
         double busyUs = 0;
+        std::optional<CallRate> limit;
+        /// This run of the node has heard of the limit from the server.
+        bool hasHeardLimit = false;
+        std::optional<TimePoint> namedAt;
+        std::deque<TimePoint> starts;
     };
     struct Call
     {
@@ -115,6 +144,7 @@
         std::uint32_t handBacks = 0;
         std::uint32_t refusals = 0;
         Placement::Host host;
+        std::optional<CallRate> knownLimit;
         GateTicket ticket;
     };
     using CallHandle = std::shared_ptr<Call>;
@@ -151,6 +181,8 @@
                                         VersionId("v1"), settings_.slots, ServerState::Serving};
             directory_.put(entry);
             byNode_[server.node] = i;
+            if (static_cast<double>(i) < settings_.limitedShare * settings_.servers)
+                server.limit = CallRate(capacityOf(server) * settings_.limit);
         }
     }
 
@@ -158,10 +190,23 @@
     {
         double capacity = 0;
         for (const Server &server : servers_)
-            capacity += settings_.slots / (server.slowness * settings_.work.count() / 1000.0);
+            capacity += capacityOf(server);
         return capacity;
     }
 
+    double capacityOf(const Server &server) const
+    {
+        return settings_.slots / (server.slowness * settings_.work.count() / 1000.0);
+    }
+
+    /// The node forgets the limit and the calls that it has paced.
+    void restartNode()
+    {
+        Server &server = servers_[random_.below(servers_.size())];
+        server.gate.setLimit(std::nullopt, time_);
+        server.hasHeardLimit = false;
+    }
+
     void at(TimePoint when, std::function<void()> run)
     {
         events_.push(Event{when, ++order_, std::move(run)});
@@ -210,6 +255,7 @@
             end(*call, result_.refused);
             return;
         }
+        call->knownLimit = call->entry->placement.knownLimit(*call->host);
         Placement::begin(*call->host);
         at(time_ + delayTo(*call), [this, call] { offer(call); });
     }
@@ -217,9 +263,12 @@
     void offer(const CallHandle &call)
     {
         Server &server = servers_[byNode_.at(call->host->entry.node)];
+        if (call->knownLimit && !server.hasHeardLimit)
+            server.gate.setLimit(call->knownLimit, time_);
+        server.gate.recordArrival(time_);
         const bool mayHandBack = settings_.usesHandBack
                 && call->entry->handBack.allows(call->request.service, call->handBacks);
-        if (mayHandBack && !server.gate.isOpen()) {
+        if (mayHandBack && !server.gate.isOpen(time_)) {
             respond(call, server, [this, call] { onHandedBack(call); });
             return;
         }
@@ -236,6 +285,34 @@
             start(call, server);
         else if (verdict == ServerGate::Verdict::Refuse)
             refuseAll(server, {call->ticket});
+        else
+            startWaiting(server);
+    }
+
+    void startWaiting(Server &server)
+    {
+        std::vector<GateTicket> expired;
+        while (const auto ticket = server.gate.startNext(time_, expired))
+            start(calls_.at(*ticket), server);
+        refuseAll(server, expired);
+        if (const auto wait = server.gate.limitWait(time_))
+            at(time_ + *wait, [this, &server] { startWaiting(server); });
+    }
+
+    /// Only calls of hosts that have heard of the limit count.
+    void recordStart(const Call &call, Server &server)
+    {
+        if (!call.entry->limitsHeard.contains(call.host->entry.node) || !server.namedAt)
+            return;
+        std::deque<TimePoint> &starts = server.starts;
+        starts.push_back(time_);
+        while (time_ - starts.front() > FleetLoadResult::limitWindow)
+            starts.pop_front();
+        if (time_ - *server.namedAt > FleetLoadResult::limitSettleTime) {
+            result_.mostOfLimit
+                    = std::max(result_.mostOfLimit,
+                               starts.size() / FleetLoadResult::allowedCalls(*server.limit));
+        }
     }
 
     void refuseAll(Server &server, const std::vector<GateTicket> &tickets)
@@ -260,6 +337,7 @@
                 * server.slowness * slowdown(server) * -std::log(1.0 - random_.unit());
         const Microseconds work(static_cast<std::int64_t>(us));
         server.busyUs += us;
+        recordStart(*call, server);
         at(time_ + work, [this, call, work, &server] { finish(call, work, server); });
     }
 
@@ -268,11 +346,18 @@
         server.gate.remove(call->ticket);
         calls_.erase(call->ticket);
         server.work.record(RouteId("route"), work, settings_.objective, false);
-        respond(call, server, [this, call] { onServed(*call); });
-        std::vector<GateTicket> expired;
-        while (const auto ticket = server.gate.startNext(time_, expired))
-            start(calls_.at(*ticket), server);
-        refuseAll(server, expired);
+        if (settings_.appliesLimits) {
+            server.hasHeardLimit = true;
+            server.gate.setLimit(server.limit, time_);
+        }
+        if (server.limit && !server.namedAt)
+            server.namedAt = time_;
+        respond(call, server, [this, call, isLimited = server.limit.has_value()] {
+            if (isLimited)
+                call->entry->limitsHeard.insert(call->host->entry.node);
+            onServed(*call);
+        });
+        startWaiting(server);
     }
 
     void respond(const CallHandle &call, Server &server, std::function<void()> onResponse)
@@ -284,6 +369,8 @@
         report.slots = load.slots;
         report.wait = load.wait;
         report.relativeWork = server.work.relativeWork();
+        report.notice.limit = load.limit;
+        report.demand = load.demand;
         at(time_ + delayTo(*call), [this, call, report, onResponse = std::move(onResponse)] {
             Placement::end(*call->host);
             call->entry->placement.applyReport(*call->host, report, time_);
--- a/test/routing/server-gate-test.cc
+++ b/test/routing/server-gate-test.cc
@@ -205,6 +205,76 @@
     });
 }
 
+// A server that names a limit got all calls that found a slot.
+BOOST_AUTO_TEST_CASE(limitedServerStartsNoMoreCallsThanItsLimit)
+{
+    checkProperty(32, 200, [](const std::vector<std::uint8_t> &steps) {
+        ServerGate server;
+        server.setSlots(20);
+        const CallRate limit(10.0);
+        TimePoint now{Milliseconds(5000)};
+        server.setLimit(limit, now);
+        std::vector<TimePoint> starts;
+        std::vector<GateTicket> expiredCalls;
+        std::uint64_t next = 0;
+        for (const std::uint8_t step : steps) {
+            now += Milliseconds(step % 32);
+            const GateTicket offered(++next);
+            if (server.offer(
+                        GateRequest{offered, step % 4U, Milliseconds(20), now + Milliseconds(step)},
+                        now, expiredCalls)
+                == ServerGate::Verdict::Start) {
+                starts.push_back(now);
+                server.remove(offered);
+            }
+            while (const auto ticket = server.startNext(now, expiredCalls)) {
+                starts.push_back(now);
+                server.remove(*ticket);
+            }
+        }
+        for (std::size_t first = 0; first < starts.size(); ++first) {
+            for (std::size_t last = first; last < starts.size(); ++last) {
+                const double seconds
+                        = std::chrono::duration<double>(starts[last] - starts[first]).count();
+                RC_ASSERT(static_cast<double>(last - first + 1)
+                          <= limit.perSecond() * (seconds + 0.2) + 1.0);
+            }
+        }
+    });
+}
+
+BOOST_AUTO_TEST_CASE(callThatTheLimitDelaysBeyondItsTimeIsRefusedAtOnce)
+{
+    gate.setLimit(CallRate(2.0), time);
+    BOOST_TEST((add(1) == ServerGate::Verdict::Start));
+    BOOST_TEST((add(1, Milliseconds(20), Milliseconds(100)) == ServerGate::Verdict::Refuse));
+    BOOST_TEST((add(1, Milliseconds(20), Milliseconds(1000)) == ServerGate::Verdict::Wait));
+    BOOST_TEST((*gate.limitWait(time) > Microseconds(0)));
+    BOOST_TEST(!gate.startNext(time, expired));
+    time += *gate.limitWait(time);
+    BOOST_TEST(gate.startNext(time, expired).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(limitThatEndsReleasesTheWaitingCalls)
+{
+    gate.setLimit(CallRate(1.0), time);
+    add(1);
+    BOOST_TEST((add(1, Milliseconds(20), Milliseconds(5000)) == ServerGate::Verdict::Wait));
+    gate.setLimit(std::nullopt, time);
+    BOOST_TEST(gate.startNext(time, expired).has_value());
+    BOOST_TEST(gate.isOpen(time));
+}
+
+// It could not report otherwise that its limit has ended.
+BOOST_AUTO_TEST_CASE(serverWithALimitOfZeroIsTriedNowAndThen)
+{
+    gate.setLimit(CallRate(0.0), time);
+    BOOST_TEST((add(1) == ServerGate::Verdict::Start));
+    gate.remove(GateTicket(lastTicket));
+    BOOST_TEST(!gate.isOpen(time + Milliseconds(1000)));
+    BOOST_TEST(gate.isOpen(time + Milliseconds(3000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
--- /dev/null
+++ b/test/sidecar/hop-test.cc
@@ -0,0 +1,63 @@
+// Tests the headers between nodes.
+#include <boost/test/unit_test.hpp>
+
+#include "cornelhead/sidecar/hop.h"
+
+namespace cornelhead {
+
+BOOST_AUTO_TEST_SUITE(hop_headers)
+
+HopResponse limitedResponse()
+{
+    HopResponse response{HopResult::NotRun, HopReason::Overload, NodeId("r1"), {}, Revision(7)};
+    response.report.notice.limit = CallRate(12.5);
+    response.report.demand = CallRate(80.25);
+    response.report.serverStartedAtMs = 1778067253011;
+    return response;
+}
+
+// Removes the last `count` fields, as an earlier version of the node sends the header.
+std::string withoutLastFields(std::string text, int count)
+{
+    for (int i = 0; i < count; ++i)
+        text.erase(text.rfind(' '));
+    return text;
+}
+
+BOOST_AUTO_TEST_CASE(limitIsPassedOn)
+{
+    const auto response = decodeHopResponse(encodeHopResponse(limitedResponse()));
+    BOOST_REQUIRE(response);
+    BOOST_TEST((response->report.notice.limit == CallRate(12.5)));
+    BOOST_TEST(response->report.demand.perSecond() == 80.25);
+    BOOST_TEST(response->report.serverStartedAtMs == 1778067253011);
+    HopRequest request;
+    request.knownLimit = CallRate(0.0);
+    BOOST_TEST((decodeHopRequest(encodeHopRequest(request))->knownLimit == CallRate(0.0)));
+    request.knownLimit.reset();
+    BOOST_TEST(!decodeHopRequest(encodeHopRequest(request))->knownLimit);
+}
+
+BOOST_AUTO_TEST_CASE(headersOfEarlierVersionsHaveNoLimit)
+{
+    const std::string response = encodeHopResponse(limitedResponse());
+    const auto earlier = decodeHopResponse(withoutLastFields(response, 4));
+    BOOST_REQUIRE(earlier);
+    BOOST_TEST((earlier->configuration == Revision(7)));
+    BOOST_TEST(!earlier->report.notice.limit);
+    const auto request = decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 2));
+    BOOST_REQUIRE(request);
+    BOOST_TEST(!request->knownLimit);
+}
+
+BOOST_AUTO_TEST_CASE(truncatedHeadersAreRefused)
+{
+    const std::string response = encodeHopResponse(limitedResponse());
+    for (int count : {1, 2, 3, 5, 6})
+        BOOST_TEST(!decodeHopResponse(withoutLastFields(response, count)));
+    BOOST_TEST(!decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 1)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace cornelhead
