Take a server for draining when its responses say that it leaves

Cause: as for Server-Limit, the node beside a server dropped what the server reported in its responses; Server-Leaving was not read, and a server that says so there only got calls as before.

Change: such a server is draining for the rest of its run, whatever its heartbeats say, and published so. Every node that has heard it sends this run of the server nothing more, also after the node beside it has restarted and knows of heartbeats only.

Evidence: both new adapter tests failed on the commit before (calls went on) and pass now.

--- a/include/cornelhead/membership/local-server.h
+++ b/include/cornelhead/membership/local-server.h
@@ -43,7 +43,8 @@
 
     UpdateResult apply(const ServerAnnouncement &announcement);
     UpdateResult apply(const ServerDeparture &departure);
-    /// Applies what the known server reported in a response.
+    /// Applies what the known server reported in a response.  A server that leaves is draining for
+    /// the rest of its run.
     UpdateResult apply(const ServerNotice &notice);
     /// Applies the limit that the server reported to another node, unless this run of the node has
     /// heard from the server itself.
--- a/include/cornelhead/routing/server-notices.h
+++ b/include/cornelhead/routing/server-notices.h
@@ -1,7 +1,8 @@
 // What a node remembers of the notices of backend servers on other hosts.
 //
-// Load pattern: the node beside a server restarts and forgets the server's limit.  Until the server
-// answers again, the nodes that have heard of the limit pass it on with their calls.
+// Load pattern: the node beside a server restarts and forgets what the server reported.  Until the
+// server answers again, the nodes that have heard of its limit pass it on with their calls, and
+// those that have heard that it leaves send it none.
 #pragma once
 
 #include <cstdint>
@@ -22,6 +23,7 @@
     static constexpr Milliseconds retention = Milliseconds(600'000);
 
     /// Records a notice of the run of `server` that started at `startedAtMs`, as in `HostedServer`.
+    /// A run that leaves does not return.
     void record(const ServerId &server, std::int64_t startedAtMs, const ServerNotice &notice,
                 TimePoint now);
     /// Returns the last notice of this run of a server; an empty one if it is not known.
--- a/src/membership/local-server.cc
+++ b/src/membership/local-server.cc
@@ -50,6 +50,8 @@
 LocalServer::UpdateResult LocalServer::apply(const ServerNotice &notice)
 {
     hasHeardNotice_ = true;
+    if (notice.isLeaving && server_)
+        server_->state = ServerState::Draining;
     return std::exchange(notice_, notice) == notice ? UpdateResult::Unchanged
                                                     : UpdateResult::Changed;
 }
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -109,6 +109,8 @@
 {
     if (host.entry.isStopping || host.entry.server->state == ServerState::Draining)
         return false;
+    if (notices_.find(*host.entry.server).isLeaving)
+        return false;
     if (request.tried.contains(host.entry.node))
         return false;
     if (!isVersionAllowed(host, request))
--- a/src/routing/server-notices.cc
+++ b/src/routing/server-notices.cc
@@ -6,10 +6,14 @@
 void ServerNotices::record(const ServerId &server, std::int64_t startedAtMs,
                            const ServerNotice &notice, TimePoint now)
 {
-    if (notice == ServerNotice())
-        entries_.erase({server, startedAtMs});
+    const std::pair run(server, startedAtMs);
+    const auto entry = entries_.find(run);
+    const bool isLeaving
+            = notice.isLeaving || (entry != entries_.end() && entry->second.notice.isLeaving);
+    if (!notice.limit && !isLeaving)
+        entries_.erase(run);
     else
-        entries_.insert_or_assign({server, startedAtMs}, Entry{notice, now});
+        entries_.insert_or_assign(run, Entry{ServerNotice{notice.limit, isLeaving}, now});
 }
 
 ServerNotice ServerNotices::find(const HostedServer &server) const
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -158,6 +158,7 @@
     writer.number(response.configuration.value());
     writer.rate(report.notice.limit).fraction(report.demand.perSecond());
     writer.number(static_cast<std::uint64_t>(report.serverStartedAtMs));
+    writer.number(report.notice.isLeaving ? 1 : 0);
     return writer.finish();
 }
 
@@ -186,6 +187,7 @@
         report.notice.limit = reader.rate();
         report.demand = CallRate(reader.fraction());
         report.serverStartedAtMs = static_cast<std::int64_t>(reader.number());
+        report.notice.isLeaving = reader.number() != 0;
     }
     if (!reader.isValid() || result > static_cast<std::uint64_t>(HopResult::Unknown)
         || reason >= detail::reasonNames.size())
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -96,6 +96,7 @@
     response.report.timedAnswers = timedAnswers_;
     response.report.lateAnswers = lateAnswers_;
     response.report.relativeWorkSum = relativeWorkSum_;
+    response.report.notice = local_.notice();
     response.report.notice.limit = load.limit;
     response.report.demand = load.limit ? load.demand : CallRate();
     response.report.serverStartedAtMs = local_.startedAtMs();
@@ -339,6 +340,8 @@
                 {"limitPerSecond", perSecond},
                 {"isLeaving", notice.isLeaving}});
     refresh();
+    if (notice.isLeaving)
+        handlers_.onServerChanged();
 }
 
 void InboundProxy::countServerCall()
--- a/test/adapter/server-notice-test.cc
+++ b/test/adapter/server-notice-test.cc
@@ -1,4 +1,5 @@
-// Tests what nodes do with the limit that a backend server names in its responses.
+// Tests what nodes do with the limit that a backend server names in its responses, and when it says
+// there that it leaves.
 #include "adapter/sidecar-fleet.h"
 
 namespace cornelhead {
@@ -124,6 +125,46 @@
     waitUntil([&] { return call(limited->settings.inbound, request).status == 200; });
 }
 
+// DRAIN: a server said that it leaves in its responses only, and got calls all the while.
+BOOST_AUTO_TEST_CASE(serverThatLeavesAccordingToItsResponsesGetsNoFurtherCalls)
+{
+    limited->server->isLeaving = true;
+    sendCalls(callInterval, Milliseconds(1000));
+    BOOST_REQUIRE(!limited->server->runs.empty());
+    limited->server->runs.clear();
+    announce(*limited);
+    sendCalls(callInterval, Milliseconds(1000));
+    BOOST_TEST(limited->server->runs.empty());
+    BOOST_TEST(statuses[200] + statuses[503] == sent);
+}
+
+// The restarted node hears from heartbeats only, which say that the server is ready.
+BOOST_AUTO_TEST_CASE(serverThatLeavesGetsNoCallsThroughItsRestartedNode)
+{
+    limited->server->isLeaving = true;
+    const auto entryHeard = [&] {
+        sendCalls(callInterval, Milliseconds(200));
+        return !limited->server->runs.empty();
+    };
+    entries = {entries.front()};
+    waitUntil(entryHeard);
+    limited->sidecar.reset();
+    store.erase("cornelhead/hosts/" + limited->settings.inbound.toString());
+    loop.runFor(Milliseconds(3500));
+    startSidecar(*limited);
+    announce(*limited);
+    settle();
+    limited->server->runs.clear();
+    sendCalls(callInterval, Milliseconds(1000));
+    BOOST_TEST(limited->server->runs.empty());
+    // A new run under the same id is another server.
+    limited->server->isLeaving = false;
+    announce(*limited, "v1", "ready", 2);
+    loop.runFor(Milliseconds(2000));
+    sendCalls(callInterval, Milliseconds(1000));
+    BOOST_TEST(!limited->server->runs.empty());
+}
+
 BOOST_AUTO_TEST_CASE(malformedLimitIsIgnored)
 {
     limited->server->limit = "10 or so";
--- a/test/membership/local-server-test.cc
+++ b/test/membership/local-server-test.cc
@@ -52,6 +52,20 @@
     BOOST_TEST(!server.notice().limit);
 }
 
+BOOST_AUTO_TEST_CASE(serverThatLeavesIsDrainingForTheRestOfItsRun)
+{
+    LocalServer server;
+    server.apply(announcementOf("s", 100, 1));
+    server.apply(ServerNotice{std::nullopt, true});
+    BOOST_TEST(!server.usable());
+    BOOST_TEST((server.published()->state == ServerState::Draining));
+    server.apply(announcementOf("s", 100, 2));
+    server.apply(ServerNotice());
+    BOOST_TEST(!server.usable());
+    server.apply(announcementOf("s", 200, 1));
+    BOOST_TEST(server.usable());
+}
+
 BOOST_AUTO_TEST_CASE(restartUnderTheSameIdIsANewRun)
 {
     LocalServer server;
--- a/test/sidecar/hop-test.cc
+++ b/test/sidecar/hop-test.cc
@@ -11,6 +11,7 @@
 {
     HopResponse response{HopResult::NotRun, HopReason::Overload, NodeId("r1"), {}, Revision(7)};
     response.report.notice.limit = CallRate(12.5);
+    response.report.notice.isLeaving = true;
     response.report.demand = CallRate(80.25);
     response.report.serverStartedAtMs = 1778067253011;
     return response;
@@ -24,11 +25,12 @@
     return text;
 }
 
-BOOST_AUTO_TEST_CASE(limitIsPassedOn)
+BOOST_AUTO_TEST_CASE(noticeIsPassedOn)
 {
     const auto response = decodeHopResponse(encodeHopResponse(limitedResponse()));
     BOOST_REQUIRE(response);
     BOOST_TEST((response->report.notice.limit == CallRate(12.5)));
+    BOOST_TEST(response->report.notice.isLeaving);
     BOOST_TEST(response->report.demand.perSecond() == 80.25);
     BOOST_TEST(response->report.serverStartedAtMs == 1778067253011);
     HopRequest request;
@@ -38,10 +40,10 @@
     BOOST_TEST(!decodeHopRequest(encodeHopRequest(request))->knownLimit);
 }
 
-BOOST_AUTO_TEST_CASE(headersOfEarlierVersionsHaveNoLimit)
+BOOST_AUTO_TEST_CASE(headersOfEarlierVersionsHaveNoNotice)
 {
     const std::string response = encodeHopResponse(limitedResponse());
-    const auto earlier = decodeHopResponse(withoutLastFields(response, 4));
+    const auto earlier = decodeHopResponse(withoutLastFields(response, 5));
     BOOST_REQUIRE(earlier);
     BOOST_TEST((earlier->configuration == Revision(7)));
     BOOST_TEST(!earlier->report.notice.limit);
@@ -53,7 +55,7 @@
 BOOST_AUTO_TEST_CASE(truncatedHeadersAreRefused)
 {
     const std::string response = encodeHopResponse(limitedResponse());
-    for (int count : {1, 2, 3, 5, 6})
+    for (int count : {1, 2, 3, 4, 6, 7})
         BOOST_TEST(!decodeHopResponse(withoutLastFields(response, count)));
     BOOST_TEST(!decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 1)));
 }
