Log the era of the store and the changes that a node passes over

Change: the client reads Store-Era, which is logged and counted; a listing or watch whose entries are not newer than those held is logged. Nothing acts on either yet.

--- a/include/cornelhead/base/ids.h
+++ b/include/cornelhead/base/ids.h
@@ -68,6 +68,8 @@
 /// A revision of the key-value store: a key's is that of its last write, 0 if the key does not
 /// exist.
 using ModRevision = Number<struct ModRevisionTag>;
+/// Counts how often the key-value store came back from an older copy of itself.
+using StoreEra = Number<struct StoreEraTag>;
 
 } // namespace cornelhead
 
--- a/include/cornelhead/platform/change-journal.h
+++ b/include/cornelhead/platform/change-journal.h
@@ -15,8 +15,9 @@
 class ChangeJournal
 {
 public:
-    /// Applies the result of a listing or of a watch after `revision()`.
-    void apply(const WatchResponse &response);
+    /// Applies the result of a listing or of a watch after `revision()`.  Returns how many entries
+    /// were passed over as not newer than those held.
+    std::size_t apply(const WatchResponse &response);
     /// Returns the changes after `after`, or a snapshot if removals since then were discarded.  A
     /// reader that is ahead of this journal gets no changes.
     WatchResponse changesSince(ModRevision after) const;
--- a/include/cornelhead/platform/client.h
+++ b/include/cornelhead/platform/client.h
@@ -39,6 +39,15 @@
     /// Sends the data centre in a header of each call, so that tests can simulate a partition.
     void setDataCentre(const DataCentreId &dataCentre) { dataCentre_ = dataCentre; }
 
+    /// `handler` runs when a response is the first one of a later era, before the response is
+    /// handled.
+    void setEraHandler(std::function<void(StoreEra before, StoreEra after)> handler)
+    {
+        eraHandler_ = std::move(handler);
+    }
+    /// The latest era that a response named; 0 before the first.
+    StoreEra era() const { return era_; }
+
     void get(const std::string &key, Callback<std::optional<KeyValue>> callback);
     void list(const std::string &prefix, const Callback<Listing> &callback,
               Freshness freshness = Freshness::Current);
@@ -62,6 +71,7 @@
     void start(const std::shared_ptr<Call> &call);
     void send(const std::shared_ptr<Call> &call, std::size_t attempts);
     void finish(const Call &call, Result<HttpResponse> response);
+    void observeEra(StoreEra era);
     void listFrom(const std::string &prefix, Freshness freshness,
                   const std::shared_ptr<Listing> &accumulated, const Callback<Listing> &callback);
 
@@ -74,6 +84,8 @@
     Milliseconds timeout_;
     Metrics *metrics_;
     DataCentreId dataCentre_;
+    StoreEra era_;
+    std::function<void(StoreEra, StoreEra)> eraHandler_;
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/platform/default-store-codec.h
+++ b/include/cornelhead/platform/default-store-codec.h
@@ -23,6 +23,7 @@
     HttpRequest keepAlive(const LeaseId &lease) const override;
     HttpRequest revoke(const LeaseId &lease) const override;
 
+    std::optional<StoreEra> readEra(const HttpResponse &response) const override;
     Result<std::optional<KeyValue>> readGet(const HttpResponse &response) const override;
     Result<ListingPage> readList(const HttpResponse &response) const override;
     Result<WatchResponse> readWatch(const HttpResponse &response) const override;
--- a/include/cornelhead/platform/store-codec.h
+++ b/include/cornelhead/platform/store-codec.h
@@ -40,6 +40,8 @@
     virtual HttpRequest keepAlive(const LeaseId &lease) const = 0;
     virtual HttpRequest revoke(const LeaseId &lease) const = 0;
 
+    /// Returns the era that a response of any status names; nothing if it names none.
+    virtual std::optional<StoreEra> readEra(const HttpResponse &response) const = 0;
     virtual Result<std::optional<KeyValue>> readGet(const HttpResponse &response) const = 0;
     virtual Result<ListingPage> readList(const HttpResponse &response) const = 0;
     virtual Result<WatchResponse> readWatch(const HttpResponse &response) const = 0;
--- a/include/cornelhead/platform/wire.h
+++ b/include/cornelhead/platform/wire.h
@@ -1,6 +1,7 @@
 // JSON messages of the default wire format, shared by the client and the stand-in server.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,12 @@
 /// The header with the caller's data centre, for tests that simulate a partition.
 constexpr const char *dataCentreHeader = "Cornelhead-Data-Centre";
 
+/// The header of every response with the era of the store.
+constexpr const char *storeEraHeader = "Store-Era";
+
+/// Reads the header that is called `name`; nothing if it is absent or not a number.
+std::optional<StoreEra> readEraHeader(const HttpResponse &response, const std::string &name);
+
 /// Returns the HTTP status of an error.
 int statusOf(ErrorKind kind);
 /// Returns a response with the status of the error and the body
--- a/include/cornelhead/sidecar/change-feed.h
+++ b/include/cornelhead/sidecar/change-feed.h
@@ -68,7 +68,8 @@
     ChangeFeed(EventLoop &loop, std::function<RelayState()> relayState);
 
     /// Applies what a listing or watch of the store returned, and answers polls that waited for it.
-    void apply(Subtree subtree, const WatchResponse &response);
+    /// Returns how many entries were passed over as not newer than those held.
+    std::size_t apply(Subtree subtree, const WatchResponse &response);
     void serve(evhttp_request *request);
     /// Answers polls whose time is over, and all polls while this node is unable to relay.
     void sweep();
--- a/src/platform/change-journal.cc
+++ b/src/platform/change-journal.cc
@@ -6,7 +6,7 @@
 
 namespace cornelhead {
 
-void ChangeJournal::apply(const WatchResponse &response)
+std::size_t ChangeJournal::apply(const WatchResponse &response)
 {
     const bool isFirst = revision_ == ModRevision();
     revision_ = std::max(revision_, response.storeRevision);
@@ -24,15 +24,19 @@
         for (const std::string &key : missing)
             recordRemoval(key, revision_);
     }
+    std::size_t passedOver = 0;
     for (const KeyValue &entry : response.changed) {
         KeyValue &current = entries_[entry.key];
-        if (current.modRevision >= entry.modRevision)
+        if (current.modRevision >= entry.modRevision) {
+            ++passedOver;
             continue;
+        }
         current = entry;
         lastChangeRevision_ = std::max(lastChangeRevision_, entry.modRevision);
     }
     for (const std::string &key : response.removed)
         recordRemoval(key, revision_);
+    return passedOver;
 }
 
 void ChangeJournal::recordRemoval(const std::string &key, ModRevision revision)
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -71,6 +71,8 @@
 
 void PlatformClient::finish(const Call &call, Result<HttpResponse> response)
 {
+    if (response)
+        observeEra(codec_->readEra(*response).value_or(era_));
     const Result<void> outcome = call.onResponse(std::move(response));
     const std::string result(outcome ? "ok" : errorKindName(outcome.error().kind));
     metrics_->counter("cornelhead_platform_calls_total",
@@ -78,6 +80,16 @@
             .add();
 }
 
+void PlatformClient::observeEra(StoreEra era)
+{
+    if (era <= era_)
+        return;
+    const StoreEra before = std::exchange(era_, era);
+    metrics_->gauge("cornelhead_platform_era").set(static_cast<std::int64_t>(era.value()));
+    if (eraHandler_)
+        eraHandler_(before, era);
+}
+
 void PlatformClient::get(const std::string &key, Callback<std::optional<KeyValue>> callback)
 {
     const auto decode
--- a/src/platform/default-store-codec.cc
+++ b/src/platform/default-store-codec.cc
@@ -55,6 +55,11 @@
 
 } // namespace detail
 
+std::optional<StoreEra> DefaultStoreCodec::readEra(const HttpResponse &response) const
+{
+    return detail::readEraHeader(response, detail::storeEraHeader);
+}
+
 HttpRequest DefaultStoreCodec::get(const std::string &key) const
 {
     return detail::getRequest("/v1/get?key=" + escapeUri(key));
--- a/src/platform/wire.cc
+++ b/src/platform/wire.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/platform/wire.h"
 
 #include <array>
+#include <charconv>
 
 namespace cornelhead::detail {
 
@@ -23,6 +24,19 @@
         {ErrorKind::Unavailable, 503},
 }};
 
+std::optional<StoreEra> readEraHeader(const HttpResponse &response, const std::string &name)
+{
+    const auto header = response.headers.find(name);
+    if (header == response.headers.end())
+        return std::nullopt;
+    const std::string &text = header->second;
+    std::uint64_t era = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), era);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return StoreEra(era);
+}
+
 int statusOf(ErrorKind kind)
 {
     for (const KindStatus &entry : kindStatuses) {
--- a/src/sidecar/change-feed.cc
+++ b/src/sidecar/change-feed.cc
@@ -95,10 +95,11 @@
     return journals_[indexOf(subtree)];
 }
 
-void ChangeFeed::apply(Subtree subtree, const WatchResponse &response)
+std::size_t ChangeFeed::apply(Subtree subtree, const WatchResponse &response)
 {
-    journals_[indexOf(subtree)].apply(response);
+    const std::size_t passedOver = journals_[indexOf(subtree)].apply(response);
     sweep();
+    return passedOver;
 }
 
 bool ChangeFeed::hasChanges(const SubtreeRevisions &after) const
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -86,7 +86,12 @@
                     [this](bool isReachable, const std::string &error) {
                         follower.setReachable(isReachable, error);
                     })
-    { }
+    {
+        platform.setEraHandler([this](StoreEra before, StoreEra after) {
+            log.write(EventKind::Lifecycle, detail::syncPart, "store-era",
+                      {{"era", after.value()}, {"before", before.value()}});
+        });
+    }
 
     detail::FollowerHandlers followerHandlers()
     {
--- a/src/sidecar/store-follower.cc
+++ b/src/sidecar/store-follower.cc
@@ -175,8 +175,17 @@
 
 void StoreFollower::deliver(Watch &watch, const WatchResponse &response)
 {
+    const ModRevision before = watch.after;
     watch.after = std::max(watch.after, response.storeRevision);
-    feed_.apply(watch.subtree, response);
+    const std::size_t passedOver = feed_.apply(watch.subtree, response);
+    if (passedOver > 0 || response.storeRevision < before) {
+        log_.write(EventKind::StateChange, followerPart, "changes-passed-over",
+                   {{"prefix", watch.prefix},
+                    {"changes", response.changed.size()},
+                    {"passedOver", passedOver},
+                    {"revision", response.storeRevision.value()},
+                    {"before", before.value()}});
+    }
     handlers_.onResponse(watch.subtree, response);
 }
 
