Order the store's revisions by era, as a restored store gives them out again

Cause: revisions were compared across the store's return from a copy: relays' journals passed over entries written again, and watches waited for revisions above one that the next change then got.

Change: a ModRevision holds its era; any revision of a later era is higher. The client sets the era of all that a response names, sends revisions without it, reads a prefix anew when two eras meet, drops late responses of an earlier era, and fails a compare-and-swap with a revision of an earlier era. Journals, followers' polls and the relays of cornelhead-node compare such revisions without a change of their own. A node that hears of a later era, from the store or from its relay, lists both prefixes again. Stand-ins can come back from a copy.

--- a/include/cornelhead/platform/client.h
+++ b/include/cornelhead/platform/client.h
@@ -20,6 +20,9 @@
 
 /// An asynchronous client.  Callbacks run on the loop, never before the call returns.
 ///
+/// Revisions hold the era of the store, see `inEra`.  A read that spans two eras is done again as a
+/// listing; a compare-and-swap with a revision of an earlier era fails as a conflict.
+///
 /// Errors: `Conflict` if a compare-and-swap failed, `RateLimited`, `TooLarge`, `NotFound` for an
 /// expired lease, `Unavailable` if the call had no effect (a read, or certainly not executed),
 /// `Unknown` if a write may have taken effect, `InvalidMessage` for a value that the codec cannot
@@ -45,6 +48,8 @@
     {
         eraHandler_ = std::move(handler);
     }
+    /// Records an era of which another node has heard.
+    void observeEra(StoreEra era);
     /// The latest era that a response named; 0 before the first.
     StoreEra era() const { return era_; }
 
@@ -71,7 +76,13 @@
     void start(const std::shared_ptr<Call> &call);
     void send(const std::shared_ptr<Call> &call, std::size_t attempts);
     void finish(const Call &call, Result<HttpResponse> response);
-    void observeEra(StoreEra era);
+    template <typename T>
+    std::function<Result<T>(const HttpResponse &)>
+    decoder(Result<T> (StoreCodec::*read)(const HttpResponse &) const);
+    /// Returns a `Conflict` if the revision is of an earlier era.
+    std::optional<Error> findOutdated(const std::optional<ExpectedRevision> &expected) const;
+    template <typename T>
+    void postError(const Error &error, Callback<T> callback);
     void listFrom(const std::string &prefix, Freshness freshness,
                   const std::shared_ptr<Listing> &accumulated, const Callback<Listing> &callback);
 
--- a/include/cornelhead/platform/store-types.h
+++ b/include/cornelhead/platform/store-types.h
@@ -11,6 +11,17 @@
 /// Identifies a lease granted by the platform.
 using LeaseId = Id<struct LeaseTag>;
 
+/// Returns `revision` as one of `era`.
+///
+/// A store that comes back from an older copy gives out its revisions again, so a revision means
+/// nothing without its era.  A `ModRevision` therefore holds both: any revision of a later era is
+/// higher, those of one era are ordered as the store orders them, and 0 stays 0.
+ModRevision inEra(StoreEra era, ModRevision revision);
+/// Returns the era of a revision; 0 for revision 0.
+StoreEra eraOf(ModRevision revision);
+/// Returns the revision as the store of its era gave it out.
+ModRevision withoutEra(ModRevision revision);
+
 /// A key with its value and the revision of its last write.
 struct KeyValue
 {
--- a/include/cornelhead/sidecar/store-follower.h
+++ b/include/cornelhead/sidecar/store-follower.h
@@ -46,6 +46,9 @@
     void start();
     /// Records whether the store answered a call of this node, and the error if not.
     void setReachable(bool isReachable, const std::string &error);
+    /// The store came back from an older copy: changes since then are not those that follow the
+    /// last ones.
+    void onStoreRestored();
     /// To be called a few times a second.
     void sweep();
     /// Sends followers to another relay, as this process will end.
--- a/include/cornelhead/standin/key-value-store.h
+++ b/include/cornelhead/standin/key-value-store.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -56,9 +57,18 @@
     Result<void> revoke(const LeaseId &lease);
     void expireLeases();
 
-    ModRevision revision() const { return revision_; }
-    std::size_t size() const { return entries_.size(); }
-    std::size_t leaseCount() const { return leases_.size(); }
+    class Copy;
+    /// Returns a copy of the whole state.
+    std::shared_ptr<const Copy> copy() const;
+    /// Comes back from an older copy: later writes and leases are lost, revisions and lease ids are
+    /// given out again, and a new era begins.  Leases of the copy run from now.
+    void restore(const Copy &copy);
+    /// Counts the calls of `restore`.
+    StoreEra era() const { return era_; }
+
+    ModRevision revision() const { return state_.revision; }
+    std::size_t size() const { return state_.entries.size(); }
+    std::size_t leaseCount() const { return state_.leases.size(); }
     /// Checks all invariants in time linear in the size of the store.
     bool isConsistent() const;
 
@@ -88,17 +98,31 @@
     void erase(const std::string &key);
     void removeLease(std::map<LeaseId, Lease>::iterator lease);
 
+    struct State
+    {
+        std::uint64_t grantCount = 0;
+        std::map<std::string, Entry> entries;
+        // Lease::keys holds a key if and only if the entry of that key names the lease.
+        std::map<LeaseId, Lease> leases;
+        // Revisions are consecutive and end at `revision`.
+        std::deque<Change> log;
+        // No entry has a higher modification revision.
+        ModRevision revision;
+    };
+
     StoreLimits limits_;
     Clock clock_;
     std::uint64_t instance_;
-    std::uint64_t grantCount_ = 0;
-    std::map<std::string, Entry> entries_;
-    // Lease::keys holds a key if and only if the entry of that key names the lease.
-    std::map<LeaseId, Lease> leases_;
-    // Revisions are consecutive and end at revision_.
-    std::deque<Change> log_;
-    // No entry has a higher modification revision.
-    ModRevision revision_;
+    StoreEra era_;
+    State state_;
+};
+
+/// The state of a store at one moment.
+class KeyValueStore::Copy
+{
+    friend class KeyValueStore;
+    explicit Copy(State state) : state_(std::move(state)) { }
+    State state_;
 };
 
 } // namespace cornelhead
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -11,6 +11,43 @@
 /// Added to the timeout of a watch, so that the server's empty response arrives before it expires.
 constexpr Milliseconds watchTimeoutMargin(2000);
 
+/// These give the revisions that a response of `era` names their era.
+void setEra(StoreEra era, ModRevision &revision)
+{
+    revision = inEra(era, revision);
+}
+
+void setEra(StoreEra era, std::vector<KeyValue> &entries)
+{
+    for (KeyValue &entry : entries)
+        setEra(era, entry.modRevision);
+}
+
+void setEra(StoreEra era, std::optional<KeyValue> &entry)
+{
+    if (entry)
+        setEra(era, entry->modRevision);
+}
+
+void setEra(StoreEra era, ListingPage &page)
+{
+    setEra(era, page.listing.entries);
+    setEra(era, page.listing.storeRevision);
+}
+
+void setEra(StoreEra era, WatchResponse &response)
+{
+    setEra(era, response.changed);
+    setEra(era, response.storeRevision);
+}
+
+tl::unexpected<Error> storeWasRestored()
+{
+    return fail(ErrorKind::Unavailable,
+                "the response is from before the platform came back from an older copy",
+                "read the state again");
+}
+
 /// Returns a handler that decodes a response, runs the callback and returns the outcome of the
 /// call, which is counted.
 template <typename T, typename Read>
@@ -71,8 +108,10 @@
 
 void PlatformClient::finish(const Call &call, Result<HttpResponse> response)
 {
-    if (response)
-        observeEra(codec_->readEra(*response).value_or(era_));
+    const StoreEra era = response ? codec_->readEra(*response).value_or(era_) : era_;
+    observeEra(era);
+    if (era < era_)
+        response = detail::storeWasRestored();
     const Result<void> outcome = call.onResponse(std::move(response));
     const std::string result(outcome ? "ok" : errorKindName(outcome.error().kind));
     metrics_->counter("cornelhead_platform_calls_total",
@@ -90,10 +129,22 @@
         eraHandler_(before, era);
 }
 
+// All responses are decoded within `finish`, when `era_` is the era of the response.
+template <typename T>
+std::function<Result<T>(const HttpResponse &)>
+PlatformClient::decoder(Result<T> (StoreCodec::*read)(const HttpResponse &) const)
+{
+    return [this, codec = codec_, read](const HttpResponse &response) {
+        Result<T> result = (codec.get()->*read)(response);
+        if (result)
+            detail::setEra(era_, *result);
+        return result;
+    };
+}
+
 void PlatformClient::get(const std::string &key, Callback<std::optional<KeyValue>> callback)
 {
-    const auto decode
-            = [codec = codec_](const HttpResponse &response) { return codec->readGet(response); };
+    const auto decode = decoder(&StoreCodec::readGet);
     start(std::make_shared<Call>(Call{
             "get", codec_->get(key), timeout_,
             detail::responseHandler<std::optional<KeyValue>>(false, decode, std::move(callback))}));
@@ -109,13 +160,18 @@
                               const std::shared_ptr<Listing> &accumulated,
                               const Callback<Listing> &callback)
 {
-    const auto decode
-            = [codec = codec_](const HttpResponse &response) { return codec->readList(response); };
+    const auto decode = decoder(&StoreCodec::readList);
     const auto onPage = [this, prefix, freshness, accumulated, callback](Result<ListingPage> page) {
         if (!page) {
             callback(tl::unexpected(page.error()));
             return;
         }
+        // A listing whose pages are of different eras is begun again.
+        if (!accumulated->entries.empty()
+            && eraOf(accumulated->storeRevision) < eraOf(page->listing.storeRevision)) {
+            listFrom(prefix, freshness, std::make_shared<Listing>(), callback);
+            return;
+        }
         // The pages are no consistent snapshot, so a watch must start at the revision of the first.
         if (accumulated->entries.empty())
             accumulated->storeRevision = page->listing.storeRevision;
@@ -133,19 +189,39 @@
                  detail::responseHandler<ListingPage>(false, decode, onPage)}));
 }
 
+std::optional<Error>
+PlatformClient::findOutdated(const std::optional<ExpectedRevision> &expected) const
+{
+    if (!expected || expected->modRevision == ModRevision() || eraOf(expected->modRevision) == era_)
+        return std::nullopt;
+    return Error{ErrorKind::Conflict,
+                 "the expected revision is from before the platform came back from an older copy",
+                 "read the key again and retry"};
+}
+
+template <typename T>
+void PlatformClient::postError(const Error &error, Callback<T> callback)
+{
+    loop_->post([callback = std::move(callback), error] { callback(tl::unexpected(error)); });
+}
+
 void PlatformClient::put(const std::string &key, const std::string &value,
                          const std::optional<ExpectedRevision> &expected,
                          const std::optional<LeaseId> &lease, Callback<ModRevision> callback)
 {
-    Result<HttpRequest> request = codec_->put(key, value, expected, lease);
+    if (const std::optional<Error> error = findOutdated(expected)) {
+        postError(*error, std::move(callback));
+        return;
+    }
+    std::optional<ExpectedRevision> expectedInStore = expected;
+    if (expected)
+        expectedInStore->modRevision = withoutEra(expected->modRevision);
+    Result<HttpRequest> request = codec_->put(key, value, expectedInStore, lease);
     if (!request) {
-        loop_->post([callback = std::move(callback), error = request.error()] {
-            callback(tl::unexpected(error));
-        });
+        postError(request.error(), std::move(callback));
         return;
     }
-    const auto decode
-            = [codec = codec_](const HttpResponse &response) { return codec->readPut(response); };
+    const auto decode = decoder(&StoreCodec::readPut);
     start(std::make_shared<Call>(
             Call{"put", std::move(*request), timeout_,
                  detail::responseHandler<ModRevision>(true, decode, std::move(callback))}));
@@ -154,6 +230,11 @@
 void PlatformClient::remove(const std::string &key, ExpectedRevision expected,
                             Callback<void> callback)
 {
+    if (const std::optional<Error> error = findOutdated(expected)) {
+        postError(*error, std::move(callback));
+        return;
+    }
+    expected.modRevision = withoutEra(expected.modRevision);
     const auto decode = [codec = codec_](const HttpResponse &response) {
         return codec->readResult(response);
     };
@@ -173,17 +254,23 @@
                 done(WatchResponse{std::move(listing->entries), {}, listing->storeRevision, true});
         });
     };
-    const auto onResponse
-            = [callback = std::move(callback), listAll](Result<WatchResponse> response) {
-                  if (!response && response.error().kind == ErrorKind::Stale)
-                      listAll(callback);
-                  else
-                      callback(std::move(response));
-              };
-    const auto decode
-            = [codec = codec_](const HttpResponse &response) { return codec->readWatch(response); };
+    // The changes of another era do not continue those up to `after`.
+    const bool isEraKnown = after != ModRevision();
+    if (isEraKnown && eraOf(after) < era_) {
+        listAll(callback);
+        return;
+    }
+    const auto onResponse = [callback = std::move(callback), listAll, isEraKnown,
+                             era = eraOf(after)](Result<WatchResponse> response) {
+        const bool isStale = !response && response.error().kind == ErrorKind::Stale;
+        if (isStale || (response && isEraKnown && eraOf(response->storeRevision) != era))
+            listAll(callback);
+        else
+            callback(std::move(response));
+    };
+    const auto decode = decoder(&StoreCodec::readWatch);
     start(std::make_shared<Call>(
-            Call{"watch", codec_->watch(prefix, after, wait),
+            Call{"watch", codec_->watch(prefix, withoutEra(after), wait),
                  wait + detail::watchTimeoutMargin + timeout_,
                  detail::responseHandler<WatchResponse>(false, decode, onResponse)}));
 }
--- a/src/platform/wire.cc
+++ b/src/platform/wire.cc
@@ -30,7 +30,7 @@
     if (header == response.headers.end())
         return std::nullopt;
     const std::string &text = header->second;
-    std::uint64_t era = 0;
+    std::uint32_t era = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), era);
     if (error != std::errc() || end != text.data() + text.size())
         return std::nullopt;
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -90,6 +90,8 @@
         platform.setEraHandler([this](StoreEra before, StoreEra after) {
             log.write(EventKind::Lifecycle, detail::syncPart, "store-era",
                       {{"era", after.value()}, {"before", before.value()}});
+            if (before != StoreEra())
+                follower.onStoreRestored();
         });
     }
 
@@ -97,6 +99,7 @@
     {
         detail::FollowerHandlers result;
         result.onResponse = [this](Subtree subtree, const WatchResponse &response) {
+            platform.observeEra(eraOf(response.storeRevision));
             if (subtree == Subtree::Operators)
                 applyOperatorChanges(response);
             else
--- a/src/sidecar/store-follower.cc
+++ b/src/sidecar/store-follower.cc
@@ -210,6 +210,15 @@
         restartWatches();
 }
 
+void StoreFollower::onStoreRestored()
+{
+    for (Watch &watch : watches_)
+        watch.isListed = false;
+    // Otherwise the watches start once the store answers.
+    if (!relay_ && isReachable_)
+        restartWatches();
+}
+
 void StoreFollower::setRelayActive(bool isActive)
 {
     isRelayActive_ = isActive;
--- a/src/standin/key-value-store.cc
+++ b/src/standin/key-value-store.cc
@@ -36,8 +36,8 @@
 std::optional<KeyValue> KeyValueStore::get(const std::string &key)
 {
     expireLeases();
-    const auto found = entries_.find(key);
-    if (found == entries_.end())
+    const auto found = state_.entries.find(key);
+    if (found == state_.entries.end())
         return std::nullopt;
     return KeyValue{key, found->second.value, found->second.modRevision};
 }
@@ -46,9 +46,9 @@
 {
     expireLeases();
     Listing listing;
-    listing.storeRevision = revision_;
-    auto entry = entries_.lower_bound(std::string(prefix));
-    for (; entry != entries_.end() && detail::startsWith(entry->first, prefix); ++entry) {
+    listing.storeRevision = state_.revision;
+    auto entry = state_.entries.lower_bound(std::string(prefix));
+    for (; entry != state_.entries.end() && detail::startsWith(entry->first, prefix); ++entry) {
         listing.entries.push_back(
                 KeyValue{entry->first, entry->second.value, entry->second.modRevision});
     }
@@ -57,8 +57,8 @@
 
 ModRevision KeyValueStore::revisionOf(const std::string &key) const
 {
-    const auto found = entries_.find(key);
-    return found == entries_.end() ? ModRevision() : found->second.modRevision;
+    const auto found = state_.entries.find(key);
+    return found == state_.entries.end() ? ModRevision() : found->second.modRevision;
 }
 
 Result<void> KeyValueStore::checkWrite(const std::string &key, const std::string &value,
@@ -74,7 +74,7 @@
                     "split it into values of at most " + std::to_string(limits_.maxValueBytes)
                             + " bytes");
     }
-    if (lease && !leases_.contains(*lease))
+    if (lease && !state_.leases.contains(*lease))
         return detail::leaseNotFound(*lease);
     return {};
 }
@@ -89,15 +89,15 @@
     const ModRevision actual = revisionOf(key);
     if (actual != expected.modRevision)
         return detail::conflict(key, expected.modRevision, actual);
-    Entry &entry = entries_[key];
+    Entry &entry = state_.entries[key];
     if (!entry.lease.empty())
-        leases_.at(entry.lease).keys.erase(key);
+        state_.leases.at(entry.lease).keys.erase(key);
     recordChange(key);
-    entry = Entry{value, revision_, lease.value_or(LeaseId())};
+    entry = Entry{value, state_.revision, lease.value_or(LeaseId())};
     if (lease)
-        leases_.at(*lease).keys.insert(key);
+        state_.leases.at(*lease).keys.insert(key);
     CORNELHEAD_CHECK(entry.modRevision > actual);
-    return revision_;
+    return state_.revision;
 }
 
 Result<void> KeyValueStore::remove(const std::string &key, ExpectedRevision expected)
@@ -114,44 +114,45 @@
 
 void KeyValueStore::recordChange(const std::string &key)
 {
-    revision_ = revision_.next();
-    log_.push_back(Change{revision_, key});
-    if (log_.size() > limits_.loggedChanges)
-        log_.pop_front();
-    CORNELHEAD_CHECK(log_.empty()
-                     || revision_.value() - log_.front().revision.value() + 1 == log_.size());
+    state_.revision = state_.revision.next();
+    state_.log.push_back(Change{state_.revision, key});
+    if (state_.log.size() > limits_.loggedChanges)
+        state_.log.pop_front();
+    CORNELHEAD_CHECK(state_.log.empty()
+                     || state_.revision.value() - state_.log.front().revision.value() + 1
+                             == state_.log.size());
 }
 
 void KeyValueStore::erase(const std::string &key)
 {
-    const auto entry = entries_.find(key);
-    CORNELHEAD_CHECK(entry != entries_.end());
+    const auto entry = state_.entries.find(key);
+    CORNELHEAD_CHECK(entry != state_.entries.end());
     if (!entry->second.lease.empty())
-        leases_.at(entry->second.lease).keys.erase(key);
-    entries_.erase(entry);
+        state_.leases.at(entry->second.lease).keys.erase(key);
+    state_.entries.erase(entry);
     recordChange(key);
 }
 
 Result<WatchResponse> KeyValueStore::changes(std::string_view prefix, ModRevision after)
 {
     expireLeases();
-    const std::uint64_t logStart = revision_.value() - log_.size();
-    if (after > revision_ || after.value() < logStart) {
+    const std::uint64_t logStart = state_.revision.value() - state_.log.size();
+    if (after > state_.revision || after.value() < logStart) {
         return fail(ErrorKind::Stale,
                     "the changes after revision " + std::to_string(after.value())
                             + " are not in the log",
                     "list the prefix and watch from the revision of the listing");
     }
     WatchResponse answer;
-    answer.storeRevision = revision_;
+    answer.storeRevision = state_.revision;
     std::set<std::string_view> seen;
-    const auto first = log_.begin() + static_cast<std::ptrdiff_t>(after.value() - logStart);
-    for (auto change = first; change != log_.end(); ++change) {
+    const auto first = state_.log.begin() + static_cast<std::ptrdiff_t>(after.value() - logStart);
+    for (auto change = first; change != state_.log.end(); ++change) {
         const std::string &key = change->key;
         if (!detail::startsWith(key, prefix) || !seen.insert(key).second)
             continue;
-        const auto entry = entries_.find(key);
-        if (entry == entries_.end())
+        const auto entry = state_.entries.find(key);
+        if (entry == state_.entries.end())
             answer.removed.push_back(key);
         else
             answer.changed.push_back(KeyValue{key, entry->second.value, entry->second.modRevision});
@@ -168,16 +169,17 @@
                     "ask for " + std::to_string(limits_.minTtl.count()) + " to "
                             + std::to_string(limits_.maxTtl.count()) + " ms");
     }
-    const LeaseId id("lease-" + std::to_string(instance_) + "-" + std::to_string(++grantCount_));
-    leases_[id] = Lease{ttl, now(clock_) + ttl, {}};
+    const LeaseId id("lease-" + std::to_string(instance_) + "-"
+                     + std::to_string(++state_.grantCount));
+    state_.leases[id] = Lease{ttl, now(clock_) + ttl, {}};
     return id;
 }
 
 Result<void> KeyValueStore::keepAlive(const LeaseId &lease)
 {
     expireLeases();
-    const auto found = leases_.find(lease);
-    if (found == leases_.end())
+    const auto found = state_.leases.find(lease);
+    if (found == state_.leases.end())
         return detail::leaseNotFound(lease);
     found->second.deadline = now(clock_) + found->second.ttl;
     return {};
@@ -186,8 +188,8 @@
 Result<void> KeyValueStore::revoke(const LeaseId &lease)
 {
     expireLeases();
-    const auto found = leases_.find(lease);
-    if (found == leases_.end())
+    const auto found = state_.leases.find(lease);
+    if (found == state_.leases.end())
         return detail::leaseNotFound(lease);
     removeLease(found);
     return {};
@@ -196,7 +198,7 @@
 void KeyValueStore::expireLeases()
 {
     const TimePoint time = now(clock_);
-    for (auto lease = leases_.begin(); lease != leases_.end();) {
+    for (auto lease = state_.leases.begin(); lease != state_.leases.end();) {
         const auto current = lease++;
         if (current->second.deadline <= time)
             removeLease(current);
@@ -209,28 +211,43 @@
     for (const std::string &key : keys)
         erase(key);
     CORNELHEAD_CHECK(lease->second.keys.empty());
-    leases_.erase(lease);
+    state_.leases.erase(lease);
+}
+
+std::shared_ptr<const KeyValueStore::Copy> KeyValueStore::copy() const
+{
+    return std::shared_ptr<const Copy>(new Copy(state_));
+}
+
+void KeyValueStore::restore(const Copy &copy)
+{
+    state_ = copy.state_;
+    era_ = era_.next();
+    for (auto &[id, lease] : state_.leases)
+        lease.deadline = now(clock_) + lease.ttl;
+    CORNELHEAD_CHECK(isConsistent());
 }
 
 bool KeyValueStore::isConsistent() const
 {
     std::size_t unmatchedKeys = 0;
-    for (const auto &[key, entry] : entries_) {
-        if (entry.modRevision > revision_ || entry.modRevision == ModRevision())
+    for (const auto &[key, entry] : state_.entries) {
+        if (entry.modRevision > state_.revision || entry.modRevision == ModRevision())
             return false;
         if (entry.lease.empty())
             continue;
         ++unmatchedKeys;
-        const auto lease = leases_.find(entry.lease);
-        if (lease == leases_.end() || !lease->second.keys.contains(key))
+        const auto lease = state_.leases.find(entry.lease);
+        if (lease == state_.leases.end() || !lease->second.keys.contains(key))
             return false;
     }
-    for (const auto &[id, lease] : leases_)
+    for (const auto &[id, lease] : state_.leases)
         unmatchedKeys -= lease.keys.size();
-    std::uint64_t expected = revision_.value() - log_.size();
-    const bool hasGap = std::any_of(log_.begin(), log_.end(), [&](const Change &change) {
-        return change.revision.value() != ++expected;
-    });
+    std::uint64_t expected = state_.revision.value() - state_.log.size();
+    const bool hasGap
+            = std::any_of(state_.log.begin(), state_.log.end(), [&](const Change &change) {
+                  return change.revision.value() != ++expected;
+              });
     return unmatchedKeys == 0 && !hasGap;
 }
 
--- a/src/standin/platform-server.cc
+++ b/src/standin/platform-server.cc
@@ -157,6 +157,8 @@
     RateLimiter readLimiter;
     RateLimiter writeLimiter;
     PlatformFaults faults;
+    // The state that /control/restore returns to.
+    std::shared_ptr<const KeyValueStore::Copy> copy;
     ControlTable control;
     HttpServer callServer;
     HttpServer controlServer;
@@ -229,9 +231,10 @@
         RateLimiter &limiter = operation.isWrite ? writeLimiter : readLimiter;
         if (!limiter.admit()) {
             count(operation.name, "rate-limited");
-            responder.send(detail::errorResponse(
-                    Error{ErrorKind::RateLimited, "the call rate exceeds the platform's limit",
-                          "reduce the call rate and retry with back-off"}));
+            send(responder,
+                 detail::errorResponse(Error{ErrorKind::RateLimited,
+                                             "the call rate exceeds the platform's limit",
+                                             "reduce the call rate and retry with back-off"}));
             return;
         }
         count(operation.name, "admitted");
@@ -247,6 +250,12 @@
                                  });
     }
 
+    void send(const Responder &responder, HttpResponse response) const
+    {
+        response.headers[detail::storeEraHeader] = std::to_string(store.era().value());
+        responder.send(response);
+    }
+
     void run(const detail::OperationEntry &operation, const ServeCall &decision,
              const HttpRequest &request, const Responder &responder)
     {
@@ -259,7 +268,7 @@
             metrics->counter("cornelhead_platform_faults_total", {{"fault", "lost-answer"}}).add();
             responder.closeConnection();
         } else {
-            responder.send(response);
+            send(responder, response);
         }
         answerWatches();
     }
@@ -272,7 +281,7 @@
         const Milliseconds wait(parameters.integer(
                 "wait", static_cast<std::uint64_t>(detail::maxWatchTime.count())));
         if (parameters.fault()) {
-            responder.send(detail::errorResponse(*parameters.fault()));
+            send(responder, detail::errorResponse(*parameters.fault()));
             return;
         }
         const WaitingWatch entry{detail::callerOf(request), prefix, after, now(clock) + wait,
@@ -292,13 +301,13 @@
         }
         const Result<WatchResponse> answer = store.changes(watch.prefix, watch.after);
         if (!answer) {
-            watch.responder.send(detail::errorResponse(answer.error()));
+            send(watch.responder, detail::errorResponse(answer.error()));
             return true;
         }
         const bool isEmpty = answer->changed.empty() && answer->removed.empty();
         if (isEmpty && now(clock) < watch.deadline && !drainCallback)
             return false;
-        watch.responder.send(jsonResponse(200, detail::toJson(*answer).dump()));
+        send(watch.responder, jsonResponse(200, detail::toJson(*answer).dump()));
         return true;
     }
 
@@ -362,9 +371,13 @@
         detail::json counts = detail::json::object();
         for (const auto &[operation, count] : callCounts)
             counts[operation] = count;
-        return {{"revision", store.revision().value()}, {"keys", store.size()},
-                {"leases", store.leaseCount()},         {"waitingWatches", waitingWatches.size()},
-                {"isOut", faults.outage().has_value()}, {"calls", counts}};
+        return {{"revision", store.revision().value()},
+                {"era", store.era().value()},
+                {"keys", store.size()},
+                {"leases", store.leaseCount()},
+                {"waitingWatches", waitingWatches.size()},
+                {"isOut", faults.outage().has_value()},
+                {"calls", counts}};
     }
 
     static OutageMode readMode(ControlParameters &parameters)
@@ -428,6 +441,16 @@
                 writeLimiter = RateLimiter(writeRate, clock);
             };
         });
+        control.add("copy",
+                    [this](ControlParameters &) { return [this] { copy = store.copy(); }; });
+        control.add("restore", [this](ControlParameters &p) {
+            if (!copy)
+                p.addFault("restore", "take a copy first, with /control/copy");
+            return [this] {
+                store.restore(*copy);
+                answerWatches();
+            };
+        });
         control.add("reset-counters",
                     [this](ControlParameters &) { return [this] { callCounts.clear(); }; });
     }
--- a/test/platform/change-journal-test.cc
+++ b/test/platform/change-journal-test.cc
@@ -95,6 +95,29 @@
     }
 }
 
+// CONFIG: a store that came back from a copy gave out its revisions again, and what was written
+// under them was passed over as old.
+BOOST_AUTO_TEST_CASE(entriesOfALaterEraAreNewer)
+{
+    const auto revision = [](std::uint64_t era, std::uint64_t number) {
+        return inEra(StoreEra(era), ModRevision(number));
+    };
+    ChangeJournal journal;
+    journal.apply({{KeyValue{"a", "1", revision(1, 4)}, KeyValue{"b", "2", revision(1, 90)}},
+                   {},
+                   revision(1, 90),
+                   true});
+    journal.apply({{KeyValue{"a", "1", revision(2, 4)}}, {}, revision(2, 50), true});
+    const WatchResponse restored = journal.changesSince(revision(1, 90));
+    BOOST_TEST(restored.changed.size() == 1U);
+    BOOST_REQUIRE(restored.removed.size() == 1U);
+    BOOST_TEST(restored.removed.front() == "b");
+    BOOST_TEST((restored.storeRevision == revision(2, 50)));
+    journal.apply({{KeyValue{"a", "3", revision(2, 51)}}, {}, revision(2, 51), false});
+    BOOST_TEST(journal.changesSince(revision(2, 50)).changed.front().value == "3");
+    BOOST_TEST(journal.changesSince(revision(1, 4000)).changed.front().value == "3");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
--- a/test/standin/platform-server-test.cc
+++ b/test/standin/platform-server-test.cc
@@ -262,6 +262,46 @@
     BOOST_TEST(command("nothing") == 404);
 }
 
+// The revision of the former era happens to be that of another write.
+BOOST_AUTO_TEST_CASE(revisionOfAnEarlierEraMatchesNothing)
+{
+    const ModRevision kept = put("a/1", "kept", 0).value();
+    BOOST_TEST(command("copy") == 200);
+    const ModRevision lost = put("a/2", "lost", 0).value();
+    put("a/3", "lost", 0).value();
+    BOOST_TEST(command("restore") == 200);
+    // The client hears of the era with the next response.
+    BOOST_TEST(!get("a/2").has_value());
+    BOOST_TEST((client->era() == StoreEra(1)));
+    const ModRevision other = put("a/2", "other", 0).value();
+    BOOST_TEST((other > lost));
+    BOOST_TEST((withoutEra(other) == lost));
+    BOOST_TEST((kindOf(put("a/2", "x", lost.value())) == ErrorKind::Conflict));
+    BOOST_TEST((kindOf(put("a/1", "x", kept.value())) == ErrorKind::Conflict));
+    BOOST_TEST(get("a/2")->value == "other");
+    BOOST_TEST(put("a/1", "x", get("a/1")->modRevision.value()).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(watchAcrossARestoreReturnsEverything)
+{
+    put("a/1", "kept", 0).value();
+    BOOST_TEST(command("copy") == 200);
+    const ModRevision lost = put("a/2", "lost", 0).value();
+    BOOST_TEST(command("restore") == 200);
+    // The store has given out more revisions than before when the client asks again.
+    connect({address}, Milliseconds(30'000));
+    for (int i = 0; i < 3; ++i)
+        put("b/1", "x", i == 0 ? 0 : get("b/1")->modRevision.value()).value();
+    const WatchResponse changes = watch(lost, Milliseconds(1000)).value();
+    BOOST_TEST(changes.isSnapshot);
+    BOOST_TEST(changes.changed.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(restoreNeedsACopy)
+{
+    BOOST_TEST(command("restore") == 400);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
--- a/test/support/users-store.h
+++ b/test/support/users-store.h
@@ -3,6 +3,7 @@
 
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -50,6 +51,21 @@
         answerWatches();
     }
 
+    /// The state of the store at one moment.
+    struct Copy
+    {
+        std::shared_ptr<const KeyValueStore::Copy> store;
+        std::map<std::string, LeaseId> leases;
+    };
+    Copy copy() const { return Copy{store.copy(), leases_}; }
+    /// Comes back from an older copy; its lease ids are given out again.
+    void restore(const Copy &copy)
+    {
+        store.restore(*copy.store);
+        leases_ = copy.leases;
+        answerWatches();
+    }
+
     KeyValueStore store{{}, SteadyClock(), 1};
     Address address;
     /// Refuses every call with this HTTP status.
@@ -89,11 +105,11 @@
     void serve(const HttpRequest &request, const Responder &responder)
     {
         if (refuseWith) {
-            responder.send(HttpResponse{*refuseWith, {}, {}});
+            send(responder, HttpResponse{*refuseWith, {}, {}});
             return;
         }
         if (sendsMalformedAnswers) {
-            responder.send(jsonResponse(200, "{\"items\": 7"));
+            send(responder, jsonResponse(200, "{\"items\": 7"));
             return;
         }
         const bool isWrite = request.method != HttpMethod::Get;
@@ -110,12 +126,18 @@
             responder.closeConnection();
         else if (request.path == "/kv-txn" && writeAnswerDelay > Milliseconds(0))
             delayedResponses_.push_back(loop_.after(
-                    writeAnswerDelay, [responder, response] { responder.send(response); }));
+                    writeAnswerDelay, [this, responder, response] { send(responder, response); }));
         else
-            responder.send(response);
+            send(responder, response);
         answerWatches();
     }
 
+    void send(const Responder &responder, HttpResponse response) const
+    {
+        response.headers["Store-Era"] = std::to_string(1 + store.era().value());
+        responder.send(response);
+    }
+
     HttpResponse run(const HttpRequest &request)
     {
         if (request.path == "/kv-key")
@@ -201,7 +223,7 @@
         watches_.remove_if([this](const Watch &watch) {
             const auto changes = store.changes(watch.prefix, watch.after);
             if (!changes) {
-                watch.responder.send(HttpResponse{410, {}, {}});
+                send(watch.responder, HttpResponse{410, {}, {}});
                 return true;
             }
             if (changes->changed.empty() && changes->removed.empty()
@@ -212,9 +234,10 @@
                 events.push_back(itemOf(entry));
             for (const std::string &key : changes->removed)
                 events.push_back({{"key", key}, {"mod-rev", 0}, {"deleted", true}});
-            watch.responder.send(jsonResponse(
-                    200,
-                    Json{{"events", events}, {"at-rev", changes->storeRevision.value()}}.dump()));
+            send(watch.responder,
+                 jsonResponse(200,
+                              Json{{"events", events}, {"at-rev", changes->storeRevision.value()}}
+                                      .dump()));
             return true;
         });
     }
