End a lease with the era of the store that granted it

Change: a LeaseId holds its era. The client reports a lease of an earlier era as not found, without a call, and also when the response is the first of a later era; publishers and relay elections then request a new one, as they do for an expired lease. A node that hears of a later era does so at once.

--- a/include/cornelhead/platform/client.h
+++ b/include/cornelhead/platform/client.h
@@ -21,7 +21,8 @@
 /// An asynchronous client.  Callbacks run on the loop, never before the call returns.
 ///
 /// Revisions hold the era of the store, see `inEra`.  A read that spans two eras is done again as a
-/// listing; a compare-and-swap with a revision of an earlier era fails as a conflict.
+/// listing; a compare-and-swap with a revision of an earlier era fails as a conflict.  A lease ends
+/// with its era.
 ///
 /// Errors: `Conflict` if a compare-and-swap failed, `RateLimited`, `TooLarge`, `NotFound` for an
 /// expired lease, `Unavailable` if the call had no effect (a read, or certainly not executed),
@@ -81,6 +82,9 @@
     decoder(Result<T> (StoreCodec::*read)(const HttpResponse &) const);
     /// Returns a `Conflict` if the revision is of an earlier era.
     std::optional<Error> findOutdated(const std::optional<ExpectedRevision> &expected) const;
+    void callLease(const std::string &operation,
+                   HttpRequest (StoreCodec::*encode)(const LeaseId &) const, const LeaseId &lease,
+                   Callback<void> callback);
     template <typename T>
     void postError(const Error &error, Callback<T> callback);
     void listFrom(const std::string &prefix, Freshness freshness,
--- a/include/cornelhead/platform/store-types.h
+++ b/include/cornelhead/platform/store-types.h
@@ -11,6 +11,12 @@
 /// Identifies a lease granted by the platform.
 using LeaseId = Id<struct LeaseTag>;
 
+/// Returns `lease` as one that was granted in `era`; a restored store gives lease ids out again.
+LeaseId inEra(StoreEra era, const LeaseId &lease);
+StoreEra eraOf(const LeaseId &lease);
+/// Returns the id of the lease as the store of its era gave it out.
+LeaseId withoutEra(const LeaseId &lease);
+
 /// Returns `revision` as one of `era`.
 ///
 /// A store that comes back from an older copy gives out its revisions again, so a revision means
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -17,6 +17,11 @@
     revision = inEra(era, revision);
 }
 
+void setEra(StoreEra era, LeaseId &lease)
+{
+    lease = inEra(era, lease);
+}
+
 void setEra(StoreEra era, std::vector<KeyValue> &entries)
 {
     for (KeyValue &entry : entries)
@@ -48,6 +53,13 @@
                 "read the state again");
 }
 
+tl::unexpected<Error> leaseOfEarlierEra()
+{
+    return fail(ErrorKind::NotFound,
+                "the lease is from before the platform came back from an older copy",
+                "grant a new lease and write the key again");
+}
+
 /// Returns a handler that decodes a response, runs the callback and returns the outcome of the
 /// call, which is counted.
 template <typename T, typename Read>
@@ -213,15 +225,29 @@
         postError(*error, std::move(callback));
         return;
     }
+    if (lease && eraOf(*lease) != era_) {
+        postError(detail::leaseOfEarlierEra().value(), std::move(callback));
+        return;
+    }
+    std::optional<LeaseId> leaseInStore;
+    if (lease)
+        leaseInStore = withoutEra(*lease);
     std::optional<ExpectedRevision> expectedInStore = expected;
     if (expected)
         expectedInStore->modRevision = withoutEra(expected->modRevision);
-    Result<HttpRequest> request = codec_->put(key, value, expectedInStore, lease);
+    Result<HttpRequest> request = codec_->put(key, value, expectedInStore, leaseInStore);
     if (!request) {
         postError(request.error(), std::move(callback));
         return;
     }
-    const auto decode = decoder(&StoreCodec::readPut);
+    const auto decode = [this, lease, read = decoder(&StoreCodec::readPut)](
+                                const HttpResponse &response) -> Result<ModRevision> {
+        Result<ModRevision> written = read(response);
+        // The store took the id for that of another lease.
+        if (written && lease && eraOf(*lease) != era_)
+            return detail::leaseOfEarlierEra();
+        return written;
+    };
     start(std::make_shared<Call>(
             Call{"put", std::move(*request), timeout_,
                  detail::responseHandler<ModRevision>(true, decode, std::move(callback))}));
@@ -277,8 +303,7 @@
 
 void PlatformClient::grantLease(Milliseconds ttl, Callback<LeaseId> callback)
 {
-    const auto decode
-            = [codec = codec_](const HttpResponse &response) { return codec->readLease(response); };
+    const auto decode = decoder(&StoreCodec::readLease);
     start(std::make_shared<Call>(
             Call{"grant", codec_->grantLease(ttl), timeout_,
                  detail::responseHandler<LeaseId>(true, decode, std::move(callback))}));
@@ -286,21 +311,30 @@
 
 void PlatformClient::keepAlive(const LeaseId &lease, Callback<void> callback)
 {
-    const auto decode = [codec = codec_](const HttpResponse &response) {
-        return codec->readResult(response);
-    };
-    start(std::make_shared<Call>(
-            Call{"keep-alive", codec_->keepAlive(lease), timeout_,
-                 detail::responseHandler<void>(true, decode, std::move(callback))}));
+    callLease("keep-alive", &StoreCodec::keepAlive, lease, std::move(callback));
 }
 
 void PlatformClient::revoke(const LeaseId &lease, Callback<void> callback)
 {
-    const auto decode = [codec = codec_](const HttpResponse &response) {
+    callLease("revoke", &StoreCodec::revoke, lease, std::move(callback));
+}
+
+void PlatformClient::callLease(const std::string &operation,
+                               HttpRequest (StoreCodec::*encode)(const LeaseId &) const,
+                               const LeaseId &lease, Callback<void> callback)
+{
+    if (eraOf(lease) != era_) {
+        postError(detail::leaseOfEarlierEra().value(), std::move(callback));
+        return;
+    }
+    const auto decode
+            = [this, codec = codec_, era = era_](const HttpResponse &response) -> Result<void> {
+        if (era != era_)
+            return detail::leaseOfEarlierEra();
         return codec->readResult(response);
     };
     start(std::make_shared<Call>(
-            Call{"revoke", codec_->revoke(lease), timeout_,
+            Call{operation, (codec_.get()->*encode)(withoutEra(lease)), timeout_,
                  detail::responseHandler<void>(true, decode, std::move(callback))}));
 }
 
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -90,8 +90,10 @@
         platform.setEraHandler([this](StoreEra before, StoreEra after) {
             log.write(EventKind::Lifecycle, detail::syncPart, "store-era",
                       {{"era", after.value()}, {"before", before.value()}});
-            if (before != StoreEra())
-                follower.onStoreRestored();
+            if (before == StoreEra())
+                return;
+            follower.onStoreRestored();
+            publisher.renewNow();
         });
     }
 
--- a/test/adapter/restored-store-test.cc
+++ b/test/adapter/restored-store-test.cc
@@ -110,6 +110,42 @@
     BOOST_TEST(store.callCounts["/kv-watch"] <= 2U);
 }
 
+// A host kept the lease of another alive, as both had been given the same id.
+BOOST_AUTO_TEST_CASE(hostsPublishTheirEntriesUnderNewLeasesAfterARestore)
+{
+    const UsersStore::Copy copy = store.copy();
+    const SidecarHost &first = add("bookings", "b4");
+    settle();
+    store.restore(copy);
+    // The store gives this host the lease id that it had given to the first one.
+    SidecarHost &second = add("bookings", "b5");
+    settle();
+    second.sidecar.reset();
+    const std::string prefix = "cornelhead/hosts/";
+    waitUntil([&] { return !store.read(prefix + second.settings.inbound.toString()); });
+    BOOST_TEST(store.read(prefix + first.settings.inbound.toString()).has_value());
+    loop.runFor(Milliseconds(2000));
+    BOOST_TEST(store.read(prefix + first.settings.inbound.toString()).has_value());
+}
+
+// The copy is from before any host had published its entry.
+BOOST_FIXTURE_TEST_CASE(callsAreServedWhileTheStoreListsNoHost, SidecarFleet)
+{
+    const UsersStore::Copy copy = store.copy();
+    configure("00000005", usersRoute("first", "/first/", "idempotent", "bookings"));
+    for (int i = 0; i < 4; ++i)
+        add("bookings", "b" + std::to_string(i));
+    settle();
+    store.restore(copy);
+    configure("00000005", usersRoute("first", "/first/", "idempotent", "bookings"));
+    for (int i = 0; i < 50; ++i) {
+        loop.runFor(Milliseconds(100));
+        const SidecarHost &host = hosts[static_cast<std::size_t>(i) % hosts.size()];
+        BOOST_TEST(call(host.settings.outbound, requestTo("/first/1")).status == 200);
+    }
+    settle();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
