Let moves go on after the store was restored, and write their records again

An order that the operator writes again has another revision, so nodes took it for a new one: a good version went back from all calls to none, and one that had been reverted got calls again (EXPOSURE). The steps written since the copy were lost, and a compare-and-swap with the revision of a lost record failed for good.

Change: an order of a later era with the same target and duration is the known one, written again; its record goes on, and the nodes that hold a newer record than the restored store write it again. A record that the copy still holds is recognised by its revision within its era. Expected revisions of records are forgotten with their era, and a record that has not come back after 1.5 s is written again.

--- a/include/cornelhead/rollout/version-move.h
+++ b/include/cornelhead/rollout/version-move.h
@@ -78,6 +78,7 @@
 class VersionMoveWatcher
 {
 public:
+    /// An order that is written again, after the store came back from an older copy, goes on.
     void observeOrder(const VersionMoveOrder &order, TimePoint now);
     void observeRecord(const VersionMove &record, TimePoint now);
     /// Updates the cumulative counters that one run of a serving node reported.
@@ -114,10 +115,12 @@
         // Oldest first; covers the evidence window.
         std::deque<Sample> samples;
     };
-    bool isCurrent() const
-    {
-        return record_ && order_ && record_->orderRevision == order_->orderRevision;
-    }
+    /// Returns whether the record carries out the order.
+    bool isCurrent() const;
+    /// Returns whether `order` is the known one, written again after the store was restored.
+    bool isWrittenAgain(const VersionMoveOrder &order) const;
+    /// Returns whether `record`, of the same order, is an earlier state of the known one.
+    bool isOlder(const VersionMove &record) const;
     void judge(TimePoint now);
     std::optional<std::uint32_t> dueShare(TimePoint now) const;
     bool hasEnoughAnswers() const;
@@ -126,6 +129,10 @@
     TimePoint orderedAt_{};
     std::optional<VersionMove> record_;
     TimePoint recordAt_{};
+    // Set while the store is known to hold an older record or none, as it was restored from a copy.
+    std::optional<TimePoint> unwrittenSince_;
+    // The store was restored while the order was known.
+    bool wasRestored_ = false;
     // When the first answer of the new version was reported.
     std::optional<TimePoint> firstAnswerAt_;
     std::map<NodeId, Server> servers_;
--- a/include/cornelhead/sidecar/fleet-sync.h
+++ b/include/cornelhead/sidecar/fleet-sync.h
@@ -28,6 +28,8 @@
     std::function<void()> onHosts;
     std::function<void(const VersionMoveOrder &)> onMoveOrder;
     std::function<void(const VersionMove &, ModRevision)> onMoveRecord;
+    /// The store came back from an older copy, and may hold older records of moves or none.
+    std::function<void()> onStoreRestored;
 };
 
 /// Follows the fleet and publishes this host's entry.
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "cornelhead/platform/store-types.h"
+
 namespace cornelhead {
 namespace detail {
 
@@ -153,10 +155,25 @@
                 "check which other program writes under the prefix of moves");
 }
 
+bool VersionMoveWatcher::isWrittenAgain(const VersionMoveOrder &order) const
+{
+    return order_ && eraOf(order.orderRevision) > eraOf(order_->orderRevision)
+            && order.target == order_->target && order.maxDuration == order_->maxDuration;
+}
+
 void VersionMoveWatcher::observeOrder(const VersionMoveOrder &order, TimePoint now)
 {
     if (order_ && order_->orderRevision >= order.orderRevision)
         return;
+    if (isWrittenAgain(order)) {
+        wasRestored_ = true;
+        if (isCurrent()) {
+            record_->orderRevision = order.orderRevision;
+            unwrittenSince_ = now;
+        }
+        order_ = order;
+        return;
+    }
     order_ = order;
     orderedAt_ = now;
     firstAnswerAt_.reset();
@@ -168,14 +185,33 @@
 {
     if (record_ && record_->orderRevision > record.orderRevision)
         return;
-    if (record_ == record)
+    if (record_ == record) {
+        unwrittenSince_.reset();
         return;
-    // A late record must not reopen a move that has ended.
-    if (record_ && record_->orderRevision == record.orderRevision
-        && record_->state != VersionMoveState::Running)
+    }
+    if (record_ && record_->orderRevision == record.orderRevision && isOlder(record)) {
+        // Otherwise it is merely late.
+        if (wasRestored_)
+            unwrittenSince_ = now;
         return;
+    }
     record_ = record;
     recordAt_ = now;
+    unwrittenSince_.reset();
+}
+
+// Shares only grow, and a move that has ended is not reopened.
+bool VersionMoveWatcher::isOlder(const VersionMove &record) const
+{
+    return record_->state != VersionMoveState::Running
+            || (record.state == VersionMoveState::Running && record.perMille < record_->perMille);
+}
+
+// A record that a restored store still holds names its order by the revision in an earlier era.
+bool VersionMoveWatcher::isCurrent() const
+{
+    return order_ && record_ && record_->target == order_->target
+            && withoutEra(record_->orderRevision) == withoutEra(order_->orderRevision);
 }
 
 void VersionMoveWatcher::addCounters(const NodeId &run, const VersionId &version,
@@ -287,6 +323,12 @@
 {
     if (!order_ || (record_ && record_->orderRevision > order_->orderRevision))
         return std::nullopt;
+    const bool mustRevert = !verdict_.empty() && isJudged();
+    if (isCurrent() && unwrittenSince_ && !mustRevert) {
+        if (now < *unwrittenSince_ + detail::rollbackRankDelay * rank)
+            return std::nullopt;
+        return record_;
+    }
     if (isCurrent() && record_->state != VersionMoveState::Running)
         return std::nullopt;
     VersionMove move{order_->service, order_->target, order_->orderRevision, 0,
--- a/src/sidecar/fleet-sync.cc
+++ b/src/sidecar/fleet-sync.cc
@@ -92,6 +92,7 @@
                       {{"era", after.value()}, {"before", before.value()}});
             if (before == StoreEra())
                 return;
+            handlers.onStoreRestored();
             follower.onStoreRestored();
             publisher.renewNow();
         });
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -32,6 +32,8 @@
 /// Interval of checking whether to write the next step of a move; a bad version must be stopped
 /// within seconds.
 constexpr Milliseconds moveInterval(200);
+/// A record that has not come back after this time was not written.
+constexpr Milliseconds rewriteDelay(1500);
 /// While a move is judged, the nodes that may step it request the counters of the service's servers
 /// at this interval.  It is part of the five seconds from a bad version's fiftieth bad response
 /// until it is stopped.
@@ -171,6 +173,7 @@
             moves[record.service].observeRecord(record, now(SteadyClock()));
             moveRevisions[record.service] = std::max(moveRevisions[record.service], revision);
         };
+        handlers.onStoreRestored = [this] { moveRevisions.clear(); };
         return handlers;
     }
 
@@ -407,9 +410,11 @@
             const std::size_t targetHosts
                     = outboundProxy.placement().countServers(service, move.order()->target);
             const auto next = move.next(rank(), targetHosts, now(SteadyClock()));
-            if (!next || pendingMoves[service] == *next)
+            const TimePoint time = now(SteadyClock());
+            PendingMove &pending = pendingMoves[service];
+            if (!next || (pending.move == *next && time - pending.writtenAt < detail::rewriteDelay))
                 continue;
-            pendingMoves[service] = *next;
+            pending = PendingMove{*next, time};
             logStep(*next, move);
             fleet.writeMove(*next, moveRevisions[service]);
         }
@@ -468,8 +473,14 @@
                    });
     }
 
-    // The last record written for each move, so that a step is written only once.
-    std::map<ServiceId, VersionMove> pendingMoves;
+    // The last record written for each move, so that a step is not written again while its response
+    // and the change are on their way.
+    struct PendingMove
+    {
+        VersionMove move;
+        TimePoint writtenAt{};
+    };
+    std::map<ServiceId, PendingMove> pendingMoves;
 
     void startTimers()
     {
--- a/test/adapter/relay-test.cc
+++ b/test/adapter/relay-test.cc
@@ -214,6 +214,7 @@
     handlers.onHosts = [] {};
     handlers.onMoveOrder = [](const VersionMoveOrder &) {};
     handlers.onMoveRecord = [](const VersionMove &, ModRevision) {};
+    handlers.onStoreRestored = [] {};
     Metrics metrics;
     EventLog log(metrics);
     const Dialect dialect = adapter::usersDialect();
--- a/test/rollout/version-move-test.cc
+++ b/test/rollout/version-move-test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cornelhead/base/random.h"
+#include "cornelhead/platform/store-types.h"
 #include "cornelhead/rollout/version-move.h"
 #include "support/property.h"
 
@@ -274,6 +275,94 @@
         BOOST_TEST(!decodeVersionMove(bad));
 }
 
+/// Moves while the key-value store comes back from an older copy of itself.
+struct RestoreFixture : MoveFixture
+{
+    VersionMoveOrder orderOf(std::uint64_t era, std::uint64_t revision, const char *target = "v2")
+    {
+        return VersionMoveOrder{ServiceId("catalogue"), VersionId(target),
+                                inEra(StoreEra(era), ModRevision(revision)), Milliseconds(16'000)};
+    }
+    static VersionMove recordOf(const VersionMoveOrder &order, std::uint32_t perMille,
+                                VersionMoveState state = VersionMoveState::Running)
+    {
+        return VersionMove{order.service, order.target, order.orderRevision, perMille, state};
+    }
+    void observe(const VersionMoveOrder &order) { watcher.observeOrder(order, time); }
+    void observe(const VersionMove &record) { watcher.observeRecord(record, time); }
+};
+
+// EXPOSURE: a version that had been found to be bad got calls again.
+BOOST_FIXTURE_TEST_CASE(revertedVersionStaysRevertedAfterTheStoreWasRestored, RestoreFixture)
+{
+    const VersionMoveOrder order = orderOf(1, 100);
+    observe(order);
+    observe(recordOf(order, 0, VersionMoveState::Reverted));
+    std::uint64_t era = 1;
+    for (const std::uint64_t revision : {100, 40, 900}) {
+        const VersionMoveOrder again = orderOf(++era, revision);
+        observe(again);
+        BOOST_TEST(watcher.perMille() == 0U);
+        const auto written = watcher.next(0, 4, time);
+        BOOST_REQUIRE(written);
+        BOOST_TEST((*written == recordOf(again, 0, VersionMoveState::Reverted)));
+        observe(*written);
+        BOOST_TEST(!watcher.next(0, 4, time));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(runningMoveGoesOnAfterTheStoreWasRestored, RestoreFixture)
+{
+    const VersionMoveOrder order = orderOf(1, 100);
+    observe(order);
+    observe(recordOf(order, 50));
+    observe(recordOf(order, 300));
+    const VersionMoveOrder again = orderOf(2, 80);
+    observe(again);
+    // The copy holds an older record of the same move.
+    observe(recordOf(order, 50));
+    BOOST_TEST(watcher.perMille() == 300U);
+    BOOST_TEST(!watcher.next(1, 4, time));
+    const auto written = watcher.next(0, 4, time);
+    BOOST_TEST((written == recordOf(again, 300)));
+    observe(*written);
+    BOOST_TEST(!watcher.next(0, 4, time));
+}
+
+// A node that restarted reads the order in the later era, and a record of the earlier one.
+BOOST_FIXTURE_TEST_CASE(restartedNodeTakesTheRecordOfTheCopyForCurrent, RestoreFixture)
+{
+    observe(orderOf(2, 100));
+    observe(recordOf(orderOf(1, 100), 1000, VersionMoveState::Complete));
+    BOOST_TEST(watcher.perMille() == 1000U);
+    BOOST_TEST(!watcher.next(0, 4, time));
+}
+
+BOOST_FIXTURE_TEST_CASE(otherOrderOfALaterEraBeginsANewMove, RestoreFixture)
+{
+    const VersionMoveOrder order = orderOf(1, 100);
+    observe(order);
+    observe(recordOf(order, 1000, VersionMoveState::Complete));
+    const VersionMoveOrder other = orderOf(2, 100, "v3");
+    observe(other);
+    BOOST_TEST(watcher.perMille() == 0U);
+    BOOST_TEST((watcher.next(0, 4, time) == recordOf(other, 0)));
+}
+
+// The store lost the record of a move that has ended, and a node that knew neither began it again.
+BOOST_FIXTURE_TEST_CASE(endedMoveThatWasBegunAgainIsEndedAgain, RestoreFixture)
+{
+    const VersionMoveOrder order = orderOf(1, 100);
+    observe(order);
+    observe(recordOf(order, 1000, VersionMoveState::Complete));
+    const VersionMoveOrder again = orderOf(2, 80);
+    observe(again);
+    observe(recordOf(again, 1000, VersionMoveState::Complete));
+    observe(recordOf(again, 0));
+    BOOST_TEST(watcher.perMille() == 1000U);
+    BOOST_TEST((watcher.next(0, 4, time) == recordOf(again, 1000, VersionMoveState::Complete)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
