Serve polls with eras on a path of their own

A node of an earlier version compares revisions without eras: a follower that polls with one would get no changes from it. During a rolling upgrade such a poll is now answered 404, and the follower takes another relay or the store, within about a second.

--- a/include/cornelhead/sidecar/change-feed.h
+++ b/include/cornelhead/sidecar/change-feed.h
@@ -36,8 +36,9 @@
     std::array<WatchResponse, subtreeCount> changes;
 };
 
-/// Path of polls, on the address for other nodes.
-constexpr const char *changeFeedPath = "/cornelhead/changes";
+/// Path of polls, on the address for other nodes.  Earlier versions of the node serve another path,
+/// as their revisions hold no era; nodes of both versions then follow relays of their own.
+constexpr const char *changeFeedPath = "/cornelhead/changes-by-era";
 /// A relay responds to a poll after this time even if nothing has changed.
 constexpr Milliseconds feedPollWait(600);
 
