Bound the era of the store to what a revision can hold

A header above it is ignored like one that is no number; the shift would have mixed era and revision. Found in the reading of the diff; the new test covers the bounds.

--- a/include/cornelhead/platform/store-types.h
+++ b/include/cornelhead/platform/store-types.h
@@ -11,6 +11,9 @@
 /// Identifies a lease granted by the platform.
 using LeaseId = Id<struct LeaseTag>;
 
+/// The highest era that a `ModRevision` can hold.
+constexpr StoreEra maxStoreEra{(1U << 20U) - 1};
+
 /// Returns `lease` as one that was granted in `era`; a restored store gives lease ids out again.
 LeaseId inEra(StoreEra era, const LeaseId &lease);
 StoreEra eraOf(const LeaseId &lease);
--- a/include/cornelhead/platform/wire.h
+++ b/include/cornelhead/platform/wire.h
@@ -19,7 +19,8 @@
 /// The header of every response with the era of the store.
 constexpr const char *storeEraHeader = "Store-Era";
 
-/// Reads the header that is called `name`; nothing if it is absent or not a number.
+/// Reads the header that is called `name`; nothing if it is absent or not a number up to
+/// `maxStoreEra`.
 std::optional<StoreEra> readEraHeader(const HttpResponse &response, const std::string &name);
 
 /// Returns the HTTP status of an error.
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -11,7 +11,7 @@
 /// Added to the timeout of a watch, so that the server's empty response arrives before it expires.
 constexpr Milliseconds watchTimeoutMargin(2000);
 
-/// These give the revisions that a response of `era` names their era.
+/// These add the era of a response to the revisions and leases that it names.
 void setEra(StoreEra era, ModRevision &revision)
 {
     revision = inEra(era, revision);
--- a/src/platform/wire.cc
+++ b/src/platform/wire.cc
@@ -32,9 +32,8 @@
     const std::string &text = header->second;
     std::uint32_t era = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), era);
-    if (error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return StoreEra(era);
+    const bool isNumber = error == std::errc() && end == text.data() + text.size();
+    return isNumber && StoreEra(era) <= maxStoreEra ? std::optional(StoreEra(era)) : std::nullopt;
 }
 
 int statusOf(ErrorKind kind)
--- a/test/adapter/users-messages-test.cc
+++ b/test/adapter/users-messages-test.cc
@@ -263,6 +263,19 @@
     BOOST_TEST(!codec.readPut(response(200, "{}")));
 }
 
+BOOST_AUTO_TEST_CASE(eraIsANumberOrIsIgnored)
+{
+    const adapter::UsersStoreCodec codec;
+    const auto eraOfHeader = [&codec](const char *value) {
+        return codec.readEra(HttpResponse{503, {{"Store-Era", value}}, {}});
+    };
+    BOOST_TEST((eraOfHeader("7") == StoreEra(7)));
+    BOOST_TEST((eraOfHeader("1048575") == maxStoreEra));
+    for (const char *bad : {"", "x", "-1", "1.5", "1048576", "7 ", "99999999999999999999"})
+        BOOST_TEST(!eraOfHeader(bad));
+    BOOST_TEST(!codec.readEra(HttpResponse{200, {}, {}}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead::adapter
