--- a/test/adapter/relay-test.cc
+++ b/test/adapter/relay-test.cc
@@ -30,19 +30,6 @@
     {
         return store.callCounts["/kv-watch"] + store.callCounts["/kv-range"];
     }
-    void waitForRoute(const std::string &path, const SidecarHost *except = nullptr)
-    {
-        for (SidecarHost &host : hosts) {
-            if (&host != except)
-                waitUntil([&] {
-                    return call(host.settings.outbound, requestTo(path)).status == 200;
-                });
-        }
-    }
-    void configureRoute(const std::string &version, const std::string &name)
-    {
-        configure(version, usersRoute(name, "/" + name + "/", "idempotent", "bookings"));
-    }
 };
 
 BOOST_FIXTURE_TEST_SUITE(relays, RelayedFleet)
--- a/test/adapter/restored-store-test.cc
+++ b/test/adapter/restored-store-test.cc
@@ -13,16 +13,6 @@
             add("bookings", "b" + std::to_string(i));
         settle();
     }
-    void configureRoute(const std::string &version, const std::string &name)
-    {
-        configure(version, usersRoute(name, "/" + name + "/", "idempotent", "bookings"));
-    }
-    void waitForRoute(const std::string &path)
-    {
-        for (SidecarHost &host : hosts) {
-            waitUntil([&] { return call(host.settings.outbound, requestTo(path)).status == 200; });
-        }
-    }
     /// Changes a key that concerns no node, until the store is at this revision.
     void writeUpTo(std::uint64_t revision)
     {
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -197,6 +197,21 @@
     {
         store.write("op/config", usersConfiguration(version, rows));
     }
+    /// Configures one idempotent route of the bookings service, below "/NAME/".
+    void configureRoute(const std::string &version, const std::string &name)
+    {
+        configure(version, usersRoute(name, "/" + name + "/", "idempotent", "bookings"));
+    }
+    /// Waits until every host, but `except`, serves a call of this path.
+    void waitForRoute(const std::string &path, const SidecarHost *except = nullptr)
+    {
+        for (SidecarHost &host : hosts) {
+            if (&host != except)
+                waitUntil([&] {
+                    return call(host.settings.outbound, requestTo(path)).status == 200;
+                });
+        }
+    }
     bool isReady(const SidecarHost &host)
     {
         return call(host.settings.readiness, HttpRequest{HttpMethod::Get, "/readyz", {}, {}, {}})
