Log how calls count as samples of their version, and how many do not count

The logs could not tell why 9 of 177 timed answers of a version were late that answers two in five calls eight times slower: no line gave the duration of an answer at its server, nor whether it counted.

Nodes now count answers left out as cold, calls cut off and calls refused, and pass them on in the response between nodes (three numbers at its end; earlier nodes send none). move-step logs them with the mean relative work for both versions; the serving node's call-ended logs workMs and sample. No decision changes.

The suites sidecar, rollout, routing and adapter pass. headersOfEarlierVersionsHaveNoNotice cuts off three fields more, as they were added behind.

--- a/include/cornelhead/rollout/version-move.h
+++ b/include/cornelhead/rollout/version-move.h
@@ -17,6 +17,7 @@
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/error.h"
 #include "cornelhead/base/ids.h"
+#include "cornelhead/rollout/server-counters.h"
 
 namespace cornelhead {
 
@@ -51,20 +52,8 @@
 /// Fails with `InvalidMessage`.
 Result<VersionMove> decodeVersionMove(std::string_view bytes);
 
-/// Cumulative counters of one server, as its node reports them.
-struct ServerCounters
-{
-    std::uint64_t answers = 0;
-    std::uint64_t failures = 0;
-    /// Answers whose duration counts: those of servers that are warmed up.
-    std::uint64_t timed = 0;
-    /// Timed answers that took the server longer than the objective of their route.
-    std::uint64_t late = 0;
-    /// Sum of the durations of the timed answers, each divided by the objective of its route.
-    double relativeWork = 0.0;
-};
-
-/// Answers of one version's servers in the last seconds, over all nodes that reported.
+/// Calls of one version's servers in the last seconds, over all nodes that reported, as in
+/// `ServerCounters`.
 struct VersionCounts
 {
     double answers = 0.0;
@@ -72,6 +61,12 @@
     double timed = 0.0;
     double late = 0.0;
     double relativeWork = 0.0;
+    double cold = 0.0;
+    double cutOff = 0.0;
+    double refused = 0.0;
+
+    /// Returns the mean duration of the timed answers relative to their objectives.
+    double meanWork() const { return timed > 0.0 ? relativeWork / timed : 0.0; }
 };
 
 /// Tracks the move of one service at one node: the share in force here, and the next write.
--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -20,6 +20,7 @@
 #include "cornelhead/base/random.h"
 #include "cornelhead/base/units.h"
 #include "cornelhead/membership/host-entry.h"
+#include "cornelhead/rollout/server-counters.h"
 #include "cornelhead/routing/server-notices.h"
 
 namespace cornelhead {
@@ -36,15 +37,7 @@
     double relativeWork = 0.0;
     /// Smoothed share of failures among the server's responses.
     double failureShare = 0.0;
-    /// Totals since the start of the node.
-    std::uint64_t answers = 0;
-    std::uint64_t failures = 0;
-    /// Responses of a server that had finished its warm-up.
-    std::uint64_t timedAnswers = 0;
-    /// Timed responses that took longer than their objective.
-    std::uint64_t lateAnswers = 0;
-    /// Sum of the relative service times of the timed responses.
-    double relativeWorkSum = 0.0;
+    ServerCounters counters;
     /// What the server last reported about itself, and when this run of it started, as in
     /// `HostedServer`.
     ServerNotice notice;
--- a/include/cornelhead/sidecar/inbound-call.h
+++ b/include/cornelhead/sidecar/inbound-call.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "cornelhead/proxy/attempt.h"
 #include "cornelhead/routing/poison-tracker.h"
@@ -14,6 +15,17 @@
 
 class InboundProxy;
 
+/// How a call counts as a sample of its server's speed and failures.
+enum class CallSample {
+    None, ///< The server did not receive it, or refused it.
+    Timed, ///< Answered, and its duration counts.
+    Cold, ///< Answered while the server was warming up, so that its duration does not count.
+    Failed,
+    CutOff, ///< Ended without an answer, at its deadline or because the caller left.
+};
+
+std::string_view callSampleName(CallSample sample);
+
 /// Waits for a slot, sends the call to the server and responds to the caller's node.
 class InboundCall : public std::enable_shared_from_this<InboundCall>
 {
@@ -40,6 +52,9 @@
     Fingerprint fingerprint() const { return fingerprint_; }
     HopResult result() const { return result_; }
     HopReason reason() const { return reason_; }
+    CallSample sample() const { return sample_; }
+    /// Returns the time since the call was sent to the server; 0 if it was not.
+    Milliseconds workTime() const;
     /// The response, for calls that must not run twice.
     const std::shared_ptr<const StoredResponse> &storedResponse() const { return storedResponse_; }
 
@@ -68,6 +83,7 @@
     ServerId expectedServer_;
     HopResult result_ = HopResult::Unknown;
     HopReason reason_ = HopReason::None;
+    CallSample sample_ = CallSample::None;
     std::shared_ptr<const StoredResponse> storedResponse_;
     bool isCallerDisconnected_ = false;
     bool isDone_ = false;
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -24,6 +24,7 @@
 namespace cornelhead::detail {
 
 class InboundCall;
+enum class CallSample;
 
 /// Callbacks into the node.
 struct InboundHandlers
@@ -85,7 +86,10 @@
     void startWaitingCalls();
     void refuseAll(const std::vector<GateTicket> &tickets, HopReason reason);
     void onCallEnd(InboundCall &call);
-    void recordResponse(const InboundCall &call, bool isFailure, Microseconds duration);
+    /// Records a response, or that the server failed to give one, and returns how it counted.
+    CallSample recordResponse(const InboundCall &call, bool isFailure, Microseconds duration);
+    /// Records a call that ended without a response, though the server did not fail.
+    CallSample recordCutOff();
     void recordBrokenCall(const InboundCall &call);
     /// Applies what the server reported about itself in the headers of a response.
     void observeNotice(std::string_view limit, std::string_view leaving);
@@ -118,12 +122,7 @@
     // Connections that were idle for longer are not reused, as the server may close them at any
     // moment.
     Milliseconds maxReuseAge_;
-    // Counters since the start of the node, as in `HostReport`.
-    std::uint64_t answers_ = 0;
-    std::uint64_t failures_ = 0;
-    std::uint64_t timedAnswers_ = 0;
-    std::uint64_t lateAnswers_ = 0;
-    double relativeWorkSum_ = 0.0;
+    ServerCounters counters_;
     TimePoint coldUntil_{};
     // Calls whose connection broke within `deathWindow`, in case the server turns out to have
     // crashed, with the time of the break.
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -87,7 +87,7 @@
 bool isSlowOnAverage(const VersionCounts &newer, const VersionCounts &older)
 {
     return newer.timed >= minComparedAnswers && older.timed >= minComparedAnswers
-            && newer.relativeWork / newer.timed > older.relativeWork / older.timed * slowFactor;
+            && newer.meanWork() > older.meanWork() * slowFactor;
 }
 
 // Returns why the new version is bad; empty without enough evidence.
@@ -248,6 +248,9 @@
         sums.timed += static_cast<double>(last.timed - first.timed);
         sums.late += static_cast<double>(last.late - first.late);
         sums.relativeWork += last.relativeWork - first.relativeWork;
+        sums.cold += static_cast<double>(last.cold - first.cold);
+        sums.cutOff += static_cast<double>(last.cutOff - first.cutOff);
+        sums.refused += static_cast<double>(last.refused - first.refused);
     }
     return sums;
 }
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -153,12 +153,14 @@
     writer.number(report.running).number(report.waiting).number(report.slots);
     writer.number(static_cast<std::uint64_t>(report.wait.count()));
     writer.fraction(report.relativeWork).fraction(report.failureShare);
-    writer.number(report.answers).number(report.failures).number(report.timedAnswers);
-    writer.number(report.lateAnswers).fraction(report.relativeWorkSum);
+    const ServerCounters &counters = report.counters;
+    writer.number(counters.answers).number(counters.failures).number(counters.timed);
+    writer.number(counters.late).fraction(counters.relativeWork);
     writer.number(response.configuration.value());
     writer.rate(report.notice.limit).fraction(report.demand.perSecond());
     writer.number(static_cast<std::uint64_t>(report.serverStartedAtMs));
     writer.number(report.notice.isLeaving ? 1 : 0);
+    writer.number(counters.cold).number(counters.cutOff).number(counters.refused);
     return writer.finish();
 }
 
@@ -176,11 +178,12 @@
     report.wait = Microseconds(reader.number());
     report.relativeWork = reader.fraction();
     report.failureShare = reader.fraction();
-    report.answers = reader.number();
-    report.failures = reader.number();
-    report.timedAnswers = reader.number();
-    report.lateAnswers = reader.number();
-    report.relativeWorkSum = reader.fraction();
+    ServerCounters &counters = report.counters;
+    counters.answers = reader.number();
+    counters.failures = reader.number();
+    counters.timed = reader.number();
+    counters.late = reader.number();
+    counters.relativeWork = reader.fraction();
     response.configuration = Revision(reader.number());
     // The remaining fields are absent in responses of earlier versions of the node.
     if (!reader.isAtEnd()) {
@@ -189,6 +192,11 @@
         report.serverStartedAtMs = static_cast<std::int64_t>(reader.number());
         report.notice.isLeaving = reader.number() != 0;
     }
+    if (!reader.isAtEnd()) {
+        counters.cold = reader.number();
+        counters.cutOff = reader.number();
+        counters.refused = reader.number();
+    }
     if (!reader.isValid() || result > static_cast<std::uint64_t>(HopResult::Unknown)
         || reason >= detail::reasonNames.size())
         return detail::invalidHopHeader();
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -1,6 +1,8 @@
 // Implements a call to the host's backend server.
 #include "cornelhead/sidecar/inbound-call.h"
 
+#include <array>
+
 #include <event2/http.h>
 
 #include "cornelhead/proxy/request-head.h"
@@ -19,8 +21,16 @@
 constexpr int statusMisdirected = 421;
 constexpr int minFailureStatus = 500;
 
+constexpr std::array<std::string_view, 5> sampleNames
+        = {"none", "timed", "cold", "failed", "cut-off"};
+
 } // namespace
 
+std::string_view callSampleName(CallSample sample)
+{
+    return sampleNames[static_cast<std::size_t>(sample)];
+}
+
 InboundCall::InboundCall(InboundProxy &proxy, evhttp_request *request, std::string id,
                          HopRequest hop, GateTicket ticket, TimePoint deadline)
     : proxy_(proxy), exchange_(std::make_unique<Exchange>(proxy.loop_, request)),
@@ -38,6 +48,13 @@
     });
 }
 
+Milliseconds InboundCall::workTime() const
+{
+    if (!attempt_)
+        return Milliseconds(0);
+    return std::chrono::duration_cast<Milliseconds>(now(SteadyClock()) - startedAt_);
+}
+
 void InboundCall::attachTo(evhttp_request *request)
 {
     isCallerDisconnected_ = false;
@@ -106,12 +123,14 @@
     if (!hop_.isIdempotent)
         return;
     attempt_->cancel();
+    sample_ = proxy_.recordCutOff();
     finish(HopResult::Unknown, HopReason::Cancelled);
 }
 
 void InboundCall::onTimeout()
 {
     attempt_->cancel();
+    sample_ = proxy_.recordCutOff();
     finish(HopResult::Unknown, HopReason::Timeout);
 }
 
@@ -170,11 +189,12 @@
     if (!isValid) {
         proxy_.log_.write(EventKind::Failure, inboundPart, "answer-refused",
                           {{"id", id_}, {"status", status}, {"answeredId", id}});
-        proxy_.recordResponse(*this, true, Microseconds(0));
+        sample_ = proxy_.recordResponse(*this, true, Microseconds(0));
         finish(HopResult::Unknown, HopReason::InvalidResponse);
         return;
     }
-    proxy_.recordResponse(*this, status >= minFailureStatus, now(SteadyClock()) - startedAt_);
+    sample_ = proxy_.recordResponse(*this, status >= minFailureStatus,
+                                    now(SteadyClock()) - startedAt_);
     forward(response);
 }
 
@@ -199,7 +219,7 @@
         proxy_.onConnectFailed();
         return;
     }
-    proxy_.recordResponse(*this, true, Microseconds(0));
+    sample_ = proxy_.recordResponse(*this, true, Microseconds(0));
     proxy_.recordBrokenCall(*this);
     finish(HopResult::Unknown, HopReason::InvalidResponse);
 }
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -91,11 +91,7 @@
     response.report.wait = load.wait;
     response.report.relativeWork = work_.relativeWork();
     response.report.failureShare = work_.failureShare();
-    response.report.answers = answers_;
-    response.report.failures = failures_;
-    response.report.timedAnswers = timedAnswers_;
-    response.report.lateAnswers = lateAnswers_;
-    response.report.relativeWorkSum = relativeWorkSum_;
+    response.report.counters = counters_;
     response.report.notice = local_.notice();
     response.report.notice.limit = load.limit;
     response.report.demand = load.limit ? load.demand : CallRate();
@@ -250,6 +246,7 @@
 void InboundProxy::onCallEnd(InboundCall &call)
 {
     records_.finish(call.id(), CallOutcome{call.result(), call.reason(), call.storedResponse()});
+    counters_.refused += call.reason() == HopReason::Overload ? 1 : 0;
     const bool isFailure = call.result() != HopResult::Answered;
     const EventKind kind = isFailure ? EventKind::Failure : EventKind::Success;
     if (isFailure)
@@ -261,6 +258,8 @@
                     {"route", call.hop().route.value()},
                     {"result", static_cast<int>(call.result())},
                     {"reason", hopReasonName(call.reason())},
+                    {"sample", callSampleName(call.sample())},
+                    {"workMs", call.workTime().count()},
                     {"running", load.running},
                     {"waiting", load.waiting},
                     {"slots", load.slots},
@@ -289,21 +288,32 @@
     });
 }
 
-void InboundProxy::recordResponse(const InboundCall &call, bool isFailure, Microseconds duration)
+CallSample InboundProxy::recordResponse(const InboundCall &call, bool isFailure,
+                                        Microseconds duration)
 {
     const Microseconds objective = call.hop().objective;
     work_.record(call.hop().route, duration, objective, isFailure);
-    ++answers_;
-    failures_ += isFailure ? 1 : 0;
-    if (isFailure)
-        return;
+    ++counters_.answers;
+    if (isFailure) {
+        ++counters_.failures;
+        return CallSample::Failed;
+    }
     poison_.recordResponse(call.fingerprint());
-    if (call.startedAt() >= coldUntil_) {
-        ++timedAnswers_;
-        lateAnswers_ += duration > objective ? 1 : 0;
-        relativeWorkSum_ += static_cast<double>(duration.count())
-                / static_cast<double>(std::max<std::int64_t>(1, objective.count()));
+    if (call.startedAt() < coldUntil_) {
+        ++counters_.cold;
+        return CallSample::Cold;
     }
+    ++counters_.timed;
+    counters_.late += duration > objective ? 1 : 0;
+    counters_.relativeWork += static_cast<double>(duration.count())
+            / static_cast<double>(std::max<std::int64_t>(1, objective.count()));
+    return CallSample::Timed;
+}
+
+CallSample InboundProxy::recordCutOff()
+{
+    ++counters_.cutOff;
+    return CallSample::CutOff;
 }
 
 void InboundProxy::recordBrokenCall(const InboundCall &call)
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -115,10 +115,7 @@
         return;
     handBack_.record(host.entry.server->service, response.report);
     if (VersionMoveWatcher *move = handlers_.findMove(host.entry.server->service)) {
-        const HostReport &report = response.report;
-        move->addCounters(host.entry.run, host.entry.server->version,
-                          ServerCounters{report.answers, report.failures, report.timedAnswers,
-                                         report.lateAnswers, report.relativeWorkSum},
+        move->addCounters(host.entry.run, host.entry.server->version, response.report.counters,
                           time);
     }
 }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -74,6 +74,23 @@
     return list;
 }
 
+std::vector<EventField> moveStepFields(const VersionMove &next, const VersionMoveWatcher &move)
+{
+    const VersionCounts newer = move.evidenceOf(true);
+    const VersionCounts older = move.evidenceOf(false);
+    return {{"service", next.service.value()}, {"target", next.target.value()},
+            {"perMille", next.perMille},       {"state", static_cast<int>(next.state)},
+            {"verdict", move.verdict()},       {"newAnswers", newer.answers},
+            {"newFailures", newer.failures},   {"newTimed", newer.timed},
+            {"newLate", newer.late},           {"newMeanWork", newer.meanWork()},
+            {"newCold", newer.cold},           {"newCutOff", newer.cutOff},
+            {"newRefused", newer.refused},     {"oldAnswers", older.answers},
+            {"oldFailures", older.failures},   {"oldTimed", older.timed},
+            {"oldLate", older.late},           {"oldMeanWork", older.meanWork()},
+            {"oldCold", older.cold},           {"oldCutOff", older.cutOff},
+            {"oldRefused", older.refused}};
+}
+
 std::vector<SuspectedDeath> readDeaths(std::string_view text)
 {
     std::vector<SuspectedDeath> deaths;
@@ -415,31 +432,12 @@
             if (!next || (pending.move == *next && time - pending.writtenAt < detail::rewriteDelay))
                 continue;
             pending = PendingMove{*next, time};
-            logStep(*next, move);
+            log.write(EventKind::StateChange, detail::nodePart, "move-step",
+                      detail::moveStepFields(*next, move));
             fleet.writeMove(*next, moveRevisions[service]);
         }
     }
 
-    void logStep(const VersionMove &next, const VersionMoveWatcher &move)
-    {
-        const VersionCounts newer = move.evidenceOf(true);
-        const VersionCounts older = move.evidenceOf(false);
-        log.write(EventKind::StateChange, detail::nodePart, "move-step",
-                  {{"service", next.service.value()},
-                   {"target", next.target.value()},
-                   {"perMille", next.perMille},
-                   {"state", static_cast<int>(next.state)},
-                   {"verdict", move.verdict()},
-                   {"newAnswers", newer.answers},
-                   {"newFailures", newer.failures},
-                   {"newTimed", newer.timed},
-                   {"newLate", newer.late},
-                   {"oldAnswers", older.answers},
-                   {"oldFailures", older.failures},
-                   {"oldTimed", older.timed},
-                   {"oldLate", older.late}});
-    }
-
     void requestReports()
     {
         if (isStopping || rank() >= detail::maxReportRequesters)
--- a/test/sidecar/hop-test.cc
+++ b/test/sidecar/hop-test.cc
@@ -14,6 +14,9 @@
     response.report.notice.isLeaving = true;
     response.report.demand = CallRate(80.25);
     response.report.serverStartedAtMs = 1778067253011;
+    response.report.counters.cold = 3;
+    response.report.counters.cutOff = 5;
+    response.report.counters.refused = 7;
     return response;
 }
 
@@ -40,10 +43,23 @@
     BOOST_TEST(!decodeHopRequest(encodeHopRequest(request))->knownLimit);
 }
 
+BOOST_AUTO_TEST_CASE(countersArePassedOn)
+{
+    const auto response = decodeHopResponse(encodeHopResponse(limitedResponse()));
+    BOOST_REQUIRE(response);
+    BOOST_TEST(response->report.counters.cold == 3U);
+    BOOST_TEST(response->report.counters.cutOff == 5U);
+    BOOST_TEST(response->report.counters.refused == 7U);
+}
+
 BOOST_AUTO_TEST_CASE(headersOfEarlierVersionsHaveNoNotice)
 {
     const std::string response = encodeHopResponse(limitedResponse());
-    const auto earlier = decodeHopResponse(withoutLastFields(response, 5));
+    const auto withoutCounters = decodeHopResponse(withoutLastFields(response, 3));
+    BOOST_REQUIRE(withoutCounters);
+    BOOST_TEST(withoutCounters->report.notice.isLeaving);
+    BOOST_TEST(withoutCounters->report.counters.cold == 0U);
+    const auto earlier = decodeHopResponse(withoutLastFields(response, 8));
     BOOST_REQUIRE(earlier);
     BOOST_TEST((earlier->configuration == Revision(7)));
     BOOST_TEST(!earlier->report.notice.limit);
@@ -55,7 +71,7 @@
 BOOST_AUTO_TEST_CASE(truncatedHeadersAreRefused)
 {
     const std::string response = encodeHopResponse(limitedResponse());
-    for (int count : {1, 2, 3, 4, 6, 7})
+    for (int count : {1, 2, 4, 5, 6, 7, 9, 10})
         BOOST_TEST(!decodeHopResponse(withoutLastFields(response, count)));
     BOOST_TEST(!decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 1)));
 }
