Decide at the start of a call whether the server is warm, and never prolong a warm-up

Cause: each heartbeat of a warm server (remaining cold time 0) moved the end of its warm-up to that moment, and a call was left out as cold if it had started before. A call in flight across a heartbeat thus never counted, and the longer it took, the surer: of the answers of such a version a third was left out, the slow ones (median 1,304 ms, of the others 255 ms).

Now the end of a run's warm-up only moves to an earlier time, and whether a call counts is decided when it is sent, by what is known then; so its duration cannot matter. After a server went down it is not taken for warm until its next heartbeat.

--- a/include/cornelhead/sidecar/inbound-call.h
+++ b/include/cornelhead/sidecar/inbound-call.h
@@ -49,6 +49,7 @@
     GateTicket ticket() const { return ticket_; }
     TimePoint deadline() const { return deadline_; }
     TimePoint startedAt() const { return startedAt_; }
+    bool wasServerWarm() const { return wasServerWarm_; }
     Fingerprint fingerprint() const { return fingerprint_; }
     HopResult result() const { return result_; }
     HopReason reason() const { return reason_; }
@@ -79,7 +80,8 @@
     std::unique_ptr<Attempt> attempt_;
     Timer timer_;
     TimePoint startedAt_{};
-    TimePoint arrivedAt_{};
+    // As the call was sent.  At its end, what has changed meanwhile would depend on its duration.
+    bool wasServerWarm_ = false;
     ServerId expectedServer_;
     HopResult result_ = HopResult::Unknown;
     HopReason reason_ = HopReason::None;
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -10,6 +10,7 @@
 
 #include "cornelhead/base/event-log.h"
 #include "cornelhead/membership/local-server.h"
+#include "cornelhead/membership/warm-up.h"
 #include "cornelhead/net/event-loop.h"
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/routing/poison-tracker.h"
@@ -54,9 +55,8 @@
     void serve(evhttp_request *request);
     /// Applies a change of the server's state or slots.
     void refresh();
-    /// Calls that start before `coldUntil` are left out of the latency counters, as the server is
-    /// still warming up.
-    void setColdUntil(TimePoint coldUntil) { coldUntil_ = coldUntil; }
+    /// Applies a heartbeat that is not stale.
+    void observeHeartbeat(const ServerAnnouncement &announcement);
     /// The report about the server that every response carries.
     HopResponse report() const { return hopResponse(HopResult::Answered, HopReason::None); }
     /// Refuses new and waiting calls; running calls go on.
@@ -123,7 +123,8 @@
     // moment.
     Milliseconds maxReuseAge_;
     ServerCounters counters_;
-    TimePoint coldUntil_{};
+    // Calls sent to a server that is warming up do not count as samples of its speed.
+    WarmUp warmUp_;
     // Calls whose connection broke within `deathWindow`, in case the server turns out to have
     // crashed, with the time of the break.
     std::vector<std::pair<SuspectedDeath, TimePoint>> brokenCalls_;
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -35,7 +35,7 @@
                          HopRequest hop, GateTicket ticket, TimePoint deadline)
     : proxy_(proxy), exchange_(std::make_unique<Exchange>(proxy.loop_, request)),
       id_(std::move(id)), hop_(std::move(hop)), ticket_(ticket), deadline_(deadline),
-      fingerprint_(requestFingerprint(request)), arrivedAt_(now(SteadyClock()))
+      fingerprint_(requestFingerprint(request))
 { }
 
 InboundCall::~InboundCall() = default;
@@ -72,6 +72,7 @@
         return;
     }
     expectedServer_ = server->id;
+    wasServerWarm_ = proxy_.warmUp_.isOver(startedAt_);
     AttemptHandlers handlers;
     handlers.onHead = [](evhttp_request *) { return false; };
     handlers.onEnd = [this](const AttemptOutcome &end) { onAttemptEnd(end); };
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -299,7 +299,7 @@
         return CallSample::Failed;
     }
     poison_.recordResponse(call.fingerprint());
-    if (call.startedAt() < coldUntil_) {
+    if (!call.wasServerWarm()) {
         ++counters_.cold;
         return CallSample::Cold;
     }
@@ -381,6 +381,8 @@
     pool_.dropIdle(server_, TimePoint::max());
     if (!local_.markDown())
         return;
+    // It may come back as another run, before that run's first heartbeat.
+    warmUp_.reset();
     const TimePoint time = now(SteadyClock());
     std::vector<SuspectedDeath> deaths;
     for (auto &[death, brokenAt] : brokenCalls_) {
@@ -399,6 +401,11 @@
     handlers_.onServerChanged();
 }
 
+void InboundProxy::observeHeartbeat(const ServerAnnouncement &announcement)
+{
+    warmUp_.observe(announcement, now(SteadyClock()));
+}
+
 void InboundProxy::refresh()
 {
     if (const HostedServer *server = local_.usable()) {
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -286,7 +286,7 @@
                 [this](const auto &content) { return local.apply(content); }, *message);
         const auto *announcement = std::get_if<ServerAnnouncement>(&*message);
         if (announcement && verdict != LocalServer::UpdateResult::Stale)
-            inboundProxy.setColdUntil(now(SteadyClock()) + announcement->remainingColdTime);
+            inboundProxy.observeHeartbeat(*announcement);
         if (verdict == LocalServer::UpdateResult::Changed) {
             logServer();
             inboundProxy.refresh();
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -182,13 +182,14 @@
     }
     /// Sends one heartbeat and waits for its acknowledgement.
     int announce(SidecarHost &host, const std::string &version = "v1",
-                 const std::string &state = "ready", int born = 1)
+                 const std::string &state = "ready", int born = 1, int coldLeftMs = 0)
     {
         const std::string body = R"({"address":"x","born":)" + std::to_string(born)
                 + R"(,"server-info":{"service":")" + host.settings.service.value()
                 + R"(","version":")" + version + R"(","zone":")" + host.settings.dataCentre.value()
                 + R"(","slots":2},"status":{"state":")" + state + R"(","seq":)"
-                + std::to_string(++host.sequence) + R"(,"cold-left":"0ms"}})";
+                + std::to_string(++host.sequence) + R"(,"cold-left":")"
+                + std::to_string(coldLeftMs) + R"(ms"}})";
         return call(host.settings.control,
                     HttpRequest{HttpMethod::Put, "/instances/" + host.server->id, {}, {}, body})
                 .status;
