Count calls that end without an answer after their objective as late

Of a version that answers two in five calls eight times slower, the slowest calls reach their deadline: the server answers 504, or the call is cut off there or by its caller. The first counted as failures only, the others not at all, so that the samples of speed held just the faster calls; the estimate of service time, by which calls are placed, left them out as well.

Now a call of a warm server that took longer than its objective is late, however it ended; the time spent on calls cut off earlier belongs to the mean per answer; such calls may raise the estimate of service time, never lower it. Time in which the node itself stood still is no part of a duration.

--- a/include/cornelhead/rollout/server-counters.h
+++ b/include/cornelhead/rollout/server-counters.h
@@ -10,11 +10,12 @@
 {
     std::uint64_t answers = 0;
     std::uint64_t failures = 0;
-    /// Answers whose duration counts: those of a server that had finished its warm-up.
+    /// Calls sent to a warm server that were answered, or that ended in another way after their
+    /// objective had passed.
     std::uint64_t timed = 0;
-    /// Timed answers that took the server longer than the objective of their route.
+    /// Timed calls that took the server longer than the objective of their route.
     std::uint64_t late = 0;
-    /// Sum of the durations of the timed answers, each divided by the objective of its route.
+    /// Time spent on timed calls and on those cut off, each divided by the objective of its route.
     double relativeWork = 0.0;
     /// Answers left out of `timed`, as the server was warming up.
     std::uint64_t cold = 0;
@@ -22,6 +23,9 @@
     std::uint64_t cutOff = 0;
     /// Calls refused for lack of room, by the server or by the node beside it.
     std::uint64_t refused = 0;
+
+    /// Returns the number of calls that the server has run.
+    std::uint64_t calls() const { return answers + cutOff; }
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/routing/work-estimate.h
+++ b/include/cornelhead/routing/work-estimate.h
@@ -8,6 +8,7 @@
 
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/ids.h"
+#include "cornelhead/rollout/server-samples.h"
 
 namespace cornelhead {
 
@@ -15,8 +16,9 @@
 class WorkEstimate
 {
 public:
-    /// Records a call of `route` with its service time and latency objective.
-    void record(const RouteId &route, Microseconds work, Microseconds objective, bool isFailure);
+    /// Records a call of `route` with its service time and latency objective.  Of a call that was
+    /// not answered the service time is a lower bound, which may only raise the estimate.
+    void record(const RouteId &route, Microseconds work, Microseconds objective, CallEnd end);
     /// Returns the expected service time of a call of `route`.
     Microseconds expected(const RouteId &route, Microseconds objective) const;
     /// Returns the mean service time of a call relative to the objective of its route.
--- a/include/cornelhead/sidecar/call-records.h
+++ b/include/cornelhead/sidecar/call-records.h
@@ -91,7 +91,8 @@
     std::map<std::string, Record> records_;
 };
 
-/// Detects that the process stood still, and tells how long input that is read now may have waited.
+/// Detects that the process stood still, and tells how long input that is read now may have waited
+/// and by how much a measured duration is too long.
 ///
 /// A frozen process reads requests whose callers have given up meanwhile.
 class PauseDetector
@@ -101,6 +102,8 @@
     void observe(TimePoint now);
     /// Returns the longest time that input read at `now` may have waited; 0 without a recent pause.
     Microseconds maxInputAge(TimePoint now) const;
+    /// Returns how long the process stood still after `since`, in its last pause.
+    Microseconds pausedSince(TimePoint since) const;
 
 private:
     TimePoint lastObservedAt_{};
--- a/include/cornelhead/sidecar/inbound-call.h
+++ b/include/cornelhead/sidecar/inbound-call.h
@@ -3,9 +3,9 @@
 
 #include <memory>
 #include <string>
-#include <string_view>
 
 #include "cornelhead/proxy/attempt.h"
+#include "cornelhead/rollout/server-samples.h"
 #include "cornelhead/routing/poison-tracker.h"
 #include "cornelhead/routing/server-gate.h"
 #include "cornelhead/sidecar/exchange.h"
@@ -15,17 +15,6 @@
 
 class InboundProxy;
 
-/// How a call counts as a sample of its server's speed and failures.
-enum class CallSample {
-    None, ///< The server did not receive it, or refused it.
-    Timed, ///< Answered, and its duration counts.
-    Cold, ///< Answered while the server was warming up, so that its duration does not count.
-    Failed,
-    CutOff, ///< Ended without an answer, at its deadline or because the caller left.
-};
-
-std::string_view callSampleName(CallSample sample);
-
 /// Waits for a slot, sends the call to the server and responds to the caller's node.
 class InboundCall : public std::enable_shared_from_this<InboundCall>
 {
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -13,6 +13,7 @@
 #include "cornelhead/membership/warm-up.h"
 #include "cornelhead/net/event-loop.h"
 #include "cornelhead/proxy/upstream-pool.h"
+#include "cornelhead/rollout/server-samples.h"
 #include "cornelhead/routing/poison-tracker.h"
 #include "cornelhead/routing/server-gate.h"
 #include "cornelhead/routing/work-estimate.h"
@@ -25,7 +26,6 @@
 namespace cornelhead::detail {
 
 class InboundCall;
-enum class CallSample;
 
 /// Callbacks into the node.
 struct InboundHandlers
@@ -86,10 +86,8 @@
     void startWaitingCalls();
     void refuseAll(const std::vector<GateTicket> &tickets, HopReason reason);
     void onCallEnd(InboundCall &call);
-    /// Records a response, or that the server failed to give one, and returns how it counted.
-    CallSample recordResponse(const InboundCall &call, bool isFailure, Microseconds duration);
-    /// Records a call that ended without a response, though the server did not fail.
-    CallSample recordCutOff();
+    /// Records a call that the server has run, and returns how it counted.
+    CallSample recordEnd(const InboundCall &call, CallEnd end);
     void recordBrokenCall(const InboundCall &call);
     /// Applies what the server reported about itself in the headers of a response.
     void observeNotice(std::string_view limit, std::string_view leaving);
@@ -122,7 +120,7 @@
     // Connections that were idle for longer are not reused, as the server may close them at any
     // moment.
     Milliseconds maxReuseAge_;
-    ServerCounters counters_;
+    ServerSamples samples_;
     // Calls sent to a server that is warming up do not count as samples of its speed.
     WarmUp warmUp_;
     // Calls whose connection broke within `deathWindow`, in case the server turns out to have
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -221,7 +221,7 @@
         return;
     Server &server = servers_[run];
     server.isTarget = version == order_->target;
-    if (!server.samples.empty() && server.samples.back().counters.answers >= counters.answers)
+    if (!server.samples.empty() && server.samples.back().counters.calls() >= counters.calls())
         return;
     // The first report of a new server covers only recent answers; that of an old server also
     // covers answers before the window, so it is only the start of the window.
--- a/src/routing/work-estimate.cc
+++ b/src/routing/work-estimate.cc
@@ -14,16 +14,21 @@
 } // namespace detail
 
 void WorkEstimate::record(const RouteId &route, Microseconds work, Microseconds objective,
-                          bool isFailure)
+                          CallEnd end)
 {
-    failureShare_ += detail::failureWeight * ((isFailure ? 1.0 : 0.0) - failureShare_);
-    if (isFailure || objective <= Microseconds(0))
+    if (end != CallEnd::CutOff)
+        failureShare_
+                += detail::failureWeight * ((end == CallEnd::Failed ? 1.0 : 0.0) - failureShare_);
+    if (objective <= Microseconds(0))
         return;
     const double relative
             = static_cast<double>(work.count()) / static_cast<double>(objective.count());
+    const bool isLowerBound = end != CallEnd::Answered;
     const auto [entry, isNew] = relativeByRoute_.try_emplace(route, relativeWork_);
-    entry->second += detail::workWeight * (relative - entry->second);
-    relativeWork_ += detail::workWeight * (relative - relativeWork_);
+    for (double *estimate : {&entry->second, &relativeWork_}) {
+        if (!isLowerBound || relative > *estimate)
+            *estimate += detail::workWeight * (relative - *estimate);
+    }
 }
 
 Microseconds WorkEstimate::expected(const RouteId &route, Microseconds objective) const
--- a/src/sidecar/call-records.cc
+++ b/src/sidecar/call-records.cc
@@ -1,6 +1,8 @@
 // Implements the records of calls and the detection of pauses.
 #include "cornelhead/sidecar/call-records.h"
 
+#include <algorithm>
+
 namespace cornelhead {
 namespace detail {
 
@@ -83,4 +85,9 @@
     return now - pausedAt_;
 }
 
+Microseconds PauseDetector::pausedSince(TimePoint since) const
+{
+    return std::max(Microseconds(0), Microseconds(resumedAt_ - std::max(pausedAt_, since)));
+}
+
 } // namespace cornelhead
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -1,8 +1,6 @@
 // Implements a call to the host's backend server.
 #include "cornelhead/sidecar/inbound-call.h"
 
-#include <array>
-
 #include <event2/http.h>
 
 #include "cornelhead/proxy/request-head.h"
@@ -21,16 +19,8 @@
 constexpr int statusMisdirected = 421;
 constexpr int minFailureStatus = 500;
 
-constexpr std::array<std::string_view, 5> sampleNames
-        = {"none", "timed", "cold", "failed", "cut-off"};
-
 } // namespace
 
-std::string_view callSampleName(CallSample sample)
-{
-    return sampleNames[static_cast<std::size_t>(sample)];
-}
-
 InboundCall::InboundCall(InboundProxy &proxy, evhttp_request *request, std::string id,
                          HopRequest hop, GateTicket ticket, TimePoint deadline)
     : proxy_(proxy), exchange_(std::make_unique<Exchange>(proxy.loop_, request)),
@@ -124,14 +114,14 @@
     if (!hop_.isIdempotent)
         return;
     attempt_->cancel();
-    sample_ = proxy_.recordCutOff();
+    sample_ = proxy_.recordEnd(*this, CallEnd::CutOff);
     finish(HopResult::Unknown, HopReason::Cancelled);
 }
 
 void InboundCall::onTimeout()
 {
     attempt_->cancel();
-    sample_ = proxy_.recordCutOff();
+    sample_ = proxy_.recordEnd(*this, CallEnd::CutOff);
     finish(HopResult::Unknown, HopReason::Timeout);
 }
 
@@ -190,12 +180,12 @@
     if (!isValid) {
         proxy_.log_.write(EventKind::Failure, inboundPart, "answer-refused",
                           {{"id", id_}, {"status", status}, {"answeredId", id}});
-        sample_ = proxy_.recordResponse(*this, true, Microseconds(0));
+        sample_ = proxy_.recordEnd(*this, CallEnd::Failed);
         finish(HopResult::Unknown, HopReason::InvalidResponse);
         return;
     }
-    sample_ = proxy_.recordResponse(*this, status >= minFailureStatus,
-                                    now(SteadyClock()) - startedAt_);
+    sample_ = proxy_.recordEnd(*this,
+                               status >= minFailureStatus ? CallEnd::Failed : CallEnd::Answered);
     forward(response);
 }
 
@@ -220,7 +210,7 @@
         proxy_.onConnectFailed();
         return;
     }
-    sample_ = proxy_.recordResponse(*this, true, Microseconds(0));
+    sample_ = proxy_.recordEnd(*this, CallEnd::Failed);
     proxy_.recordBrokenCall(*this);
     finish(HopResult::Unknown, HopReason::InvalidResponse);
 }
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -91,7 +91,7 @@
     response.report.wait = load.wait;
     response.report.relativeWork = work_.relativeWork();
     response.report.failureShare = work_.failureShare();
-    response.report.counters = counters_;
+    response.report.counters = samples_.counters();
     response.report.notice = local_.notice();
     response.report.notice.limit = load.limit;
     response.report.demand = load.limit ? load.demand : CallRate();
@@ -246,7 +246,8 @@
 void InboundProxy::onCallEnd(InboundCall &call)
 {
     records_.finish(call.id(), CallOutcome{call.result(), call.reason(), call.storedResponse()});
-    counters_.refused += call.reason() == HopReason::Overload ? 1 : 0;
+    if (call.reason() == HopReason::Overload)
+        samples_.recordRefusal();
     const bool isFailure = call.result() != HopResult::Answered;
     const EventKind kind = isFailure ? EventKind::Failure : EventKind::Success;
     if (isFailure)
@@ -288,32 +289,16 @@
     });
 }
 
-CallSample InboundProxy::recordResponse(const InboundCall &call, bool isFailure,
-                                        Microseconds duration)
+CallSample InboundProxy::recordEnd(const InboundCall &call, CallEnd end)
 {
+    const TimePoint time = now(SteadyClock());
+    pauses_.observe(time);
     const Microseconds objective = call.hop().objective;
-    work_.record(call.hop().route, duration, objective, isFailure);
-    ++counters_.answers;
-    if (isFailure) {
-        ++counters_.failures;
-        return CallSample::Failed;
-    }
-    poison_.recordResponse(call.fingerprint());
-    if (!call.wasServerWarm()) {
-        ++counters_.cold;
-        return CallSample::Cold;
-    }
-    ++counters_.timed;
-    counters_.late += duration > objective ? 1 : 0;
-    counters_.relativeWork += static_cast<double>(duration.count())
-            / static_cast<double>(std::max<std::int64_t>(1, objective.count()));
-    return CallSample::Timed;
-}
-
-CallSample InboundProxy::recordCutOff()
-{
-    ++counters_.cutOff;
-    return CallSample::CutOff;
+    const Microseconds duration = time - call.startedAt() - pauses_.pausedSince(call.startedAt());
+    work_.record(call.hop().route, duration, objective, end);
+    if (end == CallEnd::Answered)
+        poison_.recordResponse(call.fingerprint());
+    return samples_.record(EndedCall{end, call.wasServerWarm(), duration, objective});
 }
 
 void InboundProxy::recordBrokenCall(const InboundCall &call)
--- a/test/adapter/call-samples-test.cc
+++ b/test/adapter/call-samples-test.cc
@@ -75,6 +75,39 @@
     BOOST_TEST(sums.timed == 1U);
 }
 
+// Of a slow version these are the calls that show it.
+BOOST_AUTO_TEST_CASE(callsThatEndWithoutAnAnswerAfterTheirObjectiveCountAsLate)
+{
+    std::vector<Responder> unanswered;
+    host->server->behaviour = [&](const HttpRequest &, const Responder &responder) {
+        unanswered.push_back(responder);
+    };
+    startCall("700");
+    startCall("700");
+    waitUntil([this] { return ended == started; });
+    waitUntil([this] { return counters().cutOff == 2; });
+    const ServerCounters sums = counters();
+    BOOST_TEST(sums.answers == 0U);
+    BOOST_TEST(sums.timed == 2U);
+    BOOST_TEST(sums.late == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(failureAfterTheObjectiveCountsAsLate)
+{
+    std::vector<Timer> delays;
+    host->server->behaviour = [&](const HttpRequest &request, const Responder &responder) {
+        HttpResponse response = host->server->answerTo(request);
+        response.status = 504;
+        delays.push_back(loop.after(Milliseconds(600), [=] { responder.send(response); }));
+    };
+    startCall();
+    waitUntil([this] { return ended == started; });
+    const ServerCounters sums = counters();
+    BOOST_TEST(sums.failures == 1U);
+    BOOST_TEST(sums.timed == 1U);
+    BOOST_TEST(sums.late == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
--- a/test/routing/fleet-load.h
+++ b/test/routing/fleet-load.h
@@ -345,7 +345,7 @@
     {
         server.gate.remove(call->ticket);
         calls_.erase(call->ticket);
-        server.work.record(RouteId("route"), work, settings_.objective, false);
+        server.work.record(RouteId("route"), work, settings_.objective, CallEnd::Answered);
         if (settings_.appliesLimits) {
             server.hasHeardLimit = true;
             server.gate.setLimit(server.limit, time_);
--- a/test/routing/placement-test.cc
+++ b/test/routing/placement-test.cc
@@ -250,14 +250,31 @@
 {
     WorkEstimate estimate;
     for (int i = 0; i < 100; ++i) {
-        estimate.record(RouteId("browse"), Milliseconds(60), Milliseconds(200), false);
-        estimate.record(RouteId("report"), Milliseconds(600), Milliseconds(2000), false);
+        estimate.record(RouteId("browse"), Milliseconds(60), Milliseconds(200), CallEnd::Answered);
+        estimate.record(RouteId("report"), Milliseconds(600), Milliseconds(2000),
+                        CallEnd::Answered);
     }
     BOOST_TEST(std::abs(estimate.relativeWork() - 0.3) < 0.01);
     const auto browseTime = estimate.expected(RouteId("browse"), Milliseconds(200));
     BOOST_TEST(std::abs(browseTime.count() - 60'000) < 1000);
 }
 
+// Otherwise a server whose slow calls are all cut off looks as fast as its other calls.
+BOOST_AUTO_TEST_CASE(callsThatAreCutOffOnlyRaiseTheEstimate)
+{
+    WorkEstimate estimate;
+    const Milliseconds objective(200);
+    for (int i = 0; i < 100; ++i)
+        estimate.record(RouteId("browse"), Milliseconds(60), objective, CallEnd::Answered);
+    estimate.record(RouteId("browse"), Milliseconds(10), objective, CallEnd::CutOff);
+    estimate.record(RouteId("browse"), Milliseconds(10), objective, CallEnd::Failed);
+    BOOST_TEST(std::abs(estimate.relativeWork() - 0.3) < 0.001);
+    for (int i = 0; i < 50; ++i)
+        estimate.record(RouteId("browse"), Milliseconds(600), objective, CallEnd::CutOff);
+    BOOST_TEST(estimate.relativeWork() > 2.5);
+    BOOST_TEST((estimate.expected(RouteId("browse"), objective) > Milliseconds(500)));
+}
+
 // A few callers have a longer timeout; their calls must not make all other calls look like retries.
 BOOST_AUTO_TEST_CASE(retriesAreDetectedDespiteLongTimeouts)
 {
@@ -280,7 +297,7 @@
 {
     WorkEstimate estimate;
     for (int i = 0; i < 50; ++i)
-        estimate.record(RouteId("browse"), Microseconds(0), Milliseconds(200), true);
+        estimate.record(RouteId("browse"), Microseconds(0), Milliseconds(200), CallEnd::Failed);
     BOOST_TEST(estimate.failureShare() > 0.9);
     estimate.decay(Milliseconds(12'000));
     BOOST_TEST(estimate.failureShare() < 0.1);
--- a/test/sidecar/call-records-test.cc
+++ b/test/sidecar/call-records-test.cc
@@ -110,6 +110,20 @@
     BOOST_TEST((pauses.maxInputAge(time + Milliseconds(1000)) == Milliseconds(0)));
 }
 
+// Otherwise all calls that are in flight when their node is frozen look slow.
+BOOST_AUTO_TEST_CASE(pauseIsNoPartOfADuration)
+{
+    PauseDetector pauses;
+    BOOST_TEST(pauses.pausedSince(time).count() == 0);
+    pauses.observe(time);
+    const TimePoint resumed = time + Milliseconds(4000);
+    pauses.observe(resumed);
+    BOOST_TEST((pauses.pausedSince(time - Milliseconds(300)) == Milliseconds(4000)));
+    BOOST_TEST((pauses.pausedSince(time + Milliseconds(1000)) == Milliseconds(3000)));
+    BOOST_TEST((pauses.pausedSince(resumed) == Milliseconds(0)));
+    BOOST_TEST((pauses.pausedSince(resumed + Milliseconds(5)) == Milliseconds(0)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 /// A period in which a process stands still.
