Ask for evidence in every step of a move, and never hurry past the share that a bad version may get

A version without evidence got all calls when its deadline was near: 7 s before it the first step was left without the 25 timed answers, and later steps asked for none. Limits, cuts or a restored store make answers few or unheard of; then a bad version breaks EXPOSURE. A step also ended by time alone though nobody had heard of the new version's servers in it.

Decision: a late good version costs its operators a duty, a bad one costs callers their calls; so a version without evidence stays at 5 %, however late its move gets. Each further step wants 10 timed calls heard of since its record. Only a version that has demonstrably had few calls (fewer than 30, some of them in this step) goes on to 15 % and 30 % near the deadline, as it would otherwise never be judged; no version gets all calls without evidence.

--- a/include/cornelhead/rollout/version-move.h
+++ b/include/cornelhead/rollout/version-move.h
@@ -70,6 +70,9 @@
 };
 
 /// Tracks the move of one service at one node: the share in force here, and the next write.
+///
+/// Invariant: a version without enough evidence stays below the share at which it would get more
+/// calls until the deadline than a bad version may, however late its move becomes.
 class VersionMoveWatcher
 {
 public:
@@ -109,6 +112,17 @@
         bool isTarget = false;
         // Oldest first; covers the evidence window.
         std::deque<Sample> samples;
+        // The last counters before the present step, or the first ones heard of in it.
+        ServerCounters atStepStart;
+    };
+    /// What the new version's servers reported.
+    struct Evidence
+    {
+        std::uint64_t answers = 0;
+        std::uint64_t timed = 0;
+        /// Since the present step began.
+        std::uint64_t callsInStep = 0;
+        std::uint64_t timedInStep = 0;
     };
     /// Returns whether the record carries out the order.
     bool isCurrent() const;
@@ -118,7 +132,8 @@
     bool isOlder(const VersionMove &record) const;
     void judge(TimePoint now);
     std::optional<std::uint32_t> dueShare(TimePoint now) const;
-    bool hasEnoughAnswers() const;
+    Evidence evidence() const;
+    void beginStep();
 
     std::optional<VersionMoveOrder> order_;
     TimePoint orderedAt_{};
@@ -128,8 +143,6 @@
     std::optional<TimePoint> unwrittenSince_;
     // The store was restored while the order was known.
     bool wasRestored_ = false;
-    // When the first answer of the new version was reported.
-    std::optional<TimePoint> firstAnswerAt_;
     std::map<NodeId, Server> servers_;
     std::string verdict_;
     TimePoint verdictAt_{};
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -17,6 +17,11 @@
     std::uint32_t perMille;
     /// The minimum time at this share before the next step.
     Milliseconds minDuration;
+    /// Timed calls of the new version that are needed in this step.
+    std::uint64_t minTimed;
+    /// Whether a version that has had few calls may leave this step without enough evidence when
+    /// time presses: it needs a larger share to be judged at all.
+    bool mayLeaveWithFewCalls;
 };
 
 constexpr std::uint32_t allCalls = 1000;
@@ -25,15 +30,14 @@
 /// a bad version has received the calls of 0.9 s, of which 1.5 s are allowed in a move of 15 s. The
 /// last step lasts until every node has read the record and calls at the old servers have ended.
 constexpr std::array<Step, 4> steps = {{
-        {50, Milliseconds(4500)},
-        {150, Milliseconds(1500)},
-        {300, Milliseconds(1500)},
-        {allCalls, Milliseconds(3000)},
+        {50, Milliseconds(4500), 0, true},
+        {150, Milliseconds(1500), 10, true},
+        {300, Milliseconds(1500), 10, false},
+        {allCalls, Milliseconds(3000), 10, false},
 }};
-/// Answers of the new version, and timed answers among them, that are needed to leave the first
-/// step.
+/// Answers of the new version, and timed calls, that are needed to leave any step.
 constexpr std::uint64_t minAnswers = 30;
-constexpr std::uint64_t minTimedAnswers = 25;
+constexpr std::uint64_t minTimed = 25;
 /// The duration of all steps but the first, and a second until every node has read the record.
 constexpr Milliseconds remainingStepsDuration(7000);
 /// Older evidence is ignored, since a regression may begin late.
@@ -176,11 +180,18 @@
     }
     order_ = order;
     orderedAt_ = now;
-    firstAnswerAt_.reset();
     servers_.clear();
     verdict_.clear();
 }
 
+void VersionMoveWatcher::beginStep()
+{
+    for (auto &[run, server] : servers_) {
+        if (!server.samples.empty())
+            server.atStepStart = server.samples.back().counters;
+    }
+}
+
 void VersionMoveWatcher::observeRecord(const VersionMove &record, TimePoint now)
 {
     if (record_ && record_->orderRevision > record.orderRevision)
@@ -198,6 +209,7 @@
     record_ = record;
     recordAt_ = now;
     unwrittenSince_.reset();
+    beginStep();
 }
 
 // Shares only grow, and a move that has ended is not reopened.
@@ -225,13 +237,14 @@
         return;
     // The first report of a new server covers only recent answers; that of an old server also
     // covers answers before the window, so it is only the start of the window.
-    if (server.samples.empty() && server.isTarget)
-        server.samples.push_back(Sample{now, ServerCounters{}});
+    if (server.samples.empty()) {
+        server.atStepStart = counters;
+        if (server.isTarget)
+            server.samples.push_back(Sample{now, ServerCounters{}});
+    }
     server.samples.push_back(Sample{now, counters});
     while (server.samples.size() > 2 && now - server.samples[1].at > detail::evidenceWindow)
         server.samples.pop_front();
-    if (server.isTarget && !firstAnswerAt_)
-        firstAnswerAt_ = now;
     judge(now);
 }
 
@@ -263,17 +276,19 @@
     verdictAt_ = now;
 }
 
-bool VersionMoveWatcher::hasEnoughAnswers() const
+VersionMoveWatcher::Evidence VersionMoveWatcher::evidence() const
 {
-    std::uint64_t answers = 0;
-    std::uint64_t timed = 0;
+    Evidence sums;
     for (const auto &[run, server] : servers_) {
         if (!server.isTarget || server.samples.empty())
             continue;
-        answers += server.samples.back().counters.answers;
-        timed += server.samples.back().counters.timed;
+        const ServerCounters &last = server.samples.back().counters;
+        sums.answers += last.answers;
+        sums.timed += last.timed;
+        sums.callsInStep += last.calls() - server.atStepStart.calls();
+        sums.timedInStep += last.timed - server.atStepStart.timed;
     }
-    return answers >= detail::minAnswers && timed >= detail::minTimedAnswers;
+    return sums;
 }
 
 bool VersionMoveWatcher::isJudged() const
@@ -307,15 +322,15 @@
             [&](const detail::Step &entry) { return entry.perMille == record_->perMille; });
     if (step == detail::steps.end())
         return detail::steps.front().perMille;
-    TimePoint since = recordAt_;
-    if (step == detail::steps.begin()) {
-        const bool mustHurry
-                = now + detail::remainingStepsDuration > orderedAt_ + order_->maxDuration;
-        if (!firstAnswerAt_ || (!hasEnoughAnswers() && !mustHurry))
-            return std::nullopt;
-        since = *firstAnswerAt_;
-    }
-    if (now - since < step->minDuration)
+    if (now - recordAt_ < step->minDuration)
+        return std::nullopt;
+    const Evidence found = evidence();
+    const bool isEnough = found.answers >= detail::minAnswers && found.timed >= detail::minTimed
+            && found.timedInStep >= step->minTimed;
+    const bool mustHurry = now + detail::remainingStepsDuration > orderedAt_ + order_->maxDuration;
+    const bool hasFewCalls = found.callsInStep > 0 && found.answers < detail::minAnswers;
+    const bool mayHurry = mustHurry && step->mayLeaveWithFewCalls && hasFewCalls;
+    if (!isEnough && !mayHurry)
         return std::nullopt;
     // The last step repeats its share, which completes the move.
     return step + 1 == detail::steps.end() ? step->perMille : (step + 1)->perMille;
--- a/test/rollout/version-move-test.cc
+++ b/test/rollout/version-move-test.cc
@@ -22,6 +22,10 @@
     TimePoint lastNewAnswerAt{};
     /// Fraction of the new version's answers to which `slowness` of `simulateCalls` applies.
     double slowFraction = 1.0;
+    Microseconds callGap{3333};
+    /// The durations of the new version's answers count, and its servers' counters are reported.
+    bool areNewCallsTimed = true;
+    bool areNewCallsReported = true;
 
     MoveFixture()
     {
@@ -33,25 +37,28 @@
     {
         return watcher.record() && watcher.record()->state != VersionMoveState::Running;
     }
-    /// Simulates 300 calls per second; `isBad` and `slowness` describe the new version.
+    /// Simulates calls, 300 per second by default; `isBad` and `slowness` describe the new version.
     template <typename IsBad>
     void simulateCalls(Milliseconds length, IsBad isBad, double slowness = 1.0)
     {
-        for (const TimePoint end = time + length; time < end; time += Microseconds(3333)) {
+        for (const TimePoint end = time + length; time < end; time += callGap) {
             const bool isNew = random.below(1000) < watcher.perMille();
             const int server = static_cast<int>(random.below(4)) + (isNew ? 4 : 0);
             ServerCounters &counters = countersByServer[server];
             ++counters.answers;
-            ++counters.timed;
             const bool isSlow = isNew && random.chance(slowFraction);
             const double work = 0.3 * (isSlow ? slowness : 1.0) * (0.5 + random.unit());
-            counters.relativeWork += work;
-            counters.late += work > 1.0 ? 1 : 0;
+            if (!isNew || areNewCallsTimed) {
+                ++counters.timed;
+                counters.relativeWork += work;
+                counters.late += work > 1.0 ? 1 : 0;
+            }
             const bool fails = isNew ? isBad() : random.chance(0.004);
             counters.failures += fails ? 1 : 0;
             countAnswer(isNew, fails || (isSlow && slowness > 3.0));
-            watcher.addCounters(NodeId("n" + std::to_string(server)),
-                                VersionId(isNew ? "v2" : "v1"), counters, time);
+            if (!isNew || areNewCallsReported)
+                watcher.addCounters(NodeId("n" + std::to_string(server)),
+                                    VersionId(isNew ? "v2" : "v1"), counters, time);
             if (const auto next = watcher.next(0, 4, time))
                 watcher.observeRecord(*next, time + Milliseconds(1));
         }
@@ -206,6 +213,60 @@
     BOOST_TEST(newAnswers < 480 + 50);
 }
 
+// EXPOSURE: near the deadline the steps were taken without evidence.
+BOOST_AUTO_TEST_CASE(versionWhoseCallsAreNotTimedGetsFewCalls)
+{
+    slowFraction = 0.4;
+    areNewCallsTimed = false;
+    simulateCalls(
+            Milliseconds(16'000), [] { return false; }, 8.0);
+    BOOST_TEST(!isOver());
+    // A tenth of the calls until the deadline, plus 50.
+    BOOST_TEST(newAnswers < 480 + 50);
+    // It goes on once there is evidence.
+    areNewCallsTimed = true;
+    simulateCalls(
+            Milliseconds(4'000), [] { return false; }, 8.0);
+    BOOST_REQUIRE(isOver());
+    BOOST_TEST((watcher.record()->state == VersionMoveState::Reverted));
+}
+
+// EXPOSURE: the time at a share counted though nobody heard of the new version's servers in it.
+BOOST_AUTO_TEST_CASE(stepWithoutReportsIsNotLeft)
+{
+    for (const std::uint32_t lastReported : {50U, 150U, 300U, 1000U}) {
+        MoveFixture move;
+        const auto isGood = [] { return false; };
+        while (move.watcher.perMille() < lastReported)
+            move.simulateCalls(Milliseconds(10), isGood);
+        move.areNewCallsReported = false;
+        move.simulateCalls(Milliseconds(10'000), isGood);
+        BOOST_TEST(move.watcher.perMille() == lastReported);
+        BOOST_TEST(!move.isOver());
+        move.areNewCallsReported = true;
+        move.simulateCalls(Milliseconds(15'000), isGood);
+        BOOST_TEST(move.isOver());
+    }
+}
+
+// At a small share such a service would hardly ever see a call of its new version.
+BOOST_AUTO_TEST_CASE(versionWithFewCallsIsJudgedAtALargerShare)
+{
+    for (const double failureShare : {0.0, 0.5}) {
+        MoveFixture move;
+        move.callGap = Milliseconds(50);
+        const auto isBad = [&] { return move.random.chance(failureShare); };
+        move.simulateCalls(Milliseconds(16'000), isBad);
+        // A tenth of the calls until the deadline, plus 50.
+        BOOST_TEST((failureShare == 0.0 || move.newAnswers < 32 + 50));
+        move.simulateCalls(Milliseconds(6'000), isBad);
+        BOOST_REQUIRE(move.isOver());
+        const auto expected
+                = failureShare > 0.0 ? VersionMoveState::Reverted : VersionMoveState::Complete;
+        BOOST_TEST((move.watcher.record()->state == expected));
+    }
+}
+
 // All servers of the new version are on hosts with half the speed.
 BOOST_AUTO_TEST_CASE(goodVersionOnSlowHostsIsComplete)
 {
