Let the evidence of silent servers expire, and count only calls of the judged version

A server that hangs or is gone reports nothing more; its last answers stayed in the window of 3 s for good, so that its good answers outweighed bad ones of the other servers. And a node whose server was replaced by one of the other version brought all calls of the former along.

Failed before: answersOfASilentServerAreNoLaterEvidence (72 answers instead of 12, no verdict on 5 failures of 12), answersBeforeAServerWasReplacedBelongToItsOldVersion (10 instead of 0).

--- a/include/cornelhead/rollout/version-move.h
+++ b/include/cornelhead/rollout/version-move.h
@@ -110,7 +110,8 @@
     struct Server
     {
         bool isTarget = false;
-        // Oldest first; covers the evidence window.
+        // Oldest first; covers the evidence window, so that a server that is silent has one at
+        // most.
         std::deque<Sample> samples;
         // The last counters before the present step, or the first ones heard of in it.
         ServerCounters atStepStart;
@@ -130,6 +131,10 @@
     bool isWrittenAgain(const VersionMoveOrder &order) const;
     /// Returns whether `record`, of the same order, is an earlier state of the known one.
     bool isOlder(const VersionMove &record) const;
+    /// Returns the history of a run of a serving node, without calls of another version.
+    Server &serverOf(const NodeId &run, bool isTarget, const ServerCounters &counters,
+                     TimePoint now);
+    void removeOldSamples(TimePoint now);
     void judge(TimePoint now);
     std::optional<std::uint32_t> dueShare(TimePoint now) const;
     Evidence evidence() const;
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -231,23 +231,37 @@
 {
     if (!isJudged())
         return;
-    Server &server = servers_[run];
-    server.isTarget = version == order_->target;
+    Server &server = serverOf(run, version == order_->target, counters, now);
     if (!server.samples.empty() && server.samples.back().counters.calls() >= counters.calls())
         return;
-    // The first report of a new server covers only recent answers; that of an old server also
-    // covers answers before the window, so it is only the start of the window.
-    if (server.samples.empty()) {
-        server.atStepStart = counters;
-        if (server.isTarget)
-            server.samples.push_back(Sample{now, ServerCounters{}});
-    }
     server.samples.push_back(Sample{now, counters});
-    while (server.samples.size() > 2 && now - server.samples[1].at > detail::evidenceWindow)
-        server.samples.pop_front();
+    removeOldSamples(now);
     judge(now);
 }
 
+VersionMoveWatcher::Server &VersionMoveWatcher::serverOf(const NodeId &run, bool isTarget,
+                                                         const ServerCounters &counters,
+                                                         TimePoint now)
+{
+    const auto [entry, isNew] = servers_.try_emplace(run);
+    Server &server = entry->second;
+    if (!isNew && server.isTarget == isTarget)
+        return server;
+    server = Server{isTarget, {}, counters};
+    // The first report of a new server covers only recent calls; that of an old server, or of a
+    // node whose server was replaced, also covers calls before the window, so it is only its start.
+    server.samples.push_back(Sample{now, isNew && isTarget ? ServerCounters{} : counters});
+    return server;
+}
+
+void VersionMoveWatcher::removeOldSamples(TimePoint now)
+{
+    for (auto &[run, server] : servers_) {
+        while (server.samples.size() > 1 && now - server.samples[1].at > detail::evidenceWindow)
+            server.samples.pop_front();
+    }
+}
+
 VersionCounts VersionMoveWatcher::evidenceOf(bool isTarget) const
 {
     VersionCounts sums;
--- a/test/rollout/version-move-test.cc
+++ b/test/rollout/version-move-test.cc
@@ -291,6 +291,46 @@
     BOOST_TEST(watcher.verdict() == "");
 }
 
+/// Reports of single servers of either version.
+struct ReportFixture : MoveFixture
+{
+    std::map<std::string, ServerCounters> counters;
+
+    void report(const std::string &run, const char *version, std::uint64_t answers,
+                std::uint64_t failures)
+    {
+        ServerCounters &sums = counters[run];
+        sums.answers += answers;
+        sums.timed += answers;
+        sums.failures += failures;
+        watcher.addCounters(NodeId(run), VersionId(version), sums, time);
+    }
+};
+
+// A server that hangs or is gone reports nothing more, and its good answers hid the bad ones.
+BOOST_FIXTURE_TEST_CASE(answersOfASilentServerAreNoLaterEvidence, ReportFixture)
+{
+    report("old", "v1", 100, 0);
+    report("old", "v1", 100, 0);
+    report("silent", "v2", 60, 0);
+    time += Milliseconds(3100);
+    report("old", "v1", 100, 0);
+    report("other", "v2", 12, 5);
+    BOOST_TEST(watcher.evidenceOf(true).answers == 12);
+    BOOST_TEST(watcher.evidenceOf(false).answers == 100);
+    BOOST_TEST(watcher.verdict() != "");
+}
+
+BOOST_FIXTURE_TEST_CASE(answersBeforeAServerWasReplacedBelongToItsOldVersion, ReportFixture)
+{
+    report("n1", "v1", 500, 100);
+    report("n1", "v2", 10, 0);
+    BOOST_TEST(watcher.evidenceOf(true).answers == 0);
+    report("n1", "v2", 10, 0);
+    BOOST_TEST(watcher.evidenceOf(true).answers == 10);
+    BOOST_TEST(watcher.evidenceOf(false).answers == 0);
+}
+
 BOOST_AUTO_TEST_CASE(endedMoveIsNotReopenedByALateRecord)
 {
     const VersionMove running{ServiceId("catalogue"), VersionId("v2"), ModRevision(5), 500,
