Count attempts of cornelhead-node that were overtaken, and decide at their start whether they are cold

Now an overtaken attempt counts with the time that it had taken, a lower bound, and the state of the server is kept from the start of the attempt.

Failed before: hedgesDoorLookups (3 samples of 4 attempts), callAtAStartingServerIsColdThoughItEndsLater (cold 0 of 1).

--- a/include/cornelhead/proxy/call.h
+++ b/include/cornelhead/proxy/call.h
@@ -50,6 +50,8 @@
     {
         ServerPool::Record server;
         TimePoint startedAt{};
+        // As the attempt began; at its end the answer would depend on its duration.
+        bool wasServerStarting = false;
         bool isRunning = true;
         std::unique_ptr<Attempt> attempt;
     };
@@ -90,6 +92,9 @@
     void waitForLateResponse();
     void cancelUpstream(UpstreamRequest &upstream, ServerResult result);
     void cancelUpstreams(ServerResult result);
+    // Cancels the attempt that another one has overtaken.  The time that it has taken counts as a
+    // sample, as otherwise the slower of two versions would lose its slow attempts.
+    void cancelOvertaken();
     void endUpstream(UpstreamRequest &upstream, ServerResult result);
     void recordOutcome(const UpstreamRequest &upstream, OutcomeKind kind);
     void refuse(RefusalReason reason);
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -192,6 +192,7 @@
     UpstreamRequest &upstream = *upstreamRequests_.back();
     upstream.server = server;
     upstream.startedAt = now(SteadyClock());
+    upstream.wasServerStarting = server->endpoint.state == ServerState::Starting;
     upstream.attempt = std::make_unique<Attempt>(
             worker_.loop, worker_.pool,
             connectionSpec(server->endpoint.address, context_.claim != nullptr),
@@ -308,7 +309,7 @@
         return false;
     recordOutcome(upstream, isError(response) ? OutcomeKind::Failed : OutcomeKind::Answered);
     upstream.isRunning = false;
-    cancelUpstreams(ServerResult::Neutral);
+    cancelOvertaken();
     upstream.isRunning = true;
     hedgeAt_.reset();
     giveUpAt_.reset();
@@ -344,7 +345,7 @@
     const bool hasFailed = isError(response);
     recordOutcome(upstream, hasFailed ? OutcomeKind::Failed : OutcomeKind::Answered);
     endUpstream(upstream, hasFailed ? ServerResult::Failed : ServerResult::Answered);
-    cancelUpstreams(ServerResult::Neutral);
+    cancelOvertaken();
     clearSuspicion();
     if (context_.claim)
         context_.claim->settleAnswered(response);
@@ -514,6 +515,14 @@
         cancelUpstream(*upstream, result);
 }
 
+void Call::cancelOvertaken()
+{
+    while (UpstreamRequest *upstream = running()) {
+        recordOutcome(*upstream, OutcomeKind::Answered);
+        cancelUpstream(*upstream, ServerResult::Neutral);
+    }
+}
+
 void Call::recordOutcome(const UpstreamRequest &upstream, OutcomeKind kind)
 {
     // A late response was recorded when its deadline passed, a streamed one when it began.
@@ -523,7 +532,7 @@
     const auto latency = now(SteadyClock()) - upstream.startedAt;
     worker_.outcomes.add(OutcomeSample{endpoint.service, endpoint.version,
                                        context_.admission.route->id, kind,
-                                       endpoint.state == ServerState::Starting, latency});
+                                       upstream.wasServerStarting, latency});
 }
 
 void Call::endUpstream(UpstreamRequest &upstream, ServerResult result)
--- a/test/proxy/faults-test.cc
+++ b/test/proxy/faults-test.cc
@@ -149,9 +149,40 @@
     const TestBackend other("s2", echo);
     publish({withDoorlistService(silent.endpoint()), withDoorlistService(other.endpoint())});
     Counter &hedges = metrics.counter("cornelhead_hedges_total");
-    for (int i = 0; i < 50 && hedges.value() == 0; ++i)
+    std::uint64_t calls = 0;
+    for (; calls < 50 && hedges.value() == 0; ++calls)
         BOOST_TEST(get("/doorlist/tickets/1").status == 200);
     BOOST_TEST(hedges.value() == 1);
+    // The attempt that was overtaken counts as well; the slower version would lose such samples.
+    std::uint64_t samples = 0;
+    for (const auto &[key, sums] : proxy.takeOutcomes())
+        samples += sums.calls;
+    BOOST_TEST(samples == calls + 1);
+}
+
+// The longer a call takes, the likelier it ends after the start of its server.
+BOOST_AUTO_TEST_CASE(callAtAStartingServerIsColdThoughItEndsLater)
+{
+    std::promise<void> isRunning;
+    std::promise<void> mayEnd;
+    const TestBackend starting("s1", [&](const HttpRequest &request, const Responder &responder) {
+        isRunning.set_value();
+        mayEnd.get_future().wait();
+        echo(request, responder);
+    });
+    Endpoint endpoint = starting.endpoint();
+    endpoint.state = ServerState::Starting;
+    publish({endpoint});
+    auto response = std::async(std::launch::async, [this] { return get("/bookings/list"); });
+    isRunning.get_future().wait();
+    endpoint.state = ServerState::Serving;
+    publish({endpoint});
+    mayEnd.set_value();
+    BOOST_TEST(response.get().status == 200);
+    for (const auto &[key, sums] : proxy.takeOutcomes()) {
+        BOOST_TEST(sums.calls == 1U);
+        BOOST_TEST(sums.cold == 1U);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(queuesCallsForAFreeServer)
