Believe a response that names no request only on a connection without an earlier one

It could happen here if the repeated refusal names no request: such a response was taken for the call at hand. One that names the earlier request was refused already. Now a response without an id counts only as the first on its connection; otherwise the outcome is unknown, and the connection is not used again for a refusal either.

Failed before: earlierRefusalWrittenOnceMoreIsNoAnswerToTheNextRequest, for 503, 429, 421 and 400 without an id (503 to the caller though the server ran the request; after 421 the server was taken for replaced).

--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -72,6 +72,9 @@
     void cancel();
     /// Returns whether any byte of the request may have left this process.
     bool wasSent() const { return wasSent_; }
+    /// Returns whether an earlier request was sent on the same connection, so that a response that
+    /// names no request may belong to that one.
+    bool isOnUsedConnection() const { return isOnUsedConnection_; }
     /// Pauses and resumes the reading of a streamed response.
     void pause();
     void resume();
@@ -92,6 +95,7 @@
     const Address to_;
     AttemptHandlers handlers_;
     UpstreamHandle connection_;
+    const bool isOnUsedConnection_;
     // Owned by evhttp after `send`; null once the attempt has ended.
     evhttp_request *raw_ = nullptr;
     evbuffer_cb_entry *outputCallback_ = nullptr;
--- a/include/cornelhead/sidecar/inbound-call.h
+++ b/include/cornelhead/sidecar/inbound-call.h
@@ -56,6 +56,7 @@
     void onTimeout();
     void forward(evhttp_request *response);
     void finish(HopResult result, HopReason reason);
+    bool isAnswerToThisCall(evhttp_request *response) const;
     bool isValidResponse(evhttp_request *response) const;
 
     InboundProxy &proxy_;
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -42,6 +42,7 @@
 Attempt::Attempt(EventLoop &loop, UpstreamPool &pool, const ConnectionSpec &spec,
                  AttemptHandlers handlers)
     : pool_(pool), to_(spec.to), handlers_(std::move(handlers)), connection_(pool.acquire(spec)),
+      isOnUsedConnection_(UpstreamPool::isReusable(connection_.get())),
       raw_(evhttp_request_new(&Attempt::onDone, this))
 {
     evhttp_request_set_header_cb(raw_, &Attempt::onHeadRead);
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -144,14 +144,19 @@
     std::visit(Visitor{*this}, end);
 }
 
+bool InboundCall::isAnswerToThisCall(evhttp_request *response) const
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(response);
+    const std::string_view id = findHeader(headers, proxy_.dialect_.headers.requestId.c_str());
+    // A faulty server may repeat an earlier response, where this one's is expected.
+    return id.empty() ? !attempt_->isOnUsedConnection() : id == id_;
+}
+
 bool InboundCall::isValidResponse(evhttp_request *response) const
 {
-    const CallHeaderNames &names = proxy_.dialect_.headers;
     const evkeyvalq *headers = evhttp_request_get_input_headers(response);
-    const std::string_view id = findHeader(headers, names.requestId.c_str());
-    if (!id.empty() && id != id_)
-        return false;
-    return !findHeader(headers, names.serverSignature.c_str()).empty()
+    const std::string &signature = proxy_.dialect_.headers.serverSignature;
+    return isAnswerToThisCall(response) && !findHeader(headers, signature.c_str()).empty()
             && findHeader(headers, "Content-Encoding").empty();
 }
 
@@ -160,8 +165,7 @@
     const CallHeaderNames &names = proxy_.dialect_.headers;
     const evkeyvalq *headers = evhttp_request_get_input_headers(response);
     const int status = evhttp_request_get_response_code(response);
-    const std::string_view id = findHeader(headers, names.requestId.c_str());
-    const bool isForeign = !id.empty() && id != id_;
+    const bool isForeign = !isAnswerToThisCall(response);
     if (!isForeign && status == statusMisdirected) {
         proxy_.local_.markReplaced();
         finish(HopResult::NotRun, HopReason::WrongServer);
@@ -179,7 +183,9 @@
     }
     if (!isValid) {
         proxy_.log_.write(EventKind::Failure, inboundPart, "answer-refused",
-                          {{"id", id_}, {"status", status}, {"answeredId", id}});
+                          {{"id", id_},
+                           {"status", status},
+                           {"answeredId", findHeader(headers, names.requestId.c_str())}});
         sample_ = proxy_.recordEnd(*this, CallEnd::Failed);
         finish(HopResult::Unknown, HopReason::InvalidResponse);
         return;
--- a/test/adapter/faulty-server-test.cc
+++ b/test/adapter/faulty-server-test.cc
@@ -121,6 +121,16 @@
             + "\r\n\r\n" + body;
 }
 
+/// A refusal by a server, which bears no seal; `idHeader` names the request that it refuses.
+std::string refusal(const std::string &status, const std::string &idHeader)
+{
+    return "HTTP/1.1 " + status + "\r\n" + idHeader
+            + "Cornelhead-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+const std::string ownId = "Cornelhead-Request-Id: @ID\r\n";
+const std::string firstId = "Cornelhead-Request-Id: @FIRST\r\n";
+
 struct FaultyServerFleet : SidecarFleet
 {
     SidecarHost *host = nullptr;
@@ -216,6 +226,72 @@
     BOOST_TEST(response.status == 502);
 }
 
+// REFUSED and TWICE: callers were told that a request had not run which a server was running.
+BOOST_AUTO_TEST_CASE(earlierRefusalWrittenOnceMoreIsNoAnswerToTheNextRequest)
+{
+    for (const char *status : {"503 Service Unavailable", "429 Too Many Requests",
+                               "421 Misdirected Request", "400 Bad Request"}) {
+        // The repeated refusal may be without an id, as that of a request without one is.
+        for (const std::string &repeatedId : {firstId, std::string()}) {
+            BOOST_TEST_CONTEXT(status << ", id '" << repeatedId << "'")
+            {
+                FaultyServerFleet fleet;
+                fleet.run({{refusal("503 Service Unavailable", ownId)},
+                           {refusal(status, repeatedId)},
+                           {framedResponse("third")}});
+                BOOST_TEST(fleet.book().status == 503);
+                // The server runs this one.
+                BOOST_TEST(fleet.book().status == 502);
+                BOOST_TEST(fleet.book().body == "third");
+                BOOST_TEST(fleet.server->requests == 3U);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(refusalWrittenTwiceAtOnceIsNoAnswerToTheNextRequest)
+{
+    const std::string once = refusal("503 Service Unavailable", ownId);
+    run({{once + once}, {framedResponse("second")}});
+    BOOST_TEST(book().status == 503);
+    const HttpResponse second = book();
+    BOOST_TEST(second.status == 200);
+    BOOST_TEST(second.body == "second");
+}
+
+// On a connection that has carried no other request, the first response can belong to no other.
+BOOST_AUTO_TEST_CASE(refusalWithoutIdOnANewConnectionIsBelieved)
+{
+    BOOST_TEST(bookOnce({refusal("503 Service Unavailable", "")}).status == 503);
+}
+
+// MIXED: a head that was cut off became a whole response with an empty or short body.
+BOOST_AUTO_TEST_CASE(responseWhoseHeadIsCutOffIsNoSuccess)
+{
+    const std::string heads[] = {framedResponse("whole"), sealedHead + "\r\nwhole",
+                                 sealedHead + "Transfer-Encoding: chunked\r\n\r\n"};
+    std::vector<ServerAction> script;
+    for (const std::string &head : heads) {
+        const std::size_t end = head.find("\r\n\r\n") + 4;
+        for (std::size_t length = 1; length < end; ++length) {
+            // Every cut near the end of a line, and some within lines.
+            const bool isNearLineEnd = head.find_first_of("\r\n", length - 1) <= length + 1;
+            if (isNearLineEnd || length % 7 == 0)
+                script.push_back({head.substr(0, length), ConnectionEnd::Close});
+        }
+    }
+    const std::size_t cuts = script.size();
+    run(script);
+    for (std::size_t i = 0; i < cuts; ++i) {
+        const HttpResponse response = book();
+        BOOST_TEST_CONTEXT("cut " << i)
+        {
+            BOOST_TEST(response.status == 502);
+        }
+    }
+    BOOST_TEST(server->requests == cuts);
+}
+
 BOOST_AUTO_TEST_CASE(bytesThatAreNoResponseAreNotForwarded)
 {
     const HttpResponse response = bookOnce({"\x16\x03 no response\r\n\r\n", ConnectionEnd::Close});
