Let every call that a stopping node takes end before the process does

Report of another operator: in a planned stop, requests that came late in the grace were taken, passed on, and cut without an answer at its end, also such that may not be repeated (LOST).

It could happen here: a stopping node took calls that would end in time if they took twice their objective; slower ones were cut. Now a call that may run longer than the process is refused if it may run only once and its caller has had time to notice the stop (2.6 s); it is told so at once and reaches another node. Others are taken as before, with a deadline for their server 0.2 s before the end of the process, so that the server itself ends them and its answer arrives.

--- a/include/cornelhead/sidecar/outbound-call.h
+++ b/include/cornelhead/sidecar/outbound-call.h
@@ -28,6 +28,9 @@
 private:
     bool readHead();
     bool findRoute();
+    /// Returns whether the call, of which the caller waits for `limit`, is refused as the process
+    /// is stopping.
+    bool isRefusedByStop(Milliseconds limit) const;
     void selectHost();
     void send(bool isResumed);
     /// Sends the call again to the same host, unless its deadline has passed.
@@ -63,6 +66,9 @@
     Milliseconds callerTimeout_{};
     TimePoint arrivedAt_{};
     TimePoint deadline_{};
+    // Until when the server may work on the call.  Earlier than `deadline_` if the process ends
+    // before the caller's timeout, so that the server's own answer still reaches the caller.
+    TimePoint serverDeadline_{};
     // Estimated time from the caller's first try of this call to the arrival of this one.
     Milliseconds elapsedBeforeArrival_{};
     // Made by this host's server while it runs another call.
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -65,6 +65,14 @@
     std::uint64_t seed = 0;
 };
 
+/// The end of a process that is stopping.
+struct StopSchedule
+{
+    /// Callers that check readiness have left by then.
+    TimePoint callersGoneAt{};
+    TimePoint endsAt{};
+};
+
 /// Forwards calls of local callers to the nodes of servers.
 class OutboundProxy
 {
@@ -81,9 +89,9 @@
     void setHosts(const std::map<Address, HostDirectory::Record> &hosts);
     /// Handles a report that was requested from `node` outside of any call.
     void onPeerReport(const Address &node, const HopResponse &response);
-    /// The process ends at `endsAt`: from now on responses ask callers to close their connections,
-    /// and calls that might not end in time are refused.
-    void stop(TimePoint endsAt) { endsAt_ = endsAt; }
+    /// From now on responses ask callers to close their connections, calls that might not end in
+    /// time are refused, and the others end before the process does.
+    void stop(const StopSchedule &schedule) { stop_ = schedule; }
     std::size_t active() const { return calls_.size(); }
     /// To be called a few times a second.
     void sweep();
@@ -128,8 +136,8 @@
     Counter &resumes_;
     Counter &handBacks_;
     Summary &duration_;
-    // When the process will end; set once it is stopping.
-    std::optional<TimePoint> endsAt_;
+    // Set once the process is stopping.
+    std::optional<StopSchedule> stop_;
 };
 
 } // namespace cornelhead::detail
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -32,6 +32,8 @@
 /// A stopping process takes only calls that would end in time even if they took this many times
 /// their objective.
 constexpr int stoppingObjectives = 2;
+/// Kept between the end of a call at its server and the end of this process, for the response.
+constexpr Milliseconds stopAnswerTime(200);
 /// Callers that name no deadline wait as long as the route allows.
 constexpr Milliseconds noTimeout(0);
 /// Lower bound of Retry-After, with jitter so that refused callers do not all return at once.
@@ -74,7 +76,7 @@
       arrivedAt_(now(SteadyClock()))
 {
     exchange_.omitHeader(hopResponseHeader);
-    if (proxy_.endsAt_)
+    if (proxy_.stop_)
         exchange_.closeAfterResponse();
 }
 
@@ -103,14 +105,19 @@
         refuse(OutboundRefusal::Poison);
         return;
     }
-    if (proxy_.endsAt_ && arrivedAt_ + route_->objective * stoppingObjectives > *proxy_.endsAt_) {
+    Milliseconds limit = callerTimeout_ == noTimeout ? route_->timeout
+                                                     : std::min(callerTimeout_, route_->timeout);
+    if (proxy_.stop_ && isRefusedByStop(limit)) {
         refuse(OutboundRefusal::Stopping);
         return;
     }
-    const Milliseconds limit = callerTimeout_ == noTimeout
-            ? route_->timeout
-            : std::min(callerTimeout_, route_->timeout);
     deadline_ = arrivedAt_ + limit;
+    serverDeadline_ = deadline_;
+    if (proxy_.stop_ && deadline_ > proxy_.stop_->endsAt) {
+        deadline_ = proxy_.stop_->endsAt;
+        serverDeadline_ = deadline_ - stopAnswerTime;
+        limit = std::chrono::duration_cast<Milliseconds>(deadline_ - arrivedAt_);
+    }
     if (callerTimeout_ != noTimeout && !isNestedCall_)
         elapsedBeforeArrival_ = proxy_.elapsedSinceFirstTry(route_->id, callerTimeout_);
     deadlineTimer_ = proxy_.loop_.after(limit, [this] { onDeadline(); });
@@ -139,6 +146,18 @@
     return !id_.empty();
 }
 
+bool OutboundCall::isRefusedByStop(Milliseconds limit) const
+{
+    const StopSchedule &stop = *proxy_.stop_;
+    if (arrivedAt_ + limit <= stop.endsAt)
+        return false;
+    // Callers that know of the stop reach another node at once; a call that may run only once
+    // would end with an unknown outcome here.
+    if (!route_->isIdempotent && arrivedAt_ >= stop.callersGoneAt)
+        return true;
+    return arrivedAt_ + route_->objective * stoppingObjectives + stopAnswerTime > stop.endsAt;
+}
+
 bool OutboundCall::findRoute()
 {
     const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
@@ -232,8 +251,10 @@
     evhttp_remove_header(headers, names.deadline.c_str());
     hop_.isResumed = isResumed;
     evhttp_add_header(headers, hopRequestHeader, encodeHopRequest(hop_).c_str());
+    const auto serverTime
+            = std::chrono::duration_cast<Milliseconds>(serverDeadline_ - now(SteadyClock()));
     evhttp_add_header(headers, names.deadline.c_str(),
-                      std::to_string(std::max<std::int64_t>(1, timeLeft().count())).c_str());
+                      std::to_string(std::max<std::int64_t>(1, serverTime.count())).c_str());
 }
 
 void OutboundCall::armProgressTimer()
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -508,7 +508,8 @@
         if (local.hasLeft())
             fleet.retract();
         // Calls that arrive from now on are refused, so that the end of the process cuts none off.
-        outboundProxy.stop(now(SteadyClock()));
+        const TimePoint time = now(SteadyClock());
+        outboundProxy.stop({time, time});
         outboundListener.stopListening();
         stopTimer = loop.after(detail::finalFlushTime, [this] { onStopped(); });
     }
@@ -550,8 +551,9 @@
     impl_->onStopped = std::move(done);
     impl_->stoppingSince = now(SteadyClock());
     impl_->fleet.stop();
-    impl_->outboundProxy.stop(impl_->stoppingSince + impl_->settings.stopTimeout
-                              - detail::stopMargin);
+    impl_->outboundProxy.stop(
+            {impl_->stoppingSince + detail::callerDrainTime,
+             impl_->stoppingSince + impl_->settings.stopTimeout - detail::stopMargin});
     constexpr Milliseconds pollInterval(50);
     impl_->stopTimer = impl_->loop.every(pollInterval, [this] { impl_->pollStop(); });
 }
--- a/test/adapter/sidecar-path-test.cc
+++ b/test/adapter/sidecar-path-test.cc
@@ -9,6 +9,7 @@
 struct PathFixture : SidecarFleet
 {
     SidecarHost *entry = nullptr;
+    std::vector<Timer> delays;
 
     PathFixture()
     {
@@ -295,6 +296,43 @@
     waitUntil([&] { return isStopped; });
 }
 
+// LOST: calls that a stopping node took late were cut off when it ended.
+BOOST_AUTO_TEST_CASE(everyCallThatAStoppingNodeTakesIsAnswered)
+{
+    setBehaviour([this](const HttpRequest &request, const Responder &responder) {
+        // Like the users' servers, this one gives up at the deadline that it receives.
+        const std::string deadline = FakeServer::header(request, "Cornelhead-Deadline-Ms");
+        const Milliseconds time = std::min(Milliseconds(1800), Milliseconds(std::stoi(deadline)));
+        HttpResponse response = hosts[1].server->answerTo(request);
+        response.status = time < Milliseconds(1800) ? 504 : 200;
+        delays.push_back(loop.after(time, [=] { responder.send(response); }));
+    });
+    entry->sidecar->stop([this] { entry->sidecar.reset(); });
+    int lost = 0;
+    std::map<int, int> ended;
+    while (entry->sidecar) {
+        for (const char *path : {"/book/1", "/look/1"}) {
+            HttpRequest request = requestTo(
+                    path, path == std::string("/book/1") ? HttpMethod::Post : HttpMethod::Get);
+            request.headers["Cornelhead-Deadline-Ms"] = "2000";
+            client.send(entry->settings.outbound, request, Milliseconds(5000),
+                        [&](const Result<HttpResponse> &response) {
+                            if (response)
+                                ++ended[response->status];
+                            else
+                                lost += response.error().kind == ErrorKind::Unknown ? 1 : 0;
+                        });
+        }
+        loop.runFor(Milliseconds(590));
+    }
+    loop.runFor(Milliseconds(100));
+    BOOST_TEST(lost == 0);
+    // Of its own the node answers only what it has not taken.
+    BOOST_TEST(ended[502] == 0);
+    BOOST_TEST(ended[200] > 0);
+    BOOST_TEST(ended[503] > 0);
+}
+
 // A call that may have run is resumed at its dead host until the caller's deadline.
 // Otherwise other nodes poll and call a host that may be gone until its lease expires.
 BOOST_AUTO_TEST_CASE(stoppedNodeWhoseServerLeftIsNoLongerListed)
