Close the connections to a server that answers another request than the one at hand

The response to the call may still arrive there, where the next one's is expected. Also formats one line.

--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -181,6 +181,9 @@
         finish(HopResult::Shed, HopReason::Overload);
         return;
     }
+    // The response to this call may still arrive on the connection.
+    if (isForeign)
+        proxy_.pool_.dropIdle(proxy_.server_, TimePoint::max());
     if (!isValid) {
         proxy_.log_.write(EventKind::Failure, inboundPart, "answer-refused",
                           {{"id", id_},
--- a/test/adapter/faulty-server-test.cc
+++ b/test/adapter/faulty-server-test.cc
@@ -46,12 +46,15 @@
 
     Address address;
     std::size_t requests = 0;
+    /// Number of connections accepted.
+    std::size_t connections = 0;
 
 private:
     void open(event_base *base, evutil_socket_t socket)
     {
         bufferevent *connection = bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE);
         open_.push_back(connection);
+        ++connections;
         const auto onRead = [](bufferevent *from, void *arg) {
             static_cast<ScriptedServer *>(arg)->read(from);
         };
@@ -242,7 +245,9 @@
                 BOOST_TEST(fleet.book().status == 503);
                 // The server runs this one.
                 BOOST_TEST(fleet.book().status == 502);
+                BOOST_TEST(fleet.server->connections == 1U);
                 BOOST_TEST(fleet.book().body == "third");
+                BOOST_TEST(fleet.server->connections == 2U);
                 BOOST_TEST(fleet.server->requests == 3U);
             }
         }
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -188,8 +188,8 @@
                 + R"(,"server-info":{"service":")" + host.settings.service.value()
                 + R"(","version":")" + version + R"(","zone":")" + host.settings.dataCentre.value()
                 + R"(","slots":2},"status":{"state":")" + state + R"(","seq":)"
-                + std::to_string(++host.sequence) + R"(,"cold-left":")"
-                + std::to_string(coldLeftMs) + R"(ms"}})";
+                + std::to_string(++host.sequence) + R"(,"cold-left":")" + std::to_string(coldLeftMs)
+                + R"(ms"}})";
         return call(host.settings.control,
                     HttpRequest{HttpMethod::Put, "/instances/" + host.server->id, {}, {}, body})
                 .status;
