Bound the test of waiting calls in a flood by refusals instead of time

Trace: the calls that held the slots ended 229 ms after their start instead of 100 ms; the waiting call may start until 275 ms after its arrival, as it must end within its objective of 500 ms (0.85 of it less 150 ms of expected work), and expired. So the test depended on the speed of the machine, not on the rule that it guards.

--- a/test/adapter/sidecar-path-test.cc
+++ b/test/adapter/sidecar-path-test.cc
@@ -551,7 +551,13 @@
 BOOST_AUTO_TEST_CASE(waitingCallStartsInAFloodOfRefusals)
 {
     for (const char *id : {"a", "b", "c", "d"}) {
-        client.send(host->settings.inbound, hopRequest(id, false, run), Milliseconds(8000),
+        HttpRequest request = hopRequest(id, false, run);
+        HopRequest hop = decodeHopRequest(request.headers.at(hopRequestHeader)).value();
+        // Otherwise the waiting call expires on a busy machine.
+        hop.objectiveLeft = Milliseconds(60'000);
+        request.headers[hopRequestHeader] = encodeHopRequest(hop);
+        request.headers["Cornelhead-Deadline-Ms"] = "60000";
+        client.send(host->settings.inbound, request, Milliseconds(60'000),
                     [](const Result<HttpResponse> &) {});
     }
     waitUntil([this] { return held.size() == 3; });
@@ -579,7 +585,9 @@
             return FakeServer::header(call.first, "Cornelhead-Request-Id") == "d";
         });
     };
-    for (int i = 0; i < 100 && !hasWaitingCallStarted(); ++i)
+    constexpr int maxRefusals = 2000;
+    const int sentBefore = sent;
+    while (sent < sentBefore + maxRefusals && !hasWaitingCallStarted())
         loop.runFor(Milliseconds(10));
     BOOST_TEST(hasWaitingCallStarted());
     isFlooding = false;
