Remember the departure of a server that a restarted node does not know yet

A node of a server that had become complete in a move was restarted; 0.1 s after its start its server's message that it leaves was acknowledged, but ignored, as the node knew no server yet. 2.3 s later an older heartbeat arrived, and the node used the server again.

Now such a departure is remembered with the time at which it came; a later run under the same id is not meant. An adopted entry of the departed server is not used either.

--- a/include/cornelhead/membership/local-server.h
+++ b/include/cornelhead/membership/local-server.h
@@ -28,6 +28,9 @@
 struct ServerDeparture
 {
     ServerId id;
+    /// When it arrived, in milliseconds since the Unix epoch.  A run that started later is not
+    /// meant.
+    std::int64_t receivedAtMs = 0;
 };
 
 /// Tracks the current run of the host's server.  Heartbeats may arrive late or out of order, also
@@ -42,6 +45,8 @@
     };
 
     UpdateResult apply(const ServerAnnouncement &announcement);
+    /// Remembers the departure also of a server that is not known yet, as this process has just
+    /// started: an older heartbeat may still arrive.
     UpdateResult apply(const ServerDeparture &departure);
     /// Applies what the known server reported in a response.  A server that leaves is draining for
     /// the rest of its run.
@@ -51,7 +56,7 @@
     UpdateResult applyKnownLimit(CallRate limit);
     /// Sets the server from what an earlier run of this node published, as down until it passes a
     /// health check: it may have announced to the earlier run that it leaves, and a late heartbeat
-    /// may say otherwise.  Returns false if a server is known already.
+    /// may say otherwise.  Returns false if a server is known already or this one has left.
     bool adopt(const HostedServer &published);
     /// Marks the server as down, as it refuses connections, until its next announcement or
     /// successful health check.  Returns whether this changed.
@@ -76,6 +81,12 @@
     bool hasLeft() const { return !server_ || departed_ == server_->id; }
 
 private:
+    /// Returns whether a run of a server is the one that has left.
+    bool isDeparted(const ServerId &id, std::int64_t startedAtMs) const
+    {
+        return departed_ == id && startedAtMs <= departedStartedAtMs_;
+    }
+
     std::optional<HostedServer> server_;
     std::int64_t startedAtMs_ = 0;
     std::uint64_t sequence_ = 0;
@@ -88,6 +99,7 @@
     bool isUnconfirmed_ = false;
     // The last server that left.  Its late heartbeats are ignored.
     std::optional<ServerId> departed_;
+    // Its start, or an upper bound if it was not known.
     std::int64_t departedStartedAtMs_ = 0;
 };
 
--- a/src/membership/local-server.cc
+++ b/src/membership/local-server.cc
@@ -14,7 +14,7 @@
     const auto order = std::tie(announcement.startedAtMs, announcement.sequence);
     if (!isOtherServerWithoutStart && order <= std::tie(startedAtMs_, sequence_))
         return UpdateResult::Stale;
-    if (departed_ == announcement.server.id && announcement.startedAtMs <= departedStartedAtMs_)
+    if (isDeparted(announcement.server.id, announcement.startedAtMs))
         return UpdateResult::Stale;
     const bool isNewRun = isOtherServerWithoutStart || announcement.startedAtMs != startedAtMs_;
     // A draining server does not return to serving within one run.
@@ -38,7 +38,12 @@
 
 LocalServer::UpdateResult LocalServer::apply(const ServerDeparture &departure)
 {
-    if (!server_ || server_->id != departure.id)
+    if (!server_) {
+        departed_ = departure.id;
+        departedStartedAtMs_ = departure.receivedAtMs;
+        return UpdateResult::Unchanged;
+    }
+    if (server_->id != departure.id)
         return UpdateResult::Stale;
     departed_ = departure.id;
     departedStartedAtMs_ = startedAtMs_;
@@ -66,7 +71,7 @@
 
 bool LocalServer::adopt(const HostedServer &published)
 {
-    if (server_)
+    if (server_ || isDeparted(published.id, published.startedAtMs))
         return false;
     server_ = published;
     startedAtMs_ = published.startedAtMs;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -273,7 +273,7 @@
 
     HttpResponse handleServerMessage(const HttpRequest &request)
     {
-        const Result<ServerMessage> message = dialect.readServerMessage(request);
+        Result<ServerMessage> message = dialect.readServerMessage(request);
         if (!message) {
             const bool isUnknown = message.error().kind == ErrorKind::NotFound;
             log.write(EventKind::Failure, detail::nodePart, "server-message-refused",
@@ -282,6 +282,8 @@
                                 {},
                                 message.error().describe()};
         }
+        if (auto *departure = std::get_if<ServerDeparture>(&*message))
+            departure->receivedAtMs = wallClockMs();
         const auto verdict = std::visit(
                 [this](const auto &content) { return local.apply(content); }, *message);
         const auto *announcement = std::get_if<ServerAnnouncement>(&*message);
--- a/test/membership/local-server-test.cc
+++ b/test/membership/local-server-test.cc
@@ -123,6 +123,29 @@
     BOOST_TEST((server.apply(ServerDeparture{ServerId("other")}) == UpdateResult::Stale));
 }
 
+// DRAIN: the node had just restarted when its server left, and used it after a late heartbeat.
+BOOST_AUTO_TEST_CASE(departureOfAnUnknownServerIsRemembered)
+{
+    const ServerDeparture departure{ServerId("s"), 500};
+    LocalServer server;
+    BOOST_TEST((server.apply(departure) == UpdateResult::Unchanged));
+    BOOST_TEST((server.apply(announcementOf("s", 100, 9)) == UpdateResult::Stale));
+    BOOST_TEST(!server.adopt(announcementOf("s", 100, 9).server));
+    BOOST_TEST(!server.usable());
+    BOOST_TEST(server.hasLeft());
+    // The server started again under the same id.
+    BOOST_TEST((server.apply(announcementOf("s", 600, 1)) == UpdateResult::Changed));
+    BOOST_TEST(server.usable());
+}
+
+BOOST_AUTO_TEST_CASE(departureOfAnUnknownServerConcernsNoOther)
+{
+    LocalServer server;
+    server.apply(ServerDeparture{ServerId("former"), 500});
+    BOOST_TEST(server.adopt(announcementOf("s", 100, 1).server));
+    BOOST_TEST((server.apply(announcementOf("s", 100, 2)) != UpdateResult::Stale));
+}
+
 BOOST_AUTO_TEST_CASE(serversWithoutStartTimeAreDistinguishedById)
 {
     LocalServer server;
