--- a/include/cornelhead/rollout/version-move.h
+++ b/include/cornelhead/rollout/version-move.h
@@ -110,8 +110,8 @@
     struct Server
     {
         bool isTarget = false;
-        // Oldest first; covers the evidence window, so that a server that is silent has one at
-        // most.
+        // Never empty.  Oldest first; covers the evidence window, so that a server that is silent
+        // has only its last one.
         std::deque<Sample> samples;
         // The last counters before the present step, or the first ones heard of in it.
         ServerCounters atStepStart;
--- a/include/cornelhead/sidecar/inbound-call.h
+++ b/include/cornelhead/sidecar/inbound-call.h
@@ -57,7 +57,8 @@
     void forward(evhttp_request *response);
     void finish(HopResult result, HopReason reason);
     bool isAnswerToThisCall(evhttp_request *response) const;
-    bool isValidResponse(evhttp_request *response) const;
+    /// Returns whether the response bears the server's signature and is not encoded.
+    bool isSignedAndPlain(evhttp_request *response) const;
 
     InboundProxy &proxy_;
     // Owns the request's bytes, also after the caller's connection broke.
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -18,7 +18,7 @@
     /// The minimum time at this share before the next step.
     Milliseconds minDuration;
     /// Timed calls of the new version that are needed in this step.
-    std::uint64_t minTimed;
+    std::uint64_t minTimedInStep;
     /// Whether a version that has had few calls may leave this step without enough evidence when
     /// time presses: it needs a larger share to be judged at all.
     bool mayLeaveWithFewCalls;
@@ -186,10 +186,8 @@
 
 void VersionMoveWatcher::beginStep()
 {
-    for (auto &[run, server] : servers_) {
-        if (!server.samples.empty())
-            server.atStepStart = server.samples.back().counters;
-    }
+    for (auto &[run, server] : servers_)
+        server.atStepStart = server.samples.back().counters;
 }
 
 void VersionMoveWatcher::observeRecord(const VersionMove &record, TimePoint now)
@@ -232,7 +230,7 @@
     if (!isJudged())
         return;
     Server &server = serverOf(run, version == order_->target, counters, now);
-    if (!server.samples.empty() && server.samples.back().counters.calls() >= counters.calls())
+    if (server.samples.back().counters.calls() >= counters.calls())
         return;
     server.samples.push_back(Sample{now, counters});
     removeOldSamples(now);
@@ -294,7 +292,7 @@
 {
     Evidence sums;
     for (const auto &[run, server] : servers_) {
-        if (!server.isTarget || server.samples.empty())
+        if (!server.isTarget)
             continue;
         const ServerCounters &last = server.samples.back().counters;
         sums.answers += last.answers;
@@ -340,7 +338,7 @@
         return std::nullopt;
     const Evidence found = evidence();
     const bool isEnough = found.answers >= detail::minAnswers && found.timed >= detail::minTimed
-            && found.timedInStep >= step->minTimed;
+            && found.timedInStep >= step->minTimedInStep;
     const bool mustHurry = now + detail::remainingStepsDuration > orderedAt_ + order_->maxDuration;
     const bool hasFewCalls = found.callsInStep > 0 && found.answers < detail::minAnswers;
     const bool mayHurry = mustHurry && step->mayLeaveWithFewCalls && hasFewCalls;
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -152,11 +152,11 @@
     return id.empty() ? !attempt_->isOnUsedConnection() : id == id_;
 }
 
-bool InboundCall::isValidResponse(evhttp_request *response) const
+bool InboundCall::isSignedAndPlain(evhttp_request *response) const
 {
     const evkeyvalq *headers = evhttp_request_get_input_headers(response);
     const std::string &signature = proxy_.dialect_.headers.serverSignature;
-    return isAnswerToThisCall(response) && !findHeader(headers, signature.c_str()).empty()
+    return !findHeader(headers, signature.c_str()).empty()
             && findHeader(headers, "Content-Encoding").empty();
 }
 
@@ -173,7 +173,7 @@
         return;
     }
     const bool isNotRun = !isForeign && !findHeader(headers, names.notRun.c_str()).empty();
-    const bool isValid = isValidResponse(response);
+    const bool isValid = !isForeign && isSignedAndPlain(response);
     if (isNotRun || isValid)
         proxy_.observeNotice(findHeader(headers, names.serverLimit.c_str()),
                              findHeader(headers, names.serverLeaving.c_str()));
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -105,8 +105,9 @@
         refuse(OutboundRefusal::Poison);
         return;
     }
-    Milliseconds limit = callerTimeout_ == noTimeout ? route_->timeout
-                                                     : std::min(callerTimeout_, route_->timeout);
+    const Milliseconds limit = callerTimeout_ == noTimeout
+            ? route_->timeout
+            : std::min(callerTimeout_, route_->timeout);
     if (proxy_.stop_ && isRefusedByStop(limit)) {
         refuse(OutboundRefusal::Stopping);
         return;
@@ -116,11 +117,12 @@
     if (proxy_.stop_ && deadline_ > proxy_.stop_->endsAt) {
         deadline_ = proxy_.stop_->endsAt;
         serverDeadline_ = deadline_ - stopAnswerTime;
-        limit = std::chrono::duration_cast<Milliseconds>(deadline_ - arrivedAt_);
     }
     if (callerTimeout_ != noTimeout && !isNestedCall_)
         elapsedBeforeArrival_ = proxy_.elapsedSinceFirstTry(route_->id, callerTimeout_);
-    deadlineTimer_ = proxy_.loop_.after(limit, [this] { onDeadline(); });
+    deadlineTimer_
+            = proxy_.loop_.after(std::chrono::duration_cast<Milliseconds>(deadline_ - arrivedAt_),
+                                 [this] { onDeadline(); });
     placementRequest_.service = proxy_.chooseService(*route_);
     placementRequest_.objective = route_->objective;
     placementRequest_.bytes = proxy_.meanCallBytes_[route_->id];
--- a/test/adapter/call-samples-test.cc
+++ b/test/adapter/call-samples-test.cc
@@ -21,7 +21,7 @@
         client.send(host->settings.outbound, request, Milliseconds(4000),
                     [this](const Result<HttpResponse> &) { ++ended; });
     }
-    /// Announces the server every 150 ms, as warm unless told otherwise, until all calls ended.
+    /// Announces the server as warm every 150 ms until all calls have ended.
     void announceUntilCallsEnd()
     {
         waitUntil([this] {
--- a/test/adapter/sidecar-path-test.cc
+++ b/test/adapter/sidecar-path-test.cc
@@ -9,7 +9,6 @@
 struct PathFixture : SidecarFleet
 {
     SidecarHost *entry = nullptr;
-    std::vector<Timer> delays;
 
     PathFixture()
     {
@@ -299,7 +298,8 @@
 // LOST: calls that a stopping node took late were cut off when it ended.
 BOOST_AUTO_TEST_CASE(everyCallThatAStoppingNodeTakesIsAnswered)
 {
-    setBehaviour([this](const HttpRequest &request, const Responder &responder) {
+    std::vector<Timer> delays;
+    setBehaviour([&](const HttpRequest &request, const Responder &responder) {
         // Like the users' servers, this one gives up at the deadline that it receives.
         const std::string deadline = FakeServer::header(request, "Cornelhead-Deadline-Ms");
         const Milliseconds time = std::min(Milliseconds(1800), Milliseconds(std::stoi(deadline)));
@@ -458,6 +458,14 @@
     {
         return hopRequestTo(*host, id, isResumed, toRun);
     }
+    /// Replaces the objectives in the header between nodes.
+    static void setObjectives(HttpRequest &request, Milliseconds objective, Milliseconds left)
+    {
+        HopRequest hop = decodeHopRequest(request.headers.at(hopRequestHeader)).value();
+        hop.objective = objective;
+        hop.objectiveLeft = left;
+        request.headers[hopRequestHeader] = encodeHopRequest(hop);
+    }
     static HopResponse hopResponseOf(const HttpResponse &response)
     {
         return decodeHopResponse(response.headers.at(hopResponseHeader)).value();
@@ -552,10 +560,8 @@
 {
     for (const char *id : {"a", "b", "c", "d"}) {
         HttpRequest request = hopRequest(id, false, run);
-        HopRequest hop = decodeHopRequest(request.headers.at(hopRequestHeader)).value();
         // Otherwise the waiting call expires on a busy machine.
-        hop.objectiveLeft = Milliseconds(60'000);
-        request.headers[hopRequestHeader] = encodeHopRequest(hop);
+        setObjectives(request, Milliseconds(500), Milliseconds(60'000));
         request.headers["Cornelhead-Deadline-Ms"] = "60000";
         client.send(host->settings.inbound, request, Milliseconds(60'000),
                     [](const Result<HttpResponse> &) {});
@@ -565,10 +571,7 @@
     int sent = 0;
     std::function<void()> refuseNext = [&] {
         HttpRequest request = hopRequest("f" + std::to_string(++sent), false, run);
-        HopRequest hop = decodeHopRequest(request.headers.at(hopRequestHeader)).value();
-        hop.objective = Milliseconds(0);
-        hop.objectiveLeft = Milliseconds(0);
-        request.headers[hopRequestHeader] = encodeHopRequest(hop);
+        setObjectives(request, Milliseconds(0), Milliseconds(0));
         client.send(host->settings.inbound, request, Milliseconds(8000),
                     [&](const Result<HttpResponse> &) {
                         if (isFlooding)
