--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,10 +1,6 @@
-// Clients leave before their deadline and their connections are reset.  LEAVE=close lets them leave
-// by an orderly close instead.
-#include <poll.h>
-#include <sys/socket.h>
-
+// A caller sends `Cornelhead-Caller-Service` more than once.  The system has to set it, regardless
+// of what was sent.
 #include <algorithm>
-#include <set>
 
 #include "../standins/standins.h"
 
@@ -12,14 +8,7 @@
 
 using namespace review;
 
-constexpr int workMs = 1500;
-/// Half the objective of the route.
-constexpr int leaveAfterMs = 200;
-constexpr int graceMs = 500;
-constexpr int clients = 50;
-/// One of five leaves, as in `give_up` with `share = 0.2`.
-constexpr int leavesEach = 5;
-constexpr double allowedShare = 0.25;
+constexpr int calls = 20;
 
 class Case
 {
@@ -27,107 +16,60 @@
     [[noreturn]] void run()
     {
         Host &door = deployment_.add("akl-a", "doorlist");
-        deployment_.add("akl-a", "seatmaps");
-        deployment_.add("akl-b", "seatmaps");
-        for (Host *host : deployment_.hostsOf("seatmaps")) {
-            host->server->answer
-                    = [this](AppServer &server, Stream &stream, const Message &request) {
-                          return serve(server, stream, request);
-                      };
-        }
+        deployment_.add("akl-a", "bookings");
+        deployment_.add("akl-b", "bookings");
         deployment_.store->put("op/config",
                                configuration(5,
-                                             {{"view-seatmap", "seat.example", "/seats/",
-                                               "idempotent", "2500ms", "400ms", "seatmaps"}},
-                                             {"seatmaps", "doorlist"}));
+                                             {{"book-seat", "book.example", "/book/",
+                                               "non_idempotent", "1500ms", "250ms", "bookings"}},
+                                             {"bookings", "doorlist"}));
         if (!deployment_.start())
             deployment_.end(exitCouldNotRun);
-        const std::int64_t processorBefore = door.processorMs();
-        const std::int64_t begin = elapsedMs();
-        std::vector<std::thread> threads;
-        for (int i = 0; i < clients; ++i) {
-            threads.emplace_back(
-                    [this, &door, i] { view(door, isTroubled() && i % leavesEach == 0); });
-            sleepMs(200);
-        }
-        for (std::thread &thread : threads)
-            thread.join();
-        Record::line("processor time of the sidecar of the clients' machine: "
-                     + std::to_string(door.processorMs() - processorBefore) + " ms in "
-                     + std::to_string(elapsedMs() - begin) + " ms");
-        deployment_.end(judge());
+        for (int i = 0; i < calls; ++i)
+            book(door);
+        deployment_.end(judge(door.service));
     }
 
 private:
-    // Drops a request when its connection closes, as most servers do.
-    bool serve(AppServer &server, Stream &stream, const Message &request)
-    {
-        server.recordRun(request);
-        const std::string id = request.header("Cornelhead-Request-Id");
-        const std::int64_t end = elapsedMs() + workMs;
-        bool isClosed = false;
-        while (elapsedMs() < end && !isClosed) {
-            pollfd entry{stream.socket(), POLLRDHUP, 0};
-            isClosed = poll(&entry, 1, 10) > 0;
-        }
-        Record::line(server.id + (isClosed ? " drops " : " has done ") + id);
-        {
-            const std::lock_guard lock(mutex_);
-            workEnded_[id] = elapsedMs();
-        }
-        return !isClosed && stream.write(server.defaultAnswer(request));
-    }
-
-    void view(Host &host, bool leaves)
+    void book(Host &host)
     {
         const std::string id = newRequestId();
-        const Headers headers = {{"Host", "seat.example"},
-                                 {"Cornelhead-Request-Id", id},
-                                 {"Cornelhead-Deadline-Ms", "2500"}};
-        if (!leaves) {
-            const Answer answer = call(host.outbound, "GET", "/seats/" + id, headers, "", 3500);
-            Record::line("sent " + id + ", answered " + std::to_string(answer.status));
-            return;
-        }
-        Stream stream(connectTo(host.outbound, 1000));
-        stream.write(requestText("GET", "/seats/" + id, headers, ""));
-        sleepMs(leaveAfterMs);
-        const char *how = std::getenv("LEAVE");
-        const bool isOrderly = how && std::string(how) == "close";
-        if (isOrderly)
-            shutdown(stream.socket(), SHUT_RDWR);
-        else
-            stream.reset();
-        Record::line("client of " + id + (isOrderly ? " closes" : " resets") + " its connection");
-        const std::lock_guard lock(mutex_);
-        leftAt_[id] = elapsedMs();
+        Headers headers = {{"Host", "book.example"},
+                           {"Cornelhead-Request-Id", id},
+                           {"Cornelhead-Deadline-Ms", "1500"},
+                           {"Cornelhead-Caller-Service", "catalogue"}};
+        if (isTroubled())
+            headers.emplace_back("Cornelhead-Caller-Service", "seatmaps");
+        const Answer answer
+                = call(host.outbound, "POST", "/book/seat", headers, "seat=" + id, 2000);
+        Record::line("sent " + id + " from " + host.service + ", answered "
+                     + std::to_string(answer.status));
     }
 
-    int judge()
+    int judge(const std::string &origin)
     {
-        const std::lock_guard lock(mutex_);
-        int lasting = 0;
-        int atWork = 0;
-        for (const auto &[id, leftAt] : leftAt_) {
-            const auto ended = workEnded_.find(id);
-            if (ended == workEnded_.end())
-                continue;
-            // All would have lasted longer: the work takes 1500 ms, of which some 700 have passed.
-            ++lasting;
-            atWork += ended->second > leftAt + graceMs;
+        int foreign = 0;
+        int runs = 0;
+        for (Host *host : deployment_.hostsOf("bookings")) {
+            for (const Run &run : host->server->runs()) {
+                ++runs;
+                std::string values;
+                for (const std::string &value : run.callerServices)
+                    values += " " + value;
+                Record::line("run " + run.id + " with Cornelhead-Caller-Service:" + values);
+                // A server reads the first header of a name, or all of them as a list.
+                foreign += run.callerServices != std::vector<std::string>{origin};
+            }
         }
-        Record::line("requests whose client left: " + std::to_string(lasting)
-                     + ", at which a server still worked 500 ms later: " + std::to_string(atWork)
-                     + " (allowed: a quarter)");
-        const bool isBroken = atWork > allowedShare * lasting;
-        Record::line(isBroken ? "GONE is broken" : "the rule held");
-        return isBroken ? exitBroken : exitHeld;
+        Record::line("requests run: " + std::to_string(runs) + ", with another caller than "
+                     + origin + ": " + std::to_string(foreign) + " (allowed: 0)");
+        if (runs == 0)
+            return exitCouldNotRun;
+        Record::line(foreign > 0 ? "UNASKED is broken" : "the rule held");
+        return foreign > 0 ? exitBroken : exitHeld;
     }
 
     Deployment deployment_;
-    std::mutex mutex_;
-    std::map<std::string, std::int64_t> leftAt_;
-    std::map<std::string, std::int64_t> workEnded_;
 };
 
 } // namespace
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,7 +1,7 @@
-// One of two servers spoils the head of some answers.  What it sends then is no response in HTTP;
-// callers must not get it, nor a part of the body as a complete answer.
+// Servers of a service crash one after the other while callers ask for one page often.  After that,
+// with all servers up, the page is refused everywhere.
 #include <algorithm>
-#include <regex>
+#include <utility>
 
 #include "../standins/standins.h"
 
@@ -9,131 +9,151 @@
 
 using namespace review;
 
-constexpr int clients = 10;
-constexpr int callsEach = 150;
-/// The largest share of `garble`: of the servers one of two, of its answers one of fifty.
-constexpr int spoiltEach = 50;
+constexpr int crashes = 8;
+constexpr int downMs = 1200;
+constexpr int upMs = 1800;
+/// `contact`: machines are in touch, and the state is steady, this long after the last disruption.
+constexpr int contactMs = 3000;
+constexpr int steadyMs = 5000;
+constexpr int pageClients = 48;
+constexpr int otherClients = 6;
+constexpr int minRequests = 20;
 
-enum class Spoil { StatusCode, HeaderName, TwoLengths };
+struct Counts
+{
+    int sent = 0;
+    int served = 0;
+    double share() const { return sent > 0 ? static_cast<double>(served) / sent : 0.0; }
+};
 
 class Case
 {
 public:
     [[noreturn]] void run()
     {
-        Host &door = deployment_.add("akl-a", "doorlist");
-        Host &faulty = deployment_.add("akl-a", "bookings");
-        deployment_.add("akl-b", "bookings");
-        for (Host *host : deployment_.hostsOf("bookings"))
-            host->server->workMs = 10;
-        faulty.server->answer = [this](AppServer &server, Stream &stream, const Message &request) {
-            server.recordRun(request);
-            sleepMs(10);
-            if (isTroubled() && ++answers_ % spoiltEach == 0)
-                return stream.write(spoiltAnswer(server, request));
-            return stream.write(server.defaultAnswer(request));
-        };
-        deployment_.store->put("op/config",
-                               configuration(5,
-                                             {{"book-seat", "book.example", "/book/",
-                                               "non_idempotent", "1500ms", "250ms", "bookings"}},
-                                             {"bookings", "doorlist"}));
+        for (int i = 0; i < 3; ++i)
+            deployment_.add("akl-a", "doorlist");
+        for (int i = 0; i < 4; ++i)
+            deployment_.add(i % 2 == 0 ? "akl-a" : "akl-b", "seatmaps");
+        for (Host *host : deployment_.hostsOf("seatmaps"))
+            host->server->answer = [this](AppServer &server, Stream &stream,
+                                          const Message &request) {
+                {
+                    const std::lock_guard lock(mutex_);
+                    ++runs_[server.id
+                            + (request.path() == "/halls/all" ? " /halls/all" : " /seats/")];
+                }
+                sleepMs(60);
+                return stream.write(server.defaultAnswer(request));
+            };
+        const RouteRow first{"view-seatmap", "seat.example", "/seats/", "idempotent",
+                             "2500ms",       "400ms",        "seatmaps"};
+        const RouteRow added{"view-halls", "seat.example", "/halls/", "idempotent",
+                             "2500ms",     "400ms",        "seatmaps"};
+        const std::vector<std::string> services = {"seatmaps", "doorlist"};
+        deployment_.store->put("op/config", configuration(5, {first}, services));
         if (!deployment_.start())
             deployment_.end(exitCouldNotRun);
+        deployment_.store->put("op/config", configuration(9, {first, added}, services));
+        Record::line("configuration 00000009 adds the route /halls/");
+        sleepMs(3000);
         std::vector<std::thread> threads;
-        for (int i = 0; i < clients; ++i)
-            threads.emplace_back([this, &door] { book(door); });
+        for (int i = 0; i < pageClients; ++i)
+            threads.emplace_back([this, i] { ask(i, "/halls/all", page_); });
+        for (int i = 0; i < otherClients; ++i)
+            threads.emplace_back([this, i] { ask(i, "", others_); });
+        sleepMs(2000);
+        report("before the crashes");
+        for (int i = 0; i < crashes; ++i)
+            crash(i);
+        sleepMs(contactMs);
+        report("in the 3 s after the crashes");
+        sleepMs(steadyMs);
+        isOver_ = true;
         for (std::thread &thread : threads)
             thread.join();
         deployment_.end(judge());
     }
 
 private:
-    // The body is whole in each of them, and the connection is kept.
-    std::string spoiltAnswer(const AppServer &server, const Message &request)
+    // All servers are up again before the next one crashes.
+    void crash(int number)
     {
-        const std::string id = request.header("Cornelhead-Request-Id");
-        std::string answer = server.defaultAnswer(request);
-        const auto replace = [&answer](const std::string &from, const std::string &to) {
-            answer.replace(answer.find(from), from.size(), to);
-        };
-        switch (static_cast<Spoil>(spoils_++ % 3)) {
-        case Spoil::StatusCode:
-            replace("HTTP/1.1 200", "HTTP/1.1 20");
-            Record::line("spoils the status code of " + id);
-            break;
-        case Spoil::HeaderName:
-            replace("Content-Length", std::string("X\x01 Y: z\r\nContent-Length"));
-            Record::line("spoils a header name of " + id);
-            break;
-        case Spoil::TwoLengths:
-            replace("Content-Length", "Content-Length: 5\r\nContent-Length");
-            Record::line("sends two lengths for " + id);
-            break;
+        const std::vector<Host *> hosts = deployment_.hostsOf("seatmaps");
+        AppServer &server = *hosts[static_cast<std::size_t>(number) % hosts.size()]->server;
+        if (isTroubled()) {
+            Record::line("server " + server.id + " crashes");
+            server.crash();
         }
-        return answer;
+        sleepMs(downMs);
+        if (isTroubled()) {
+            server.start();
+            Record::line("server " + server.id + " is back");
+        }
+        sleepMs(upMs);
+        report("until " + std::to_string(number + 1) + " crashes");
     }
 
-    void book(Host &host)
+    void ask(int client, const std::string &page, Counts &counts)
     {
-        for (int i = 0; i < callsEach; ++i) {
+        const std::vector<Host *> hosts = deployment_.hostsOf("doorlist");
+        Host &host = *hosts[static_cast<std::size_t>(client) % hosts.size()];
+        while (!isOver_) {
             const std::string id = newRequestId();
-            const Answer answer = call(host.outbound, "POST", "/book/seat",
-                                       {{"Host", "book.example"},
+            const Answer answer = call(host.outbound, "GET", page.empty() ? "/seats/" + id : page,
+                                       {{"Host", "seat.example"},
                                         {"Cornelhead-Request-Id", id},
-                                        {"Cornelhead-Deadline-Ms", "1500"}},
-                                       "seat=" + id, 2500);
-            if (answer.message.startLine.empty())
-                Record::line("caller: " + id + " " + answer.failure);
-            else
-                check(id, answer.message);
+                                        {"Cornelhead-Deadline-Ms", "2500"}},
+                                       "", 3500);
+            {
+                const std::lock_guard lock(mutex_);
+                ++counts.sent;
+                counts.served += answer.status == 200;
+                if (answer.status != 200)
+                    ++otherAnswers_[std::to_string(answer.status) + " " + answer.message.body];
+            }
+            sleepMs(40);
         }
     }
 
-    void check(const std::string &id, const Message &answer)
+    void report(const std::string &when)
     {
-        static const std::regex validStatus("HTTP/1\\.[01] [1-5][0-9][0-9]( .*)?");
-        static const std::regex validName("[!#$%&'*+.^_`|~0-9A-Za-z-]+");
         const std::lock_guard lock(mutex_);
-        ++answered_;
-        const bool isSuccess = answer.startLine.rfind("HTTP/1.1 2", 0) == 0;
-        const std::string &body = answer.body;
-        const bool isWhole = body.size() > id.size()
-                && body.compare(body.size() - id.size(), id.size(), id) == 0;
-        const bool hasValidHead = std::regex_match(answer.startLine, validStatus)
-                && std::all_of(answer.headers.begin(), answer.headers.end(), [](const auto &entry) {
-                                      return std::regex_match(entry.first, validName);
-                                  });
-        if (!hasValidHead) {
-            ++noAnswers_;
-            Record::line("caller: bytes that are no answer for " + id + ": " + answer.startLine);
-        } else if (isSuccess && !isWhole) {
-            ++partial_;
-            Record::line("caller: success with a part of the body for " + id + ": \"" + body
-                         + "\", sealed " + answer.header("Cornelhead-Server-Seal"));
-        }
+        Record::line(when + ": /halls/all served " + std::to_string(page_.served) + " of "
+                     + std::to_string(page_.sent) + ", /seats/ served "
+                     + std::to_string(others_.served) + " of " + std::to_string(others_.sent));
+        for (auto &[answer, count] : otherAnswers_)
+            Record::line("    " + std::to_string(count) + " x "
+                         + answer.substr(0, answer.find('\n')));
+        for (auto &[where, count] : runs_)
+            Record::line("    run at " + where + ": " + std::to_string(count));
+        otherAnswers_.clear();
+        runs_.clear();
+        judgedPage_ = std::exchange(page_, Counts());
+        judgedOthers_ = std::exchange(others_, Counts());
     }
 
     int judge()
     {
-        Record::line("answers: " + std::to_string(answered_)
-                     + ", bytes that are no answer: " + std::to_string(noAnswers_)
-                     + " (allowed: 0), successes with a part of the body: "
-                     + std::to_string(partial_) + " (allowed: 0)");
-        if (answered_ == 0)
+        report("in the steady state, 3 s after the crashes and later");
+        if (judgedPage_.sent < minRequests || judgedOthers_.sent < minRequests)
             return exitCouldNotRun;
-        const bool isBroken = noAnswers_ + partial_ > 0;
-        Record::line(isBroken ? "MIXED is broken" : "the rule held");
+        const bool isBroken = judgedPage_.share() < judgedOthers_.share() / 4;
+        Record::line(isBroken ? "CONFIG is broken: the later route is served less than a quarter "
+                                "as often as the first one"
+                              : "the rule held");
         return isBroken ? exitBroken : exitHeld;
     }
 
     Deployment deployment_;
-    std::atomic<int> answers_{0};
-    std::atomic<int> spoils_{0};
+    std::atomic<bool> isOver_{false};
     std::mutex mutex_;
-    int answered_ = 0;
-    int noAnswers_ = 0;
-    int partial_ = 0;
+    Counts page_;
+    Counts others_;
+    Counts judgedPage_;
+    Counts judgedOthers_;
+    std::map<std::string, int> otherAnswers_;
+    std::map<std::string, int> runs_;
 };
 
 } // namespace
