Reject responses and requests whose heads are not valid HTTP

Cause: evhttp checks neither status codes nor field names, takes the first of several lengths, ignores transfer codings that it does not know, and adds the fields of interim responses to those of the final one; a program that uses its client alone shows each of these. Responses were never checked, requests by cornelhead-node only.

Change: Attempt, through which both programs send every call, checks each final head before it is used; an invalid one ends the attempt as InvalidHead, with 502 for the caller. The checks of requests moved to findRequestFault, which sidecars use for callers and other nodes. Responses that name two requests or two seals, and requests with two hosts, ids, customers or keys, are refused. An invalid head no longer counts as the death of a server.

Ruled out: damage between nodes; the program above has only one connection.

Conclusion: the check stands where all responses pass, before anything acts on a head. Left: evhttp shows the parsed status only, so 0200 passes as 200, and chunk sizes such as 0x5 are accepted.

--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -9,6 +9,7 @@
 
 #include "cornelhead/base/address.h"
 #include "cornelhead/net/event-loop.h"
+#include "cornelhead/proxy/message-head.h"
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/routing/retry.h"
 
@@ -75,6 +76,8 @@
     /// Returns whether an earlier request was sent on the same connection, so that a response that
     /// names no request may belong to that one.
     bool isOnUsedConnection() const { return isOnUsedConnection_; }
+    /// Returns why the attempt ended with `AttemptFailure::InvalidHead`; empty if it did not.
+    std::optional<HeadFault> headFault() const { return headFault_; }
     /// Pauses and resumes the reading of a streamed response.
     void pause();
     void resume();
@@ -101,6 +104,7 @@
     evbuffer_cb_entry *outputCallback_ = nullptr;
     std::unique_ptr<event, EventDeleter> pauseEvent_;
     std::optional<std::size_t> bodyLimit_;
+    std::optional<HeadFault> headFault_;
     bool isStreaming_ = false;
     bool isPaused_ = false;
     bool isFinished_ = false;
--- a/include/cornelhead/proxy/request-head.h
+++ b/include/cornelhead/proxy/request-head.h
@@ -9,6 +9,7 @@
 #include <tl/expected.hpp>
 
 #include "cornelhead/base/clock.h"
+#include "cornelhead/proxy/message-head.h"
 #include "cornelhead/routing/poison-tracker.h"
 #include "cornelhead/routing/refusal.h"
 
@@ -70,7 +71,4 @@
 /// Copies the headers that are forwarded to the next hop.
 void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to);
 
-/// Returns the value of a header, or an empty view if there is none.
-std::string_view findHeader(const evkeyvalq *headers, const char *name);
-
 } // namespace cornelhead::detail
--- a/include/cornelhead/routing/refusal.h
+++ b/include/cornelhead/routing/refusal.h
@@ -29,6 +29,7 @@
     BrokenConnection,
     Timeout,
     UnboundedAnswer,
+    InvalidAnswer,
     Cancelled,
     Poison,
     InProgress,
--- a/include/cornelhead/routing/retry.h
+++ b/include/cornelhead/routing/retry.h
@@ -15,6 +15,7 @@
     RefusedNotRun, ///< The server stated that it did not run the call.
     Broken, ///< The connection was lost after the request was sent.
     Silent, ///< The attempt made no progress within its timeout.
+    InvalidHead, ///< The head of the response is not valid HTTP.
 };
 
 /// Returns whether the call certainly did not run in the attempt.
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -1,6 +1,7 @@
 // The inbound proxy of a node, through which all calls reach the host's backend server.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 #include "cornelhead/membership/local-server.h"
 #include "cornelhead/membership/warm-up.h"
 #include "cornelhead/net/event-loop.h"
+#include "cornelhead/proxy/message-head.h"
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/rollout/server-samples.h"
 #include "cornelhead/routing/poison-tracker.h"
@@ -89,6 +91,8 @@
     /// Records a call that the server has run, and returns how it counted.
     CallSample recordEnd(const InboundCall &call, CallEnd end);
     void recordBrokenCall(const InboundCall &call);
+    /// Logs and counts a response that is not valid HTTP.
+    void recordInvalidHead(const InboundCall &call, HeadFault fault);
     /// Applies what the server reported about itself in the headers of a response.
     void observeNotice(std::string_view limit, std::string_view leaving);
     void onNoticeChanged();
@@ -107,6 +111,7 @@
     EventLog &log_;
     InboundHandlers handlers_;
     Counter &refusals_;
+    std::array<Counter *, headFaultCount> invalidHeads_{};
     Counter &serverCalls_;
     Gauge &serverLimit_;
     UpstreamPool pool_;
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -17,6 +17,7 @@
 
 namespace {
 
+constexpr int continueStatus = 100;
 constexpr int noContent = 204;
 constexpr int notModified = 304;
 constexpr int decimal = 10;
@@ -152,6 +153,14 @@
 int Attempt::onHeadRead(evhttp_request *raw, void *arg)
 {
     auto *attempt = static_cast<Attempt *>(arg);
+    if (evhttp_request_get_response_code(raw) == continueStatus) {
+        // evhttp goes on to the final response, and would add its headers to these.
+        evhttp_clear_headers(evhttp_request_get_input_headers(raw));
+        return 0;
+    }
+    attempt->headFault_ = findResponseFault(raw);
+    if (attempt->headFault_)
+        return -1;
     attempt->isStreaming_ = isSelfDelimited(raw) && attempt->handlers_.onHead(raw);
     if (!attempt->isStreaming_ && !attempt->bodyLimit_)
         evhttp_connection_set_max_body_size(attempt->connection_.get(), maxBufferedBody);
@@ -169,6 +178,8 @@
 
 AttemptOutcome Attempt::outcomeOf(evhttp_request *raw) const
 {
+    if (headFault_)
+        return AttemptFailure::InvalidHead;
     if (!raw || evhttp_request_get_response_code(raw) == 0)
         return wasSent_ ? AttemptFailure::Broken : AttemptFailure::NotSent;
     if (isStreaming_)
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -54,6 +54,8 @@
         return RefusalReason::Shed;
     case AttemptFailure::Broken:
         return RefusalReason::BrokenConnection;
+    case AttemptFailure::InvalidHead:
+        return RefusalReason::InvalidAnswer;
     case AttemptFailure::Silent:
         break;
     }
@@ -69,6 +71,7 @@
         return ServerResult::Shed;
     case AttemptFailure::Broken:
     case AttemptFailure::Silent:
+    case AttemptFailure::InvalidHead:
         break;
     }
     return ServerResult::Failed;
--- a/src/proxy/counters.cc
+++ b/src/proxy/counters.cc
@@ -16,6 +16,8 @@
         return "broken";
     case AttemptFailure::Silent:
         return "silent";
+    case AttemptFailure::InvalidHead:
+        return "invalid-head";
     }
     return "broken";
 }
--- a/src/proxy/request-head.cc
+++ b/src/proxy/request-head.cc
@@ -8,7 +8,6 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
-#include <event2/util.h>
 
 namespace cornelhead::detail {
 
@@ -23,12 +22,6 @@
 constexpr std::array hopOnlyHeaders
         = {deadlineHeader, depthHeader, homeHeader, formerHomeHeader, refusalHeader, deathHeader};
 
-bool isSameHeader(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size()
-            && evutil_ascii_strncasecmp(left.data(), right.data(), left.size()) == 0;
-}
-
 template <std::size_t N>
 bool contains(const std::array<const char *, N> &names, std::string_view name)
 {
@@ -54,18 +47,6 @@
     return false;
 }
 
-bool isTokenByte(char c)
-{
-    const bool isAlphanumeric
-            = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
-    return isAlphanumeric || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-}
-
-bool isToken(std::string_view name)
-{
-    return !name.empty() && std::all_of(name.begin(), name.end(), isTokenByte);
-}
-
 bool isNumber(std::string_view text)
 {
     return !text.empty() && text.size() < 10
@@ -79,48 +60,6 @@
     return value;
 }
 
-// Counts the headers that frame the body, and checks all header names.
-struct FramingValidator
-{
-    int lengths = 0;
-    int encodings = 0;
-    bool isValid = true;
-
-    void add(const evkeyval &entry)
-    {
-        const std::string_view name = entry.key;
-        isValid = isValid && isToken(name);
-        if (isSameHeader(name, "Content-Length")) {
-            ++lengths;
-            isValid = isValid && isNumber(entry.value);
-        }
-        if (isSameHeader(name, "Transfer-Encoding")) {
-            ++encodings;
-            isValid = isValid && isSameHeader(entry.value, "chunked");
-        }
-    }
-
-    bool passes() const { return isValid && lengths + encodings <= 1; }
-};
-
-bool hasValidFraming(const evkeyvalq *headers)
-{
-    FramingValidator check;
-    for (const evkeyval *entry = headers->tqh_first; entry; entry = entry->next.tqe_next)
-        check.add(*entry);
-    return check.passes();
-}
-
-} // namespace
-
-std::string_view findHeader(const evkeyvalq *headers, const char *name)
-{
-    const char *value = evhttp_find_header(headers, name);
-    return value ? std::string_view(value) : std::string_view();
-}
-
-namespace {
-
 // Reads the deadline and the depth; returns false when either is malformed.
 bool readNumbers(const evkeyvalq *headers, RequestHead &head)
 {
@@ -147,7 +86,8 @@
     const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
     const char *path = uri ? evhttp_uri_get_path(uri) : nullptr;
     RequestHead head;
-    if (!path || path[0] != '/' || !hasValidFraming(headers) || !readNumbers(headers, head))
+    if (!path || path[0] != '/' || findRequestFault(headers, {customerHeader, idempotencyKeyHeader})
+        || !readNumbers(headers, head))
         return tl::make_unexpected(RefusalReason::BadRequest);
     head.path = path;
     head.query = evhttp_uri_get_query(uri);
--- a/src/routing/refusal.cc
+++ b/src/routing/refusal.cc
@@ -39,6 +39,8 @@
         {"unbounded-answer", 502,
          "the backend server's response has neither a length nor chunked encoding",
          "make the backend server send Content-Length or use chunked encoding"},
+        {"invalid-answer", 502, "the backend server's response is malformed",
+         "make the backend server send well-formed HTTP/1.1 responses"},
         {"cancelled", 499, "the caller closed its connection",
          "keep the connection open until the response arrives"},
         {"poison", 422, "backend servers crashed while running this request",
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -147,17 +147,20 @@
 bool InboundCall::isAnswerToThisCall(evhttp_request *response) const
 {
     const evkeyvalq *headers = evhttp_request_get_input_headers(response);
-    const std::string_view id = findHeader(headers, proxy_.dialect_.headers.requestId.c_str());
+    const std::string &name = proxy_.dialect_.headers.requestId;
     // A faulty server may repeat an earlier response, where this one's is expected.
-    return id.empty() ? !attempt_->isOnUsedConnection() : id == id_;
+    if (findHeader(headers, name.c_str()).empty())
+        return !attempt_->isOnUsedConnection();
+    return hasOnlyValue(headers, name, id_);
 }
 
 bool InboundCall::isSignedAndPlain(evhttp_request *response) const
 {
     const evkeyvalq *headers = evhttp_request_get_input_headers(response);
-    const std::string &signature = proxy_.dialect_.headers.serverSignature;
-    return !findHeader(headers, signature.c_str()).empty()
-            && findHeader(headers, "Content-Encoding").empty();
+    const std::string &name = proxy_.dialect_.headers.serverSignature;
+    const std::string_view signature = findHeader(headers, name.c_str());
+    return !signature.empty() && hasOnlyValue(headers, name, signature)
+            && !evhttp_find_header(headers, "Content-Encoding");
 }
 
 void InboundCall::onServerResponse(evhttp_request *response)
@@ -220,7 +223,10 @@
         return;
     }
     sample_ = proxy_.recordEnd(*this, CallEnd::Failed);
-    proxy_.recordBrokenCall(*this);
+    if (failure == AttemptFailure::InvalidHead)
+        proxy_.recordInvalidHead(*this, *attempt_->headFault());
+    else
+        proxy_.recordBrokenCall(*this);
     finish(HopResult::Unknown, HopReason::InvalidResponse);
 }
 
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -77,7 +77,13 @@
       serverLimit_(metrics.gauge("cornelhead_server_limit_per_1000_s")),
       pool_(loop.base(), metrics.counter("cornelhead_server_connections_total")),
       healthClient_(loop), maxReuseAge_(defaultMaxReuseAge)
-{ }
+{
+    for (std::size_t i = 0; i < headFaultCount; ++i) {
+        invalidHeads_[i] = &metrics.counter(
+                "cornelhead_server_invalid_heads_total",
+                {{"fault", std::string(headFaultName(static_cast<HeadFault>(i)))}});
+    }
+}
 
 InboundProxy::~InboundProxy() = default;
 
@@ -113,7 +119,7 @@
     const evkeyvalq *headers = evhttp_request_get_input_headers(request);
     const Result<HopRequest> hop = decodeHopRequest(findHeader(headers, hopRequestHeader));
     const std::string id(findHeader(headers, dialect_.headers.requestId.c_str()));
-    if (!hop || id.empty()) {
+    if (!hop || id.empty() || findRequestFault(headers, {dialect_.headers.requestId.c_str()})) {
         refuse(request, HopResult::NotRun, HopReason::BadMessage);
         return;
     }
@@ -312,6 +318,13 @@
                               time);
 }
 
+void InboundProxy::recordInvalidHead(const InboundCall &call, HeadFault fault)
+{
+    invalidHeads_[static_cast<std::size_t>(fault)]->add();
+    log_.write(EventKind::Failure, inboundPart, "answer-invalid",
+               {{"id", call.id()}, {"fault", headFaultName(fault)}});
+}
+
 void InboundProxy::observeNotice(std::string_view limit, std::string_view leaving)
 {
     const Result<ServerNotice> notice = readServerNotice(limit, leaving);
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -134,6 +134,11 @@
 {
     const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
     const CallHeaderNames &names = proxy_.dialect_.headers;
+    if (findRequestFault(headers, {names.requestId.c_str()})) {
+        // It is uncertain where the next request begins.
+        exchange_.closeAfterResponse();
+        return false;
+    }
     id_ = findHeader(headers, names.requestId.c_str());
     const std::string_view text = findHeader(headers, names.deadline.c_str());
     std::int64_t timeoutMs = 0;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -314,6 +314,12 @@
             inboundProxy.serve(request);
             return;
         }
+        if (detail::findRequestFault(headers, {})) {
+            detail::Exchange malformed(loop, request);
+            malformed.closeAfterResponse();
+            malformed.send(detail::LocalResponse{detail::statusBadRequest, {}, {}});
+            return;
+        }
         const evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
         const std::string path = uri && evhttp_uri_get_path(uri) ? evhttp_uri_get_path(uri) : "";
         if (path == changeFeedPath) {
--- a/test/adapter/faulty-server-test.cc
+++ b/test/adapter/faulty-server-test.cc
@@ -297,6 +297,106 @@
     BOOST_TEST(server->requests == cuts);
 }
 
+// MIXED: callers got status codes and header names that are not HTTP, and a part of a body as a
+// whole answer.
+BOOST_AUTO_TEST_CASE(responseWithAnInvalidHeadIsNotForwarded)
+{
+    struct InvalidHead
+    {
+        std::string from;
+        std::string to;
+        std::string fault;
+    };
+    const std::vector<InvalidHead> invalid = {
+            {"200 OK", "20 OK", "status-code"},
+            {"200 OK", "2000 OK", "status-code"},
+            {"200 OK", "600 OK", "status-code"},
+            {"200 OK", "102 Processing", "status-code"},
+            {"200 OK", "200 O\x01K", "reason-phrase"},
+            {"Content-Length", "X\x01 Y: z\r\nContent-Length", "field-name"},
+            {"Content-Length", "X Y: z\r\nContent-Length", "field-name"},
+            {"Content-Length", ": z\r\nContent-Length", "field-name"},
+            {"Content-Length", "X : z\r\nContent-Length", "field-name"},
+            {"Content-Length", "X: a\x7f\r\nContent-Length", "field-value"},
+            {"Content-Length", "Content-Length: 2\r\nContent-Length", "framing"},
+            {"Content-Length: 5", "Content-Length: 5\r\nContent-Length: 2", "framing"},
+            {"Content-Length: 5", "Content-Length: 2, 5", "framing"},
+            {"Content-Length: 5", "Content-Length: +5", "framing"},
+            {"Content-Length: 5", "Transfer-Encoding: gzip", "framing"},
+            {"200 OK", "204 No Content", "framing"},
+    };
+    std::vector<ServerAction> script;
+    for (const InvalidHead &head : invalid) {
+        std::string bytes = framedResponse("whole");
+        bytes.replace(bytes.find(head.from), head.from.size(), head.to);
+        script.push_back({bytes});
+    }
+    script.push_back({framedResponse("sound")});
+    run(script);
+    for (const InvalidHead &head : invalid) {
+        BOOST_TEST_CONTEXT(head.to)
+        {
+            const std::string counter
+                    = "cornelhead_server_invalid_heads_total{fault=\"" + head.fault + "\"} ";
+            const auto count = [&] {
+                const std::string metrics = metricsOf(*host);
+                return std::stoi(metrics.substr(metrics.find(counter) + counter.size()));
+            };
+            const int before = count();
+            BOOST_TEST(book().status == 502);
+            BOOST_TEST(count() == before + 1);
+        }
+    }
+    BOOST_TEST(book().body == "sound");
+    BOOST_TEST(server->requests == invalid.size() + 1);
+    // The bytes after an invalid head belong to no request.
+    BOOST_TEST(server->connections == invalid.size() + 1);
+}
+
+// MIXED: the fields of interim responses became fields of the final one.
+BOOST_AUTO_TEST_CASE(fieldsOfAnInterimResponseAreNotThoseOfTheFinalOne)
+{
+    const HttpResponse response
+            = bookOnce({"HTTP/1.1 100 Continue\r\nContent-Length: 2\r\nX-Interim: 1\r\n\r\n"
+                        + framedResponse("whole")});
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == "whole");
+    BOOST_TEST(!response.headers.contains("X-Interim"));
+}
+
+// evhttp itself rejects these.
+BOOST_AUTO_TEST_CASE(responseWithABareReturnOrTwoFramingsIsNotForwarded)
+{
+    run({{sealedHead + "X: a\r b\r\nContent-Length: 5\r\n\r\nwhole"},
+         {sealedHead + "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole"},
+         {sealedHead + "Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n"},
+         {sealedHead + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n"
+          + "5\r\nwhole\r\n0\r\n\r\n"}});
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(book().status == 502);
+}
+
+BOOST_AUTO_TEST_CASE(trailersAreNotForwarded)
+{
+    const HttpResponse response = bookOnce(
+            {sealedHead + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Y: z\r\n\r\n"});
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == "whole");
+    BOOST_TEST(!response.headers.contains("X Y"));
+}
+
+BOOST_AUTO_TEST_CASE(responseThatNamesTwoRequestsOrSealsIsNoSuccess)
+{
+    run({{"HTTP/1.1 200 OK\r\nCornelhead-Request-Id: other\r\n"
+          + framedResponse("whole").substr(std::string("HTTP/1.1 200 OK\r\n").size())},
+         {sealedHead + "Cornelhead-Request-Id: other\r\nContent-Length: 5\r\n\r\nwhole"},
+         {sealedHead + "Cornelhead-Server-Seal: t\r\nContent-Length: 5\r\n\r\nwhole"},
+         {sealedHead + "Content-Encoding:\r\nContent-Encoding: gzip\r\n"
+          + "Content-Length: 5\r\n\r\nwhole"}});
+    for (int i = 0; i < 4; ++i)
+        BOOST_TEST(book().status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(bytesThatAreNoResponseAreNotForwarded)
 {
     const HttpResponse response = bookOnce({"\x16\x03 no response\r\n\r\n", ConnectionEnd::Close});
--- a/test/proxy/hostile-test.cc
+++ b/test/proxy/hostile-test.cc
@@ -56,6 +56,49 @@
     const int socket_;
 };
 
+// A backend server that answers one request with fixed bytes.
+class RawBackend
+{
+public:
+    explicit RawBackend(std::string bytes)
+        : endpoint_(TestBackend("s1", echo).endpoint()), listener_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const int on = 1;
+        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(endpoint_.address.port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        BOOST_REQUIRE(bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                      == 0);
+        BOOST_REQUIRE(listen(listener_, 4) == 0);
+        thread_ = std::thread([this, bytes = std::move(bytes)] {
+            const int connection = accept(listener_, nullptr, nullptr);
+            std::array<char, 4096> request{};
+            recv(connection, request.data(), request.size(), 0);
+            ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            // The proxy closes the connection.
+            recv(connection, request.data(), request.size(), 0);
+            close(connection);
+        });
+    }
+    ~RawBackend()
+    {
+        shutdown(listener_, SHUT_RDWR);
+        thread_.join();
+        close(listener_);
+    }
+    RawBackend(const RawBackend &) = delete;
+    RawBackend &operator=(const RawBackend &) = delete;
+
+    const Endpoint &endpoint() const { return endpoint_; }
+
+private:
+    const Endpoint endpoint_;
+    const int listener_;
+    std::thread thread_;
+};
+
 struct MalformedRequest
 {
     std::string request;
@@ -178,6 +221,38 @@
     BOOST_TEST(metrics.counter("cornelhead_answers_cut_total").value() == 1);
 }
 
+// MIXED: callers of a node got invalid heads of a server, and a part of a body as a whole answer.
+BOOST_AUTO_TEST_CASE(responseWithAnInvalidHeadIsNotForwarded)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "Content-Length: 5\r\n\r\nwhole";
+    for (const std::string &bytes :
+         {"HTTP/1.1 20 OK\r\n" + body, ok + "X\x01 Y: z\r\n" + body,
+          ok + "Content-Length: 2\r\n" + body, ok + "Transfer-Encoding: gzip\r\n\r\nwhole"}) {
+        const RawBackend backend(bytes);
+        publish({backend.endpoint()});
+        const HttpResponse response = book(bytes);
+        BOOST_TEST(response.status == 502);
+        BOOST_TEST(response.headers.at("Cornelhead-Reason") == "invalid-answer");
+        BOOST_TEST(response.headers.at("Cornelhead-Run") == "unknown");
+    }
+}
+
+// The second of two headers reached the server, after the first one had been checked.
+BOOST_AUTO_TEST_CASE(requestThatNamesTwoCustomersOrKeysIsRefused)
+{
+    const TestBackend backend("s1", echo);
+    publish({backend.endpoint()});
+    for (const std::string &second :
+         {customerLine, std::string("Idempotency-Key: b\r\n"), std::string("Host: b\r\n")}) {
+        const RawCaller caller(address);
+        caller.send("GET /bookings/list HTTP/1.1\r\nHost: a\r\nIdempotency-Key: a\r\n"
+                    + customerLine + second + "\r\n");
+        BOOST_TEST(caller.read().find("Cornelhead-Reason: bad-request") != std::string::npos);
+    }
+    BOOST_TEST(backend.runs == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
