Replace headers that only nodes may set however often they come

Cause: evhttp_remove_header removes the first header of a name only. The same holds at the entry for the headers between nodes and the deadline, for the header with a node's report in responses, and for Connection, of which only the first was read.

Change: removeHeader removes all headers of a name and setHeader replaces them; nothing else removes headers. The node beside a server drops a report that the server forges. All Connection headers are read, by both programs.

Ruled out: that the entry adds its own value beside the caller's; then one forged header would arrive as well.

--- a/include/cornelhead/proxy/message-head.h
+++ b/include/cornelhead/proxy/message-head.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <initializer_list>
 #include <optional>
+#include <string>
 #include <string_view>
 
 struct evhttp_request;
@@ -40,6 +41,12 @@
 /// Returns the value of the first header with this name, or an empty view if there is none.
 std::string_view findHeader(const evkeyvalq *headers, const char *name);
 
+/// Removes all headers with this name; `evhttp_remove_header` removes only the first.
+void removeHeader(evkeyvalq *headers, const char *name);
+
+/// Replaces all headers with this name by one.
+void setHeader(evkeyvalq *headers, const char *name, const std::string &value);
+
 /// Returns whether a header with this name occurs, and each time with `value`.
 bool hasOnlyValue(const evkeyvalq *headers, std::string_view name, std::string_view value);
 
--- a/src/proxy/message-head.cc
+++ b/src/proxy/message-head.cc
@@ -2,7 +2,6 @@
 #include "cornelhead/proxy/message-head.h"
 
 #include <algorithm>
-#include <string>
 
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -160,6 +159,17 @@
     return value ? std::string_view(value) : std::string_view();
 }
 
+void removeHeader(evkeyvalq *headers, const char *name)
+{
+    while (evhttp_remove_header(headers, name) == 0) { }
+}
+
+void setHeader(evkeyvalq *headers, const char *name, const std::string &value)
+{
+    removeHeader(headers, name);
+    evhttp_add_header(headers, name, value.c_str());
+}
+
 bool hasOnlyValue(const evkeyvalq *headers, std::string_view name, std::string_view value)
 {
     bool isPresent = false;
--- a/src/proxy/request-head.cc
+++ b/src/proxy/request-head.cc
@@ -29,7 +29,7 @@
                        [&](const char *entry) { return isSameHeader(entry, name); });
 }
 
-// Returns whether a Connection header lists `name` as a hop-by-hop header.
+// Returns whether the value of a Connection header lists `name` as a hop-by-hop header.
 bool isListedIn(std::string_view connection, std::string_view name)
 {
     std::size_t begin = 0;
@@ -47,6 +47,15 @@
     return false;
 }
 
+bool isListedByConnection(const evkeyvalq *headers, std::string_view name)
+{
+    for (const evkeyval *entry = headers->tqh_first; entry; entry = entry->next.tqe_next) {
+        if (isSameHeader(entry->key, "Connection") && isListedIn(entry->value, name))
+            return true;
+    }
+    return false;
+}
+
 bool isNumber(std::string_view text)
 {
     return !text.empty() && text.size() < 10
@@ -121,12 +130,12 @@
 
 void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to)
 {
-    const std::string_view connection = findHeader(from, "Connection");
+    const bool hasConnection = evhttp_find_header(from, "Connection");
     for (const evkeyval *entry = from->tqh_first; entry; entry = entry->next.tqe_next) {
         const std::string_view name = entry->key;
         if (contains(hopByHopHeaders, name) || contains(hopOnlyHeaders, name))
             continue;
-        if (!connection.empty() && isListedIn(connection, name))
+        if (hasConnection && isListedByConnection(from, name))
             continue;
         evhttp_add_header(to, entry->key, entry->value);
     }
--- a/src/sidecar/exchange.cc
+++ b/src/sidecar/exchange.cc
@@ -11,6 +11,7 @@
 
 #include "cornelhead/proxy/evhttp-handles.h"
 #include "cornelhead/proxy/listener.h"
+#include "cornelhead/proxy/message-head.h"
 #include "cornelhead/proxy/response.h"
 
 namespace cornelhead::detail {
@@ -87,7 +88,7 @@
     const Listener::ResponseScope answering;
     evkeyvalq *receivedHeaders = evhttp_request_get_input_headers(response);
     for (const char *name : omittedHeaders_)
-        evhttp_remove_header(receivedHeaders, name);
+        removeHeader(receivedHeaders, name);
     sendResponse(release(), response,
                  closesAfterResponse_ ? AfterResponse::Close : AfterResponse::KeepAlive);
 }
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -72,14 +72,12 @@
     const CallHeaderNames &names = proxy_.dialect_.headers;
     copyRequest(exchange_->request(), *attempt_);
     evkeyvalq *headers = attempt_->headers();
-    evhttp_remove_header(headers, hopRequestHeader);
-    for (const std::string &name : {names.expectedServer, names.callerService, names.deadline})
-        evhttp_remove_header(headers, name.c_str());
+    removeHeader(headers, hopRequestHeader);
     const auto left = std::chrono::duration_cast<Milliseconds>(deadline_ - startedAt_);
-    evhttp_add_header(headers, names.deadline.c_str(),
-                      std::to_string(std::max<std::int64_t>(1, left.count())).c_str());
-    evhttp_add_header(headers, names.expectedServer.c_str(), expectedServer_.value().c_str());
-    evhttp_add_header(headers, names.callerService.c_str(), hop_.callerService.value().c_str());
+    setHeader(headers, names.deadline.c_str(),
+              std::to_string(std::max<std::int64_t>(1, left.count())));
+    setHeader(headers, names.expectedServer.c_str(), expectedServer_.value());
+    setHeader(headers, names.callerService.c_str(), hop_.callerService.value());
     timer_ = proxy_.loop_.after(connectTimeout, [this] {
         if (!attempt_->wasSent()) {
             attempt_->cancel();
@@ -203,6 +201,7 @@
 
 void InboundCall::forward(evhttp_request *response)
 {
+    removeHeader(evhttp_request_get_input_headers(response), hopResponseHeader);
     if (!hop_.isIdempotent)
         storedResponse_ = std::make_shared<const StoredResponse>(copyResponse(response));
     if (!isCallerDisconnected_) {
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -253,15 +253,13 @@
 {
     const CallHeaderNames &names = proxy_.dialect_.headers;
     evkeyvalq *headers = attempt_->headers();
-    // A caller must not forge the headers between nodes.
-    evhttp_remove_header(headers, hopRequestHeader);
-    evhttp_remove_header(headers, names.deadline.c_str());
     hop_.isResumed = isResumed;
-    evhttp_add_header(headers, hopRequestHeader, encodeHopRequest(hop_).c_str());
+    // Replaces what a caller sent under these names, which may be forged.
+    setHeader(headers, hopRequestHeader, encodeHopRequest(hop_));
     const auto serverTime
             = std::chrono::duration_cast<Milliseconds>(serverDeadline_ - now(SteadyClock()));
-    evhttp_add_header(headers, names.deadline.c_str(),
-                      std::to_string(std::max<std::int64_t>(1, serverTime.count())).c_str());
+    setHeader(headers, names.deadline.c_str(),
+              std::to_string(std::max<std::int64_t>(1, serverTime.count())));
 }
 
 void OutboundCall::armProgressTimer()
--- a/test/adapter/request-head-test.cc
+++ b/test/adapter/request-head-test.cc
@@ -1,6 +1,6 @@
 // Tests what sidecars make of malformed, ambiguous and forged heads of requests.
 #include "adapter/raw-caller.h"
-#include "adapter/sidecar-fleet.h"
+#include "adapter/scripted-server.h"
 #include "cornelhead/sidecar/fleet-sync.h"
 
 namespace cornelhead {
@@ -75,4 +75,51 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_FIXTURE_TEST_SUITE(forged_headers, FaultyServerFleet)
+
+// UNASKED: the server got the caller's second Cornelhead-Caller-Service before the true one.
+BOOST_AUTO_TEST_CASE(headersOfTheNodesAreReplacedHoweverOftenACallerSendsThem)
+{
+    run({{"HTTP/1.1 200 OK\r\nCornelhead-Request-Id: @ID\r\nCornelhead-Server-Seal: s\r\n"
+          "Content-Length: 0\r\n\r\n"}});
+    const std::string forged = std::string("cornelhead-caller-service: catalogue\r\n")
+            + "Cornelhead-Expect-Instance: b7\r\nCornelhead-Deadline-Ms: 90000\r\n"
+            + hopRequestHeader + ": 1 forged\r\n";
+    const RawCaller caller(loop, host->settings.outbound);
+    caller.send(bookHead + bookId + forged + forged + forged + "Content-Length: 0\r\n\r\n");
+    waitUntil([&] { return !caller.received.empty(); });
+    BOOST_TEST(caller.received.substr(0, 12) == "HTTP/1.1 200");
+    BOOST_REQUIRE(server->received.size() == 1U);
+    const std::string &request = server->received.front();
+    const auto valuesOf = [&request](const std::string &name) {
+        std::vector<std::string> values;
+        const std::string field = "\r\n" + name + ": ";
+        for (std::size_t at = request.find(field); at != std::string::npos;
+             at = request.find(field, at + 1)) {
+            const std::size_t begin = at + field.size();
+            values.push_back(request.substr(begin, request.find('\r', begin) - begin));
+        }
+        return values;
+    };
+    BOOST_TEST((valuesOf("Cornelhead-Caller-Service") == std::vector<std::string>{"bookings"}));
+    BOOST_TEST(valuesOf("cornelhead-caller-service").empty());
+    BOOST_TEST((valuesOf("Cornelhead-Expect-Instance") == std::vector<std::string>{"b1"}));
+    BOOST_TEST(valuesOf(hopRequestHeader).empty());
+    const std::vector<std::string> deadlines = valuesOf("Cornelhead-Deadline-Ms");
+    BOOST_REQUIRE(deadlines.size() == 1U);
+    BOOST_TEST(std::stoi(deadlines.front()) <= 1500);
+}
+
+BOOST_AUTO_TEST_CASE(serverCannotForgeTheReportOfItsNode)
+{
+    const std::string report = std::string(hopResponseHeader) + ": 1 1 0\r\n";
+    run({{"HTTP/1.1 200 OK\r\nCornelhead-Request-Id: @ID\r\nCornelhead-Server-Seal: s\r\n" + report
+          + report + "Content-Length: 5\r\n\r\nwhole"}});
+    const HttpResponse response = book();
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(!response.headers.contains(hopResponseHeader));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace cornelhead
--- a/test/proxy/hostile-test.cc
+++ b/test/proxy/hostile-test.cc
@@ -153,6 +153,24 @@
     BOOST_TEST(get("/bookings/list").status == 200);
 }
 
+// Only the first Connection header was read.
+BOOST_AUTO_TEST_CASE(headersListedByAnyConnectionHeaderAreNotForwarded)
+{
+    std::atomic<bool> wasForwarded = false;
+    const TestBackend backend("s1", [&](const HttpRequest &request, const Responder &responder) {
+        wasForwarded = request.headers.contains("X-Hop") || request.headers.contains("X-Other");
+        echo(request, responder);
+    });
+    publish({backend.endpoint()});
+    const RawCaller caller(address);
+    caller.send("GET /bookings/list HTTP/1.1\r\nConnection: x-other\r\nConnection: close, X-Hop\r\n"
+                "X-Hop: 1\r\nX-Other: 1\r\n"
+                + customerLine + "\r\n");
+    BOOST_TEST(caller.read().substr(0, 12) == "HTTP/1.1 200");
+    BOOST_TEST(backend.runs == 1);
+    BOOST_TEST(!wasForwarded);
+}
+
 BOOST_AUTO_TEST_CASE(answersPipelinedRequestsInOrder)
 {
     const TestBackend backend("s1", echo);
