Tell other nodes of responses that clear suspected crashes

Cause: nodes send each other the deaths of servers under a request, but not its responses, which end the row of deaths that PoisonTracker counts. Entries get no responses themselves that count. cornelhead-node does the same.

Evidence: in the adapter test on the entry's call-ended has the outcome poison with no node and refusals 0, and its request-poisonous follows the second death, with six answers in between.

Change: a response to a suspected request is sent to the nodes that get the deaths; sidecars collect these for 100 ms. It clears deaths and refusals, and a death whose notice it overtakes does not count. 5xx responses clear too, as the server survived. Sidecars include the host in the fingerprint.

Ruled out: two deaths within the time of a notice (the crashes are 3 s apart); two requests with one fingerprint.

Conclusion: both sides of the evidence are shared now. requestIsRefusedAfterTwoDeathsInSequence passes the new parameter, the time of the response; what it checks is unchanged.

--- a/include/cornelhead/proxy/dispatcher.h
+++ b/include/cornelhead/proxy/dispatcher.h
@@ -68,7 +68,7 @@
     bool refuseIfDisconnected(evhttp_request *request);
     bool isFromKnownNode(evhttp_request *request) const;
     Milliseconds effectiveTimeout(const RequestHead &head, const Decision &decision) const;
-    void onDeath(evhttp_request *request, const RequestHead &head);
+    void onPoisonNotice(evhttp_request *request, const RequestHead &head);
     bool isPoison(evhttp_request *request);
     void refuse(evhttp_request *request, const Refusal &refusal);
 
--- a/include/cornelhead/proxy/request-head.h
+++ b/include/cornelhead/proxy/request-head.h
@@ -34,6 +34,9 @@
 /// broke", both times in microseconds of wall-clock time.
 constexpr const char *deathHeader = "Cornelhead-Death";
 
+/// Notifies a node that a request got a response, with its fingerprint.
+constexpr const char *respondedHeader = "Cornelhead-Responded";
+
 /// A call with more hops is refused as a routing loop.
 constexpr std::uint32_t maxHops = 32;
 /// A longer idempotency key is refused.
@@ -56,6 +59,7 @@
     std::string_view formerHome;
     std::string_view refusal;
     std::string_view death;
+    std::string_view responded;
 };
 
 /// Parses the head.  Fails with `BadRequest` for malformed headers and ambiguous message framing,
@@ -67,6 +71,8 @@
 
 /// Returns the fingerprint of the request's method, URI and body.
 Fingerprint requestFingerprint(evhttp_request *request);
+/// Returns the fingerprint of a request that is routed by its `Host` header too.
+Fingerprint hostRequestFingerprint(evhttp_request *request);
 
 /// Copies the headers that are forwarded to the next hop.
 void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to);
--- a/include/cornelhead/proxy/worker-state.h
+++ b/include/cornelhead/proxy/worker-state.h
@@ -46,11 +46,14 @@
     /// Takes no lock, so that it is cheap enough for every call.
     bool hasSuspects() const { return hasSuspects_.load(std::memory_order_relaxed); }
     bool recordDeath(const SuspectedDeath &death, TimePoint time);
-    void recordResponse(Fingerprint request);
+    /// Returns whether the request was suspected.
+    bool recordResponse(Fingerprint request, TimePoint time);
     bool isRefused(Fingerprint request, TimePoint time);
     void expire(TimePoint time);
     /// Records a death that another node reported.
     void addRemoteDeath(const SuspectedDeath &death, TimePoint time);
+    /// Records a response that another node reported.
+    void addRemoteResponse(Fingerprint request, TimePoint time);
 
 private:
     std::atomic<bool> hasSuspects_ = false;
--- a/include/cornelhead/routing/poison-tracker.h
+++ b/include/cornelhead/routing/poison-tracker.h
@@ -11,7 +11,7 @@
 
 namespace cornelhead {
 
-/// The hash of a request's method, path, query and body.
+/// The hash of a request's method, target (with the host if requests are routed by it) and body.
 using Fingerprint = Number<struct FingerprintTag>;
 
 Fingerprint fingerprintOf(std::string_view method, std::string_view target, std::string_view body);
@@ -24,6 +24,8 @@
     /// How long ago the attempt started, and how long ago the connection broke.
     Microseconds startedAgo{};
     Microseconds brokeAgo{};
+    /// How much longer ago it may have broken, as the notice of another node takes time.
+    Microseconds uncertainty{};
 };
 
 /// Counts the suspected server deaths of each request and refuses it after `deathsToRefuse`.
@@ -31,6 +33,9 @@
 /// A second death counts only if it was another server's, its attempt started after the first death
 /// and the request got no response in between.  Servers that die at the same time for another
 /// reason therefore block none of the requests that they ran.
+///
+/// Nodes notify each other of deaths and of the responses that clear them, as the node that refuses
+/// a request may see none of its responses.
 class PoisonTracker
 {
 public:
@@ -39,12 +44,15 @@
     /// Records a death that this node or another node of the data centre observed.  Returns whether
     /// the request is refused from now on.
     bool recordDeath(const SuspectedDeath &death, TimePoint now);
-    /// Clears the suspected deaths of a request that got a response.
-    void recordResponse(Fingerprint request);
+    /// Clears the suspected deaths of a request that got a response here.  Returns whether there
+    /// were any, so that the other nodes must be notified.
+    bool recordResponse(Fingerprint request, TimePoint now);
+    /// Does the same for a response at another node, which may overtake the notices of deaths.
+    void recordResponseNotice(Fingerprint request, TimePoint now);
     bool isRefused(Fingerprint request, TimePoint now) const;
     /// Returns whether any request is suspected; if not, the caller need not compute a fingerprint.
     bool hasSuspects() const { return !suspects_.empty(); }
-    /// Removes requests whose last death is too long ago.
+    /// Removes requests whose last death or response is too long ago.
     void expire(TimePoint now);
 
 private:
@@ -59,6 +67,9 @@
 
     // Invariant: at most `maxSuspects`.
     std::unordered_map<Fingerprint, Suspect> suspects_;
+    // The last responses that cleared suspected deaths, here or at another node.
+    // Invariant: at most `maxSuspects`.
+    std::unordered_map<Fingerprint, TimePoint> responses_;
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -36,6 +36,8 @@
     std::function<void()> onServerChanged;
     /// The server crashed while it ran these requests.
     std::function<void(const std::vector<SuspectedDeath> &)> onDeaths;
+    /// A request under which servers died got a response.
+    std::function<void(Fingerprint)> onSuspicionCleared;
     std::function<Revision()> configurationRevision;
 };
 
@@ -91,6 +93,8 @@
     /// Records a call that the server has run, and returns how it counted.
     CallSample recordEnd(const InboundCall &call, CallEnd end);
     void recordBrokenCall(const InboundCall &call);
+    /// Records that the server survived the call.
+    void recordResponse(const InboundCall &call);
     /// Logs and counts a response that is not valid HTTP.
     void recordInvalidHead(const InboundCall &call, HeadFault fault);
     /// Applies what the server reported about itself in the headers of a response.
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -7,8 +7,8 @@
 #include <event2/http.h>
 
 #include "cornelhead/base/check.h"
-#include "cornelhead/proxy/death-notice.h"
 #include "cornelhead/proxy/overloaded.h"
+#include "cornelhead/proxy/poison-notice.h"
 #include "cornelhead/routing/version-choice.h"
 
 namespace cornelhead::detail {
@@ -436,14 +436,17 @@
     const TimePoint time = now(SteadyClock());
     const SuspectedDeath death{requestFingerprint(caller_.request()), upstream.server->endpoint.id,
                                time - upstream.startedAt, Microseconds(0)};
-    sendDeathNotices(worker_, context_.view->endpoints->nodes, death);
+    sendPoisonNotices(worker_, context_.view->endpoints->nodes, death);
     return worker_.node.poison.recordDeath(death, time);
 }
 
 void Call::clearSuspicion()
 {
-    if (worker_.node.poison.hasSuspects() && !caller_.isAnswered())
-        worker_.node.poison.recordResponse(requestFingerprint(caller_.request()));
+    if (!worker_.node.poison.hasSuspects() || caller_.isAnswered())
+        return;
+    const Fingerprint request = requestFingerprint(caller_.request());
+    if (worker_.node.poison.recordResponse(request, now(SteadyClock())))
+        sendPoisonNotices(worker_, context_.view->endpoints->nodes, request);
 }
 
 bool Call::mayOutliveCaller() const
--- a/src/proxy/dispatcher.cc
+++ b/src/proxy/dispatcher.cc
@@ -7,10 +7,10 @@
 
 #include "cornelhead/base/digest.h"
 #include "cornelhead/proxy/call.h"
-#include "cornelhead/proxy/death-notice.h"
 #include "cornelhead/proxy/forwarded-call.h"
 #include "cornelhead/proxy/key-handover.h"
 #include "cornelhead/proxy/overloaded.h"
+#include "cornelhead/proxy/poison-notice.h"
 
 namespace cornelhead::detail {
 
@@ -100,8 +100,8 @@
         refuse(request, Refusal{RefusalReason::HomeMoved, RunStatus::Unknown});
         return;
     }
-    if (!head->death.empty()) {
-        onDeath(request, *head);
+    if (!head->death.empty() || !head->responded.empty()) {
+        onPoisonNotice(request, *head);
         return;
     }
     Decision decision = decide(*head, lastRequestTime_);
@@ -119,14 +119,18 @@
         startCall(request, *head, std::move(decision), nullptr);
 }
 
-void Dispatcher::onDeath(evhttp_request *request, const RequestHead &head)
+void Dispatcher::onPoisonNotice(evhttp_request *request, const RequestHead &head)
 {
-    const auto death = decodeDeath(head.death);
-    if (head.home.empty() || !death) {
+    const auto notice = decodePoisonNotice(head);
+    if (head.home.empty() || !notice) {
         refuse(request, Refusal{RefusalReason::BadRequest, RunStatus::NotRun});
         return;
     }
-    worker_.node.poison.addRemoteDeath(*death, lastRequestTime_);
+    SharedPoisonTracker &poison = worker_.node.poison;
+    const Overloaded visitor{
+            [&](const SuspectedDeath &death) { poison.addRemoteDeath(death, lastRequestTime_); },
+            [&](Fingerprint responded) { poison.addRemoteResponse(responded, lastRequestTime_); }};
+    std::visit(visitor, *notice);
     StoredResponse noContent;
     noContent.status = HTTP_NOCONTENT;
     Caller(worker_, request).respond(noContent);
--- a/src/proxy/request-head.cc
+++ b/src/proxy/request-head.cc
@@ -20,7 +20,8 @@
 
 // Replaced by each hop, or exchanged only between nodes.
 constexpr std::array hopOnlyHeaders
-        = {deadlineHeader, depthHeader, homeHeader, formerHomeHeader, refusalHeader, deathHeader};
+        = {deadlineHeader, depthHeader, homeHeader,     formerHomeHeader,
+           refusalHeader,  deathHeader, respondedHeader};
 
 template <std::size_t N>
 bool contains(const std::array<const char *, N> &names, std::string_view name)
@@ -106,6 +107,7 @@
     head.formerHome = findHeader(headers, formerHomeHeader);
     head.refusal = findHeader(headers, refusalHeader);
     head.death = findHeader(headers, deathHeader);
+    head.responded = findHeader(headers, respondedHeader);
     if (head.key.size() > maxKeyBytes)
         return tl::make_unexpected(RefusalReason::BadRequest);
     if (head.depth >= maxHops)
@@ -128,6 +130,14 @@
                          evhttp_request_get_uri(request), bodyOf(request));
 }
 
+Fingerprint hostRequestFingerprint(evhttp_request *request)
+{
+    std::string target(findHeader(evhttp_request_get_input_headers(request), "Host"));
+    target.append(evhttp_request_get_uri(request));
+    return fingerprintOf(std::to_string(evhttp_request_get_command(request)), target,
+                         bodyOf(request));
+}
+
 void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to)
 {
     const bool hasConnection = evhttp_find_header(from, "Connection");
--- a/src/proxy/worker-state.cc
+++ b/src/proxy/worker-state.cc
@@ -123,11 +123,12 @@
     return tracker_.recordDeath(death, time);
 }
 
-void SharedPoisonTracker::recordResponse(Fingerprint request)
+bool SharedPoisonTracker::recordResponse(Fingerprint request, TimePoint time)
 {
     const std::lock_guard lock(mutex_);
-    tracker_.recordResponse(request);
+    const bool wasSuspected = tracker_.recordResponse(request, time);
     hasSuspects_ = tracker_.hasSuspects();
+    return wasSuspected;
 }
 
 bool SharedPoisonTracker::isRefused(Fingerprint request, TimePoint time)
@@ -150,6 +151,13 @@
     hasSuspects_ = tracker_.hasSuspects();
 }
 
+void SharedPoisonTracker::addRemoteResponse(Fingerprint request, TimePoint time)
+{
+    const std::lock_guard lock(mutex_);
+    tracker_.recordResponseNotice(request, time);
+    hasSuspects_ = tracker_.hasSuspects();
+}
+
 void WorkerState::endCall(ActiveCall *call)
 {
     const auto found = calls.find(call);
--- a/src/routing/poison-tracker.cc
+++ b/src/routing/poison-tracker.cc
@@ -25,12 +25,15 @@
 
 bool PoisonTracker::recordDeath(const SuspectedDeath &death, TimePoint now)
 {
+    const TimePoint started = now - death.startedAgo;
+    const TimePoint broke = now - death.brokeAgo;
+    const auto response = responses_.find(death.request);
+    if (response != responses_.end() && response->second >= broke - death.uncertainty)
+        return false;
     const bool isSuspect = suspects_.contains(death.request);
     if (!isSuspect && suspects_.size() >= detail::maxSuspects)
         return false;
     Suspect &suspect = suspects_[death.request];
-    const TimePoint started = now - death.startedAgo;
-    const TimePoint broke = now - death.brokeAgo;
     // Other nodes may report deaths out of order.
     const bool isInSequence = started > suspect.lastDeathAt || suspect.lastStartedAt > broke;
     if (isSuspect && (!isInSequence || suspect.lastServer == death.server))
@@ -42,9 +45,19 @@
     return suspect.deaths >= deathsToRefuse;
 }
 
-void PoisonTracker::recordResponse(Fingerprint request)
+bool PoisonTracker::recordResponse(Fingerprint request, TimePoint now)
+{
+    if (!suspects_.contains(request))
+        return false;
+    recordResponseNotice(request, now);
+    return true;
+}
+
+void PoisonTracker::recordResponseNotice(Fingerprint request, TimePoint now)
 {
     suspects_.erase(request);
+    if (responses_.contains(request) || responses_.size() < detail::maxSuspects)
+        responses_[request] = now;
 }
 
 bool PoisonTracker::isRefused(Fingerprint request, TimePoint now) const
@@ -62,6 +75,9 @@
                 = isRefused ? detail::refusalRetention : detail::suspectRetention;
         return now - entry.second.lastDeathAt >= retention;
     });
+    std::erase_if(responses_, [now](const auto &entry) {
+        return now - entry.second >= detail::suspectRetention;
+    });
 }
 
 } // namespace cornelhead
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -25,7 +25,7 @@
                          HopRequest hop, GateTicket ticket, TimePoint deadline)
     : proxy_(proxy), exchange_(std::make_unique<Exchange>(proxy.loop_, request)),
       id_(std::move(id)), hop_(std::move(hop)), ticket_(ticket), deadline_(deadline),
-      fingerprint_(requestFingerprint(request))
+      fingerprint_(hostRequestFingerprint(request))
 { }
 
 InboundCall::~InboundCall() = default;
@@ -194,6 +194,7 @@
         finish(HopResult::Unknown, HopReason::InvalidResponse);
         return;
     }
+    proxy_.recordResponse(*this);
     sample_ = proxy_.recordEnd(*this,
                                status >= minFailureStatus ? CallEnd::Failed : CallEnd::Answered);
     forward(response);
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -173,7 +173,7 @@
     if (server->service != hop.service || server->id != hop.server)
         return HopReason::WrongServer;
     const bool isPoison = poison_.hasSuspects()
-            && poison_.isRefused(requestFingerprint(request), now(SteadyClock()));
+            && poison_.isRefused(hostRequestFingerprint(request), now(SteadyClock()));
     return isPoison ? HopReason::Poison : HopReason::None;
 }
 
@@ -302,8 +302,6 @@
     const Microseconds objective = call.hop().objective;
     const Microseconds duration = time - call.startedAt() - pauses_.pausedSince(call.startedAt());
     work_.record(call.hop().route, duration, objective, end);
-    if (end == CallEnd::Answered)
-        poison_.recordResponse(call.fingerprint());
     return samples_.record(EndedCall{end, call.wasServerWarm(), duration, objective});
 }
 
@@ -318,6 +316,12 @@
                               time);
 }
 
+void InboundProxy::recordResponse(const InboundCall &call)
+{
+    if (poison_.recordResponse(call.fingerprint(), now(SteadyClock())))
+        handlers_.onSuspicionCleared(call.fingerprint());
+}
+
 void InboundProxy::recordInvalidHead(const InboundCall &call, HeadFault fault)
 {
     invalidHeads_[static_cast<std::size_t>(fault)]->add();
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -101,7 +101,7 @@
         return;
     }
     if (proxy_.poison_.hasSuspects()
-        && proxy_.poison_.isRefused(requestFingerprint(exchange_.request()), arrivedAt_)) {
+        && proxy_.poison_.isRefused(hostRequestFingerprint(exchange_.request()), arrivedAt_)) {
         refuse(OutboundRefusal::Poison);
         return;
     }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <map>
+#include <set>
 
 #include <event2/http.h>
 #include <nlohmann/json.hpp>
@@ -27,6 +28,7 @@
 constexpr const char *nodePart = "node";
 constexpr const char *metricsPath = "/metrics";
 constexpr const char *peerDeathsPath = "/cornelhead/deaths";
+constexpr const char *peerResponsesPath = "/cornelhead/responses";
 constexpr const char *peerReportPath = "/cornelhead/report";
 constexpr Milliseconds sweepInterval(250);
 /// Interval of checking whether to write the next step of a move; a bad version must be stopped
@@ -45,6 +47,9 @@
 constexpr std::size_t maxOldServersAsked = 8;
 constexpr Milliseconds probeInterval(500);
 constexpr Milliseconds flushInterval(100);
+/// Responses that clear suspected deaths are collected for this long, so that nodes that get them
+/// at the same time send few notices.
+constexpr Milliseconds noticeInterval(100);
 constexpr Milliseconds peerTimeout(500);
 /// A host that answered within this time is alive, even if the store does not list it.
 constexpr Milliseconds recentAnswerTime(2000);
@@ -98,11 +103,20 @@
         deaths.push_back(SuspectedDeath{Fingerprint(entry.at("request").get<std::uint64_t>()),
                                         ServerId(entry.at("server").get<std::string>()),
                                         Microseconds(entry.at("startedAgoUs").get<std::int64_t>()),
-                                        Microseconds(entry.at("brokeAgoUs").get<std::int64_t>())});
+                                        Microseconds(entry.at("brokeAgoUs").get<std::int64_t>()),
+                                        peerTimeout});
     }
     return deaths;
 }
 
+std::vector<Fingerprint> readFingerprints(std::string_view text)
+{
+    std::vector<Fingerprint> requests;
+    for (const auto &entry : nlohmann::json::parse(text))
+        requests.emplace_back(entry.get<std::uint64_t>());
+    return requests;
+}
+
 // Returns a short id, as every call carries it; it must be unique among the runs of one address.
 NodeId newRunId(std::uint64_t seed)
 {
@@ -124,6 +138,8 @@
     EventLog log;
     LocalServer local;
     PoisonTracker poison;
+    // Requests that got a response here after a suspected death, for the next notice.
+    std::set<Fingerprint> clearedRequests;
     std::map<ServiceId, VersionMoveWatcher> moves;
     std::map<ServiceId, ModRevision> moveRevisions;
     FleetSync fleet;
@@ -200,6 +216,8 @@
         handlers.onServerChanged = [this] { publishEntry(); };
         handlers.onDeaths
                 = [this](const std::vector<SuspectedDeath> &deaths) { broadcastDeaths(deaths); };
+        handlers.onSuspicionCleared
+                = [this](Fingerprint request) { clearedRequests.insert(request); };
         handlers.configurationRevision = [this] {
             return fleet.configuration() ? fleet.configuration()->revision() : Revision();
         };
@@ -334,7 +352,13 @@
             exchange.send(detail::LocalResponse{
                     detail::statusOk, {}, encodeHopResponse(inboundProxy.report())});
         else if (path == detail::peerDeathsPath)
-            exchange.send(handleDeaths(detail::bodyOf(request)));
+            exchange.send(handleNotice([this, request] {
+                recordDeaths(detail::readDeaths(detail::bodyOf(request)));
+            }));
+        else if (path == detail::peerResponsesPath)
+            exchange.send(handleNotice([this, request] {
+                recordResponses(detail::readFingerprints(detail::bodyOf(request)));
+            }));
         else
             exchange.send(detail::LocalResponse{detail::statusNotFound, {}, {}});
     }
@@ -346,13 +370,14 @@
         return Revision(query ? std::strtoull(query, nullptr, 10) : 0);
     }
 
-    detail::LocalResponse handleDeaths(std::string_view body)
+    /// Applies a notice of another node, which `apply` reads.
+    detail::LocalResponse handleNotice(const std::function<void()> &apply)
     {
         try {
-            recordDeaths(detail::readDeaths(body));
+            apply();
             return detail::LocalResponse{detail::statusOk, {}, {}};
         } catch (const nlohmann::json::exception &error) {
-            log.write(EventKind::Failure, detail::nodePart, "deaths-refused",
+            log.write(EventKind::Failure, detail::nodePart, "notice-refused",
                       {{"why", error.what()}});
             return detail::LocalResponse{detail::statusBadRequest, {}, {}};
         }
@@ -369,22 +394,46 @@
         }
     }
 
+    void recordResponses(const std::vector<Fingerprint> &requests)
+    {
+        for (const Fingerprint request : requests) {
+            poison.recordResponseNotice(request, now(SteadyClock()));
+            clearedRequests.erase(request);
+        }
+    }
+
     void broadcastDeaths(const std::vector<SuspectedDeath> &deaths)
     {
         recordDeaths(deaths);
-        HttpRequest request{HttpMethod::Post,
-                            detail::peerDeathsPath,
-                            {},
-                            {},
-                            detail::renderDeaths(deaths).dump()};
+        broadcast(detail::peerDeathsPath, detail::renderDeaths(deaths));
+    }
+
+    void broadcastResponses()
+    {
+        if (clearedRequests.empty())
+            return;
+        nlohmann::json notice = nlohmann::json::array();
+        for (const Fingerprint request : std::exchange(clearedRequests, {})) {
+            log.write(EventKind::StateChange, detail::nodePart, "request-cleared",
+                      {{"fingerprint", request.value()}});
+            notice.push_back(request.value());
+        }
+        broadcast(detail::peerResponsesPath, notice);
+    }
+
+    /// Notifies all other nodes.
+    void broadcast(const char *path, const nlohmann::json &notice)
+    {
+        const HttpRequest request{HttpMethod::Post, path, {}, {}, notice.dump()};
         for (const auto &[node, known] : fleet.directory().hosts()) {
             if (node == settings.inbound)
                 continue;
             peers.send(node, request, detail::peerTimeout,
-                       [this, peer = node](const Result<HttpResponse> &response) {
+                       [this, path, peer = node](const Result<HttpResponse> &response) {
                            if (!response) {
-                               log.write(EventKind::Failure, detail::nodePart, "deaths-untold",
+                               log.write(EventKind::Failure, detail::nodePart, "notice-unsent",
                                          {{"node", peer.toString()},
+                                          {"path", path},
                                           {"why", response.error().describe()}});
                            }
                        });
@@ -494,6 +543,7 @@
         timers.push_back(loop.every(detail::moveInterval, [this] { advanceMoves(); }));
         timers.push_back(loop.every(detail::reportInterval, [this] { requestReports(); }));
         timers.push_back(loop.every(detail::probeInterval, [this] { probeServer(); }));
+        timers.push_back(loop.every(detail::noticeInterval, [this] { broadcastResponses(); }));
         timers.push_back(loop.every(detail::flushInterval, [this] { log.flush(); }));
     }
 
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -56,6 +56,18 @@
             response.headers["Server-Leaving"] = "1";
     }
 
+    /// Refuses connections from now on.
+    void stopListening()
+    {
+        server_.stopListening();
+        isListening_ = false;
+    }
+    void listenAgain()
+    {
+        if (!std::exchange(isListening_, true))
+            BOOST_REQUIRE(server_.listen(address).has_value());
+    }
+
     std::string id;
     Address address;
     /// Requests that the server started to run.
@@ -97,6 +109,7 @@
     EventLoop &loop_;
     HttpServer server_;
     std::vector<Timer> delayedResponses_;
+    bool isListening_ = true;
 };
 
 /// One host: a server and the sidecar beside it.
--- a/test/proxy/faults-test.cc
+++ b/test/proxy/faults-test.cc
@@ -122,6 +122,26 @@
     BOOST_TEST(call(forged).status == 400);
 }
 
+// A node refused a request after two deaths, though other nodes got responses to it.
+BOOST_AUTO_TEST_CASE(responseAtAnotherNodeClearsADeath)
+{
+    ProxyFixture neighbour("node-2");
+    const CrashingBackend one("s1");
+    const CrashingBackend two("s2");
+    const TestBackend sound("s3", echo);
+    publish({one.endpoint(), sound.endpoint()}, {neighbour.self});
+    neighbour.publish({two.endpoint()}, {self});
+    while (one.runs == 0)
+        BOOST_TEST(get("/bookings/page").status == 200);
+    // The notices of the death and of the response, after one keyed call.
+    for (int i = 0; i < 5000 && neighbour.metrics.counter("cornelhead_calls_total").value() < 3;
+         ++i)
+        std::this_thread::sleep_for(Milliseconds(1));
+    BOOST_TEST(neighbour.get("/bookings/page").headers.at("Cornelhead-Reason")
+               == "broken-connection");
+    BOOST_TEST(two.runs > 0);
+}
+
 BOOST_AUTO_TEST_CASE(doesNotRetryABookingOnABrokenConnection)
 {
     const CrashingBackend dying("s1");
--- a/test/routing/routing-test.cc
+++ b/test/routing/routing-test.cc
@@ -262,7 +262,7 @@
     // Simultaneous deaths, and another death of the same server, do not count.
     BOOST_TEST(!died("b", 150, 210));
     BOOST_TEST(!died("a", 220, 230));
-    tracker.recordResponse(request);
+    BOOST_TEST(tracker.recordResponse(request, TimePoint(Milliseconds(240))));
     // The earlier death is reported last.
     BOOST_TEST(!died("d", 401, 500));
     BOOST_TEST(died("c", 300, 400));
@@ -273,6 +273,49 @@
     BOOST_TEST(!tracker.hasSuspects());
 }
 
+// CONFIG: a page that servers had answered thousands of times was refused after two crashes.
+BOOST_AUTO_TEST_CASE(responseAtAnotherNodeClearsTheDeathsOfARequest)
+{
+    const Fingerprint request = fingerprintOf("GET", "/halls/all", "");
+    const auto at = [](int ms) { return TimePoint(Milliseconds(ms)); };
+    const auto death = [request](const char *server, Milliseconds uncertainty) {
+        return SuspectedDeath{request, ServerId(server), Milliseconds(50), Microseconds(0),
+                              uncertainty};
+    };
+    PoisonTracker tracker;
+    BOOST_TEST(!tracker.recordResponse(request, at(900)));
+    BOOST_TEST(!tracker.recordDeath(death("a", Milliseconds(0)), at(1000)));
+    tracker.recordResponseNotice(request, at(1010));
+    BOOST_TEST(!tracker.hasSuspects());
+    BOOST_TEST(!tracker.recordDeath(death("b", Milliseconds(0)), at(4000)));
+    BOOST_TEST(!tracker.isRefused(request, at(4001)));
+    BOOST_TEST(tracker.recordDeath(death("c", Milliseconds(0)), at(5000)));
+    // A response clears the refusal too.
+    tracker.recordResponseNotice(request, at(5010));
+    BOOST_TEST(!tracker.isRefused(request, at(5011)));
+    // The notice of a death that the response overtook.
+    BOOST_TEST(!tracker.recordDeath(death("d", Milliseconds(500)), at(5400)));
+    BOOST_TEST(!tracker.hasSuspects());
+}
+
+BOOST_AUTO_TEST_CASE(requestWithoutResponsesIsRefusedWhateverOtherRequestsGet)
+{
+    const Fingerprint poison = fingerprintOf("GET", "/crash", "");
+    const Fingerprint sound = fingerprintOf("GET", "/halls/all", "");
+    PoisonTracker tracker;
+    for (const char *server : {"a", "b"}) {
+        const TimePoint time(Milliseconds(server[0] * 1000));
+        for (const Fingerprint request : {poison, sound}) {
+            tracker.recordDeath(SuspectedDeath{request, ServerId(server), Milliseconds(50),
+                                               Microseconds(0), Milliseconds(500)},
+                                time);
+        }
+        tracker.recordResponseNotice(sound, time + Milliseconds(1));
+    }
+    BOOST_TEST(tracker.isRefused(poison, TimePoint(Milliseconds('b' * 1000 + 2))));
+    BOOST_TEST(!tracker.isRefused(sound, TimePoint(Milliseconds('b' * 1000 + 2))));
+}
+
 BOOST_AUTO_TEST_CASE(onlyIdempotentCallsGetTimeoutsAndHedges)
 {
     Route route;
