Refuse numbers out of range in host entries, moves and heartbeats

Here none ended; but an entry with slots of -1 became a server with 4,294,967,295 slots, and a heartbeat with seq 1e30 made every later one pass for stale.

Cause: nlohmann::json::get converts numbers of any type and size; an unknown state of a host entry passed for serving.

Change: readInteger takes integers within bounds only, states must be known, durations are bounded, and parseUntrustedJson limits size and nesting before it parses (700 KB of brackets took 130 to 310 ms and 50 MB).

Ruled out: recursion in the JSON library, ports out of range and 1e400, which were refused before.

Before, the tests on: odd_entries failed in 2 cases (42 calls sent to the odd entry), hostEntryWithOddValuesNamesNoServer 13 checks, malformedHeartbeatsAreRejected stopped at the first new row. After: none failed.

Conclusion: an odd entry names no server and costs little; configurations, the store's framing and messages between nodes are still read without these bounds.

--- a/include/cornelhead/membership/host-entry.h
+++ b/include/cornelhead/membership/host-entry.h
@@ -17,6 +17,10 @@
 
 namespace cornelhead {
 
+constexpr std::uint32_t maxServerSlots = 100'000;
+/// The end of the year 9999 in Unix milliseconds.
+constexpr std::int64_t maxStartedAtMs = 253'402'300'799'999;
+
 /// One run (process lifetime) of a host's backend server, as the server announced it.
 struct HostedServer
 {
--- a/src/membership/host-entry.cc
+++ b/src/membership/host-entry.cc
@@ -2,8 +2,9 @@
 #include "cornelhead/membership/host-entry.h"
 
 #include <set>
+#include <stdexcept>
 
-#include <nlohmann/json.hpp>
+#include "cornelhead/base/untrusted-json.h"
 
 namespace cornelhead {
 namespace detail {
@@ -12,6 +13,7 @@
 
 constexpr const char *drainingState = "draining";
 constexpr const char *servingState = "serving";
+constexpr std::uint32_t maxFollowers = 1'000'000;
 
 json toJson(const HostedServer &server)
 {
@@ -23,19 +25,45 @@
             {"startedAt", server.startedAtMs}};
 }
 
+ServerState readState(const std::string &name)
+{
+    if (name == drainingState)
+        return ServerState::Draining;
+    if (name == servingState)
+        return ServerState::Serving;
+    throw std::invalid_argument("'" + name + "' is not a server state");
+}
+
 HostedServer readHostedServer(const json &json)
 {
     HostedServer server;
     server.id = ServerId(json.at("id").get<std::string>());
     server.service = ServiceId(json.at("service").get<std::string>());
     server.version = VersionId(json.at("version").get<std::string>());
-    server.slots = json.at("slots").get<std::uint32_t>();
-    server.state = json.at("state").get<std::string>() == drainingState ? ServerState::Draining
-                                                                        : ServerState::Serving;
-    server.startedAtMs = json.value("startedAt", std::int64_t{0});
+    server.slots = readInteger<std::uint32_t>(json.at("slots"), 1, maxServerSlots);
+    server.state = readState(json.at("state").get<std::string>());
+    if (json.contains("startedAt"))
+        server.startedAtMs = readInteger<std::int64_t>(json.at("startedAt"), 0, maxStartedAtMs);
     return server;
 }
 
+HostEntry readHostEntry(const json &json)
+{
+    HostEntry entry;
+    const Result<Address> node = parseAddress(json.at("node").get<std::string>());
+    if (!node)
+        throw std::invalid_argument(node.error().describe());
+    entry.node = *node;
+    entry.run = NodeId(json.at("run").get<std::string>());
+    entry.dataCentre = DataCentreId(json.at("dataCentre").get<std::string>());
+    if (json.contains("server"))
+        entry.server = readHostedServer(json.at("server"));
+    entry.isStopping = json.value("stopping", false);
+    if (json.contains("followers"))
+        entry.followers = readInteger<std::uint32_t>(json.at("followers"), 0, maxFollowers);
+    return entry;
+}
+
 } // namespace detail
 
 std::string encodeHostEntry(const HostEntry &entry)
@@ -53,22 +81,13 @@
 
 Result<HostEntry> decodeHostEntry(std::string_view bytes)
 {
+    const Result<nlohmann::json> json = parseUntrustedJson(bytes);
+    if (!json)
+        return tl::unexpected(json.error());
     try {
-        const auto json = nlohmann::json::parse(bytes);
-        HostEntry entry;
-        const Result<Address> node = parseAddress(json.at("node").get<std::string>());
-        if (!node)
-            return tl::unexpected(node.error());
-        entry.node = *node;
-        entry.run = NodeId(json.at("run").get<std::string>());
-        entry.dataCentre = DataCentreId(json.at("dataCentre").get<std::string>());
-        if (json.contains("server"))
-            entry.server = detail::readHostedServer(json.at("server"));
-        entry.isStopping = json.value("stopping", false);
-        entry.followers = json.value("followers", 0U);
-        return entry;
-    } catch (const nlohmann::json::exception &) {
-        return fail(ErrorKind::InvalidMessage, "malformed host entry",
+        return detail::readHostEntry(*json);
+    } catch (const std::exception &error) {
+        return fail(ErrorKind::InvalidMessage, std::string("malformed host entry: ") + error.what(),
                     "check which other program writes keys below the prefix of host entries");
     }
 }
--- a/src/rollout/version-move.cc
+++ b/src/rollout/version-move.cc
@@ -5,8 +5,7 @@
 #include <array>
 #include <cmath>
 
-#include <nlohmann/json.hpp>
-
+#include "cornelhead/base/untrusted-json.h"
 #include "cornelhead/platform/store-types.h"
 
 namespace cornelhead {
@@ -143,16 +142,20 @@
 
 Result<VersionMove> decodeVersionMove(std::string_view bytes)
 {
+    const Result<nlohmann::json> json = parseUntrustedJson(bytes);
+    if (!json)
+        return tl::unexpected(json.error());
     try {
-        const auto json = nlohmann::json::parse(bytes);
-        const auto state = detail::stateOf(json.at("state").get<std::string>());
+        const auto state = detail::stateOf(json->at("state").get<std::string>());
         if (state) {
-            return VersionMove{ServiceId(json.at("service").get<std::string>()),
-                               VersionId(json.at("target").get<std::string>()),
-                               ModRevision(json.at("ordered").get<std::uint64_t>()),
-                               json.at("perMille").get<std::uint32_t>(), *state};
+            constexpr std::uint32_t maxPerMille = 1000;
+            return VersionMove{
+                    ServiceId(json->at("service").get<std::string>()),
+                    VersionId(json->at("target").get<std::string>()),
+                    ModRevision(readInteger<std::uint64_t>(json->at("ordered"), 0, UINT64_MAX)),
+                    readInteger<std::uint32_t>(json->at("perMille"), 0, maxPerMille), *state};
         }
-    } catch (const nlohmann::json::exception &) {
+    } catch (const std::exception &) {
         // Reported below, like an unknown state.
     }
     return fail(ErrorKind::InvalidMessage, "the record of a move cannot be read",
--- a/test/adapter/users-messages-test.cc
+++ b/test/adapter/users-messages-test.cc
@@ -171,6 +171,16 @@
                  {"\"ready\"", "\"asleep\""},
                  {"\"seq\":4", "\"seq\":\"4\""},
                  {"\"slots\":9", "\"slots\":0"},
+                 {"\"slots\":9", "\"slots\":-1"},
+                 {"\"slots\":9", "\"slots\":1e30"},
+                 {"\"slots\":9", "\"slots\":4294967296"},
+                 {"\"seq\":4", "\"seq\":-1"},
+                 {"\"seq\":4", "\"seq\":1e30"},
+                 {"\"seq\":4", "\"seq\":18446744073709551615"},
+                 {"\"0ms\"", "\"1e300s\""},
+                 {"\"0ms\"", "\"nans\""},
+                 {"1764800000000", "-1"},
+                 {"1764800000000", "18446744073709551615"},
                  {"\"0ms\"", "0"},
                  {"1764800000000", "1764800000000.5"},
                  {"1764800000000", "\"1764800000000\""},
@@ -180,6 +190,7 @@
         BOOST_REQUIRE(!message);
         BOOST_TEST((kindOf(message) == ErrorKind::InvalidMessage));
     }
+    BOOST_TEST((kindOf(messageOf(std::string(10'000, '['))) == ErrorKind::TooLarge));
     BOOST_TEST((kindOf(messageOf(heartbeat, HttpMethod::Post)) == ErrorKind::NotFound));
     BOOST_TEST(
             (kindOf(messageOf(heartbeat, HttpMethod::Put, "/instances/")) == ErrorKind::NotFound));
--- a/test/base/base-test.cc
+++ b/test/base/base-test.cc
@@ -6,6 +6,7 @@
 #include "cornelhead/base/digest.h"
 #include "cornelhead/base/metrics.h"
 #include "cornelhead/base/random.h"
+#include "cornelhead/base/untrusted-json.h"
 
 namespace cornelhead {
 
@@ -76,6 +77,30 @@
         BOOST_TEST(first.below(1000) == second.below(1000));
 }
 
+BOOST_AUTO_TEST_CASE(untrustedJsonIsBounded)
+{
+    const JsonLimits limits{100, 3};
+    BOOST_TEST(parseUntrustedJson(R"({"a":[{"b":"[[[[{{{{\\\"["}]})", limits).has_value());
+    BOOST_TEST((parseUntrustedJson("[[[[]]]]", limits).error().kind == ErrorKind::TooLarge));
+    BOOST_TEST((parseUntrustedJson(std::string(101, ' '), limits).error().kind
+                == ErrorKind::TooLarge));
+    for (const char *malformed : {"", "[", "]", "[[]", "\"", "{\"a\":1e400}"})
+        BOOST_TEST(
+                (parseUntrustedJson(malformed, limits).error().kind == ErrorKind::InvalidMessage),
+                malformed);
+}
+
+BOOST_AUTO_TEST_CASE(integersOutOfRangeAreNotConverted)
+{
+    BOOST_TEST(readInteger<std::uint32_t>(7, 0, 7) == 7U);
+    BOOST_TEST(readInteger<std::int64_t>(-7, -7, 0) == -7);
+    BOOST_TEST(readInteger<std::uint64_t>(UINT64_MAX, 0, UINT64_MAX) == UINT64_MAX);
+    for (const nlohmann::json &bad :
+         {nlohmann::json(8), nlohmann::json(-1), nlohmann::json(1.0), nlohmann::json(UINT64_MAX),
+          nlohmann::json("1"), nlohmann::json()})
+        BOOST_CHECK_THROW(readInteger<std::uint32_t>(bad, 0, 7), std::out_of_range);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
--- a/test/membership/local-server-test.cc
+++ b/test/membership/local-server-test.cc
@@ -210,6 +210,36 @@
         BOOST_TEST(!decodeHostEntry(bad));
 }
 
+// An entry of another writer became a server with four billion slots.
+BOOST_AUTO_TEST_CASE(hostEntryWithOddValuesNamesNoServer)
+{
+    entry.node = Address{"10.0.0.9", 8080};
+    const std::string sound = encodeHostEntry(entry);
+    const auto with = [&sound](const std::string &from, const std::string &to) {
+        std::string text = sound;
+        BOOST_REQUIRE(text.find(from) != std::string::npos);
+        return text.replace(text.find(from), from.size(), to);
+    };
+    const std::string slots = "\"slots\":" + std::to_string(entry.server->slots);
+    for (const char *number : {"0", "-1", "1.5", "4294967296", "18446744073709551615", "1e30",
+                               "1e400", "\"9\"", "null", "[]"})
+        BOOST_TEST(!decodeHostEntry(with(slots, std::string("\"slots\":") + number)), number);
+    for (const char *number : {"-1", "1e300", "9223372036854775808"}) {
+        BOOST_TEST(
+                !decodeHostEntry(with("\"startedAt\":0", std::string("\"startedAt\":") + number)));
+        BOOST_TEST(
+                !decodeHostEntry(with("\"followers\":0", std::string("\"followers\":") + number)));
+    }
+    for (const char *port : {":0", ":-1", ":65536", ":4294975376", ":8080x", ""})
+        BOOST_TEST(!decodeHostEntry(with(":8080", port)), port);
+    BOOST_TEST(!decodeHostEntry(with("\"serving\"", "\"asleep\"")));
+    const std::size_t deep = 10'000;
+    BOOST_TEST(!decodeHostEntry(
+            with(slots, "\"slots\":" + std::string(deep, '[') + std::string(deep, ']'))));
+    BOOST_TEST(!decodeHostEntry(std::string(1'000'000, '[')));
+    BOOST_TEST(!decodeHostEntry(with("\"serving\"", "\"\xff\"")));
+}
+
 BOOST_AUTO_TEST_CASE(hostWithExpiredLeaseIsKeptForTheGracePeriod)
 {
     directory.put(entry);
