--- a/test/proxy/faults-test.cc
+++ b/test/proxy/faults-test.cc
@@ -1,6 +1,4 @@
 // Tests the proxy with backend servers that crash, do not respond, are slow or have no free slots.
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include "proxy/proxy-fixture.h"
@@ -13,18 +11,9 @@
 class CrashingBackend
 {
 public:
-    explicit CrashingBackend(const std::string &id) : endpoint_(TestBackend(id, echo).endpoint())
+    explicit CrashingBackend(const std::string &id)
+        : endpoint_(TestBackend(id, echo).endpoint()), listener_(listenOn(endpoint_.address.port))
     {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        const int on = 1;
-        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(endpoint_.address.port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        BOOST_REQUIRE(bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address)
-                      == 0);
-        BOOST_REQUIRE(listen(listener_, 16) == 0);
         thread_ = std::thread([this] { serve(); });
     }
     ~CrashingBackend()
@@ -52,7 +41,7 @@
     }
 
     const Endpoint endpoint_;
-    int listener_ = -1;
+    const int listener_;
     std::thread thread_;
 };
 
--- a/test/proxy/hostile-test.cc
+++ b/test/proxy/hostile-test.cc
@@ -61,17 +61,8 @@
 {
 public:
     explicit RawBackend(std::string bytes)
-        : endpoint_(TestBackend("s1", echo).endpoint()), listener_(socket(AF_INET, SOCK_STREAM, 0))
+        : endpoint_(TestBackend("s1", echo).endpoint()), listener_(listenOn(endpoint_.address.port))
     {
-        const int on = 1;
-        setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(endpoint_.address.port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        BOOST_REQUIRE(bind(listener_, reinterpret_cast<const sockaddr *>(&address), sizeof address)
-                      == 0);
-        BOOST_REQUIRE(listen(listener_, 4) == 0);
         thread_ = std::thread([this, bytes = std::move(bytes)] {
             const int connection = accept(listener_, nullptr, nullptr);
             std::array<char, 4096> request{};
@@ -203,18 +194,8 @@
 
 BOOST_AUTO_TEST_CASE(truncatesTheResponseWhenTheServerDoes)
 {
-    Endpoint endpoint = TestBackend("s1", echo).endpoint();
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    const int on = 1;
-    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in bindAddress{};
-    bindAddress.sin_family = AF_INET;
-    bindAddress.sin_port = htons(endpoint.address.port);
-    bindAddress.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    BOOST_REQUIRE(
-            bind(listener, reinterpret_cast<const sockaddr *>(&bindAddress), sizeof bindAddress)
-            == 0);
-    BOOST_REQUIRE(listen(listener, 4) == 0);
+    const Endpoint endpoint = TestBackend("s1", echo).endpoint();
+    const int listener = listenOn(endpoint.address.port);
     std::thread server([&] {
         const int connection = accept(listener, nullptr, nullptr);
         std::array<char, 4096> bytes{};
--- a/test/proxy/proxy-fixture.h
+++ b/test/proxy/proxy-fixture.h
@@ -1,6 +1,9 @@
 // A proxy and backend servers in one process, for tests.
 #pragma once
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <atomic>
 #include <cstdio>
@@ -28,6 +31,22 @@
     }
 }
 
+/// Returns a socket that listens on loopback.
+inline int listenOn(std::uint16_t port)
+{
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<const sockaddr *>(&address), sizeof address)
+                  == 0);
+    BOOST_REQUIRE(listen(listener, 16) == 0);
+    return listener;
+}
+
 /// A backend server on its own thread.
 class TestBackend
 {
