Limit what an attempt reads besides the body of its response

Cause: evhttp handles one interim response in each turn of the event loop, while up to 16 KB are read in the same turn. Neither the unread bytes nor the number of heads had a limit.

Change: ReceiveLimit bounds all heads of a response together (64 KB), its framing, and what waits unread; before the final head at most 128 KB are read ahead. Bodies of unknown length are copied into one buffer, as evhttp keeps each part in an allocation of its own. AttemptFailure::TooLong ends the call with 502 at once; log event answer-too-long, counter cornelhead_server_long_answers_total. It holds for servers and for other nodes, in both programs.

Before: endless_bytes fails for interim responses of 25, 200, 2,000 and 60,000 bytes from a server and from a node: 504 at the deadline, after 617 to 1,316 MB were sent. After: 502, less than 12 MB.

--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -9,10 +9,13 @@
 
 #include "cornelhead/base/address.h"
 #include "cornelhead/net/event-loop.h"
+#include "cornelhead/proxy/evhttp-handles.h"
 #include "cornelhead/proxy/message-head.h"
+#include "cornelhead/proxy/receive-limit.h"
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/routing/retry.h"
 
+struct bufferevent;
 struct evbuffer;
 struct evbuffer_cb_entry;
 struct evbuffer_cb_info;
@@ -63,8 +66,9 @@
     /// The headers and body of the request, to be filled before `send`.
     evkeyvalq *headers();
     evbuffer *body();
-    /// Fails the attempt as `Broken` when the response body is longer; without a value there is no
-    /// limit for a streamed body.  The length of other bodies and of heads is always limited.
+    /// Fails the attempt as `TooLong` when the response body is longer; without a value there is no
+    /// limit for a streamed body.  The length of other bodies, of heads and of framing is always
+    /// limited.
     void limitResponseBody(std::optional<std::size_t> bytes);
     /// Sends the request; may call `onEnd` before it returns.
     void send(evhttp_cmd_type method, const char *uri);
@@ -78,6 +82,8 @@
     bool isOnUsedConnection() const { return isOnUsedConnection_; }
     /// Returns why the attempt ended with `AttemptFailure::InvalidHead`; empty if it did not.
     std::optional<HeadFault> headFault() const { return headFault_; }
+    /// Returns why the attempt ended with `AttemptFailure::TooLong`; empty if it did not.
+    std::optional<ReceiveFault> receiveFault() const { return receiveFault_; }
     /// Pauses and resumes the reading of a streamed response.
     void pause();
     void resume();
@@ -86,12 +92,18 @@
     static void onDone(evhttp_request *raw, void *arg);
     static int onHeadRead(evhttp_request *raw, void *arg);
     static void onChunkRead(evhttp_request *raw, void *arg);
+    static void onReadError(evhttp_request_error error, void *arg);
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg);
+    static void onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg);
 
+    void startBody(evhttp_request *raw);
+    /// Runs outside of evhttp's callbacks.
+    void onDeferred();
     void finish(const AttemptOutcome &outcome);
-    AttemptOutcome outcomeOf(evhttp_request *raw) const;
-    void watchOutput();
-    void unwatchOutput();
+    AttemptOutcome outcomeOf(evhttp_request *raw);
+    bufferevent *events() const;
+    void watchBuffers();
+    void unwatchBuffers();
     void tuneSocket();
 
     UpstreamPool &pool_;
@@ -102,9 +114,14 @@
     // Owned by evhttp after `send`; null once the attempt has ended.
     evhttp_request *raw_ = nullptr;
     evbuffer_cb_entry *outputCallback_ = nullptr;
-    std::unique_ptr<event, EventDeleter> pauseEvent_;
+    evbuffer_cb_entry *inputCallback_ = nullptr;
+    std::unique_ptr<event, EventDeleter> deferredEvent_;
     std::optional<std::size_t> bodyLimit_;
     std::optional<HeadFault> headFault_;
+    ReceiveLimit received_;
+    std::optional<ReceiveFault> receiveFault_;
+    // The body of a buffered response that comes in parts of any size.
+    BufferHandle body_;
     bool isStreaming_ = false;
     bool isPaused_ = false;
     bool isFinished_ = false;
--- a/include/cornelhead/proxy/counters.h
+++ b/include/cornelhead/proxy/counters.h
@@ -9,7 +9,7 @@
 
 namespace cornelhead::detail {
 
-constexpr std::size_t attemptFailureCount = 5;
+constexpr std::size_t attemptFailureCount = 6;
 
 /// Returns the label value of `failure` in metrics.
 const char *attemptFailureName(AttemptFailure failure);
--- a/include/cornelhead/routing/retry.h
+++ b/include/cornelhead/routing/retry.h
@@ -16,6 +16,7 @@
     Broken, ///< The connection was lost after the request was sent.
     Silent, ///< The attempt made no progress within its timeout.
     InvalidHead, ///< The head of the response is not valid HTTP.
+    TooLong, ///< The response is longer than an attempt may receive.
 };
 
 /// Returns whether the call certainly did not run in the attempt.
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -14,6 +14,7 @@
 #include "cornelhead/membership/warm-up.h"
 #include "cornelhead/net/event-loop.h"
 #include "cornelhead/proxy/message-head.h"
+#include "cornelhead/proxy/receive-limit.h"
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/rollout/server-samples.h"
 #include "cornelhead/routing/poison-tracker.h"
@@ -97,6 +98,8 @@
     void recordResponse(const InboundCall &call);
     /// Logs and counts a response that is not valid HTTP.
     void recordInvalidHead(const InboundCall &call, HeadFault fault);
+    /// Logs and counts a response that is longer than a call may receive.
+    void recordLongResponse(const InboundCall &call, ReceiveFault fault);
     /// Applies what the server reported about itself in the headers of a response.
     void observeNotice(std::string_view limit, std::string_view leaving);
     void onNoticeChanged();
@@ -116,6 +119,7 @@
     InboundHandlers handlers_;
     Counter &refusals_;
     std::array<Counter *, headFaultCount> invalidHeads_{};
+    std::array<Counter *, receiveFaultCount> longResponses_{};
     Counter &serverCalls_;
     Gauge &serverLimit_;
     UpstreamPool pool_;
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -24,7 +24,7 @@
 // After a longer idle time the connection may have been dropped by a middlebox.
 constexpr Milliseconds maxFreshIdleTime = Milliseconds(1000);
 // A response that is not streamed is held in memory, and a faulty server may send without end.
-constexpr ev_ssize_t maxBufferedBody = 8 * 1024 * 1024;
+constexpr std::size_t maxBufferedBody = 8 * 1024 * 1024;
 
 // Returns whether the message framing states the end of the response, so that truncation is
 // detected.
@@ -47,15 +47,10 @@
       raw_(evhttp_request_new(&Attempt::onDone, this))
 {
     evhttp_request_set_header_cb(raw_, &Attempt::onHeadRead);
-    // Reading is disabled outside of evhttp's callback, as evhttp enables it again when the
-    // callback returns.
-    const auto stopReading = [](evutil_socket_t, short, void *arg) {
-        auto *attempt = static_cast<Attempt *>(arg);
-        if (attempt->isPaused_ && attempt->connection_)
-            bufferevent_disable(evhttp_connection_get_bufferevent(attempt->connection_.get()),
-                                EV_READ);
-    };
-    pauseEvent_.reset(event_new(loop.base(), -1, 0, stopReading, this));
+    evhttp_request_set_error_cb(raw_, &Attempt::onReadError);
+    const auto run
+            = [](evutil_socket_t, short, void *arg) { static_cast<Attempt *>(arg)->onDeferred(); };
+    deferredEvent_.reset(event_new(loop.base(), -1, 0, run, this));
 }
 
 Attempt::~Attempt()
@@ -87,7 +82,9 @@
 void Attempt::send(evhttp_cmd_type method, const char *uri)
 {
     isSubmitted_ = true;
-    watchOutput();
+    watchBuffers();
+    // evhttp handles one interim response in each turn of the event loop, in which more may arrive.
+    bufferevent_setwatermark(events(), EV_READ, 0, ReceiveLimit::maxUnreadHeadBytes);
     if (evhttp_make_request(connection_.get(), raw_, method, uri) != 0) {
         // evhttp has freed the request.
         raw_ = nullptr;
@@ -101,8 +98,7 @@
 {
     if (!connection_)
         return;
-    setOutgoingSocketOptions(
-            bufferevent_getfd(evhttp_connection_get_bufferevent(connection_.get())));
+    setOutgoingSocketOptions(bufferevent_getfd(events()));
 }
 
 void Attempt::cancel()
@@ -110,7 +106,7 @@
     if (isFinished_)
         return;
     isFinished_ = true;
-    unwatchOutput();
+    unwatchBuffers();
     // Closes the connection without a callback.
     if (raw_)
         evhttp_cancel_request(std::exchange(raw_, nullptr));
@@ -119,14 +115,27 @@
 void Attempt::pause()
 {
     isPaused_ = true;
-    event_active(pauseEvent_.get(), EV_TIMEOUT, 0);
+    event_active(deferredEvent_.get(), EV_TIMEOUT, 0);
 }
 
 void Attempt::resume()
 {
     if (!std::exchange(isPaused_, false) || isFinished_)
         return;
-    bufferevent_enable(evhttp_connection_get_bufferevent(connection_.get()), EV_READ);
+    bufferevent_enable(events(), EV_READ);
+}
+
+void Attempt::onDeferred()
+{
+    if (isFinished_)
+        return;
+    if (receiveFault_) {
+        cancel();
+        finish(AttemptFailure::TooLong);
+    } else if (isPaused_) {
+        // Not in evhttp's callback, as evhttp enables reading again when the callback returns.
+        bufferevent_disable(events(), EV_READ);
+    }
 }
 
 void Attempt::onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg)
@@ -135,19 +144,45 @@
         static_cast<Attempt *>(arg)->wasSent_ = true;
 }
 
-void Attempt::watchOutput()
+void Attempt::onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg)
+{
+    auto *attempt = static_cast<Attempt *>(arg);
+    attempt->received_.addConsumed(info->n_deleted);
+    // While evhttp consumes bytes, it may not have handed over the body among them yet.
+    if (info->n_added == 0 || attempt->receiveFault_)
+        return;
+    attempt->receiveFault_ = attempt->received_.fault(evbuffer_get_length(buffer));
+    if (attempt->receiveFault_)
+        event_active(attempt->deferredEvent_.get(), EV_TIMEOUT, 0);
+}
+
+void Attempt::onReadError(evhttp_request_error error, void *arg)
+{
+    auto *attempt = static_cast<Attempt *>(arg);
+    if (error == EVREQ_HTTP_DATA_TOO_LONG && !attempt->receiveFault_)
+        attempt->receiveFault_
+                = attempt->received_.isBodyStarted() ? ReceiveFault::Body : ReceiveFault::Heads;
+}
+
+bufferevent *Attempt::events() const
+{
+    return evhttp_connection_get_bufferevent(connection_.get());
+}
+
+void Attempt::watchBuffers()
 {
-    bufferevent *events = evhttp_connection_get_bufferevent(connection_.get());
-    outputCallback_ = evbuffer_add_cb(bufferevent_get_output(events), &Attempt::onOutput, this);
+    outputCallback_ = evbuffer_add_cb(bufferevent_get_output(events()), &Attempt::onOutput, this);
+    inputCallback_ = evbuffer_add_cb(bufferevent_get_input(events()), &Attempt::onInput, this);
 }
 
-void Attempt::unwatchOutput()
+void Attempt::unwatchBuffers()
 {
     if (!outputCallback_ || !connection_)
         return;
-    bufferevent *events = evhttp_connection_get_bufferevent(connection_.get());
-    evbuffer_remove_cb_entry(bufferevent_get_output(events),
+    evbuffer_remove_cb_entry(bufferevent_get_output(events()),
                              std::exchange(outputCallback_, nullptr));
+    evbuffer_remove_cb_entry(bufferevent_get_input(events()),
+                             std::exchange(inputCallback_, nullptr));
 }
 
 int Attempt::onHeadRead(evhttp_request *raw, void *arg)
@@ -161,29 +196,53 @@
     attempt->headFault_ = findResponseFault(raw);
     if (attempt->headFault_)
         return -1;
-    attempt->isStreaming_ = isSelfDelimited(raw) && attempt->handlers_.onHead(raw);
-    if (!attempt->isStreaming_ && !attempt->bodyLimit_)
-        evhttp_connection_set_max_body_size(attempt->connection_.get(), maxBufferedBody);
-    if (attempt->isStreaming_)
-        evhttp_request_set_chunked_cb(raw, &Attempt::onChunkRead);
+    attempt->startBody(raw);
     return 0;
 }
 
+void Attempt::startBody(evhttp_request *raw)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(raw);
+    const bool isChunked = evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
+    isStreaming_ = isSelfDelimited(raw) && handlers_.onHead(raw);
+    if (!isStreaming_ && !bodyLimit_)
+        evhttp_connection_set_max_body_size(connection_.get(),
+                                            static_cast<ev_ssize_t>(maxBufferedBody));
+    received_.startBody(isChunked, bodyLimit_.value_or(maxBufferedBody));
+    bufferevent_setwatermark(events(), EV_READ, 0, 0);
+    // evhttp keeps each part of a body of unknown length in an allocation of its own.
+    if (!isStreaming_ && !evhttp_find_header(headers, "Content-Length"))
+        body_.reset(evbuffer_new());
+    if (isStreaming_ || body_)
+        evhttp_request_set_chunked_cb(raw, &Attempt::onChunkRead);
+}
+
 void Attempt::onChunkRead(evhttp_request *raw, void *arg)
 {
     auto *attempt = static_cast<Attempt *>(arg);
-    if (!attempt->isFinished_)
-        attempt->handlers_.onChunk(evhttp_request_get_input_buffer(raw));
+    evbuffer *chunk = evhttp_request_get_input_buffer(raw);
+    const std::size_t size = evbuffer_get_length(chunk);
+    attempt->received_.addBody(size);
+    if (attempt->isFinished_)
+        return;
+    if (attempt->isStreaming_)
+        attempt->handlers_.onChunk(chunk);
+    else
+        evbuffer_add(attempt->body_.get(), evbuffer_pullup(chunk, -1), size);
 }
 
-AttemptOutcome Attempt::outcomeOf(evhttp_request *raw) const
+AttemptOutcome Attempt::outcomeOf(evhttp_request *raw)
 {
     if (headFault_)
         return AttemptFailure::InvalidHead;
+    if (receiveFault_)
+        return AttemptFailure::TooLong;
     if (!raw || evhttp_request_get_response_code(raw) == 0)
         return wasSent_ ? AttemptFailure::Broken : AttemptFailure::NotSent;
     if (isStreaming_)
         return StreamedResponseEnd{};
+    if (body_)
+        evbuffer_add_buffer(evhttp_request_get_input_buffer(raw), body_.get());
     if (!isSelfDelimited(raw))
         return CloseDelimitedResponse{raw};
     return CompleteResponse{raw};
@@ -200,7 +259,7 @@
 void Attempt::finish(const AttemptOutcome &outcome)
 {
     isFinished_ = true;
-    unwatchOutput();
+    unwatchBuffers();
     const bool isReusable = std::holds_alternative<CompleteResponse>(outcome)
             || std::holds_alternative<StreamedResponseEnd>(outcome);
     // A connection that is not reusable is freed with the attempt, outside of evhttp's callback.
--- a/src/proxy/call.cc
+++ b/src/proxy/call.cc
@@ -55,6 +55,7 @@
     case AttemptFailure::Broken:
         return RefusalReason::BrokenConnection;
     case AttemptFailure::InvalidHead:
+    case AttemptFailure::TooLong:
         return RefusalReason::InvalidAnswer;
     case AttemptFailure::Silent:
         break;
@@ -72,6 +73,7 @@
     case AttemptFailure::Broken:
     case AttemptFailure::Silent:
     case AttemptFailure::InvalidHead:
+    case AttemptFailure::TooLong:
         break;
     }
     return ServerResult::Failed;
--- a/src/proxy/counters.cc
+++ b/src/proxy/counters.cc
@@ -18,6 +18,8 @@
         return "silent";
     case AttemptFailure::InvalidHead:
         return "invalid-head";
+    case AttemptFailure::TooLong:
+        return "too-long";
     }
     return "broken";
 }
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -225,6 +225,8 @@
     sample_ = proxy_.recordEnd(*this, CallEnd::Failed);
     if (failure == AttemptFailure::InvalidHead)
         proxy_.recordInvalidHead(*this, *attempt_->headFault());
+    else if (failure == AttemptFailure::TooLong)
+        proxy_.recordLongResponse(*this, *attempt_->receiveFault());
     else
         proxy_.recordBrokenCall(*this);
     finish(HopResult::Unknown, HopReason::InvalidResponse);
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -83,6 +83,11 @@
                 "cornelhead_server_invalid_heads_total",
                 {{"fault", std::string(headFaultName(static_cast<HeadFault>(i)))}});
     }
+    for (std::size_t i = 0; i < receiveFaultCount; ++i) {
+        longResponses_[i] = &metrics.counter(
+                "cornelhead_server_long_answers_total",
+                {{"fault", std::string(receiveFaultName(static_cast<ReceiveFault>(i)))}});
+    }
 }
 
 InboundProxy::~InboundProxy() = default;
@@ -329,6 +334,13 @@
                {{"id", call.id()}, {"fault", headFaultName(fault)}});
 }
 
+void InboundProxy::recordLongResponse(const InboundCall &call, ReceiveFault fault)
+{
+    longResponses_[static_cast<std::size_t>(fault)]->add();
+    log_.write(EventKind::Failure, inboundPart, "answer-too-long",
+               {{"id", call.id()}, {"fault", receiveFaultName(fault)}});
+}
+
 void InboundProxy::observeNotice(std::string_view limit, std::string_view leaving)
 {
     const Result<ServerNotice> notice = readServerNotice(limit, leaving);
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -468,7 +468,8 @@
     }
     if (provesNotRun(failure))
         Placement::markUnreachable(*host_, now(SteadyClock()));
-    if (resumes_ >= maxResumes || timeLeft() < minTimeLeft) {
+    // A host whose response was too long would send it again.
+    if (failure == AttemptFailure::TooLong || resumes_ >= maxResumes || timeLeft() < minTimeLeft) {
         onUnknownOutcome(HopReason::InvalidResponse);
         return;
     }
--- a/test/adapter/endless-test.cc
+++ b/test/adapter/endless-test.cc
@@ -1,139 +1,112 @@
-// Tests that a server which sends bytes without end neither fills the node's memory nor holds
-// calls.
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-
+// Tests that a server or a node which sends bytes without end neither fills the node's memory nor
+// holds calls.
 #include "adapter/sidecar-fleet.h"
+#include "support/endless-server.h"
 
 namespace cornelhead {
 
-/// Answers every connection with `start`, then with `filler` until the peer closes.
-class EndlessServer
+struct EndlessFleet : SidecarFleet
 {
-public:
-    EndlessServer(EventLoop &loop, std::string start, std::string filler)
-        : start_(std::move(start)), filler_(std::move(filler))
+    EndlessFleet()
     {
-        address = SidecarFleet::freeAddress();
-        const auto accept = [](evconnlistener *listener, evutil_socket_t socket, sockaddr *, int,
-                               void *arg) {
-            static_cast<EndlessServer *>(arg)->serve(evconnlistener_get_base(listener), socket);
-        };
-        const int socket = detail::openListenSocket(address.toString().c_str(), false);
-        listener_ = evconnlistener_new(loop.base(), accept, this, LEV_OPT_CLOSE_ON_FREE, 0, socket);
+        configure("00000005", usersRoute("book", "/book/", "non_idempotent", "bookings"));
     }
-    ~EndlessServer()
+    HttpResponse book(const SidecarHost &from)
     {
-        evconnlistener_free(listener_);
-        for (bufferevent *connection : open_)
-            bufferevent_free(connection);
+        return call(from.settings.outbound, requestTo("/book/1", HttpMethod::Post, "seat=4"));
     }
-    EndlessServer(const EndlessServer &) = delete;
-    EndlessServer &operator=(const EndlessServer &) = delete;
-
-    Address address;
-    std::size_t connections = 0;
-    std::size_t bytesSent = 0;
-    bool hasOpenConnections() const { return !open_.empty(); }
-
-private:
-    void serve(event_base *base, evutil_socket_t socket)
+    /// Restarts the node beside `server`, which replaces the host's server.
+    void replaceServer(SidecarHost &host, const EndlessServer &server)
     {
-        ++connections;
-        bufferevent *connection = bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE);
-        open_.push_back(connection);
-        const auto onRead = [](bufferevent *from, void *arg) {
-            evbuffer *input = bufferevent_get_input(from);
-            evbuffer_drain(input, evbuffer_get_length(input));
-            auto *server = static_cast<EndlessServer *>(arg);
-            bufferevent_write(from, server->start_.data(), server->start_.size());
-        };
-        const auto onWritten = [](bufferevent *to, void *arg) {
-            static_cast<EndlessServer *>(arg)->sendMore(to);
-        };
-        const auto onEnd = [](bufferevent *ended, short, void *arg) {
-            std::erase(static_cast<EndlessServer *>(arg)->open_, ended);
-            bufferevent_free(ended);
-        };
-        bufferevent_setcb(connection, onRead, onWritten, onEnd, this);
-        bufferevent_enable(connection, EV_READ | EV_WRITE);
+        host.sidecar.reset();
+        loop.runFor(Milliseconds(50));
+        host.settings.server = server.address;
+        host.sequence += 10;
+        startSidecar(host);
+        BOOST_TEST(announce(host) == 200);
+        waitUntil([&] { return isReady(host); });
+        loop.runFor(Milliseconds(600));
     }
-
-    void sendMore(bufferevent *to)
+    /// Checks that a call fails before its deadline, and that the server was not read for longer.
+    void expectEarlyEnd(const SidecarHost &from, EndlessServer &server, const EndlessBytes &bytes)
     {
-        bytesSent += filler_.size();
-        bufferevent_write(to, filler_.data(), filler_.size());
+        const HttpResponse response = book(from);
+        BOOST_TEST(response.status == 502);
+        BOOST_TEST(!response.headers.contains("Cornelhead-Server-Seal"));
+        BOOST_TEST(server.connections == 1U);
+        waitUntil([&] { return !server.hasOpenConnections(); });
+        BOOST_TEST(server.bytesSent < bytes.maxBytes);
     }
-
-    const std::string start_;
-    const std::string filler_;
-    evconnlistener *listener_ = nullptr;
-    std::vector<bufferevent *> open_;
-};
-
-struct EndlessBytes
-{
-    std::string name;
-    std::string start;
-    std::string filler;
-    /// The longest response that a node may hold, and what the socket buffers take.
-    std::size_t maxBytes;
-};
-
-constexpr std::size_t bufferedBytes = 12 * 1024 * 1024;
-
-const std::vector<EndlessBytes> endlessBytes = {
-        {"no response", "\x01\x02", std::string(16 * 1024, 'x'), bufferedBytes},
-        {"endless header", "HTTP/1.1 200 OK\r\nX-Long: ", std::string(16 * 1024, 'x'),
-         bufferedBytes},
-        {"endless headers", "HTTP/1.1 200 OK\r\n", "X-Many: " + std::string(8 * 1024, 'x') + "\r\n",
-         bufferedBytes},
-        {"body without length", "HTTP/1.1 200 OK\r\nCornelhead-Server-Seal: s\r\n\r\n",
-         std::string(64 * 1024, 'x'), 2 * bufferedBytes},
-        {"endless chunks",
-         "HTTP/1.1 200 OK\r\nCornelhead-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
-         "10000\r\n" + std::string(64 * 1024, 'x') + "\r\n", 2 * bufferedBytes},
-        {"huge length",
-         "HTTP/1.1 200 OK\r\nCornelhead-Server-Seal: s\r\nContent-Length: 99999999999\r\n\r\n",
-         std::string(64 * 1024, 'x'), 2 * bufferedBytes},
 };
 
 BOOST_AUTO_TEST_SUITE(endless_bytes)
 
+// LOST: the node beside a server that sent interim responses exceeded its memory limit, which ended
+// calls at other servers.
 BOOST_AUTO_TEST_CASE(callToAServerThatSendsWithoutEndFails)
 {
-    for (const EndlessBytes &bytes : endlessBytes) {
+    for (const EndlessBytes &bytes : allEndlessBytes()) {
         BOOST_TEST_CONTEXT(bytes.name)
         {
-            SidecarFleet fleet;
-            fleet.configure("00000005", usersRoute("book", "/book/", "non_idempotent", "bookings"));
+            EndlessFleet fleet;
             SidecarHost &host = fleet.add("bookings", "b1");
             fleet.settle();
             EndlessServer server(fleet.loop, bytes.start, bytes.filler);
-            host.sidecar.reset();
-            fleet.loop.runFor(Milliseconds(50));
-            host.settings.server = server.address;
-            host.sequence += 10;
-            fleet.startSidecar(host);
-            BOOST_TEST(fleet.announce(host) == 200);
-            fleet.waitUntil([&] { return fleet.isReady(host); });
-            fleet.loop.runFor(Milliseconds(600));
-            const HttpResponse response = fleet.call(
-                    host.settings.outbound, fleet.requestTo("/book/1", HttpMethod::Post, "seat=4"));
+            fleet.replaceServer(host, server);
+            fleet.expectEarlyEnd(host, server, bytes);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(callToANodeThatSendsWithoutEndFails)
+{
+    EndlessFleet fleet;
+    SidecarHost &caller = fleet.add("catalogue", "c1");
+    fleet.settle();
+    for (const EndlessBytes &bytes : allEndlessBytes()) {
+        BOOST_TEST_CONTEXT(bytes.name)
+        {
+            EndlessServer node(fleet.loop, bytes.start, bytes.filler);
+            const std::string address = node.address.toString();
+            const std::string entry = R"({"node":")" + address
+                    + R"(","run":"r","dataCentre":"akl-a","followers":9,"server":{"id":"e",)"
+                    + R"("service":"bookings","version":"v1","state":"serving","startedAt":0,)"
+                    + R"("slots":9}})";
+            fleet.store.write("cornelhead/hosts/" + address, entry);
+            // The node is used once the caller's node knows its entry.
+            HttpResponse response;
+            fleet.waitUntil([&] {
+                response = fleet.book(caller);
+                return node.connections > 0;
+            });
             BOOST_TEST(response.status == 502);
-            BOOST_TEST(!response.headers.contains("Cornelhead-Server-Seal"));
-            BOOST_TEST(server.connections == 1U);
-            fleet.waitUntil([&] { return !server.hasOpenConnections(); });
-            BOOST_TEST(server.bytesSent < bytes.maxBytes);
+            fleet.waitUntil([&] { return !node.hasOpenConnections(); });
+            BOOST_TEST(node.bytesSent < bytes.maxBytes);
         }
     }
 }
 
+// The reason of such an end is counted.
+BOOST_AUTO_TEST_CASE(endOfALongResponseIsCounted)
+{
+    EndlessFleet fleet;
+    SidecarHost &host = fleet.add("bookings", "b1");
+    fleet.settle();
+    const EndlessBytes bytes = endlessInterimResponses(200);
+    EndlessServer server(fleet.loop, bytes.start, bytes.filler);
+    fleet.replaceServer(host, server);
+    BOOST_TEST(fleet.book(host).status == 502);
+    const std::string counter = "cornelhead_server_long_answers_total{fault=\"heads\"} 1";
+    BOOST_TEST(fleet.metricsOf(host).find(counter) != std::string::npos);
+}
+
 // The key-value service may be as faulty.
 BOOST_AUTO_TEST_CASE(requestToAPeerThatSendsWithoutEndFails)
 {
-    for (const EndlessBytes &bytes : endlessBytes) {
+    std::vector<EndlessBytes> all = endlessHeadsAndFraming();
+    for (const EndlessBytes &body : endlessBodies())
+        all.push_back(body);
+    for (const EndlessBytes &bytes : all) {
         BOOST_TEST_CONTEXT(bytes.name)
         {
             EventLoop loop;
