Limit what HttpClient reads besides the body of a response

A health check of a server that sends interim responses reads without end until its timeout, a listing of the store for many seconds.

Change: HttpClient uses ReceiveLimit, which moves to net, and drops the headers of interim responses. Too much ends the request with a typed error that names what is too long. Bodies of unknown length are collected in one buffer.

Before: endless_bytes/requestToAPeerThatSendsWithoutEndFails, which now has interim responses too, fails at the first of them (25 bytes): no end within 5 s. After: the test passes for interim responses of 25, 200, 2,000 and 60,000 bytes, trailers, empty chunk sizes and chunk extensions; net-test and proxy-test pass.

--- a/include/cornelhead/net/http.h
+++ b/include/cornelhead/net/http.h
@@ -127,13 +127,13 @@
 ///
 /// Errors: `Unavailable` if the request was certainly not sent, `Unknown` if the connection failed,
 /// the timeout expired after bytes of the request may have been sent, or the response is longer
-/// than `maxHeadBytes` or `maxBodyBytes`: a faulty peer may send without end.
+/// than `maxBodyBytes` or has too many heads or chunks (`detail::ReceiveLimit`): a faulty peer may
+/// send without end.
 class HttpClient
 {
 public:
     using Callback = std::function<void(Result<HttpResponse>)>;
 
-    static constexpr std::size_t maxHeadBytes = 64 * 1024;
     static constexpr std::size_t maxBodyBytes = 32 * 1024 * 1024;
 
     explicit HttpClient(EventLoop &loop);
--- a/include/cornelhead/proxy/receive-limit.h
+++ b/include/cornelhead/net/receive-limit.h
@@ -1,4 +1,4 @@
-// Limits what an attempt receives besides the body of the response.  Does no I/O.
+// Limits what a client of HTTP reads besides the body of a response.  Does no I/O.
 #pragma once
 
 #include <cstddef>
--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -9,9 +9,9 @@
 
 #include "cornelhead/base/address.h"
 #include "cornelhead/net/event-loop.h"
+#include "cornelhead/net/receive-limit.h"
 #include "cornelhead/proxy/evhttp-handles.h"
 #include "cornelhead/proxy/message-head.h"
-#include "cornelhead/proxy/receive-limit.h"
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/routing/retry.h"
 
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -12,6 +12,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "cornelhead/net/read-body.h"
+#include "cornelhead/net/receive-limit.h"
 #include "cornelhead/net/socket-options.h"
 
 namespace cornelhead {
@@ -39,6 +41,7 @@
     return EVHTTP_REQ_GET;
 }
 
+// Returns the response with the part of its body that evhttp still holds.
 HttpResponse readResponse(evhttp_request *raw)
 {
     HttpResponse response;
@@ -46,9 +49,7 @@
     const evkeyvalq *headers = evhttp_request_get_input_headers(raw);
     for (const evkeyval *entry = headers->tqh_first; entry; entry = entry->next.tqe_next)
         response.headers[entry->key] = entry->value;
-    evbuffer *body = evhttp_request_get_input_buffer(raw);
-    response.body.resize(evbuffer_get_length(body));
-    evbuffer_remove(body, response.body.data(), response.body.size());
+    response.body = readBody(evhttp_request_get_input_buffer(raw));
     return response;
 }
 
@@ -79,6 +80,12 @@
         // Bytes that arrived, now and when the response was last checked for progress.
         std::size_t received = 0;
         std::size_t receivedAtCheck = 0;
+        detail::ReceiveLimit limit;
+        // Ends the call outside of evhttp's callbacks once it has received too much.
+        Timer limitTimer;
+        bool isTooLong = false;
+        // The body, if its length is not known in advance.
+        std::string body;
         Timer connectTimeout;
         Timer longestTimeout;
         // True once bytes of the request were written to the socket; before, it cannot have run.
@@ -100,7 +107,8 @@
         }
         detail::Connection connection(
                 evhttp_connection_base_new(loop->base(), nullptr, to.ip.c_str(), to.port));
-        evhttp_connection_set_max_headers_size(connection.get(), maxHeadBytes);
+        evhttp_connection_set_max_headers_size(
+                connection.get(), static_cast<ev_ssize_t>(detail::ReceiveLimit::maxHeadBytes));
         evhttp_connection_set_max_body_size(connection.get(), maxBodyBytes);
         return connection;
     }
@@ -115,6 +123,7 @@
         call->timeout = Timer();
         call->connectTimeout = Timer();
         call->longestTimeout = Timer();
+        call->limitTimer = Timer();
         stopWatchingBuffers(*call);
         if (isReusable)
             idle[call->to].push_back(std::move(call->connection));
@@ -143,6 +152,8 @@
             return;
         }
         HttpResponse response = detail::readResponse(raw);
+        if (!call->body.empty())
+            response.body = std::move(call->body);
         const auto connection = response.headers.find("Connection");
         const bool closesConnection
                 = connection != response.headers.end() && connection->second == "close";
@@ -155,9 +166,56 @@
             static_cast<Call *>(arg)->wasSent = true;
     }
 
-    static void onInput(evbuffer *, const evbuffer_cb_info *info, void *arg)
+    static void onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg)
     {
-        static_cast<Call *>(arg)->received += info->n_added;
+        auto *call = static_cast<Call *>(arg);
+        call->received += info->n_added;
+        call->limit.addConsumed(info->n_deleted);
+        // While evhttp consumes bytes, it may not have handed over the body among them yet.
+        if (info->n_added == 0 || call->isTooLong)
+            return;
+        const auto fault = call->limit.fault(evbuffer_get_length(buffer));
+        call->isTooLong = fault.has_value();
+        if (fault)
+            call->limitTimer = call->client->loop->after(Milliseconds(0), [call, kind = *fault] {
+                call->client->finish(call, longResponse(*call, kind), false);
+            });
+    }
+
+    static Result<HttpResponse> longResponse(const Call &call, detail::ReceiveFault fault)
+    {
+        return fail(ErrorKind::Unknown,
+                    "the response of " + call.to.toString()
+                            + " is too long: " + std::string(detail::receiveFaultName(fault)),
+                    "check the process at this address, and whether the request took effect");
+    }
+
+    static int onHead(evhttp_request *raw, void *arg)
+    {
+        auto *call = static_cast<Call *>(arg);
+        evkeyvalq *headers = evhttp_request_get_input_headers(raw);
+        constexpr int continueStatus = 100;
+        if (evhttp_request_get_response_code(raw) == continueStatus) {
+            // evhttp goes on to the final response, and would add its headers to these.
+            evhttp_clear_headers(headers);
+            return 0;
+        }
+        call->limit.startBody(evhttp_find_header(headers, "Transfer-Encoding") != nullptr,
+                              maxBodyBytes);
+        bufferevent_setwatermark(evhttp_connection_get_bufferevent(call->connection.get()), EV_READ,
+                                 0, 0);
+        // evhttp keeps each part of a body of unknown length in an allocation of its own.
+        if (!evhttp_find_header(headers, "Content-Length"))
+            evhttp_request_set_chunked_cb(raw, &onBodyPart);
+        return 0;
+    }
+
+    static void onBodyPart(evhttp_request *raw, void *arg)
+    {
+        auto *call = static_cast<Call *>(arg);
+        const std::string part = detail::readBody(evhttp_request_get_input_buffer(raw));
+        call->limit.addBody(part.size());
+        call->body += part;
     }
 
     static void watchBuffers(Call &call)
@@ -165,6 +223,9 @@
         bufferevent *events = evhttp_connection_get_bufferevent(call.connection.get());
         call.outputCallback = evbuffer_add_cb(bufferevent_get_output(events), &onOutput, &call);
         call.inputCallback = evbuffer_add_cb(bufferevent_get_input(events), &onInput, &call);
+        // evhttp handles one interim response in each turn of the event loop, in which more may
+        // arrive.
+        bufferevent_setwatermark(events, EV_READ, 0, detail::ReceiveLimit::maxUnreadHeadBytes);
     }
 
     static void setSocketOptions(const Call &call)
@@ -236,6 +297,7 @@
     impl_->calls.emplace(call, std::move(newCall));
 
     evhttp_request *raw = evhttp_request_new(&Impl::onDone, call);
+    evhttp_request_set_header_cb(raw, &Impl::onHead);
     evkeyvalq *headers = evhttp_request_get_output_headers(raw);
     if (!request.headers.contains("Host"))
         evhttp_add_header(headers, "Host", to.toString().c_str());
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -15,6 +15,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "cornelhead/net/read-body.h"
+
 namespace cornelhead {
 namespace detail {
 
@@ -48,13 +50,6 @@
     return poll(&entry, 1, 0) > 0;
 }
 
-std::string readBody(evbuffer *buffer)
-{
-    std::string body(evbuffer_get_length(buffer), '\0');
-    evbuffer_remove(buffer, body.data(), body.size());
-    return body;
-}
-
 Headers readHeaders(const evkeyvalq *list)
 {
     Headers headers;
--- a/src/proxy/receive-limit.cc
+++ b/src/net/receive-limit.cc
@@ -1,5 +1,5 @@
-// Implements the limits of what an attempt receives.
-#include "cornelhead/proxy/receive-limit.h"
+// Implements the limits of what a client reads.
+#include "cornelhead/net/receive-limit.h"
 
 #include <array>
 
--- a/src/proxy/upstream-pool.cc
+++ b/src/proxy/upstream-pool.cc
@@ -5,12 +5,14 @@
 #include <event2/bufferevent.h>
 #include <event2/http.h>
 
+#include "cornelhead/net/receive-limit.h"
+
 namespace cornelhead::detail {
 
 namespace {
 
 // A faulty server may send a head without end.
-constexpr ev_ssize_t maxHeadBytes = 64 * 1024;
+constexpr auto maxHeadBytes = static_cast<ev_ssize_t>(ReceiveLimit::maxHeadBytes);
 
 bool isConnected(evhttp_connection *connection)
 {
--- a/test/adapter/endless-test.cc
+++ b/test/adapter/endless-test.cc
@@ -103,10 +103,7 @@
 // The key-value service may be as faulty.
 BOOST_AUTO_TEST_CASE(requestToAPeerThatSendsWithoutEndFails)
 {
-    std::vector<EndlessBytes> all = endlessHeadsAndFraming();
-    for (const EndlessBytes &body : endlessBodies())
-        all.push_back(body);
-    for (const EndlessBytes &bytes : all) {
+    for (const EndlessBytes &bytes : allEndlessBytes()) {
         BOOST_TEST_CONTEXT(bytes.name)
         {
             EventLoop loop;
--- a/test/proxy/receive-limit-test.cc
+++ b/test/net/receive-limit-test.cc
@@ -1,7 +1,7 @@
-// Tests the limits of what an attempt receives.
+// Tests the limits of what a client reads.
 #include <boost/test/unit_test.hpp>
 
-#include "cornelhead/proxy/receive-limit.h"
+#include "cornelhead/net/receive-limit.h"
 #include "support/property.h"
 
 namespace cornelhead::detail {
