Limit what all connections of an event loop hold together

What was seen: requests without end to the listeners of a sidecar (sent ahead, chunk sizes and extensions without end, large bodies that never end; 24 connections at a time) raise its memory to 102, 138, 187 and 205 MB after 6 s for each of four listeners (test/e2e/hostile-callers.sh on, one run).

Cause: the same as of endless interim responses, on the path of requests: evhttp handles one request in each turn of the event loop and reads up to 16 KB in it. And a limit for one message, times the connections, is no limit for the process.

AcceptedConnections reads ahead one longest request at most and closes connections whose request cannot be completed. Tried before: the reference without BEV_OPT_CLOSE_ON_FREE; evhttp then closes the socket while its events stay registered (libevent warns of a bad descriptor), and another connection could get their bytes.

Conclusion: bytes of calls and messages have a limit for each attempt and for the process.

--- a/include/cornelhead/net/event-loop.h
+++ b/include/cornelhead/net/event-loop.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cornelhead/base/clock.h"
+#include "cornelhead/net/buffer-budget.h"
 
 struct event;
 struct event_base;
@@ -72,6 +73,8 @@
     void onSignal(int signal, std::function<void()> work);
 
     event_base *base() const { return base_.get(); }
+    /// What the connections of this loop hold; used only on the loop's thread.
+    BufferBudget &buffers() { return buffers_; }
 
 private:
     struct Signal;
@@ -79,6 +82,7 @@
     void runPosted();
 
     std::unique_ptr<event_base, detail::EventBaseDeleter> base_;
+    BufferBudget buffers_;
     std::unique_ptr<event, detail::EventDeleter> wake_;
     std::vector<std::unique_ptr<Signal>> signals_;
     std::mutex mutex_;
--- a/include/cornelhead/net/receive-limit.h
+++ b/include/cornelhead/net/receive-limit.h
@@ -12,9 +12,10 @@
     Heads, ///< The heads, including those of interim responses.
     Framing, ///< Chunk sizes, chunk extensions and trailers.
     Body, ///< The body, or bytes of it that cannot be consumed yet.
+    Budget, ///< More than other responses, while the connections together hold too much.
 };
 
-constexpr std::size_t receiveFaultCount = static_cast<std::size_t>(ReceiveFault::Body) + 1;
+constexpr std::size_t receiveFaultCount = static_cast<std::size_t>(ReceiveFault::Budget) + 1;
 
 /// Returns the name of `fault` in logs and metrics.
 std::string_view receiveFaultName(ReceiveFault fault);
--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -99,6 +99,11 @@
     void startBody(evhttp_request *raw);
     /// Runs outside of evhttp's callbacks.
     void onDeferred();
+    /// Ends the attempt as `TooLong` outside of evhttp's callbacks.
+    void failLater(ReceiveFault fault);
+    void updateHeldBytes();
+    /// Copies a part of a buffered body.
+    void collect(evbuffer *part, std::size_t size);
     void finish(const AttemptOutcome &outcome);
     AttemptOutcome outcomeOf(evhttp_request *raw);
     bufferevent *events() const;
@@ -119,6 +124,7 @@
     std::optional<std::size_t> bodyLimit_;
     std::optional<HeadFault> headFault_;
     ReceiveLimit received_;
+    HeldBytes held_;
     std::optional<ReceiveFault> receiveFault_;
     // The body of a buffered response that comes in parts of any size.
     BufferHandle body_;
--- a/include/cornelhead/proxy/listener.h
+++ b/include/cornelhead/proxy/listener.h
@@ -5,6 +5,7 @@
 
 #include "cornelhead/base/address.h"
 #include "cornelhead/base/error.h"
+#include "cornelhead/net/accepted-connections.h"
 #include "cornelhead/net/event-loop.h"
 #include "cornelhead/proxy/counters.h"
 #include "cornelhead/proxy/evhttp-handles.h"
@@ -35,9 +36,9 @@
     bool isListening() const { return socket_ != nullptr; }
     /// Accepts the connections in the backlog, then closes the socket; open connections stay.
     void stopListening();
-    /// Accepts again after an accept error such as a lack of file descriptors; to be called
-    /// periodically.
-    void resumeAccepting();
+    /// Accepts again after an accept error such as a lack of file descriptors, and ends connections
+    /// whose requests are too long; to be called periodically.
+    void sweep();
 
     /// Marks a scope in which the proxy writes a response, so that the response is not mistaken for
     /// one that evhttp generated.
@@ -64,6 +65,7 @@
     EventLoop &loop_;
     ProxyCounters &counters_;
     std::function<void(evhttp_request *)> onRequest_;
+    AcceptedConnections connections_;
     ListenerHandle handle_;
     evhttp_bound_socket *socket_ = nullptr;
     int stopAttempts_ = 0;
--- a/include/cornelhead/sidecar/inbound-call.h
+++ b/include/cornelhead/sidecar/inbound-call.h
@@ -45,7 +45,7 @@
     CallSample sample() const { return sample_; }
     /// Returns the time since the call was sent to the server; 0 if it was not.
     Milliseconds workTime() const;
-    /// The response, for calls that must not run twice.
+    /// The response, for calls that must not run twice; null if there was no room for it.
     const std::shared_ptr<const StoredResponse> &storedResponse() const { return storedResponse_; }
 
 private:
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -100,6 +100,10 @@
     void recordInvalidHead(const InboundCall &call, HeadFault fault);
     /// Logs and counts a response that is longer than a call may receive.
     void recordLongResponse(const InboundCall &call, ReceiveFault fault);
+    /// Copies the response of a call that must not run twice, for its resumes.  Returns null if the
+    /// buffered bytes leave no room; the outcome of a resume is unknown then.
+    std::shared_ptr<const StoredResponse> keepResponse(const InboundCall &call,
+                                                       evhttp_request *response);
     /// Applies what the server reported about itself in the headers of a response.
     void observeNotice(std::string_view limit, std::string_view leaving);
     void onNoticeChanged();
--- a/include/cornelhead/sidecar/sidecar-settings.h
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -32,6 +32,8 @@
     Address platform;
     /// Capacity of this host's network link, in Mbit/s.
     double linkMbps = 1000.0;
+    /// Memory limit of this process, in MB.
+    std::uint64_t memoryMb = 256;
     /// Maximum duration of a graceful stop.
     Milliseconds stopTimeout{};
     /// The fleet's limit of retries: this share of the calls in each window.
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -84,6 +84,7 @@
         // Ends the call outside of evhttp's callbacks once it has received too much.
         Timer limitTimer;
         bool isTooLong = false;
+        std::unique_ptr<HeldBytes> held;
         // The body, if its length is not known in advance.
         std::string body;
         Timer connectTimeout;
@@ -125,6 +126,7 @@
         call->longestTimeout = Timer();
         call->limitTimer = Timer();
         stopWatchingBuffers(*call);
+        call->held.reset();
         if (isReusable)
             idle[call->to].push_back(std::move(call->connection));
         const Callback callback = std::move(call->callback);
@@ -171,15 +173,21 @@
         auto *call = static_cast<Call *>(arg);
         call->received += info->n_added;
         call->limit.addConsumed(info->n_deleted);
+        call->held->set(evbuffer_get_length(buffer) + call->body.size());
         // While evhttp consumes bytes, it may not have handed over the body among them yet.
-        if (info->n_added == 0 || call->isTooLong)
+        if (info->n_added == 0)
             return;
-        const auto fault = call->limit.fault(evbuffer_get_length(buffer));
-        call->isTooLong = fault.has_value();
-        if (fault)
-            call->limitTimer = call->client->loop->after(Milliseconds(0), [call, kind = *fault] {
-                call->client->finish(call, longResponse(*call, kind), false);
-            });
+        if (const auto fault = call->limit.fault(evbuffer_get_length(buffer)))
+            failLater(*call, *fault);
+    }
+
+    static void failLater(Call &call, detail::ReceiveFault fault)
+    {
+        if (std::exchange(call.isTooLong, true))
+            return;
+        call.limitTimer = call.client->loop->after(Milliseconds(0), [&call, fault] {
+            call.client->finish(&call, longResponse(call, fault), false);
+        });
     }
 
     static Result<HttpResponse> longResponse(const Call &call, detail::ReceiveFault fault)
@@ -216,6 +224,9 @@
         const std::string part = detail::readBody(evhttp_request_get_input_buffer(raw));
         call->limit.addBody(part.size());
         call->body += part;
+        // A call that has ended may get bytes until its connection is freed.
+        if (call->held)
+            call->held->set(call->body.size());
     }
 
     static void watchBuffers(Call &call)
@@ -293,6 +304,9 @@
     call->connection = impl_->acquireConnection(to);
     call->callback = std::move(callback);
     call->timeouts = timeouts;
+    call->held = std::make_unique<HeldBytes>(impl_->loop->buffers(), BufferUse::Control, [call] {
+        Impl::failLater(*call, detail::ReceiveFault::Budget);
+    });
     impl_->startTimers(*call);
     impl_->calls.emplace(call, std::move(newCall));
 
--- a/src/net/http-server.cc
+++ b/src/net/http-server.cc
@@ -15,11 +15,14 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "cornelhead/net/accepted-connections.h"
 #include "cornelhead/net/read-body.h"
 
 namespace cornelhead {
 namespace detail {
 
+constexpr Milliseconds sweepInterval(1000);
+
 struct HttpServerDeleter
 {
     void operator()(evhttp *server) const { evhttp_free(server); }
@@ -188,6 +191,18 @@
 
 struct HttpServer::Impl
 {
+    Impl(EventLoop &loop, const HttpServerLimits &limits)
+        : accepted(loop, limits.headerBytes, limits.bodyBytes),
+          sweepTimer(loop.every(detail::sweepInterval, [this] { accepted.sweep(); }))
+    { }
+
+    static bufferevent *createConnection(event_base *, void *arg)
+    {
+        return static_cast<Impl *>(arg)->accepted.create();
+    }
+
+    detail::AcceptedConnections accepted;
+    Timer sweepTimer;
     std::unique_ptr<evhttp, detail::HttpServerDeleter> server;
     evhttp_bound_socket *socket = nullptr;
     HttpHandler handler;
@@ -232,12 +247,14 @@
     }
 };
 
-HttpServer::HttpServer(EventLoop &loop, HttpServerLimits limits) : impl_(std::make_unique<Impl>())
+HttpServer::HttpServer(EventLoop &loop, HttpServerLimits limits)
+    : impl_(std::make_unique<Impl>(loop, limits))
 {
     impl_->server.reset(evhttp_new(loop.base()));
     evhttp *server = impl_->server.get();
     evhttp_set_max_headers_size(server, static_cast<ev_ssize_t>(limits.headerBytes));
     evhttp_set_max_body_size(server, static_cast<ev_ssize_t>(limits.bodyBytes));
+    evhttp_set_bevcb(server, &Impl::createConnection, impl_.get());
     evhttp_set_timeout(server, static_cast<int>(limits.idleTimeout.count()));
     evhttp_set_allowed_methods(
             server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
--- a/src/net/receive-limit.cc
+++ b/src/net/receive-limit.cc
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, receiveFaultCount> faultNames = {"heads", "framing", "body"};
+constexpr std::array<std::string_view, receiveFaultCount> faultNames
+        = {"heads", "framing", "body", "budget"};
 
 constexpr std::size_t maxFramingBytes = 64 * 1024;
 // A chunk of one byte has at least five bytes of framing.
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -44,7 +44,8 @@
                  AttemptHandlers handlers)
     : pool_(pool), to_(spec.to), handlers_(std::move(handlers)), connection_(pool.acquire(spec)),
       isOnUsedConnection_(UpstreamPool::isReusable(connection_.get())),
-      raw_(evhttp_request_new(&Attempt::onDone, this))
+      raw_(evhttp_request_new(&Attempt::onDone, this)),
+      held_(loop.buffers(), BufferUse::Call, [this] { failLater(ReceiveFault::Budget); })
 {
     evhttp_request_set_header_cb(raw_, &Attempt::onHeadRead);
     evhttp_request_set_error_cb(raw_, &Attempt::onReadError);
@@ -148,12 +149,26 @@
 {
     auto *attempt = static_cast<Attempt *>(arg);
     attempt->received_.addConsumed(info->n_deleted);
+    attempt->updateHeldBytes();
     // While evhttp consumes bytes, it may not have handed over the body among them yet.
-    if (info->n_added == 0 || attempt->receiveFault_)
+    if (info->n_added == 0)
         return;
-    attempt->receiveFault_ = attempt->received_.fault(evbuffer_get_length(buffer));
-    if (attempt->receiveFault_)
-        event_active(attempt->deferredEvent_.get(), EV_TIMEOUT, 0);
+    if (const auto fault = attempt->received_.fault(evbuffer_get_length(buffer)))
+        attempt->failLater(*fault);
+}
+
+void Attempt::failLater(ReceiveFault fault)
+{
+    if (receiveFault_ || isFinished_)
+        return;
+    receiveFault_ = fault;
+    event_active(deferredEvent_.get(), EV_TIMEOUT, 0);
+}
+
+void Attempt::updateHeldBytes()
+{
+    const std::size_t collected = body_ ? evbuffer_get_length(body_.get()) : 0;
+    held_.set(evbuffer_get_length(bufferevent_get_input(events())) + collected);
 }
 
 void Attempt::onReadError(evhttp_request_error error, void *arg)
@@ -183,6 +198,7 @@
                              std::exchange(outputCallback_, nullptr));
     evbuffer_remove_cb_entry(bufferevent_get_input(events()),
                              std::exchange(inputCallback_, nullptr));
+    held_.set(0);
 }
 
 int Attempt::onHeadRead(evhttp_request *raw, void *arg)
@@ -228,7 +244,13 @@
     if (attempt->isStreaming_)
         attempt->handlers_.onChunk(chunk);
     else
-        evbuffer_add(attempt->body_.get(), evbuffer_pullup(chunk, -1), size);
+        attempt->collect(chunk, size);
+}
+
+void Attempt::collect(evbuffer *part, std::size_t size)
+{
+    evbuffer_add(body_.get(), evbuffer_pullup(part, -1), size);
+    updateHeldBytes();
 }
 
 AttemptOutcome Attempt::outcomeOf(evhttp_request *raw)
--- a/src/proxy/listener.cc
+++ b/src/proxy/listener.cc
@@ -18,8 +18,8 @@
 
 namespace {
 
-constexpr ev_ssize_t maxHeadBytes = 16 * 1024;
-constexpr ev_ssize_t maxBodyBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxHeadBytes = 16 * 1024;
+constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
 constexpr int callerIdleTimeoutSeconds = 60;
 // Bounds the accepts on stopping, so that a flood of connections cannot keep the socket open.
 constexpr int maxStopAttempts = 100;
@@ -43,11 +43,11 @@
 Listener::Listener(EventLoop &loop, ProxyCounters &counters,
                    std::function<void(evhttp_request *)> onRequest)
     : loop_(loop), counters_(counters), onRequest_(std::move(onRequest)),
-      handle_(evhttp_new(loop.base()))
+      connections_(loop, maxHeadBytes, maxBodyBytes), handle_(evhttp_new(loop.base()))
 {
     evhttp *handle = handle_.get();
-    evhttp_set_max_headers_size(handle, maxHeadBytes);
-    evhttp_set_max_body_size(handle, maxBodyBytes);
+    evhttp_set_max_headers_size(handle, static_cast<ev_ssize_t>(maxHeadBytes));
+    evhttp_set_max_body_size(handle, static_cast<ev_ssize_t>(maxBodyBytes));
     evhttp_set_timeout(handle, callerIdleTimeoutSeconds);
     evhttp_set_allowed_methods(handle, allowedMethods);
     evhttp_set_default_content_type(handle, nullptr);
@@ -85,8 +85,9 @@
     evhttp_del_accept_socket(handle_.get(), std::exchange(socket_, nullptr));
 }
 
-void Listener::resumeAccepting()
+void Listener::sweep()
 {
+    connections_.sweep();
     if (socket_)
         evconnlistener_enable(evhttp_bound_socket_get_listener(socket_));
 }
@@ -97,10 +98,11 @@
     evconnlistener_disable(listener);
 }
 
-bufferevent *Listener::createConnection(event_base *base, void *arg)
+bufferevent *Listener::createConnection(event_base *, void *arg)
 {
-    bufferevent *connection = bufferevent_socket_new(base, -1, 0);
-    evbuffer_add_cb(bufferevent_get_output(connection), &Listener::onOutput, arg);
+    auto *listener = static_cast<Listener *>(arg);
+    bufferevent *connection = listener->connections_.create();
+    evbuffer_add_cb(bufferevent_get_output(connection), &Listener::onOutput, listener);
     return connection;
 }
 
--- a/src/proxy/worker.cc
+++ b/src/proxy/worker.cc
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::size_t maxBufferedBytes = 64 * 1024 * 1024;
 constexpr Milliseconds tickPeriod = Milliseconds(100);
 constexpr Milliseconds upstreamIdleTimeout = Milliseconds(10'000);
 constexpr Milliseconds idleCustomerTimeout = Milliseconds(60'000);
@@ -23,7 +24,9 @@
     : state_(node, seed), dispatcher_(state_),
       listener_(state_.loop, node.counters,
                 [this](evhttp_request *request) { dispatcher_.onRequest(request); })
-{ }
+{
+    state_.loop.buffers().setLimit(maxBufferedBytes);
+}
 
 Worker::~Worker()
 {
@@ -58,7 +61,7 @@
 void Worker::onTick()
 {
     state_.destroyEndedCalls();
-    listener_.resumeAccepting();
+    listener_.sweep();
     state_.retries.addTime(tickPeriod);
     const TimePoint time = now(SteadyClock());
     state_.pool.closeIdle(time - upstreamIdleTimeout);
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -204,7 +204,7 @@
 {
     removeHeader(evhttp_request_get_input_headers(response), hopResponseHeader);
     if (!hop_.isIdempotent)
-        storedResponse_ = std::make_shared<const StoredResponse>(copyResponse(response));
+        storedResponse_ = proxy_.keepResponse(*this, response);
     if (!isCallerDisconnected_) {
         proxy_.gate_.remove(ticket_);
         exchange_->addHeader(
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -4,9 +4,11 @@
 #include <algorithm>
 #include <charconv>
 
+#include <event2/buffer.h>
 #include <event2/http.h>
 
 #include "cornelhead/proxy/request-head.h"
+#include "cornelhead/proxy/response.h"
 #include "cornelhead/sidecar/inbound-call.h"
 
 namespace cornelhead::detail {
@@ -43,6 +45,16 @@
     return Milliseconds(timeoutMs);
 }
 
+struct KeptResponse
+{
+    KeptResponse(StoredResponse copy, BufferBudget &buffers)
+        : response(std::move(copy)), held(buffers, BufferUse::Control, [] {})
+    { }
+
+    const StoredResponse response;
+    HeldBytes held;
+};
+
 /// The rank of a call in the queue, and until when it is worth running.
 struct QueuePosition
 {
@@ -341,6 +353,22 @@
                {{"id", call.id()}, {"fault", receiveFaultName(fault)}});
 }
 
+std::shared_ptr<const StoredResponse> InboundProxy::keepResponse(const InboundCall &call,
+                                                                 evhttp_request *response)
+{
+    const std::size_t size = evbuffer_get_length(evhttp_request_get_input_buffer(response));
+    BufferBudget &buffers = loop_.buffers();
+    // Kept responses cannot be evicted, so they leave room for calls that can.
+    if (buffers.held() + size > buffers.limit() / 2) {
+        log_.write(EventKind::Failure, inboundPart, "answer-not-kept",
+                   {{"id", call.id()}, {"bytes", size}, {"held", buffers.held()}});
+        return nullptr;
+    }
+    const auto kept = std::make_shared<KeptResponse>(copyResponse(response), buffers);
+    kept->held.set(size);
+    return {kept, &kept->response};
+}
+
 void InboundProxy::observeNotice(std::string_view limit, std::string_view leaving)
 {
     const Result<ServerNotice> notice = readServerNotice(limit, leaving);
--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -23,6 +23,8 @@
   --control ADDRESS        Where the backend server announces itself. [default: 127.0.0.1:8083]
   --platform ADDRESS       Address of the platform's key-value store. [default: 127.0.0.1:8090]
   --link-mbps RATE         Capacity of this host's link, in Mbit/s. [default: 1000]
+  --memory-mb SIZE         Memory limit of this process, in MB; a quarter of it is for the bytes of
+                           calls and messages. [default: 256]
   --stop-timeout DURATION  Maximum duration of a graceful stop. [default: 6s]
   --retry-ratio RATIO      Retries allowed per call, over all nodes. [default: 0.2]
   --retry-window DURATION  The window to which --retry-ratio applies. [default: 10s]
@@ -46,6 +48,7 @@
     sidecar.control = settings.address("--control");
     sidecar.platform = settings.address("--platform");
     sidecar.linkMbps = settings.real("--link-mbps", 0.1, 1e6);
+    sidecar.memoryMb = settings.integer("--memory-mb", 32, 1U << 20U);
     sidecar.stopTimeout
             = settings.duration("--stop-timeout", Milliseconds(100), std::chrono::hours(1));
     sidecar.retryRatio = settings.real("--retry-ratio", 0.0, 1.0);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -62,6 +62,10 @@
 constexpr Milliseconds stopMargin(250);
 /// Time to send the last responses before the process ends.
 constexpr Milliseconds finalFlushTime(60);
+/// Share of the memory limit that buffered bytes may take; the rest is for the fleet's state and
+/// for what the allocator keeps.
+constexpr std::uint64_t bufferShare = 4;
+constexpr std::uint64_t bytesPerMb = 1024 * 1024;
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
@@ -179,6 +183,7 @@
                         outboundHandlers()),
           readinessServer(loop, {}), controlServer(loop, {}), peers(loop)
     {
+        limitBuffers();
         readinessServer.setHandler([this](const HttpRequest &request, const Responder &responder) {
             responder.send(respondToReadiness(request));
         });
@@ -188,10 +193,26 @@
     }
 
     // The followers' requests belong to the listeners, which are destroyed before `fleet`.
-    ~Impl() { fleet.closeFollowers(); }
+    ~Impl()
+    {
+        loop.buffers().onEviction(nullptr);
+        fleet.closeFollowers();
+    }
     Impl(const Impl &) = delete;
     Impl &operator=(const Impl &) = delete;
 
+    void limitBuffers()
+    {
+        loop.buffers().setLimit(settings.memoryMb * detail::bytesPerMb / detail::bufferShare);
+        loop.buffers().onEviction([this](const BufferBudget::Eviction &eviction) {
+            metrics.counter("cornelhead_buffer_evictions_total").add();
+            log.write(EventKind::Failure, detail::nodePart, "buffers-evicted",
+                      {{"bytes", eviction.bytes},
+                       {"isControl", eviction.use == BufferUse::Control},
+                       {"limit", loop.buffers().limit()}});
+        });
+    }
+
     FleetHandlers fleetHandlers()
     {
         FleetHandlers handlers;
@@ -453,8 +474,10 @@
     {
         inboundProxy.sweep();
         outboundProxy.sweep();
-        outboundListener.resumeAccepting();
-        inboundListener.resumeAccepting();
+        metrics.gauge("cornelhead_buffered_bytes")
+                .set(static_cast<std::int64_t>(loop.buffers().held()));
+        outboundListener.sweep();
+        inboundListener.sweep();
         const TimePoint time = now(SteadyClock());
         fleet.sweep([this, time](const Address &node) {
             const Placement::Host host = outboundProxy.placement().find(node);
--- a/test/adapter/endless-test.cc
+++ b/test/adapter/endless-test.cc
@@ -100,6 +100,44 @@
     BOOST_TEST(fleet.metricsOf(host).find(counter) != std::string::npos);
 }
 
+// Memory: responses that stay below the limit of one exceeded the memory of the process together.
+BOOST_AUTO_TEST_CASE(largeResponsesTogetherStayWithinTheBudget)
+{
+    EndlessFleet fleet;
+    fleet.add("bookings", "b1");
+    fleet.settle();
+    SidecarHost &host = fleet.hosts[0];
+    // The rest of the body never comes.
+    const EndlessServer server(
+            fleet.loop,
+            "HTTP/1.1 200 OK\r\nContent-Length: 7000000\r\n\r\n" + std::string(4'500'000, 'x'), "");
+    host.settings.memoryMb = 32;
+    fleet.replaceServer(host, server);
+    SidecarHost &sound = fleet.add("catalogue", "c1");
+    sound.settings.memoryMb = 32;
+    const BufferBudget &buffers = fleet.loop.buffers();
+    fleet.loop.buffers().setLimit(8'000'000);
+    std::vector<int> statuses;
+    for (int i = 0; i < 2; ++i) {
+        fleet.client.send(host.settings.outbound,
+                          fleet.requestTo("/book/1", HttpMethod::Post, "seat=4"),
+                          Milliseconds(8000), [&](const Result<HttpResponse> &response) {
+                              statuses.push_back(response ? response->status : 0);
+                          });
+    }
+    fleet.waitUntil([&] {
+        BOOST_REQUIRE(buffers.held() <= buffers.limit());
+        return statuses.size() == 2U;
+    });
+    BOOST_TEST(buffers.evictions() > 0U);
+    std::sort(statuses.begin(), statuses.end());
+    // The other one waits for the rest until its deadline.
+    BOOST_TEST(statuses == (std::vector<int>{502, 504}), boost::test_tools::per_element());
+    const std::string counter = "cornelhead_server_long_answers_total{fault=\"budget\"} 1";
+    BOOST_TEST(fleet.metricsOf(host).find(counter) != std::string::npos);
+    BOOST_TEST(fleet.isReady(sound));
+}
+
 // The key-value service may be as faulty.
 BOOST_AUTO_TEST_CASE(requestToAPeerThatSendsWithoutEndFails)
 {
