--- a/test/proxy/hostile-test.cc
+++ b/test/proxy/hostile-test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "proxy/proxy-fixture.h"
+#include "support/endless-server.h"
 
 namespace cornelhead {
 
@@ -220,6 +221,29 @@
     BOOST_TEST(metrics.counter("cornelhead_answers_cut_total").value() == 1);
 }
 
+// Memory: interim responses were read without limit until the deadline.
+BOOST_AUTO_TEST_CASE(responseWithInterimResponsesWithoutEndIsRefused)
+{
+    int servers = 0;
+    for (const EndlessBytes &bytes : endlessInterimResponses()) {
+        BOOST_TEST_CONTEXT(bytes.name)
+        {
+            EventLoop loop;
+            EndlessServer server(loop, bytes.start, bytes.filler);
+            std::thread thread([&loop] { loop.run(); });
+            Endpoint endpoint = TestBackend("s" + std::to_string(++servers), echo).endpoint();
+            endpoint.address = server.address;
+            publish({endpoint});
+            const HttpResponse response = get("/bookings/list");
+            loop.stop();
+            thread.join();
+            BOOST_TEST(response.status == 502);
+            BOOST_TEST(response.headers.at("Cornelhead-Reason") == "invalid-answer");
+            BOOST_TEST(server.bytesSent < bytes.maxBytes);
+        }
+    }
+}
+
 // MIXED: callers of a node got invalid heads of a server, and a part of a body as a whole answer.
 BOOST_AUTO_TEST_CASE(responseWithAnInvalidHeadIsNotForwarded)
 {
