Free evicted connections that read ahead no further

What was seen: the leak sanitizer reported the buffers of a connection, 1.1 MB, after net-test, also when the loop went on for 1.5 s after the client had seen the close.

Cause: a connection that reads ahead no further has no read event, so evhttp never notices that its socket was shut down; what it holds was counted no longer, but not freed.

Change: a connection that is closed is reported to evhttp as failed, outside of the callbacks of its buffers, and released in the next turn of the loop. A release that is due is not put off by the next connection.

--- a/include/cornelhead/net/accepted-connections.h
+++ b/include/cornelhead/net/accepted-connections.h
@@ -36,11 +36,15 @@
     struct Connection;
 
     void releaseNextIfFreed();
+    /// Releases closed connections in the next turn of the loop.
+    void sweepSoon();
 
     EventLoop &loop_;
     const std::size_t maxUnreadBytes_;
     std::vector<std::unique_ptr<Connection>> connections_;
     std::size_t next_ = 0;
+    Timer sweepTimer_;
+    bool isSweepDue_ = false;
 };
 
 } // namespace cornelhead::detail
--- a/src/net/accepted-connections.cc
+++ b/src/net/accepted-connections.cc
@@ -27,9 +27,9 @@
 
 struct AcceptedConnections::Connection
 {
-    Connection(AcceptedConnections &owner, bufferevent *handle)
-        : events(handle), maxUnreadBytes(owner.maxUnreadBytes_),
-          held(owner.loop_.buffers(), BufferUse::Call, [this] { close(); })
+    Connection(AcceptedConnections &connections, bufferevent *handle)
+        : owner(connections), events(handle), maxUnreadBytes(connections.maxUnreadBytes_),
+          held(connections.loop_.buffers(), BufferUse::Call, [this] { close(); })
     {
         // evhttp doesn't tell when it frees a connection, so that the reference keeps the buffers.
         bufferevent_incref(events);
@@ -56,11 +56,17 @@
     }
     bool isReading() const { return (bufferevent_get_enabled(events) & EV_READ) != 0; }
 
-    // evhttp frees the connection when it finds the socket closed.
-    void close() const
+    // Makes evhttp free the connection, as if its socket had failed.  A connection that reads ahead
+    // no further would not notice that its socket is closed.
+    void close()
     {
-        if (!isFreed())
-            shutdown(bufferevent_getfd(events), SHUT_RDWR);
+        if (isFreed())
+            return;
+        shutdown(bufferevent_getfd(events), SHUT_RDWR);
+        bufferevent_disable(events, EV_READ);
+        bufferevent_trigger_event(events, BEV_EVENT_READING | BEV_EVENT_ERROR,
+                                  BEV_OPT_DEFER_CALLBACKS);
+        owner.sweepSoon();
     }
 
     void update() { held.set(requestBytes + evbuffer_get_length(output())); }
@@ -105,6 +111,7 @@
         update();
     }
 
+    AcceptedConnections &owner;
     bufferevent *events;
     const std::size_t maxUnreadBytes;
     HeldBytes held;
@@ -145,8 +152,17 @@
     connections_.pop_back();
 }
 
+void AcceptedConnections::sweepSoon()
+{
+    // A sweep that is due is not put off by the next connection.
+    if (std::exchange(isSweepDue_, true))
+        return;
+    sweepTimer_ = loop_.after(Milliseconds(0), [this] { sweep(); });
+}
+
 void AcceptedConnections::sweep()
 {
+    isSweepDue_ = false;
     std::erase_if(connections_, [](const auto &connection) { return connection->isFreed(); });
     for (const auto &connection : connections_) {
         connection->releaseRequest();
--- a/test/net/buffer-budget-test.cc
+++ b/test/net/buffer-budget-test.cc
@@ -1,7 +1,10 @@
 // Tests the budget of buffered bytes, and that connections of a server stay within it.
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <deque>
+#include <filesystem>
+#include <iterator>
 
 #include <boost/test/unit_test.hpp>
 #include <event2/buffer.h>
@@ -189,6 +192,30 @@
     for (int i = 0; i < 1000 && !sender.isClosed; ++i)
         run(1);
     BOOST_TEST(sender.isClosed);
+    run(10);
+    BOOST_TEST(loop.buffers().held() < 64U * 1024);
+}
+
+// Memory: connections that read ahead no further stayed when they were evicted, as evhttp didn't
+// notice that their sockets were closed.
+BOOST_FIXTURE_TEST_CASE(evictedConnectionIsFreedThoughItReadsNoFurther, ServerFixture)
+{
+    const auto openSockets = [] {
+        const std::filesystem::directory_iterator all("/proc/self/fd");
+        return std::distance(begin(all), end(all));
+    };
+    const auto before = openSockets();
+    for (int i = 0; i < 12; ++i)
+        send(chunkedHead + "1;", std::string(16 * 1024, 'x'));
+    const auto isClosed = [](const Sender &sender) { return sender.isClosed; };
+    for (int i = 0; i < 1000 && !std::all_of(senders.begin(), senders.end(), isClosed); ++i)
+        run(1);
+    BOOST_TEST(std::all_of(senders.begin(), senders.end(), isClosed));
+    BOOST_TEST(loop.buffers().evictions() > 0U);
+    senders.clear();
+    run(150);
+    // The connection of the last sound request may wait for the next sweep.
+    BOOST_TEST(openSockets() <= before + 2);
 }
 
 // Memory: many connections that stay below the limits of one exceeded those of the process.
