Read responses through one set of functions in both clients

Attempt and HttpClient each had the steps that limit a response while evhttp reads it: the watermark before the final head, the dropped headers of interim responses, the start of the body, the count of the input buffer, each with the same comment. They now call response-reading.h. Behaviour, limits and tests stay as they are.

Run: net-test, proxy-test, adapter-test's endless_bytes, faulty_server, request_heads, forged_headers and odd_entries pass; format, imports, and lint of net and proxy pass.

--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -13,7 +13,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include "cornelhead/net/read-body.h"
-#include "cornelhead/net/receive-limit.h"
+#include "cornelhead/net/response-reading.h"
 #include "cornelhead/net/socket-options.h"
 
 namespace cornelhead {
@@ -172,12 +172,8 @@
     {
         auto *call = static_cast<Call *>(arg);
         call->received += info->n_added;
-        call->limit.addConsumed(info->n_deleted);
         call->held->set(evbuffer_get_length(buffer) + call->body.size());
-        // While evhttp consumes bytes, it may not have handed over the body among them yet.
-        if (info->n_added == 0)
-            return;
-        if (const auto fault = call->limit.fault(evbuffer_get_length(buffer)))
+        if (const auto fault = detail::countInput(call->limit, buffer, *info))
             failLater(*call, *fault);
     }
 
@@ -201,19 +197,11 @@
     static int onHead(evhttp_request *raw, void *arg)
     {
         auto *call = static_cast<Call *>(arg);
-        evkeyvalq *headers = evhttp_request_get_input_headers(raw);
-        constexpr int continueStatus = 100;
-        if (evhttp_request_get_response_code(raw) == continueStatus) {
-            // evhttp goes on to the final response, and would add its headers to these.
-            evhttp_clear_headers(headers);
+        if (detail::dropInterimHead(raw))
             return 0;
-        }
-        call->limit.startBody(evhttp_find_header(headers, "Transfer-Encoding") != nullptr,
-                              maxBodyBytes);
-        bufferevent_setwatermark(evhttp_connection_get_bufferevent(call->connection.get()), EV_READ,
-                                 0, 0);
-        // evhttp keeps each part of a body of unknown length in an allocation of its own.
-        if (!evhttp_find_header(headers, "Content-Length"))
+        detail::startBody(call->limit, raw,
+                          evhttp_connection_get_bufferevent(call->connection.get()), maxBodyBytes);
+        if (detail::hasBodyOfUnknownLength(raw))
             evhttp_request_set_chunked_cb(raw, &onBodyPart);
         return 0;
     }
@@ -234,9 +222,7 @@
         bufferevent *events = evhttp_connection_get_bufferevent(call.connection.get());
         call.outputCallback = evbuffer_add_cb(bufferevent_get_output(events), &onOutput, &call);
         call.inputCallback = evbuffer_add_cb(bufferevent_get_input(events), &onInput, &call);
-        // evhttp handles one interim response in each turn of the event loop, in which more may
-        // arrive.
-        bufferevent_setwatermark(events, EV_READ, 0, detail::ReceiveLimit::maxUnreadHeadBytes);
+        detail::limitUnreadHeads(events);
     }
 
     static void setSocketOptions(const Call &call)
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -10,6 +10,7 @@
 #include <event2/event.h>
 #include <event2/keyvalq_struct.h>
 
+#include "cornelhead/net/response-reading.h"
 #include "cornelhead/net/socket-options.h"
 #include "cornelhead/proxy/request-head.h"
 
@@ -17,7 +18,6 @@
 
 namespace {
 
-constexpr int continueStatus = 100;
 constexpr int noContent = 204;
 constexpr int notModified = 304;
 constexpr int decimal = 10;
@@ -84,8 +84,7 @@
 {
     isSubmitted_ = true;
     watchBuffers();
-    // evhttp handles one interim response in each turn of the event loop, in which more may arrive.
-    bufferevent_setwatermark(events(), EV_READ, 0, ReceiveLimit::maxUnreadHeadBytes);
+    limitUnreadHeads(events());
     if (evhttp_make_request(connection_.get(), raw_, method, uri) != 0) {
         // evhttp has freed the request.
         raw_ = nullptr;
@@ -148,12 +147,8 @@
 void Attempt::onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg)
 {
     auto *attempt = static_cast<Attempt *>(arg);
-    attempt->received_.addConsumed(info->n_deleted);
     attempt->updateHeldBytes();
-    // While evhttp consumes bytes, it may not have handed over the body among them yet.
-    if (info->n_added == 0)
-        return;
-    if (const auto fault = attempt->received_.fault(evbuffer_get_length(buffer)))
+    if (const auto fault = countInput(attempt->received_, buffer, *info))
         attempt->failLater(*fault);
 }
 
@@ -204,11 +199,8 @@
 int Attempt::onHeadRead(evhttp_request *raw, void *arg)
 {
     auto *attempt = static_cast<Attempt *>(arg);
-    if (evhttp_request_get_response_code(raw) == continueStatus) {
-        // evhttp goes on to the final response, and would add its headers to these.
-        evhttp_clear_headers(evhttp_request_get_input_headers(raw));
+    if (dropInterimHead(raw))
         return 0;
-    }
     attempt->headFault_ = findResponseFault(raw);
     if (attempt->headFault_)
         return -1;
@@ -218,16 +210,12 @@
 
 void Attempt::startBody(evhttp_request *raw)
 {
-    const evkeyvalq *headers = evhttp_request_get_input_headers(raw);
-    const bool isChunked = evhttp_find_header(headers, "Transfer-Encoding") != nullptr;
     isStreaming_ = isSelfDelimited(raw) && handlers_.onHead(raw);
     if (!isStreaming_ && !bodyLimit_)
         evhttp_connection_set_max_body_size(connection_.get(),
                                             static_cast<ev_ssize_t>(maxBufferedBody));
-    received_.startBody(isChunked, bodyLimit_.value_or(maxBufferedBody));
-    bufferevent_setwatermark(events(), EV_READ, 0, 0);
-    // evhttp keeps each part of a body of unknown length in an allocation of its own.
-    if (!isStreaming_ && !evhttp_find_header(headers, "Content-Length"))
+    detail::startBody(received_, raw, events(), bodyLimit_.value_or(maxBufferedBody));
+    if (!isStreaming_ && hasBodyOfUnknownLength(raw))
         body_.reset(evbuffer_new());
     if (isStreaming_ || body_)
         evhttp_request_set_chunked_cb(raw, &Attempt::onChunkRead);
