Identify customers by keys and pass their names to servers

Cause: the configuration's customers and keys were ignored; keys went on to servers and unknown keys were served. A key is checked at the node where the call begins, before anything else is decided; the name travels between nodes. Calls of servers need no key; one whose outer call is unknown gets 503.

--- a/include/cornelhead/config/route-table.h
+++ b/include/cornelhead/config/route-table.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -12,6 +13,7 @@
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/error.h"
 #include "cornelhead/base/ids.h"
+#include "cornelhead/config/customer-keys.h"
 
 namespace cornelhead {
 
@@ -40,6 +42,8 @@
     std::uint32_t priority = 0;
     /// Maximum number of servers that one call is sent to.
     std::uint32_t attempts = 1;
+    /// Callers need no key, though the table has customers.
+    bool isPublic = false;
     /// Not empty after the checks of `RouteTable::build`; the sum of the weights is above 0.
     std::vector<RouteTarget> targets;
 };
@@ -68,6 +72,8 @@
     std::vector<HostRoute> routes;
     std::vector<HostService> services;
     CallerLimits limits;
+    /// Nothing if callers need no keys.
+    std::optional<std::vector<HostCustomer>> customers;
 };
 
 /// An immutable, checked configuration at one revision.
@@ -75,7 +81,8 @@
 {
 public:
     /// Fails with `InvalidDeclaration` for a route without a host, prefix, target or weight, for a
-    /// service that is not declared, and for two routes of one host and prefix.
+    /// service that is not declared, for two routes of one host and prefix, and for customers that
+    /// `CustomerKeys::build` rejects.
     static Result<std::shared_ptr<const RouteTable>> build(Revision revision,
                                                            RouteDeclarations declarations);
 
@@ -87,6 +94,8 @@
     const HostRoute *match(std::string_view host, std::string_view path) const;
     /// Returns null for a service that is not declared.
     const HostService *findService(const ServiceId &id) const;
+    /// Returns null if callers need no keys.
+    const CustomerKeys *customers() const { return customers_ ? &*customers_ : nullptr; }
 
 private:
     RouteTable() = default;
@@ -95,6 +104,7 @@
     Revision revision_;
     // Not modified after `build`; the maps point into it.
     RouteDeclarations declarations_;
+    std::optional<CustomerKeys> customers_;
     std::unordered_map<ServiceId, const HostService *> services_;
     // Routes by lower-case host name, then by prefix.
     std::unordered_map<std::string, std::unordered_map<std::string_view, const HostRoute *>> hosts_;
--- a/include/cornelhead/sidecar/dialect.h
+++ b/include/cornelhead/sidecar/dialect.h
@@ -28,6 +28,11 @@
     std::string expectedServer;
     /// The service of the host that the call came from.
     std::string callerService;
+    /// Holds the key of the caller's customer, after the word `keyScheme`.
+    std::string authorization;
+    std::string keyScheme;
+    /// Names the call's customer to the server.
+    std::string customer;
     /// The server's signature of its response.
     std::string serverSignature;
     /// The server did not run the call.
--- a/include/cornelhead/sidecar/hop.h
+++ b/include/cornelhead/sidecar/hop.h
@@ -24,7 +24,7 @@
     ServerId server;
     ServiceId service;
     ServiceId callerService;
-    /// 0 for a call that a server makes while it runs another call, else 1 + the route's priority.
+    /// `nestedCallRank` for a call that a server makes while it runs another call, else `callRank`.
     std::uint32_t rank = 1;
     /// Time left of the objective since the caller's first try; 0 once it has passed, so that the
     /// call queues behind calls that can still meet their objective.
@@ -40,6 +40,8 @@
     /// The limit that the server reported to the caller's node, in case that the server's node has
     /// restarted since.
     std::optional<CallRate> knownLimit;
+    /// The customer of the call; empty if it has none.
+    CustomerId customer;
 };
 
 std::string encodeHopRequest(const HopRequest &request);
--- a/include/cornelhead/sidecar/outbound-call.h
+++ b/include/cornelhead/sidecar/outbound-call.h
@@ -28,6 +28,8 @@
 private:
     bool readHead();
     bool findRoute();
+    /// Finds the call's customer.  Returns false if the call was refused for want of it.
+    bool identify();
     /// Returns whether the call, of which the caller waits for `limit`, is refused as the process
     /// is stopping.
     bool isRefusedByStop(Milliseconds limit) const;
@@ -73,6 +75,10 @@
     Milliseconds elapsedBeforeArrival_{};
     // Made by this host's server while it runs another call.
     bool isNestedCall_ = false;
+    // The id has the form of a nested call's.
+    bool hasNestedId_ = false;
+    // Null if the call has none; owned by `table_`.
+    const HostCustomer *customer_ = nullptr;
     PlacementRequest placementRequest_;
     Placement::Host host_;
     // Names the run of the node and the server that the current attempt is meant for, as the host
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -40,8 +40,11 @@
     Timeout,
     Poison, ///< Servers crashed while they ran this request.
     Stopping, ///< The process would end before the call.
+    UnknownKey, ///< The call shows no key that a customer holds.
+    UnknownParent, ///< A nested call whose outer call is not known here.
+    Quota, ///< The customer's quota is used up.
 };
-constexpr std::size_t outboundRefusalCount = 11;
+constexpr std::size_t outboundRefusalCount = static_cast<std::size_t>(OutboundRefusal::Quota) + 1;
 std::string_view outboundRefusalName(OutboundRefusal refusal);
 
 /// Callbacks into the node.
--- a/src/config/route-table.cc
+++ b/src/config/route-table.cc
@@ -60,6 +60,14 @@
     const Result<void> indexed = table->index();
     if (!indexed)
         return tl::unexpected(indexed.error());
+    if (table->declarations_.customers) {
+        Result<CustomerKeys> customers
+                = CustomerKeys::build(std::move(*table->declarations_.customers));
+        if (!customers)
+            return tl::unexpected(customers.error());
+        table->customers_.emplace(std::move(*customers));
+        table->declarations_.customers.reset();
+    }
     return table;
 }
 
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -111,7 +111,7 @@
     writer.number(static_cast<std::uint64_t>(request.objective.count()));
     writer.number(static_cast<std::uint64_t>(request.objectiveLeft.count()));
     writer.text(request.route.value()).number(request.mayHandBack ? 1 : 0);
-    writer.rate(request.knownLimit);
+    writer.rate(request.knownLimit).text(request.customer.value());
     return writer.finish();
 }
 
@@ -133,6 +133,8 @@
     request.mayHandBack = !reader.isAtEnd() && reader.number() != 0;
     if (!reader.isAtEnd())
         request.knownLimit = reader.rate();
+    if (!reader.isAtEnd())
+        request.customer = CustomerId(reader.text());
     if (!reader.isValid())
         return detail::invalidHopHeader();
     return request;
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -78,6 +78,8 @@
               std::to_string(std::max<std::int64_t>(1, left.count())));
     setHeader(headers, names.expectedServer.c_str(), expectedServer_.value());
     setHeader(headers, names.callerService.c_str(), hop_.callerService.value());
+    if (!hop_.customer.empty())
+        setHeader(headers, names.customer.c_str(), hop_.customer.value());
     timer_ = proxy_.loop_.after(connectTimeout, [this] {
         if (!attempt_->wasSent()) {
             attempt_->cancel();
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -9,6 +9,7 @@
 
 #include "cornelhead/proxy/request-head.h"
 #include "cornelhead/proxy/response.h"
+#include "cornelhead/routing/call-rank.h"
 #include "cornelhead/sidecar/inbound-call.h"
 
 namespace cornelhead::detail {
@@ -31,7 +32,7 @@
 /// network and errors of the estimates.
 constexpr double objectiveShare = 0.85;
 /// Calls that will miss their objective queue behind all priorities.
-constexpr std::uint32_t lateRankOffset = 100;
+constexpr std::uint32_t lateRankOffset = maxCallRank;
 /// Such a call must end within this many objectives.
 constexpr int lateWaitObjectives = 1;
 
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -8,6 +8,8 @@
 #include <event2/http.h>
 
 #include "cornelhead/proxy/request-head.h"
+#include "cornelhead/routing/call-rank.h"
+#include "cornelhead/sidecar/customer-identity.h"
 
 namespace cornelhead::detail {
 
@@ -41,6 +43,8 @@
 constexpr double maxRetryAfterJitterSeconds = 0.1;
 
 constexpr int statusNotFound = 404;
+constexpr int statusUnauthorized = 401;
+constexpr int statusTooManyRequests = 429;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnavailable = 503;
 constexpr int statusBadGateway = 502;
@@ -59,11 +63,16 @@
         return statusBadGateway;
     case OutboundRefusal::Timeout:
         return statusGatewayTimeout;
+    case OutboundRefusal::UnknownKey:
+        return statusUnauthorized;
+    case OutboundRefusal::Quota:
+        return statusTooManyRequests;
     case OutboundRefusal::NotReady:
     case OutboundRefusal::NoServer:
     case OutboundRefusal::Overload:
     case OutboundRefusal::Poison:
     case OutboundRefusal::Stopping:
+    case OutboundRefusal::UnknownParent:
         return statusUnavailable;
     }
     return statusUnavailable;
@@ -100,6 +109,8 @@
         refuse(OutboundRefusal::NoRoute);
         return;
     }
+    if (!identify())
+        return;
     if (proxy_.poison_.hasSuspects()
         && proxy_.poison_.isRefused(hostRequestFingerprint(exchange_.request()), arrivedAt_)) {
         refuse(OutboundRefusal::Poison);
@@ -134,7 +145,11 @@
 {
     const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
     const CallHeaderNames &names = proxy_.dialect_.headers;
-    if (findRequestFault(headers, {names.requestId.c_str()})) {
+    const char *requestId = names.requestId.c_str();
+    const auto fault = table_ && table_->customers()
+            ? findRequestFault(headers, {requestId, names.authorization.c_str()})
+            : findRequestFault(headers, {requestId});
+    if (fault) {
         // It is uncertain where the next request begins.
         exchange_.closeAfterResponse();
         return false;
@@ -149,7 +164,8 @@
     callerTimeout_ = Milliseconds(timeoutMs);
     // A server that makes a call while it runs another one appends a suffix to the other's id.
     const std::size_t dot = id_.rfind('.');
-    isNestedCall_ = dot != std::string::npos && proxy_.handlers_.isRunningHere(id_.substr(0, dot));
+    hasNestedId_ = dot != std::string::npos;
+    isNestedCall_ = hasNestedId_ && proxy_.handlers_.isRunningHere(id_.substr(0, dot));
     return !id_.empty();
 }
 
@@ -176,6 +192,23 @@
     return route_ != nullptr;
 }
 
+bool OutboundCall::identify()
+{
+    const CallHeaderNames &names = proxy_.dialect_.headers;
+    const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
+    const auto customer
+            = identifyCustomer(*table_, *route_,
+                               CallCredentials{findHeader(headers, names.authorization.c_str()),
+                                               names.keyScheme, isNestedCall_, hasNestedId_});
+    if (customer) {
+        customer_ = *customer;
+        return true;
+    }
+    refuse(customer.error() == IdentityFault::UnknownKey ? OutboundRefusal::UnknownKey
+                                                         : OutboundRefusal::UnknownParent);
+    return false;
+}
+
 Milliseconds OutboundCall::timeLeft() const
 {
     if (deadline_ == TimePoint())
@@ -208,7 +241,10 @@
     hop_.server = server.id;
     hop_.service = placementRequest_.service;
     hop_.callerService = proxy_.settings_.callerService;
-    hop_.rank = isNestedCall_ ? 0 : 1 + route_->priority;
+    hop_.rank = isNestedCall_
+            ? nestedCallRank
+            : callRank(customer_ ? customer_->priority : std::nullopt, route_->priority);
+    hop_.customer = customer_ ? customer_->id : CustomerId();
     hop_.isIdempotent = route_->isIdempotent;
     hop_.objective = route_->objective;
     const auto elapsed
@@ -256,6 +292,10 @@
     hop_.isResumed = isResumed;
     // Replaces what a caller sent under these names, which may be forged.
     setHeader(headers, hopRequestHeader, encodeHopRequest(hop_));
+    if (table_->customers()) {
+        removeHeader(headers, names.authorization.c_str());
+        removeHeader(headers, names.customer.c_str());
+    }
     const auto serverTime
             = std::chrono::duration_cast<Milliseconds>(serverDeadline_ - now(SteadyClock()));
     setHeader(headers, names.deadline.c_str(),
@@ -545,6 +585,8 @@
     proxy_.refusals_[static_cast<std::size_t>(refusal)]->add();
     logEnd(outboundRefusalName(refusal), status);
     LocalResponse response{status, {}, std::string(outboundRefusalName(refusal)) + "\n"};
+    if (status == statusUnauthorized)
+        response.headers.emplace_back("WWW-Authenticate", proxy_.dialect_.headers.keyScheme);
     if (status == statusUnavailable && refusal != OutboundRefusal::Poison) {
         response.headers.emplace_back(proxy_.dialect_.headers.retryAfter,
                                       std::to_string(retryAfterSeconds()));
@@ -578,6 +620,7 @@
                        {"outcome", outcome},
                        {"status", status},
                        {"service", placementRequest_.service.value()},
+                       {"customer", customer_ ? customer_->id.value() : ""},
                        {"node", host_ ? host_->entry.node.toString() : ""},
                        {"reportAgeMs", host_ ? (time - host_->reportedAt).count() / 1000 : -1},
                        {"serversReached", serversReached_},
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -15,8 +15,9 @@
 constexpr std::uint32_t perMilleTotal = 1000;
 
 constexpr std::array<std::string_view, outboundRefusalCount> refusalNames
-        = {"not-ready", "no-route", "bad-request", "no-server", "overload", "budget",
-           "attempts",  "unknown",  "timeout",     "poison",    "stopping"};
+        = {"not-ready", "no-route",    "bad-request",    "no-server", "overload",
+           "budget",    "attempts",    "unknown",        "timeout",   "poison",
+           "stopping",  "unknown-key", "unknown-parent", "quota"};
 
 } // namespace
 
--- a/test/sidecar/hop-test.cc
+++ b/test/sidecar/hop-test.cc
@@ -43,6 +43,15 @@
     BOOST_TEST(!decodeHopRequest(encodeHopRequest(request))->knownLimit);
 }
 
+BOOST_AUTO_TEST_CASE(customerIsPassedOn)
+{
+    HopRequest request;
+    request.customer = CustomerId("clinic 7");
+    const std::string text = encodeHopRequest(request);
+    BOOST_TEST(decodeHopRequest(text)->customer.value() == "clinic 7");
+    BOOST_TEST(decodeHopRequest(withoutLastFields(text, 1))->customer.empty());
+}
+
 BOOST_AUTO_TEST_CASE(countersArePassedOn)
 {
     const auto response = decodeHopResponse(encodeHopResponse(limitedResponse()));
@@ -63,7 +72,7 @@
     BOOST_REQUIRE(earlier);
     BOOST_TEST((earlier->configuration == Revision(7)));
     BOOST_TEST(!earlier->report.notice.limit);
-    const auto request = decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 2));
+    const auto request = decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 3));
     BOOST_REQUIRE(request);
     BOOST_TEST(!request->knownLimit);
 }
@@ -73,7 +82,7 @@
     const std::string response = encodeHopResponse(limitedResponse());
     for (int count : {1, 2, 4, 5, 6, 7, 9, 10})
         BOOST_TEST(!decodeHopResponse(withoutLastFields(response, count)));
-    BOOST_TEST(!decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 1)));
+    BOOST_TEST(!decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 2)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
