--- a/test/config/route-table-test.cc
+++ b/test/config/route-table-test.cc
@@ -20,7 +20,7 @@
 RouteDeclarations declarationsOf(std::vector<HostRoute> routes)
 {
     return RouteDeclarations{
-            std::move(routes), {HostService{ServiceId("bookings"), "/health", 9}}, {}};
+            std::move(routes), {HostService{ServiceId("bookings"), "/health", 9}}, {}, {}};
 }
 
 BOOST_AUTO_TEST_SUITE(route_table)
