--- a/test/adapter/users-messages-test.cc
+++ b/test/adapter/users-messages-test.cc
@@ -49,6 +49,52 @@
     BOOST_TEST((*table)->findService(ServiceId("catalogue"))->healthPath == "/healthz");
 }
 
+std::string withCustomers(const std::string &rows)
+{
+    std::string text = usersConfiguration("00000001", oneRoute);
+    return text.insert(1,
+                       R"("tenants":{"columns":["name","api-keys","priority","rate-per-s",)"
+                       R"("burst"],"rows":[)"
+                               + rows + "]},");
+}
+
+BOOST_AUTO_TEST_CASE(customersAreDecoded)
+{
+    const auto table = readConfiguration(withCustomers(
+            R"(["ash",["k1","k2"],2,602,60.5],["elm",[],null,null,null],["oak",null,null,1,1])"));
+    BOOST_REQUIRE(table);
+    const HostCustomer *ash = (*table)->customers()->find("k2");
+    BOOST_REQUIRE(ash);
+    BOOST_TEST(ash->id.value() == "ash");
+    BOOST_TEST(*ash->priority == 2U);
+    BOOST_TEST((ash->quota == CallQuota{602.0, 60.5}));
+    const HostCustomer *elm = (*table)->customers()->findCustomer(CustomerId("elm"));
+    BOOST_REQUIRE(elm);
+    BOOST_TEST(!elm->priority);
+    BOOST_TEST(!elm->quota.isLimited());
+    BOOST_TEST((*table)->customers()->findCustomer(CustomerId("oak"))->keys.empty());
+    BOOST_TEST(!(*readConfiguration(usersConfiguration("00000001", oneRoute)))->customers());
+}
+
+BOOST_AUTO_TEST_CASE(malformedCustomersAreRejectedAndNoErrorHoldsAKey)
+{
+    for (const char *rows :
+         {R"(["ash",["secret"],2,602])", R"([7,["secret"],2,602,60])",
+          R"(["ash","secret",2,602,60])", R"(["ash",[7],2,602,60])",
+          R"(["ash",["secret"],-1,602,60])", R"(["ash",["secret"],1.5,602,60])",
+          R"(["ash",["secret"],2,-602,60])", R"(["ash",["secret"],2,602,-60])",
+          R"(["ash",["secret"],2,"602",60])", R"(["ash",["secret"],2,602,true])",
+          R"(["ash",["secret"],2,1e999,60])", R"(["",["secret"],2,602,60])",
+          R"(["ash",["secret"],2,1,1],["elm",["secret"],2,1,1])", R"(["ash",["secret"]"x"])"}) {
+        const auto table = readConfiguration(withCustomers(rows));
+        BOOST_TEST_CONTEXT(rows)
+        {
+            BOOST_REQUIRE(!table);
+            BOOST_TEST(table.error().describe().find("secret") == std::string::npos);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(durationsMayBeFractionsOfASecond)
 {
     const auto table = readConfiguration(
