Check the status lines of responses before evhttp reads them

Cause: evhttp takes 0200, +200, 200x and 200,OK for 200, so callers got them as success. Status 000 was refused already, as a broken connection; it is an invalid head now.

--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -10,6 +10,7 @@
 #include "cornelhead/base/address.h"
 #include "cornelhead/net/event-loop.h"
 #include "cornelhead/net/receive-limit.h"
+#include "cornelhead/net/status-line-check.h"
 #include "cornelhead/proxy/evhttp-handles.h"
 #include "cornelhead/proxy/message-head.h"
 #include "cornelhead/proxy/upstream-pool.h"
@@ -96,6 +97,7 @@
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg);
     static void onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg);
 
+    void observeStatusLine();
     void startBody(evhttp_request *raw);
     /// Runs outside of evhttp's callbacks.
     void onDeferred();
@@ -122,6 +124,7 @@
     evbuffer_cb_entry *inputCallback_ = nullptr;
     std::unique_ptr<event, EventDeleter> deferredEvent_;
     std::optional<std::size_t> bodyLimit_;
+    StatusLineCheck statusLine_;
     std::optional<HeadFault> headFault_;
     ReceiveLimit received_;
     HeldBytes held_;
--- a/src/net/http-client.cc
+++ b/src/net/http-client.cc
@@ -15,6 +15,7 @@
 #include "cornelhead/net/read-body.h"
 #include "cornelhead/net/response-reading.h"
 #include "cornelhead/net/socket-options.h"
+#include "cornelhead/net/status-line-check.h"
 
 namespace cornelhead {
 namespace detail {
@@ -81,6 +82,7 @@
         std::size_t received = 0;
         std::size_t receivedAtCheck = 0;
         detail::ReceiveLimit limit;
+        detail::StatusLineCheck statusLine;
         // Ends the call outside of evhttp's callbacks once it has received too much.
         Timer limitTimer;
         bool isTooLong = false;
@@ -149,7 +151,7 @@
     static void onDone(evhttp_request *raw, void *arg)
     {
         Call *call = static_cast<Call *>(arg);
-        if (!raw || evhttp_request_get_response_code(raw) == 0) {
+        if (!raw || evhttp_request_get_response_code(raw) == 0 || call->statusLine.isInvalid()) {
             call->client->finish(call, failedResult(*call), false);
             return;
         }
@@ -172,6 +174,8 @@
     {
         auto *call = static_cast<Call *>(arg);
         call->received += info->n_added;
+        if (info->n_added > 0)
+            call->statusLine.observe(buffer);
         call->held->set(evbuffer_get_length(buffer) + call->body.size());
         if (const auto fault = detail::countInput(call->limit, buffer, *info))
             failLater(*call, *fault);
@@ -197,10 +201,12 @@
     static int onHead(evhttp_request *raw, void *arg)
     {
         auto *call = static_cast<Call *>(arg);
-        if (detail::dropInterimHead(raw))
+        bufferevent *events = evhttp_connection_get_bufferevent(call->connection.get());
+        if (detail::dropInterimHead(raw)) {
+            call->statusLine.expectNext(bufferevent_get_input(events));
             return 0;
-        detail::startBody(call->limit, raw,
-                          evhttp_connection_get_bufferevent(call->connection.get()), maxBodyBytes);
+        }
+        detail::startBody(call->limit, raw, events, maxBodyBytes);
         if (detail::hasBodyOfUnknownLength(raw))
             evhttp_request_set_chunked_cb(raw, &onBodyPart);
         return 0;
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -148,10 +148,19 @@
 {
     auto *attempt = static_cast<Attempt *>(arg);
     attempt->updateHeldBytes();
+    if (info->n_added > 0)
+        attempt->observeStatusLine();
     if (const auto fault = countInput(attempt->received_, buffer, *info))
         attempt->failLater(*fault);
 }
 
+void Attempt::observeStatusLine()
+{
+    statusLine_.observe(bufferevent_get_input(events()));
+    if (statusLine_.isInvalid())
+        headFault_ = HeadFault::StatusCode;
+}
+
 void Attempt::failLater(ReceiveFault fault)
 {
     if (receiveFault_ || isFinished_)
@@ -199,9 +208,13 @@
 int Attempt::onHeadRead(evhttp_request *raw, void *arg)
 {
     auto *attempt = static_cast<Attempt *>(arg);
-    if (dropInterimHead(raw))
+    if (dropInterimHead(raw)) {
+        attempt->statusLine_.expectNext(bufferevent_get_input(attempt->events()));
+        attempt->observeStatusLine();
         return 0;
-    attempt->headFault_ = findResponseFault(raw);
+    }
+    if (!attempt->headFault_)
+        attempt->headFault_ = findResponseFault(raw);
     if (attempt->headFault_)
         return -1;
     attempt->startBody(raw);
--- a/test/proxy/hostile-test.cc
+++ b/test/proxy/hostile-test.cc
@@ -250,7 +250,8 @@
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     const std::string body = "Content-Length: 5\r\n\r\nwhole";
     for (const std::string &bytes :
-         {"HTTP/1.1 20 OK\r\n" + body, ok + "X\x01 Y: z\r\n" + body,
+         {"HTTP/1.1 20 OK\r\n" + body, "HTTP/1.1 000 X\r\n" + body, "HTTP/1.1 0200 OK\r\n" + body,
+          "HTTP/1.1 200x OK\r\n" + body, ok + "X\x01 Y: z\r\n" + body,
           ok + "Content-Length: 2\r\n" + body, ok + "Transfer-Encoding: gzip\r\n\r\nwhole"}) {
         const RawBackend backend(bytes);
         publish({backend.endpoint()});
