Describe requests to be forwarded by their parts

Cause: copyRequest and hostRequestFingerprint took evhttp's request, so that no other reader of requests could use them. RequestView names method, URI, headers and body; an evhttp request converts to it. End-to-end headers can also be written as text.

Run: sidecar_path, faulty_server, poison of adapter-test pass.

--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -12,6 +12,7 @@
 #include "cornelhead/net/receive-limit.h"
 #include "cornelhead/proxy/evhttp-handles.h"
 #include "cornelhead/proxy/message-head.h"
+#include "cornelhead/proxy/request-view.h"
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/routing/retry.h"
 
@@ -143,6 +144,6 @@
 bool isLongResponse(evhttp_request *response, std::size_t bytes);
 
 /// Copies the end-to-end headers of a caller's request and shares its body by reference.
-void copyRequest(evhttp_request *from, Attempt &to);
+void copyRequest(const RequestView &from, Attempt &to);
 
 } // namespace cornelhead::detail
--- a/include/cornelhead/proxy/request-head.h
+++ b/include/cornelhead/proxy/request-head.h
@@ -10,6 +10,7 @@
 
 #include "cornelhead/base/clock.h"
 #include "cornelhead/proxy/message-head.h"
+#include "cornelhead/proxy/request-view.h"
 #include "cornelhead/routing/poison-tracker.h"
 #include "cornelhead/routing/refusal.h"
 
@@ -67,14 +68,16 @@
 tl::expected<RequestHead, RefusalReason> readRequestHead(evhttp_request *request);
 
 /// Returns the body of a request or response; copies it only when it spans several buffer chains.
-std::string_view bodyOf(evhttp_request *request);
+std::string_view bodyOf(const RequestView &request);
 
 /// Returns the fingerprint of the request's method, URI and body.
 Fingerprint requestFingerprint(evhttp_request *request);
 /// Returns the fingerprint of a request that is routed by its `Host` header too.
-Fingerprint hostRequestFingerprint(evhttp_request *request);
+Fingerprint hostRequestFingerprint(const RequestView &request);
 
 /// Copies the headers that are forwarded to the next hop.
 void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to);
+/// Appends the headers that are forwarded to the next hop, as lines of a head.
+void appendEndToEndHeaders(const evkeyvalq *from, std::string &to);
 
 } // namespace cornelhead::detail
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -293,16 +293,15 @@
     return length && std::strtoull(length, nullptr, decimal) > bytes;
 }
 
-void copyRequest(evhttp_request *from, Attempt &to)
+void copyRequest(const RequestView &from, Attempt &to)
 {
-    copyEndToEndHeaders(evhttp_request_get_input_headers(from), to.headers());
-    evbuffer *body = evhttp_request_get_input_buffer(from);
-    const std::size_t size = evbuffer_get_length(body);
+    copyEndToEndHeaders(from.headers, to.headers());
+    const std::size_t size = evbuffer_get_length(from.body);
     if (size == 0)
         return;
     // evhttp adds no Content-Length to GET or DELETE requests with a body.
     evhttp_add_header(to.headers(), "Content-Length", std::to_string(size).c_str());
-    evbuffer_add_buffer_reference(to.body(), body);
+    evbuffer_add_buffer_reference(to.body(), from.body);
 }
 
 } // namespace cornelhead::detail
--- a/src/proxy/request-head.cc
+++ b/src/proxy/request-head.cc
@@ -57,6 +57,20 @@
     return false;
 }
 
+template <typename Visitor>
+void visitEndToEndHeaders(const evkeyvalq *from, const Visitor &visit)
+{
+    const bool hasConnection = evhttp_find_header(from, "Connection");
+    for (const evkeyval *entry = from->tqh_first; entry; entry = entry->next.tqe_next) {
+        const std::string_view name = entry->key;
+        if (contains(hopByHopHeaders, name) || contains(hopOnlyHeaders, name))
+            continue;
+        if (hasConnection && isListedByConnection(from, name))
+            continue;
+        visit(*entry);
+    }
+}
+
 bool isNumber(std::string_view text)
 {
     return !text.empty() && text.size() < 10
@@ -115,9 +129,9 @@
     return head;
 }
 
-std::string_view bodyOf(evhttp_request *request)
+std::string_view bodyOf(const RequestView &request)
 {
-    evbuffer *body = evhttp_request_get_input_buffer(request);
+    evbuffer *body = request.body;
     const std::size_t size = evbuffer_get_length(body);
     const auto *bytes
             = reinterpret_cast<const char *>(evbuffer_pullup(body, static_cast<ev_ssize_t>(size)));
@@ -130,25 +144,24 @@
                          evhttp_request_get_uri(request), bodyOf(request));
 }
 
-Fingerprint hostRequestFingerprint(evhttp_request *request)
+Fingerprint hostRequestFingerprint(const RequestView &request)
 {
-    std::string target(findHeader(evhttp_request_get_input_headers(request), "Host"));
-    target.append(evhttp_request_get_uri(request));
-    return fingerprintOf(std::to_string(evhttp_request_get_command(request)), target,
-                         bodyOf(request));
+    std::string target(findHeader(request.headers, "Host"));
+    target.append(request.uri);
+    return fingerprintOf(std::to_string(request.method), target, bodyOf(request));
 }
 
 void copyEndToEndHeaders(const evkeyvalq *from, evkeyvalq *to)
 {
-    const bool hasConnection = evhttp_find_header(from, "Connection");
-    for (const evkeyval *entry = from->tqh_first; entry; entry = entry->next.tqe_next) {
-        const std::string_view name = entry->key;
-        if (contains(hopByHopHeaders, name) || contains(hopOnlyHeaders, name))
-            continue;
-        if (hasConnection && isListedByConnection(from, name))
-            continue;
-        evhttp_add_header(to, entry->key, entry->value);
-    }
+    visitEndToEndHeaders(
+            from, [to](const evkeyval &entry) { evhttp_add_header(to, entry.key, entry.value); });
+}
+
+void appendEndToEndHeaders(const evkeyvalq *from, std::string &to)
+{
+    visitEndToEndHeaders(from, [&to](const evkeyval &entry) {
+        to.append(entry.key).append(": ").append(entry.value).append("\r\n");
+    });
 }
 
 } // namespace cornelhead::detail
