Run requests that callers send ahead side by side

Cause: the outbound listener (evhttp) read a request only after the response to the one before it; what callers sent ahead waited unread, up to its deadline.

A stop closes a connection with the last response in flight; a close by the caller cancels its calls.

--- a/include/cornelhead/sidecar/outbound-call.h
+++ b/include/cornelhead/sidecar/outbound-call.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "cornelhead/proxy/attempt.h"
-#include "cornelhead/sidecar/exchange.h"
+#include "cornelhead/sidecar/caller-exchange.h"
 #include "cornelhead/sidecar/outbound-proxy.h"
 
 namespace cornelhead::detail {
@@ -18,7 +18,7 @@
 class OutboundCall : public std::enable_shared_from_this<OutboundCall>
 {
 public:
-    OutboundCall(OutboundProxy &proxy, evhttp_request *request);
+    OutboundCall(OutboundProxy &proxy, IncomingRequest request);
     ~OutboundCall();
     OutboundCall(const OutboundCall &) = delete;
     OutboundCall &operator=(const OutboundCall &) = delete;
@@ -60,7 +60,7 @@
     Milliseconds timeLeft() const;
 
     OutboundProxy &proxy_;
-    Exchange exchange_;
+    CallerExchange exchange_;
     std::shared_ptr<const RouteTable> table_;
     const HostRoute *route_ = nullptr;
     std::string id_;
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -21,11 +21,10 @@
 #include "cornelhead/sidecar/dialect.h"
 #include "cornelhead/sidecar/hop.h"
 
-struct evhttp_request;
-
 namespace cornelhead::detail {
 
 class OutboundCall;
+struct IncomingRequest;
 
 /// Why the outbound proxy answers a call itself.  The names are written to logs and metrics.
 enum class OutboundRefusal {
@@ -87,13 +86,13 @@
     OutboundProxy(const OutboundProxy &) = delete;
     OutboundProxy &operator=(const OutboundProxy &) = delete;
 
-    void serve(evhttp_request *request);
+    void serve(IncomingRequest request);
     void setConfiguration(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
     void setHosts(const std::map<Address, HostDirectory::Record> &hosts);
     /// Handles a report that was requested from `node` outside of any call.
     void onPeerReport(const Address &node, const HopResponse &response);
-    /// From now on responses ask callers to close their connections, calls that might not end in
-    /// time are refused, and the others end before the process does.
+    /// From now on calls that might not end in time are refused, and the others end before the
+    /// process does.
     void stop(const StopSchedule &schedule) { stop_ = schedule; }
     std::size_t active() const { return calls_.size(); }
     /// To be called a few times a second.
--- a/include/cornelhead/sidecar/sidecar-settings.h
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -39,6 +39,8 @@
     /// The fleet's limit of retries: this share of the calls in each window.
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
+    /// Requests of one connection that callers may have in flight at once.
+    std::uint64_t requestsAhead = 1;
     std::string logLevel;
     std::uint64_t seed = 0;
 };
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -80,13 +80,11 @@
 
 } // namespace
 
-OutboundCall::OutboundCall(OutboundProxy &proxy, evhttp_request *request)
-    : proxy_(proxy), exchange_(proxy.loop_, request), table_(proxy.table_),
+OutboundCall::OutboundCall(OutboundProxy &proxy, IncomingRequest request)
+    : proxy_(proxy), exchange_(std::move(request)), table_(proxy.table_),
       arrivedAt_(now(SteadyClock()))
 {
     exchange_.omitHeader(hopResponseHeader);
-    if (proxy_.stop_)
-        exchange_.closeAfterResponse();
 }
 
 OutboundCall::~OutboundCall() = default;
@@ -112,7 +110,8 @@
     if (!identify())
         return;
     if (proxy_.poison_.hasSuspects()
-        && proxy_.poison_.isRefused(hostRequestFingerprint(exchange_.request()), arrivedAt_)) {
+        && proxy_.poison_.isRefused(hostRequestFingerprint(exchange_.request().view()),
+                                    arrivedAt_)) {
         refuse(OutboundRefusal::Poison);
         return;
     }
@@ -143,7 +142,7 @@
 
 bool OutboundCall::readHead()
 {
-    const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
+    const evkeyvalq *headers = &exchange_.request().headers;
     const CallHeaderNames &names = proxy_.dialect_.headers;
     const char *requestId = names.requestId.c_str();
     const auto fault = table_ && table_->customers()
@@ -183,19 +182,15 @@
 
 bool OutboundCall::findRoute()
 {
-    const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
-    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(exchange_.request());
-    const char *path = uri ? evhttp_uri_get_path(uri) : nullptr;
-    if (!path)
-        return false;
-    route_ = table_->match(findHeader(headers, "Host"), path);
+    const ReceivedRequest &request = exchange_.request();
+    route_ = table_->match(findHeader(&request.headers, "Host"), request.path());
     return route_ != nullptr;
 }
 
 bool OutboundCall::identify()
 {
     const CallHeaderNames &names = proxy_.dialect_.headers;
-    const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
+    const evkeyvalq *headers = &exchange_.request().headers;
     const auto customer
             = identifyCustomer(*table_, *route_,
                                CallCredentials{findHeader(headers, names.authorization.c_str()),
@@ -278,11 +273,10 @@
     destroyLater(attempt_);
     attempt_ = std::make_unique<Attempt>(proxy_.loop_, proxy_.pool_, need, std::move(handlers));
     *thisAttempt = attempt_.get();
-    copyRequest(exchange_.request(), *attempt_);
+    copyRequest(exchange_.request().view(), *attempt_);
     fillHeaders(isResumed);
     armProgressTimer();
-    attempt_->send(evhttp_request_get_command(exchange_.request()),
-                   evhttp_request_get_uri(exchange_.request()));
+    attempt_->send(exchange_.request().method, exchange_.request().uri.c_str());
 }
 
 void OutboundCall::fillHeaders(bool isResumed)
@@ -431,8 +425,7 @@
         logEnd("answered", status);
         proxy_.recordCallBytes(route_->id,
                                evbuffer_get_length(evhttp_request_get_input_buffer(raw))
-                                       + evbuffer_get_length(evhttp_request_get_input_buffer(
-                                               exchange_.request())));
+                                       + evbuffer_get_length(exchange_.request().body.get()));
         exchange_.forward(raw);
         proxy_.onCallEnd(*this);
     } else if (response->result == HopResult::Shed) {
@@ -603,14 +596,14 @@
         return;
     const TimePoint time = now(SteadyClock());
     if (!route_) {
-        const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
+        const ReceivedRequest &request = exchange_.request();
         proxy_.log_.write(kind, outboundPart, "call-unrouted",
                           {{"id", id_},
                            {"revision", table_ ? table_->revision().value() : 0},
                            {"outcome", outcome},
                            {"status", status},
-                           {"host", findHeader(headers, "Host")},
-                           {"uri", evhttp_request_get_uri(exchange_.request())}});
+                           {"host", findHeader(&request.headers, "Host")},
+                           {"uri", request.uri}});
         return;
     }
     proxy_.log_.write(kind, outboundPart, "call-ended",
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -45,11 +45,15 @@
     }
 }
 
-OutboundProxy::~OutboundProxy() = default;
+OutboundProxy::~OutboundProxy()
+{
+    // The end of a call closes its connection and so ends others, which then find no entry here.
+    const auto ending = std::exchange(calls_, {});
+}
 
-void OutboundProxy::serve(evhttp_request *request)
+void OutboundProxy::serve(IncomingRequest request)
 {
-    const auto call = std::make_shared<OutboundCall>(*this, request);
+    const auto call = std::make_shared<OutboundCall>(*this, std::move(request));
     calls_.emplace(call.get(), call);
     call->start();
 }
--- /dev/null
+++ b/src/sidecar/received-request.cc
@@ -0,0 +1,32 @@
+// Implements received requests.
+#include "cornelhead/sidecar/received-request.h"
+
+#include <event2/buffer.h>
+#include <http_parser.h>
+
+namespace cornelhead::detail {
+
+ReceivedRequest::ReceivedRequest() : body(evbuffer_new())
+{
+    TAILQ_INIT(&headers);
+}
+
+ReceivedRequest::~ReceivedRequest()
+{
+    evhttp_clear_headers(&headers);
+}
+
+std::string_view ReceivedRequest::path() const
+{
+    const std::string_view target = uri;
+    if (target.starts_with('/'))
+        return target.substr(0, target.find_first_of("?#"));
+    http_parser_url parts;
+    http_parser_url_init(&parts);
+    const bool isValid = http_parser_parse_url(uri.data(), uri.size(), 0, &parts) == 0;
+    if (!isValid || (parts.field_set & (1U << UF_PATH)) == 0)
+        return {};
+    return target.substr(parts.field_data[UF_PATH].off, parts.field_data[UF_PATH].len);
+}
+
+} // namespace cornelhead::detail
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -16,6 +16,7 @@
 #include "cornelhead/proxy/counters.h"
 #include "cornelhead/proxy/listener.h"
 #include "cornelhead/proxy/request-head.h"
+#include "cornelhead/sidecar/caller-listener.h"
 #include "cornelhead/sidecar/change-feed.h"
 #include "cornelhead/sidecar/exchange.h"
 #include "cornelhead/sidecar/fleet-sync.h"
@@ -150,7 +151,7 @@
     // Declared before the proxies, which still answer requests while they are destroyed: the
     // listeners own these requests.
     detail::ProxyCounters listenerCounters;
-    detail::Listener outboundListener;
+    detail::CallerListener outboundListener;
     detail::Listener inboundListener;
     detail::InboundProxy inboundProxy;
     detail::OutboundProxy outboundProxy;
@@ -173,8 +174,10 @@
           fleet(loop, dialect, settings.platform, settings.inbound, settings.dataCentre, metrics,
                 log, settings.seed + 1, fleetHandlers()),
           listenerCounters(metrics),
-          outboundListener(loop, listenerCounters,
-                           [this](evhttp_request *request) { outboundProxy.serve(request); }),
+          outboundListener(loop, listenerCounters, metrics, settings.requestsAhead,
+                           [this](detail::IncomingRequest request) {
+                               outboundProxy.serve(std::move(request));
+                           }),
           inboundListener(loop, listenerCounters,
                           [this](evhttp_request *request) { servePeer(request); }),
           inboundProxy(loop, dialect, run, settings.server, local, poison, metrics, log,
@@ -605,7 +608,7 @@
 Result<void> Sidecar::start()
 {
     const SidecarSettings &settings = impl_->settings;
-    Result<void> started = impl_->outboundListener.listen(settings.outbound, false);
+    Result<void> started = impl_->outboundListener.listen(settings.outbound);
     if (started)
         started = impl_->inboundListener.listen(settings.inbound, false);
     if (started)
@@ -636,6 +639,7 @@
             {impl_->stoppingSince + detail::callerDrainTime,
              impl_->stoppingSince + impl_->settings.stopTimeout - detail::stopMargin});
     constexpr Milliseconds pollInterval(50);
+    impl_->outboundListener.closeConnectionsWhenIdle();
     impl_->stopTimer = impl_->loop.every(pollInterval, [this] { impl_->pollStop(); });
 }
 
--- a/support/parts.cmake
+++ b/support/parts.cmake
@@ -53,7 +53,7 @@
 cornelhead_part(distribution DEPENDS net config platform protocol membership rollout)
 cornelhead_part(proxy DEPENDS net routing LIBRARIES nlohmann_json::nlohmann_json)
 cornelhead_part(node DEPENDS distribution proxy)
-cornelhead_part(sidecar DEPENDS net platform membership rollout routing proxy)
+cornelhead_part(sidecar DEPENDS net platform membership rollout routing proxy LIBRARIES http_parser)
 cornelhead_part(ctl DEPENDS net config platform rollout)
 cornelhead_part(standin DEPENDS net platform)
 
