Count unanswered calls, suspect the own link and send a share away

After a burst, a call that ended by its deadline or whose caller left told placement nothing about its host, so the hosts that had failed it looked idle and were chosen on and on. A node whose own link was full backed off from dozens of hosts that others reached well. A data centre short of room sent too few calls away, as each node compared one distant host a call, by old reports.

- Each unanswered call raises a smoothed share of its host, which costs as failures do and decays with time and with answers.
- When most hosts and most calls of a second fail, those of the own data centre too, the node suspects its own link, lifts the backoff of these hosts and logs own-link-suspected.
Refused connections back off as before.
- A node keeps a share of each service's calls, by size of call, that leaves while home is short of room; it moves by at most 0.02 in 100 ms and falls at once when the others have none.
A data centre whose hosts fail one after another is tried with single calls only.

--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -21,7 +21,11 @@
 #include "cornelhead/base/units.h"
 #include "cornelhead/membership/host-entry.h"
 #include "cornelhead/rollout/server-counters.h"
+#include "cornelhead/routing/data-centre-reach.h"
+#include "cornelhead/routing/departure-share.h"
+#include "cornelhead/routing/own-link.h"
 #include "cornelhead/routing/server-notices.h"
+#include "cornelhead/routing/silence.h"
 
 namespace cornelhead {
 
@@ -66,6 +70,20 @@
     TimePoint closedUntil{};
     /// Time of the last response of any kind.
     TimePoint lastResponseAt{};
+    /// Calls of this node that the host did not answer.
+    UnansweredShare unanswered;
+};
+
+/// Why no byte of a call reached a host.
+enum class ConnectFailure {
+    Refused, ///< The host, or a host on the way, refused or closed the connection.
+    TimedOut,
+};
+
+/// When calls leave this data centre for another one.
+enum class DepartureRule {
+    ByCost, ///< When the host drawn there costs less, distance and bytes included.
+    WhenShort, ///< So too, and a share of the calls while this data centre is short of room.
 };
 
 /// How hosts are compared.  The default suits fleets of all sizes; tests compare others with it.
@@ -76,6 +94,16 @@
     std::size_t remoteCandidates = 1;
     /// Takes a host without a recent report for as busy as the mean of its service, not for idle.
     bool assumesMeanLoad = true;
+    DepartureRule departure = DepartureRule::ByCost;
+};
+
+/// Choices of hosts in other data centres since the start, by reason.
+struct DepartureCounts
+{
+    std::uint64_t byShare = 0;
+    std::uint64_t byCost = 0;
+    /// No host of this data centre was eligible.
+    std::uint64_t withoutLocalHost = 0;
 };
 
 /// The parameters of a placement.
@@ -109,7 +137,7 @@
     using Host = std::shared_ptr<HostState>;
 
     explicit Placement(DataCentreId localDataCentre, PlacementPolicy policy = {})
-        : localDataCentre_(std::move(localDataCentre)), policy_(policy)
+        : localDataCentre_(std::move(localDataCentre)), policy_(policy), ownLink_(localDataCentre_)
     { }
 
     /// Sets the listed hosts.  The state of a host is kept while its node is not restarted.
@@ -127,6 +155,18 @@
     static void markClosed(HostState &host, TimePoint now);
     /// Stops calls to an unreachable host for a backoff time.
     static void markUnreachable(HostState &host, TimePoint now);
+    /// Records that a call could not be sent to a host, and stops calls to the host for a backoff
+    /// time unless the own link is suspected.  Returns whether this begins such a suspicion.
+    bool recordUnreachable(HostState &host, ConnectFailure failure, TimePoint now);
+    /// Records that a call stopped waiting for the host's answer, `waited` after it was sent.
+    /// Returns whether this begins a suspicion of the own link.
+    bool recordUnanswered(HostState &host, UnansweredEnd end, Microseconds waited,
+                          Microseconds objective, TimePoint now);
+    const OwnLink &ownLink() const { return ownLink_; }
+    const DepartureCounts &departures() const { return departures_; }
+    /// Returns the share of each service's calls that leaves this data centre, of the size of call
+    /// of which most leave.
+    std::map<ServiceId, double> departureShares() const;
 
     /// Returns `previous` while any server of `service` has it, else the version of most servers.
     std::optional<VersionId> defaultVersion(const ServiceId &service,
@@ -155,9 +195,34 @@
         // The same hosts by distance, in an order that drawing changes.
         std::vector<Host> local;
         std::vector<Host> remote;
+        std::map<DataCentreId, std::vector<Host>> remoteByDataCentre;
         ServiceMeans means;
+        DepartureShare departure;
+    };
+    /// The hosts that are compared for one call.
+    struct Candidates
+    {
+        std::vector<Host> hosts;
+        /// The call leaves by the share, so distance and bytes are not weighed again.
+        bool isLeaving = false;
     };
 
+    /// Returns the expected time as a share of the objective, as a cost.
+    static double timeCost(double relativeTime);
+    static LoadSample sampleOf(const HostState &host, TimePoint now);
+    /// Tells the departure share what is known of all hosts.
+    static void observe(ServiceHosts &service, TimePoint now);
+    double departureCost(const PlacementRequest &request) const;
+    /// Draws hosts for a call that leaves, if the share says that it does.
+    bool drawAway(ServiceHosts &service, const PlacementRequest &request, TimePoint now,
+                  Random &random, Candidates &candidates);
+    Candidates drawCandidates(ServiceHosts &service, const PlacementRequest &request, TimePoint now,
+                              Random &random);
+    /// Removes hosts of data centres that cannot be reached, unless there are no others.
+    void skipUnreached(std::vector<Host> &hosts, TimePoint now) const;
+    void recordChoice(const Candidates &candidates, const HostState &chosen, TimePoint now);
+    void recordFailure(const HostState &host, TimePoint now);
+    /// Returns the cost without that of leaving the data centre.
     double costOf(const HostState &host, const PlacementRequest &request, TimePoint now) const;
     static bool isVersionAllowed(const HostState &host, const PlacementRequest &request);
     bool isEligible(const HostState &host, const PlacementRequest &request, TimePoint now) const;
@@ -167,13 +232,21 @@
     /// Returns the hosts of the first `request.maxServers` servers in an order of their own.
     static std::vector<Host> firstServers(const std::vector<Host> &hosts,
                                           const PlacementRequest &request);
+    /// Takes over what is known of the service's servers.
+    void keepHistory(const ServiceId &id, ServiceHosts &service);
     ServiceMeans meansOf(const ServiceId &service) const;
+    /// Returns whether the failure of the host begins a suspicion of the own link.  Then the hosts
+    /// that failed lately are no longer avoided.
+    bool beginsSuspicion(const HostState &host, TimePoint now);
 
     DataCentreId localDataCentre_;
     PlacementPolicy policy_;
     std::map<Address, Host> hosts_;
     std::map<ServiceId, ServiceHosts> byService_;
     ServerNotices notices_;
+    OwnLink ownLink_;
+    DataCentreReach reach_;
+    DepartureCounts departures_;
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/sidecar/outbound-call.h
+++ b/include/cornelhead/sidecar/outbound-call.h
@@ -43,15 +43,15 @@
     void onAttemptEnd(const AttemptOutcome &end);
     void onStalledAttemptEnd(const AttemptOutcome &end);
     void onHostResponse(evhttp_request *raw);
-    void onAttemptFailure(AttemptFailure failure);
-    void onHostUnreachable();
+    void onAttemptFailure(AttemptFailure failure, ConnectFailure unsent = ConnectFailure::Refused);
+    void onHostUnreachable(ConnectFailure failure);
     void onHostRefused(HopReason reason);
     void onUnknownOutcome(HopReason reason);
     /// Refuses the call with `fallback` if it may not be retried.
     void retryOnOtherHost(OutboundRefusal fallback);
     void releaseHost();
     void destroyLater(std::unique_ptr<Attempt> &attempt);
-    void cancelAttempts();
+    void cancelAttempts(UnansweredEnd reason);
     void onDeadline();
     void onCallerDisconnect();
     void refuse(OutboundRefusal refusal);
@@ -88,6 +88,8 @@
     // The previous attempt at the same host, which stalled.  Its connection stays open, as the host
     // would take a close for the caller's; the first response of either attempt counts.
     std::unique_ptr<Attempt> stalled_;
+    // When the call was first sent to the current host.
+    TimePoint sentAt_{};
     Timer progressTimer_;
     Timer deadlineTimer_;
     std::uint32_t serversReached_ = 0;
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -18,6 +18,7 @@
 #include "cornelhead/routing/poison-tracker.h"
 #include "cornelhead/routing/shared-retry-budget.h"
 #include "cornelhead/routing/weighted-split.h"
+#include "cornelhead/sidecar/departure-monitor.h"
 #include "cornelhead/sidecar/dialect.h"
 #include "cornelhead/sidecar/hop.h"
 
@@ -66,6 +67,7 @@
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
     std::uint64_t seed = 0;
+    DepartureRule departure = DepartureRule::WhenShort;
 };
 
 /// The end of a process that is stopping.
@@ -108,6 +110,10 @@
     /// if that version has no host.
     bool chooseVersion(PlacementRequest &request);
     void recordReport(HostState &host, const HopResponse &response);
+    void recordUnreachable(HostState &host, ConnectFailure failure);
+    void recordUnanswered(HostState &host, UnansweredEnd end, TimePoint sentAt,
+                          Microseconds objective);
+    void logOwnLink();
     /// Estimates how long ago the caller first tried a call that it waits for `timeLeft` longer.
     Milliseconds elapsedSinceFirstTry(const RouteId &route, Milliseconds timeLeft);
     /// Updates the route's mean call size.
@@ -138,6 +144,9 @@
     Counter &retries_;
     Counter &resumes_;
     Counter &handBacks_;
+    Counter &unanswered_;
+    Counter &ownLinkSuspicions_;
+    DepartureMonitor departureMonitor_;
     Summary &duration_;
     // Set once the process is stopping.
     std::optional<StopSchedule> stop_;
--- a/include/cornelhead/sidecar/sidecar-settings.h
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -8,6 +8,7 @@
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/ids.h"
 #include "cornelhead/base/settings.h"
+#include "cornelhead/routing/placement.h"
 
 namespace cornelhead {
 
@@ -39,6 +40,8 @@
     /// The fleet's limit of retries: this share of the calls in each window.
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
+    /// When calls leave this data centre.
+    DepartureRule departure = DepartureRule::WhenShort;
     std::string logLevel;
     std::uint64_t seed = 0;
 };
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -11,6 +11,8 @@
 
 // The load that a report shows decays with this half-life.
 constexpr double reportHalfLifeUs = 400'000.0;
+// The load of a data centre changes more slowly than that of one host.
+constexpr double loadHalfLifeUs = 1'000'000.0;
 constexpr double demandHalfLifeUs = 1'000'000.0;
 // Costs are fractions of the value of a call.  Time up to this fraction of the objective costs
 // little, as the response is hardly ever late; beyond it much of the value is at risk.
@@ -82,16 +84,28 @@
             continue;
         ServiceHosts &service = byService[record.entry.server->service];
         service.all.push_back(host);
-        (record.entry.dataCentre == localDataCentre_ ? service.local : service.remote)
-                .push_back(host);
+        if (record.entry.dataCentre == localDataCentre_) {
+            service.local.push_back(host);
+        } else {
+            service.remote.push_back(host);
+            service.remoteByDataCentre[record.entry.dataCentre].push_back(host);
+        }
     }
     for (auto &[service, hosts] : byService)
-        hosts.means = meansOf(service);
+        keepHistory(service, hosts);
     byService_ = std::move(byService);
     hosts_ = std::move(kept);
     notices_.evictExpired(now);
 }
 
+void Placement::keepHistory(const ServiceId &id, ServiceHosts &service)
+{
+    service.means = meansOf(id);
+    const auto previous = byService_.find(id);
+    if (previous != byService_.end())
+        service.departure = previous->second.departure;
+}
+
 Placement::ServiceMeans Placement::meansOf(const ServiceId &service) const
 {
     const auto hosts = byService_.find(service);
@@ -161,15 +175,49 @@
             = static_cast<double>(std::max<std::int64_t>(1, request.objective.count()));
     const double time
             = static_cast<double>(expectedTime(host, request.objective, now).count()) / objective;
-    double cost = std::min(time, detail::safeFraction) * detail::safeTimeCost
-            + std::max(0.0, time - detail::safeFraction) * detail::riskyTimeCost;
+    double cost = timeCost(time);
     cost += detail::failureCost * host.report.failureShare * detail::ageFactor(host, now);
+    cost += detail::failureCost * host.unanswered.at(now);
     cost += detail::excessCost * detail::excessDemand(host, now);
-    if (host.entry.dataCentre != localDataCentre_)
-        cost += detail::remoteCost + detail::remoteCostPerByte * request.bytes;
     return cost;
 }
 
+double Placement::timeCost(double relativeTime)
+{
+    return std::min(relativeTime, detail::safeFraction) * detail::safeTimeCost
+            + std::max(0.0, relativeTime - detail::safeFraction) * detail::riskyTimeCost;
+}
+
+double Placement::departureCost(const PlacementRequest &request) const
+{
+    return detail::remoteCost + detail::remoteCostPerByte * request.bytes;
+}
+
+LoadSample Placement::sampleOf(const HostState &host, TimePoint now)
+{
+    const HostReport &report = host.report;
+    const double slots = std::max(1U, host.entry.server->slots);
+    const double busy = static_cast<double>(report.running + report.waiting);
+    const double queued = std::max(0.0, busy + 1.0 - slots);
+    const double failures = detail::failureCost * (report.failureShare + host.unanswered.at(now));
+    return LoadSample{busy / slots,
+                      timeCost(report.relativeWork * (1.0 + queued / slots)) + failures,
+                      timeCost(report.relativeWork)};
+}
+
+void Placement::observe(ServiceHosts &service, TimePoint now)
+{
+    std::map<DataCentreId, DepartureShare::Known> known;
+    for (const Host &host : service.all) {
+        if (host->entry.server->state == ServerState::Draining)
+            continue;
+        const double slots = std::max(1U, host->entry.server->slots);
+        const double freshness = detail::decayWithAge(*host, now, detail::loadHalfLifeUs);
+        known[host->entry.dataCentre].add(sampleOf(*host, now), slots, freshness);
+    }
+    service.departure.observe(known, now);
+}
+
 void Placement::draw(std::vector<Host> &hosts, std::size_t count, const PlacementRequest &request,
                      TimePoint now, Random &random, std::vector<Host> &candidates) const
 {
@@ -202,37 +250,111 @@
     return first;
 }
 
-Placement::Host Placement::choose(const PlacementRequest &request, TimePoint now, Random &random)
+void Placement::skipUnreached(std::vector<Host> &hosts, TimePoint now) const
 {
-    const auto service = byService_.find(request.service);
-    if (service == byService_.end())
-        return nullptr;
-    std::vector<Host> candidates;
+    const auto isUnreached
+            = [this, now](const Host &host) { return !reach_.isOpen(host->entry.dataCentre, now); };
+    if (!std::all_of(hosts.begin(), hosts.end(), isUnreached))
+        std::erase_if(hosts, isUnreached);
+}
+
+bool Placement::drawAway(ServiceHosts &service, const PlacementRequest &request, TimePoint now,
+                         Random &random, Candidates &candidates)
+{
+    if (policy_.departure == DepartureRule::ByCost || service.local.empty())
+        return false;
+    if (service.departure.isDue(now))
+        observe(service, now);
+    const double share = service.departure.share(localDataCentre_, request.bytes,
+                                                 departureCost(request), reach_, now);
+    if (share <= 0.0 || !random.chance(share))
+        return false;
+    const auto dataCentre = service.departure.draw(localDataCentre_, reach_, now, random);
+    if (!dataCentre)
+        return false;
+    const std::size_t before = candidates.hosts.size();
+    draw(service.remoteByDataCentre[*dataCentre], policy_.localCandidates, request, now, random,
+         candidates.hosts);
+    if (candidates.hosts.size() == before)
+        return false;
+    draw(service.local, policy_.remoteCandidates, request, now, random, candidates.hosts);
+    candidates.isLeaving = true;
+    return true;
+}
+
+Placement::Candidates Placement::drawCandidates(ServiceHosts &service,
+                                                const PlacementRequest &request, TimePoint now,
+                                                Random &random)
+{
+    Candidates candidates;
     for (const Host &host : request.busy) {
         if (isEligible(*host, request, now))
-            candidates.push_back(host);
+            candidates.hosts.push_back(host);
     }
     if (request.maxServers > 0) {
-        std::vector<Host> hosts = firstServers(service->second.all, request);
+        std::vector<Host> hosts = firstServers(service.all, request);
         draw(hosts, policy_.localCandidates + policy_.remoteCandidates, request, now, random,
-             candidates);
-    } else {
-        draw(service->second.local, policy_.localCandidates, request, now, random, candidates);
-        draw(service->second.remote, policy_.remoteCandidates, request, now, random, candidates);
+             candidates.hosts);
+        return candidates;
     }
+    if (drawAway(service, request, now, random, candidates))
+        return candidates;
+    draw(service.local, policy_.localCandidates, request, now, random, candidates.hosts);
+    draw(service.remote, policy_.remoteCandidates, request, now, random, candidates.hosts);
+    if (policy_.departure == DepartureRule::WhenShort)
+        skipUnreached(candidates.hosts, now);
+    return candidates;
+}
+
+void Placement::recordChoice(const Candidates &candidates, const HostState &chosen, TimePoint now)
+{
+    if (chosen.entry.dataCentre == localDataCentre_)
+        return;
+    reach_.recordSend(chosen.entry.dataCentre, now);
+    const bool hasLocal = std::any_of(
+            candidates.hosts.begin(), candidates.hosts.end(),
+            [this](const Host &host) { return host->entry.dataCentre == localDataCentre_; });
+    if (candidates.isLeaving)
+        ++departures_.byShare;
+    else if (hasLocal)
+        ++departures_.byCost;
+    else
+        ++departures_.withoutLocalHost;
+}
+
+Placement::Host Placement::choose(const PlacementRequest &request, TimePoint now, Random &random)
+{
+    const auto service = byService_.find(request.service);
+    if (service == byService_.end())
+        return nullptr;
+    const Candidates candidates = drawCandidates(service->second, request, now, random);
     Host best;
     double bestCost = 0.0;
-    for (const Host &host : candidates) {
+    for (const Host &host : candidates.hosts) {
+        const bool paysDeparture
+                = host->entry.dataCentre != localDataCentre_ && !candidates.isLeaving;
         const double jitter = 1.0 + detail::jitterFraction * random.unit();
-        const double cost = costOf(*host, request, now) * jitter;
+        const double cost
+                = (costOf(*host, request, now) + (paysDeparture ? departureCost(request) : 0.0))
+                * jitter;
         if (!best || cost < bestCost) {
             best = host;
             bestCost = cost;
         }
     }
+    if (best)
+        recordChoice(candidates, *best, now);
     return best;
 }
 
+std::map<ServiceId, double> Placement::departureShares() const
+{
+    std::map<ServiceId, double> shares;
+    for (const auto &[service, hosts] : byService_)
+        shares.emplace(service, hosts.departure.largest());
+    return shares;
+}
+
 void Placement::applyReport(HostState &host, const HostReport &report, TimePoint now)
 {
     host.report = report;
@@ -241,6 +363,9 @@
     host.lastResponseAt = now;
     host.consecutiveFailures = 0;
     host.backoffUntil = TimePoint();
+    host.unanswered.recordAnswer(now);
+    ownLink_.recordAnswer(host.entry.node, host.entry.dataCentre, now);
+    reach_.recordAnswer(host.entry.dataCentre);
     if (!host.entry.server)
         return;
     notices_.record(host.entry.server->id, report.serverStartedAtMs, report.notice, now);
@@ -268,6 +393,57 @@
     host.backoffUntil = now + backoff;
 }
 
+bool Placement::beginsSuspicion(const HostState &host, TimePoint now)
+{
+    if (!ownLink_.recordFailure(host.entry.node, host.entry.dataCentre, now))
+        return false;
+    for (const Address &node : ownLink_.failedHosts()) {
+        const Host failed = find(node);
+        if (!failed)
+            continue;
+        failed->consecutiveFailures = 0;
+        failed->backoffUntil = TimePoint();
+        failed->unanswered.clear();
+    }
+    reach_ = DataCentreReach();
+    return true;
+}
+
+void Placement::recordFailure(const HostState &host, TimePoint now)
+{
+    if (host.entry.dataCentre != localDataCentre_)
+        reach_.recordFailure(host.entry.dataCentre, host.entry.node, now);
+}
+
+bool Placement::recordUnreachable(HostState &host, ConnectFailure failure, TimePoint now)
+{
+    if (failure == ConnectFailure::Refused) {
+        reach_.recordAnswer(host.entry.dataCentre);
+        ownLink_.recordAnswer(host.entry.node, host.entry.dataCentre, now);
+        markUnreachable(host, now);
+        return false;
+    }
+    const bool begins = beginsSuspicion(host, now);
+    if (!ownLink_.isSuspected(now)) {
+        markUnreachable(host, now);
+        recordFailure(host, now);
+    }
+    return begins;
+}
+
+bool Placement::recordUnanswered(HostState &host, UnansweredEnd end, Microseconds waited,
+                                 Microseconds objective, TimePoint now)
+{
+    if (!isSilence(end, waited, objective))
+        return false;
+    const bool begins = beginsSuspicion(host, now);
+    if (!ownLink_.isSuspected(now)) {
+        host.unanswered.recordUnanswered(now);
+        recordFailure(host, now);
+    }
+    return begins;
+}
+
 std::optional<VersionId> Placement::defaultVersion(const ServiceId &service,
                                                    const std::optional<VersionId> &previous) const
 {
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -262,6 +262,8 @@
 void OutboundCall::send(bool isResumed)
 {
     Placement::begin(*host_);
+    if (!isResumed)
+        sentAt_ = now(SteadyClock());
     AttemptHandlers handlers;
     handlers.onHead = [](evhttp_request *) { return false; };
     // An attempt that was replaced may still run its callback, which is then ignored.
@@ -307,7 +309,7 @@
     progressTimer_ = proxy_.loop_.after(connectTimeout, [this] {
         if (!attempt_->wasSent()) {
             attempt_->cancel();
-            onAttemptFailure(AttemptFailure::NotSent);
+            onAttemptFailure(AttemptFailure::NotSent, ConnectFailure::TimedOut);
             return;
         }
         const Microseconds expected
@@ -327,6 +329,7 @@
         return;
     ++resumes_;
     proxy_.resumes_.add();
+    proxy_.recordUnanswered(*host_, UnansweredEnd::Stalled, sentAt_, route_->objective);
     releaseHost();
     proxy_.pool_.dropIdle(host_->entry.node, now(SteadyClock()) - minResumeDelay);
     if (stalled_)
@@ -343,7 +346,7 @@
         proxy_.loop_.post([owned = std::shared_ptr<Attempt>(std::move(attempt))] {});
 }
 
-void OutboundCall::cancelAttempts()
+void OutboundCall::cancelAttempts(UnansweredEnd reason)
 {
     if (stalled_)
         stalled_->cancel();
@@ -352,6 +355,7 @@
     if (!attempt_)
         return;
     attempt_->cancel();
+    proxy_.recordUnanswered(*host_, reason, sentAt_, route_->objective);
     releaseHost();
     destroyLater(attempt_);
 }
@@ -499,15 +503,15 @@
     selectHost();
 }
 
-void OutboundCall::onAttemptFailure(AttemptFailure failure)
+void OutboundCall::onAttemptFailure(AttemptFailure failure, ConnectFailure unsent)
 {
     releaseHost();
     if (provesNotRun(failure) && resumes_ == 0) {
-        onHostUnreachable();
+        onHostUnreachable(unsent);
         return;
     }
     if (provesNotRun(failure))
-        Placement::markUnreachable(*host_, now(SteadyClock()));
+        proxy_.recordUnreachable(*host_, unsent);
     // A host whose response was too long would send it again.
     if (failure == AttemptFailure::TooLong || resumes_ >= maxResumes || timeLeft() < minTimeLeft) {
         onUnknownOutcome(HopReason::InvalidResponse);
@@ -539,9 +543,9 @@
         send(true);
 }
 
-void OutboundCall::onHostUnreachable()
+void OutboundCall::onHostUnreachable(ConnectFailure failure)
 {
-    Placement::markUnreachable(*host_, now(SteadyClock()));
+    proxy_.recordUnreachable(*host_, failure);
     proxy_.pool_.dropIdle(host_->entry.node, TimePoint::max());
     proxy_.log_.write(EventKind::Failure, outboundPart, "host-unreachable",
                       {{"id", id_},
@@ -556,7 +560,7 @@
 {
     if (isDone_)
         return;
-    cancelAttempts();
+    cancelAttempts(UnansweredEnd::Deadline);
     refuse(OutboundRefusal::Timeout);
 }
 
@@ -565,7 +569,7 @@
     if (isDone_)
         return;
     isDone_ = true;
-    cancelAttempts();
+    cancelAttempts(UnansweredEnd::CallerGone);
     logEnd("caller-gone", 0);
     exchange_.abandon();
     proxy_.onCallEnd(*this);
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -32,12 +32,15 @@
     : loop_(loop), dialect_(dialect), settings_(std::move(settings)), poison_(poison), log_(log),
       handlers_(std::move(handlers)), random_(settings_.seed),
       pool_(loop.base(), metrics.counter("cornelhead_node_connections_total")),
-      placement_(settings_.dataCentre), budget_(settings_.retryRatio, settings_.retryWindow),
+      placement_(settings_.dataCentre, PlacementPolicy{.departure = settings_.departure}),
+      budget_(settings_.retryRatio, settings_.retryWindow),
       responses_(metrics.counter("cornelhead_entry_answers_total")),
       retries_(metrics.counter("cornelhead_entry_retries_total")),
       resumes_(metrics.counter("cornelhead_entry_resumes_total")),
       handBacks_(metrics.counter("cornelhead_entry_hand_backs_total")),
-      duration_(metrics.summary("cornelhead_entry_duration_us"))
+      unanswered_(metrics.counter("cornelhead_entry_unanswered_total")),
+      ownLinkSuspicions_(metrics.counter("cornelhead_entry_own_link_suspicions_total")),
+      departureMonitor_(metrics, log), duration_(metrics.summary("cornelhead_entry_duration_us"))
 {
     for (const std::string_view name : refusalNames) {
         refusals_.push_back(&metrics.counter("cornelhead_entry_refusals_total",
@@ -128,6 +131,28 @@
         recordReport(*host, response);
 }
 
+void OutboundProxy::recordUnreachable(HostState &host, ConnectFailure failure)
+{
+    if (placement_.recordUnreachable(host, failure, now(SteadyClock())))
+        logOwnLink();
+}
+
+void OutboundProxy::recordUnanswered(HostState &host, UnansweredEnd end, TimePoint sentAt,
+                                     Microseconds objective)
+{
+    const TimePoint time = now(SteadyClock());
+    unanswered_.add();
+    if (placement_.recordUnanswered(host, end, time - sentAt, objective, time))
+        logOwnLink();
+}
+
+void OutboundProxy::logOwnLink()
+{
+    ownLinkSuspicions_.add();
+    log_.write(EventKind::StateChange, "entry", "own-link-suspected",
+               {{"failedHosts", placement_.ownLink().failedHosts().size()}});
+}
+
 Milliseconds OutboundProxy::elapsedSinceFirstTry(const RouteId &route, Milliseconds timeLeft)
 {
     return deadlineEstimates_[route].elapsed(timeLeft);
@@ -154,6 +179,7 @@
 void OutboundProxy::sweep()
 {
     pool_.closeIdle(now(SteadyClock()) - maxIdleTime);
+    departureMonitor_.update(placement_.departures(), placement_.departureShares());
 }
 
 } // namespace cornelhead::detail
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -247,8 +247,9 @@
 
     detail::OutboundSettings outboundSettings() const
     {
-        return detail::OutboundSettings{settings.dataCentre, settings.service, settings.retryRatio,
-                                        settings.retryWindow, settings.seed + 2};
+        return detail::OutboundSettings{settings.dataCentre, settings.service,
+                                        settings.retryRatio, settings.retryWindow,
+                                        settings.seed + 2,   settings.departure};
     }
 
     detail::OutboundHandlers outboundHandlers()
--- a/test/routing/fleet-load.h
+++ b/test/routing/fleet-load.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <queue>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +20,16 @@
 
 namespace cornelhead {
 
+/// The calls that arrive from some time on.
+struct LoadPhase
+{
+    Milliseconds from{0};
+    /// As `FleetLoadSettings::load`.
+    double load = 0.65;
+    /// The demand in each data centre, relative to the others; the same in all if empty.
+    std::vector<double> demand;
+};
+
 /// A deployment with one service, and its callers.
 struct FleetLoadSettings
 {
@@ -47,6 +58,39 @@
     PlacementPolicy policy;
     bool usesHandBack = true;
     std::uint64_t seed = 1;
+    /// Replaces `load` unless empty.
+    std::vector<LoadPhase> phases;
+    double bytes = 500;
+    /// How old a report is when the caller's node sees it, beyond its way there.
+    Milliseconds reportAge{0};
+    /// Calls between the first data centre and the others are lost from then until then.
+    Milliseconds cutFrom{0};
+    Milliseconds cutUntil{0};
+};
+
+/// Calls of the callers of one data centre.
+struct DataCentreCalls
+{
+    double calls = 0;
+    double inTime = 0;
+    /// Sent to hosts of the own and of other data centres, by the interval of their sending.
+    std::vector<double> sent;
+    std::vector<double> sentAway;
+
+    static constexpr Milliseconds interval{250};
+    double shareInTime() const { return inTime / calls; }
+    /// Returns the share of the sent calls that left, between two times.
+    double shareAway(Milliseconds from, Milliseconds until) const
+    {
+        double all = 0;
+        double away = 0;
+        for (auto i = static_cast<std::size_t>(from / interval);
+             i < static_cast<std::size_t>(until / interval) && i < sent.size(); ++i) {
+            all += sent[i];
+            away += sentAway[i];
+        }
+        return away / all;
+    }
 };
 
 /// What became of the calls that arrived after the first quarter of the time.
@@ -64,6 +108,9 @@
     /// `limitWindow`, relative to what its limit allows; `limitSettleTime` after it first named the
     /// limit.
     double mostOfLimit = 0;
+    std::map<DataCentreId, DataCentreCalls> byDataCentre;
+    /// Choices of other data centres by the departure share.
+    double byShare = 0;
 
     static constexpr Milliseconds limitWindow{4000};
     static constexpr Milliseconds limitSettleTime{3000};
@@ -92,7 +139,15 @@
     {
         const double capacity = capacityPerSecond();
         const TimePoint end = time_ + settings_.duration;
-        scheduleArrivals(capacity * settings_.load, end);
+        const TimePoint begin = time_;
+        if (settings_.phases.empty())
+            scheduleArrivals(capacity * settings_.load, time_, end, {});
+        for (std::size_t i = 0; i < settings_.phases.size(); ++i) {
+            const LoadPhase &phase = settings_.phases[i];
+            const bool isLast = i + 1 == settings_.phases.size();
+            scheduleArrivals(capacity * phase.load, begin + phase.from,
+                             isLast ? end : begin + settings_.phases[i + 1].from, phase.demand);
+        }
         for (TimePoint next = time_ + settings_.restartInterval;
              settings_.restartInterval > Milliseconds(0) && next < end;
              next += settings_.restartInterval)
@@ -103,6 +158,8 @@
             time_ = event.at;
             event.run();
         }
+        for (const Entry &entry : entries_)
+            result_.byShare += static_cast<double>(entry.placement.departures().byShare);
         double busy = 0;
         for (const Server &server : servers_) {
             busy += server.busyUs;
@@ -212,13 +269,13 @@
         events_.push(Event{when, ++order_, std::move(run)});
     }
 
-    void scheduleArrivals(double perSecond, TimePoint end)
+    void scheduleArrivals(double perSecond, TimePoint next, TimePoint end,
+                          const std::vector<double> &demand)
     {
-        TimePoint next = time_;
         while (next < end) {
             next += Microseconds(
                     static_cast<std::int64_t>(-std::log(1.0 - random_.unit()) / perSecond * 1e6));
-            at(next, [this] { onArrival(); });
+            at(next, [this, demand] { onArrival(demand); });
         }
     }
 
@@ -227,18 +284,30 @@
         return call.arrivedAt > TimePoint(Milliseconds(10'000)) + settings_.duration / 4;
     }
 
-    void onArrival()
+    std::size_t drawNode(const std::vector<double> &demand)
+    {
+        if (demand.empty())
+            return random_.below(entries_.size());
+        std::discrete_distribution<std::size_t> drawn(demand.begin(), demand.end());
+        const std::size_t dataCentre = drawn(random_.engine());
+        const std::size_t nodes = (entries_.size() - dataCentre - 1) / settings_.dataCentres + 1;
+        return dataCentre + settings_.dataCentres * random_.below(nodes);
+    }
+
+    void onArrival(const std::vector<double> &demand)
     {
-        const std::size_t index = random_.below(entries_.size());
+        const std::size_t index = drawNode(demand);
         auto call = std::make_shared<Call>();
         call->entry = &entries_[index];
         call->dataCentre = dataCentreOf(index);
         call->arrivedAt = time_;
         call->request.service = ServiceId("service");
         call->request.objective = settings_.objective;
-        call->request.bytes = 500;
-        if (isCounted(*call))
+        call->request.bytes = settings_.bytes;
+        if (isCounted(*call)) {
             ++result_.calls;
+            ++result_.byDataCentre[call->dataCentre].calls;
+        }
         send(call);
     }
 
@@ -257,9 +326,45 @@
         }
         call->knownLimit = call->entry->placement.knownLimit(*call->host);
         Placement::begin(*call->host);
+        recordSend(*call);
+        if (isCut(*call)) {
+            at(time_ + connectTimeout, [this, call] { onLost(call); });
+            return;
+        }
         at(time_ + delayTo(*call), [this, call] { offer(call); });
     }
 
+    void recordSend(const Call &call)
+    {
+        DataCentreCalls &calls = result_.byDataCentre[call.dataCentre];
+        const auto index
+                = static_cast<std::size_t>((time_ - startedAt) / DataCentreCalls::interval);
+        if (calls.sent.size() <= index) {
+            calls.sent.resize(index + 1);
+            calls.sentAway.resize(index + 1);
+        }
+        ++calls.sent[index];
+        calls.sentAway[index] += call.host->entry.dataCentre != call.dataCentre ? 1 : 0;
+    }
+
+    bool isCut(const Call &call) const
+    {
+        const DataCentreId first = dataCentreOf(0);
+        return time_ >= startedAt + settings_.cutFrom && time_ < startedAt + settings_.cutUntil
+                && (call.dataCentre == first) != (call.host->entry.dataCentre == first);
+    }
+
+    void onLost(const CallHandle &call)
+    {
+        Placement::end(*call->host);
+        call->entry->placement.recordUnreachable(*call->host, ConnectFailure::TimedOut, time_);
+        call->request.tried.insert(call->host->entry.node);
+        if (time_ - call->arrivedAt < settings_.objective)
+            send(call);
+        else
+            end(*call, result_.late);
+    }
+
     void offer(const CallHandle &call)
     {
         Server &server = servers_[byNode_.at(call->host->entry.node)];
@@ -373,12 +478,22 @@
         report.demand = load.demand;
         at(time_ + delayTo(*call), [this, call, report, onResponse = std::move(onResponse)] {
             Placement::end(*call->host);
-            call->entry->placement.applyReport(*call->host, report, time_);
+            applyReport(*call->entry, call->host, report);
             call->entry->handBack.record(call->request.service, report);
             onResponse();
         });
     }
 
+    void applyReport(Entry &entry, const Placement::Host &host, const HostReport &report)
+    {
+        if (settings_.reportAge == Milliseconds(0)) {
+            entry.placement.applyReport(*host, report, time_);
+            return;
+        }
+        at(time_ + settings_.reportAge,
+           [this, &entry, host, report] { entry.placement.applyReport(*host, report, time_); });
+    }
+
     void onHandedBack(const CallHandle &call)
     {
         ++call->handBacks;
@@ -403,6 +518,8 @@
         if (isCounted(call) && call.host->entry.dataCentre != call.dataCentre)
             ++result_.remote;
         const bool isLate = time_ - call.arrivedAt > settings_.objective;
+        if (isCounted(call) && !isLate)
+            ++result_.byDataCentre[call.dataCentre].inTime;
         end(call, isLate ? result_.late : result_.inTime);
     }
 
@@ -412,9 +529,12 @@
             ++counter;
     }
 
+    static constexpr TimePoint startedAt{Milliseconds(10'000)};
+    static constexpr Milliseconds connectTimeout{250};
+
     const FleetLoadSettings settings_;
     Random random_;
-    TimePoint time_{Milliseconds(10'000)};
+    TimePoint time_ = startedAt;
     HostDirectory directory_;
     std::vector<Server> servers_;
     std::vector<Entry> entries_;
