--- a/include/cornelhead/sidecar/sidecar-settings.h
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -8,6 +8,7 @@
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/ids.h"
 #include "cornelhead/base/settings.h"
+#include "cornelhead/routing/placement.h"
 
 namespace cornelhead {
 
@@ -41,6 +42,8 @@
     Milliseconds retryWindow{};
     /// Requests of one connection that callers may have in flight at once.
     std::uint64_t requestsAhead = 1;
+    /// When calls leave this data centre.
+    DepartureRule departure = DepartureRule::WhenShort;
     std::string logLevel;
     std::uint64_t seed = 0;
 };
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -257,6 +257,8 @@
 void OutboundCall::send(bool isResumed)
 {
     Placement::begin(*host_);
+    if (!isResumed)
+        sentAt_ = now(SteadyClock());
     AttemptHandlers handlers;
     handlers.onHead = [](evhttp_request *) { return false; };
     // An attempt that was replaced may still run its callback, which is then ignored.
@@ -301,7 +303,7 @@
     progressTimer_ = proxy_.loop_.after(connectTimeout, [this] {
         if (!attempt_->wasSent()) {
             attempt_->cancel();
-            onAttemptFailure(AttemptFailure::NotSent);
+            onAttemptFailure(AttemptFailure::NotSent, ConnectFailure::TimedOut);
             return;
         }
         const Microseconds expected
@@ -321,6 +323,7 @@
         return;
     ++resumes_;
     proxy_.resumes_.add();
+    proxy_.recordUnanswered(*host_, UnansweredEnd::Stalled, sentAt_, route_->objective);
     releaseHost();
     proxy_.pool_.dropIdle(host_->entry.node, now(SteadyClock()) - minResumeDelay);
     if (stalled_)
@@ -337,7 +340,7 @@
         proxy_.loop_.post([owned = std::shared_ptr<Attempt>(std::move(attempt))] {});
 }
 
-void OutboundCall::cancelAttempts()
+void OutboundCall::cancelAttempts(UnansweredEnd reason)
 {
     if (stalled_)
         stalled_->cancel();
@@ -346,6 +349,7 @@
     if (!attempt_)
         return;
     attempt_->cancel();
+    proxy_.recordUnanswered(*host_, reason, sentAt_, route_->objective);
     releaseHost();
     destroyLater(attempt_);
 }
@@ -492,15 +496,15 @@
     selectHost();
 }
 
-void OutboundCall::onAttemptFailure(AttemptFailure failure)
+void OutboundCall::onAttemptFailure(AttemptFailure failure, ConnectFailure unsent)
 {
     releaseHost();
     if (provesNotRun(failure) && resumes_ == 0) {
-        onHostUnreachable();
+        onHostUnreachable(unsent);
         return;
     }
     if (provesNotRun(failure))
-        Placement::markUnreachable(*host_, now(SteadyClock()));
+        proxy_.recordUnreachable(*host_, unsent);
     // A host whose response was too long would send it again.
     if (failure == AttemptFailure::TooLong || resumes_ >= maxResumes || timeLeft() < minTimeLeft) {
         onUnknownOutcome(HopReason::InvalidResponse);
@@ -532,9 +536,9 @@
         send(true);
 }
 
-void OutboundCall::onHostUnreachable()
+void OutboundCall::onHostUnreachable(ConnectFailure failure)
 {
-    Placement::markUnreachable(*host_, now(SteadyClock()));
+    proxy_.recordUnreachable(*host_, failure);
     proxy_.pool_.dropIdle(host_->entry.node, TimePoint::max());
     proxy_.log_.write(EventKind::Failure, outboundPart, "host-unreachable",
                       {{"id", id_},
@@ -549,7 +553,7 @@
 {
     if (isDone_)
         return;
-    cancelAttempts();
+    cancelAttempts(UnansweredEnd::Deadline);
     refuse(OutboundRefusal::Timeout);
 }
 
@@ -558,7 +562,7 @@
     if (isDone_)
         return;
     isDone_ = true;
-    cancelAttempts();
+    cancelAttempts(UnansweredEnd::CallerGone);
     logEnd("caller-gone", 0);
     exchange_.abandon();
     proxy_.onCallEnd(*this);
--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -30,6 +30,10 @@
   --retry-window DURATION  The window to which --retry-ratio applies. [default: 10s]
   --requests-ahead N       Requests that a caller may have in flight on one connection; those that it
                            sends ahead beyond that wait. [default: 1]
+  --leave-data-centre RULE
+                           When calls leave this data centre. when-short: also a share of them
+                           while it is short of room. by-cost: only if the one host that is
+                           compared there costs less. [default: when-short]
   --log-level LEVEL        debug, info, warning or error. [default: info]
   --seed N                 Seed of random choices; 0 for a random seed. [default: 0]
   --help                   Print this text.
@@ -57,6 +61,10 @@
     sidecar.retryWindow
             = settings.duration("--retry-window", Milliseconds(100), std::chrono::hours(1));
     sidecar.requestsAhead = settings.integer("--requests-ahead", 1, 1024);
+    sidecar.departure
+            = settings.choice("--leave-data-centre", {"when-short", "by-cost"}) == "by-cost"
+            ? DepartureRule::ByCost
+            : DepartureRule::WhenShort;
     sidecar.logLevel = settings.choice("--log-level", {"info", "debug", "warning", "error"});
     sidecar.seed = settings.integer("--seed", 0, UINT64_MAX);
     if (sidecar.seed == 0)
