Share a full server among customers

Within a rank calls started in order of arrival, so a customer that sends many times its usual calls took places from all others. Now the customer with the least service time lately, relative to its usual demand, starts first, and the last in this order gives way. A returning call goes before first tries of its customer, and a bounded lead before those of others. Calls without customers keep the order of arrival.

--- a/include/cornelhead/routing/server-gate.h
+++ b/include/cornelhead/routing/server-gate.h
@@ -3,7 +3,10 @@
 // Load pattern: for seconds, more calls arrive than the server's slots can finish, and nested calls
 // from other servers compete with calls of clients.  Nested calls go first, as slots are already
 // spent on their outer calls, then routes by priority.  A call that cannot finish in time is
-// refused at once, so that slots are spent only on responses that are still useful.  A server may
+// refused at once, so that slots are spent only on responses that are still useful.  Within a rank
+// the customers share the server: one that sends many times its usual calls waits behind the
+// others, and gives way first.  A caller that was told to come back goes before first tries.  A
+// server may
 // also limit the rate of its calls; as all calls to it pass through this gate, the limit holds for
 // all hosts together.
 #pragma once
@@ -17,6 +20,7 @@
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/ids.h"
 #include "cornelhead/routing/call-pacer.h"
+#include "cornelhead/routing/customer-shares.h"
 
 namespace cornelhead {
 
@@ -34,6 +38,12 @@
     Microseconds work{};
     /// A response after this time is useless; the call expires when it can no longer meet it.
     TimePoint finishBy{};
+    /// Calls of equal rank start in the order of their customers' shares; empty if the call has
+    /// none.
+    CustomerId customer{};
+    /// A caller's retry, which goes before first tries of its rank and customer, and a little
+    /// before those of other customers.
+    bool isReturning = false;
 };
 
 /// The load of a gate as reported to other nodes.
@@ -93,6 +103,15 @@
         TimePoint expectedEnd{};
     };
 
+    struct Waiting
+    {
+        GateRequest call;
+        std::uint64_t arrival = 0;
+        // Of calls of equal rank the lowest starts first; as `CustomerShares::level`.
+        double level = 0.0;
+    };
+    using WaitingCalls = std::list<Waiting>;
+
     /// What a call waits behind.
     struct Queue
     {
@@ -110,14 +129,21 @@
     Microseconds waitBehind(const Queue &ahead, TimePoint now) const;
     /// Returns what a new call of `rank` would wait behind.
     Queue queueAhead(std::uint32_t rank) const;
+    /// Returns what a waiting call waits behind.
+    Queue queueAhead(WaitingCalls::const_iterator call) const;
+    WaitingCalls::const_iterator insert(const GateRequest &offer, TimePoint now);
+    /// Puts the waiting calls into start order, as the customers' shares change.
+    void sort(TimePoint now);
     void start(const GateRequest &offer, TimePoint now);
     void removeExpired(TimePoint now, std::vector<GateTicket> &expired);
 
     std::uint32_t slots_ = 1;
     CallPacer pacer_;
     std::map<GateTicket, Running> running_;
-    // In start order: by rank, then by arrival.
-    std::list<GateRequest> waiting_;
+    // In start order: by rank, then by level, then returning calls first, then by arrival.
+    WaitingCalls waiting_;
+    std::uint64_t arrivals_ = 0;
+    CustomerShares shares_;
 };
 
 } // namespace cornelhead
--- a/src/routing/server-gate.cc
+++ b/src/routing/server-gate.cc
@@ -2,6 +2,8 @@
 #include "cornelhead/routing/server-gate.h"
 
 #include <algorithm>
+#include <tuple>
+#include <utility>
 
 namespace cornelhead {
 namespace detail {
@@ -11,23 +13,26 @@
 constexpr int runningWorkDivisor = 2;
 // Load reports contain the wait of a call of this rank: normal priority.
 constexpr std::uint32_t reportedRank = 2;
+// A returning call goes before first tries of customers that have had up to this many of such calls
+// less.  Without a bound the returning calls of one customer would take all slots.
+constexpr double returningLead = 4.0;
 
 } // namespace detail
 
 ServerGate::Verdict ServerGate::offer(const GateRequest &offer, TimePoint now,
                                       std::vector<GateTicket> &expired)
 {
+    shares_.recordDemand(offer.customer, offer.work, now);
     if (isOpen(now)) {
         start(offer, now);
         return Verdict::Start;
     }
-    const Microseconds wait = waitBehind(queueAhead(offer.rank), now);
-    if (now + wait + offer.work > offer.finishBy)
+    const auto position = insert(offer, now);
+    const Microseconds wait = waitBehind(queueAhead(position), now);
+    if (now + wait + offer.work > offer.finishBy) {
+        waiting_.erase(position);
         return Verdict::Refuse;
-    const auto position
-            = std::find_if(waiting_.begin(), waiting_.end(),
-                           [&](const GateRequest &waiting) { return waiting.rank > offer.rank; });
-    waiting_.insert(position, offer);
+    }
     removeExpired(now, expired);
     return Verdict::Wait;
 }
@@ -35,13 +40,14 @@
 void ServerGate::remove(GateTicket ticket)
 {
     if (running_.erase(ticket) == 0)
-        waiting_.remove_if([&](const GateRequest &waiting) { return waiting.ticket == ticket; });
+        waiting_.remove_if([&](const Waiting &waiting) { return waiting.call.ticket == ticket; });
 }
 
 std::optional<GateTicket> ServerGate::startNext(TimePoint now, std::vector<GateTicket> &expired)
 {
     while (!waiting_.empty() && mayStart(now)) {
-        const GateRequest next = waiting_.front();
+        sort(now);
+        const GateRequest next = waiting_.front().call;
         waiting_.pop_front();
         if (now + next.work <= next.finishBy) {
             start(next, now);
@@ -55,8 +61,8 @@
 std::vector<GateTicket> ServerGate::removeWaiting()
 {
     std::vector<GateTicket> tickets;
-    for (const GateRequest &waiting : waiting_)
-        tickets.push_back(waiting.ticket);
+    for (const Waiting &waiting : waiting_)
+        tickets.push_back(waiting.call.ticket);
     waiting_.clear();
     return tickets;
 }
@@ -64,7 +70,7 @@
 bool ServerGate::isWaiting(GateTicket ticket) const
 {
     return std::any_of(waiting_.begin(), waiting_.end(),
-                       [&](const GateRequest &waiting) { return waiting.ticket == ticket; });
+                       [&](const Waiting &waiting) { return waiting.call.ticket == ticket; });
 }
 
 GateLoad ServerGate::load(TimePoint now) const
@@ -99,34 +105,75 @@
 }
 
 ServerGate::Queue ServerGate::queueAhead(std::uint32_t rank) const
+{
+    return queueAhead(std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting &waiting) {
+        return waiting.call.rank > rank;
+    }));
+}
+
+ServerGate::Queue ServerGate::queueAhead(WaitingCalls::const_iterator call) const
 {
     Queue ahead;
-    for (const GateRequest &waiting : waiting_) {
-        if (waiting.rank > rank)
-            break;
+    for (auto waiting = waiting_.begin(); waiting != call; ++waiting) {
         ++ahead.calls;
-        ahead.work += waiting.work;
+        ahead.work += waiting->call.work;
     }
     return ahead;
 }
 
+ServerGate::WaitingCalls::const_iterator ServerGate::insert(const GateRequest &offer, TimePoint now)
+{
+    const auto added = waiting_.insert(waiting_.end(), Waiting{offer, ++arrivals_});
+    sort(now);
+    return added;
+}
+
+void ServerGate::sort(TimePoint now)
+{
+    const auto byArrival = [](const Waiting &waiting) {
+        return std::make_tuple(waiting.call.rank, !waiting.call.isReturning, waiting.arrival);
+    };
+    waiting_.sort([&](const Waiting &a, const Waiting &b) { return byArrival(a) < byArrival(b); });
+    if (shares_.isEmpty())
+        return;
+    // The level that each customer will have once its calls before the next one have started.
+    std::map<CustomerId, double> levels;
+    const double meanLevel = shares_.meanLevel(now);
+    for (Waiting &waiting : waiting_) {
+        const CustomerId &customer = waiting.call.customer;
+        if (customer.empty()) {
+            waiting.level = meanLevel;
+            continue;
+        }
+        double &level = levels.try_emplace(customer, shares_.level(customer, now)).first->second;
+        const double share
+                = static_cast<double>(waiting.call.work.count()) / shares_.weight(customer, now);
+        waiting.level = level - (waiting.call.isReturning ? detail::returningLead * share : 0.0);
+        level += share;
+    }
+    waiting_.sort([](const Waiting &a, const Waiting &b) {
+        return std::make_pair(a.call.rank, a.level) < std::make_pair(b.call.rank, b.level);
+    });
+}
+
 void ServerGate::start(const GateRequest &offer, TimePoint now)
 {
     running_.emplace(offer.ticket, Running{now + offer.work});
     pacer_.start(now);
+    shares_.recordStart(offer.customer, offer.work, now);
 }
 
 void ServerGate::removeExpired(TimePoint now, std::vector<GateTicket> &expired)
 {
     Queue ahead;
     for (auto waiting = waiting_.begin(); waiting != waiting_.end();) {
-        if (now + waitBehind(ahead, now) + waiting->work <= waiting->finishBy) {
+        if (now + waitBehind(ahead, now) + waiting->call.work <= waiting->call.finishBy) {
             ++ahead.calls;
-            ahead.work += waiting->work;
+            ahead.work += waiting->call.work;
             ++waiting;
             continue;
         }
-        expired.push_back(waiting->ticket);
+        expired.push_back(waiting->call.ticket);
         waiting = waiting_.erase(waiting);
     }
 }
