--- a/include/cornelhead/sidecar/call-records.h
+++ b/include/cornelhead/sidecar/call-records.h
@@ -72,6 +72,8 @@
 
     /// Returns the ticket of a call that waits or runs.
     std::optional<GateTicket> findActive(const std::string &id) const;
+    /// Returns whether the caller left before the call ended, and the call was cancelled.
+    bool wasCancelled(const std::string &id) const;
     std::size_t size() const { return records_.size(); }
 
     static constexpr Milliseconds sweepPeriod{250};
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -40,6 +40,8 @@
     /// A request under which servers died got a response.
     std::function<void(Fingerprint)> onSuspicionCleared;
     std::function<Revision()> configurationRevision;
+    /// The caller of a call that the server was running left, and the call was cancelled.
+    std::function<void(const std::string &id)> onCallCancelled;
 };
 
 /// Forwards calls of all nodes to the host's server.
@@ -68,6 +70,8 @@
     void stop();
     /// Returns whether the server is running the call with this request id.
     bool isRunning(const std::string &id) const;
+    /// Returns whether the caller of this call left, and the call was cancelled.
+    bool wasCancelled(const std::string &id) const { return records_.wasCancelled(id); }
     /// Number of calls that wait or run.
     std::size_t active() const;
     /// To be called a few times a second.
--- a/include/cornelhead/sidecar/outbound-call.h
+++ b/include/cornelhead/sidecar/outbound-call.h
@@ -24,10 +24,15 @@
     OutboundCall &operator=(const OutboundCall &) = delete;
 
     void start();
+    /// Returns whether this host's server made the call while it ran the one with this request id.
+    bool isMadeFor(const std::string &outerId) const;
+    /// Ends the call, as the outer call's caller has left.
+    void cancelWithOuterCall();
 
 private:
     bool readHead();
     bool findRoute();
+    bool isOuterCallCancelled() const;
     /// Finds the call's customer.  Returns false if the call was refused for want of it.
     bool identify();
     /// Returns whether the call, of which the caller waits for `limit`, is refused as the process
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -56,6 +56,9 @@
     std::function<void(const Address &, Revision)> onPeerRevision;
     /// Returns whether this host's server is running the call with this request id.
     std::function<bool(const std::string &)> isRunningHere;
+    /// Returns whether the caller of the call with this request id left while this host's server
+    /// ran it, so that calls made for it are of no use.
+    std::function<bool(const std::string &)> isCancelledHere;
 };
 
 struct OutboundSettings
@@ -95,6 +98,8 @@
     /// From now on responses ask callers to close their connections, calls that might not end in
     /// time are refused, and the others end before the process does.
     void stop(const StopSchedule &schedule) { stop_ = schedule; }
+    /// Ends the calls that this host's server made while it ran the call with this request id.
+    void cancelNestedCalls(const std::string &outerId);
     std::size_t active() const { return calls_.size(); }
     /// To be called a few times a second.
     void sweep();
@@ -138,6 +143,7 @@
     Counter &retries_;
     Counter &resumes_;
     Counter &handBacks_;
+    Counter &cancelledNestedCalls_;
     Summary &duration_;
     // Set once the process is stopping.
     std::optional<StopSchedule> stop_;
--- a/src/sidecar/call-records.cc
+++ b/src/sidecar/call-records.cc
@@ -69,6 +69,13 @@
     return record == records_.end() ? std::nullopt : record->second.ticket;
 }
 
+bool CallRecords::wasCancelled(const std::string &id) const
+{
+    const auto record = records_.find(id);
+    return record != records_.end() && !record->second.ticket
+            && record->second.outcome.reason == HopReason::Cancelled;
+}
+
 void PauseDetector::observe(TimePoint now)
 {
     if (lastObservedAt_ != TimePoint() && now - lastObservedAt_ > detail::minPause) {
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -116,6 +116,7 @@
     attempt_->cancel();
     sample_ = proxy_.recordEnd(*this, CallEnd::CutOff);
     finish(HopResult::Unknown, HopReason::Cancelled);
+    proxy_.handlers_.onCallCancelled(id_);
 }
 
 void InboundCall::onTimeout()
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -109,6 +109,10 @@
         refuse(OutboundRefusal::NoRoute);
         return;
     }
+    if (isOuterCallCancelled()) {
+        refuse(OutboundRefusal::UnknownParent);
+        return;
+    }
     if (!identify())
         return;
     if (proxy_.poison_.hasSuspects()
@@ -169,6 +173,12 @@
     return !id_.empty();
 }
 
+bool OutboundCall::isOuterCallCancelled() const
+{
+    return hasNestedId_ && !isNestedCall_
+            && proxy_.handlers_.isCancelledHere(id_.substr(0, id_.rfind('.')));
+}
+
 bool OutboundCall::isRefusedByStop(Milliseconds limit) const
 {
     const StopSchedule &stop = *proxy_.stop_;
@@ -571,6 +581,21 @@
     proxy_.onCallEnd(*this);
 }
 
+bool OutboundCall::isMadeFor(const std::string &outerId) const
+{
+    return isNestedCall_ && id_.rfind('.') == outerId.size() && id_.starts_with(outerId);
+}
+
+void OutboundCall::cancelWithOuterCall()
+{
+    if (isDone_)
+        return;
+    proxy_.cancelledNestedCalls_.add();
+    // Before its host has heard of the cancellation, the call may start there.
+    cancelAttempts();
+    refuse(OutboundRefusal::Unknown);
+}
+
 double OutboundCall::retryAfterSeconds() const
 {
     const double wait = static_cast<double>(minWait_.count()) / 1e6;
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -37,6 +37,7 @@
       retries_(metrics.counter("cornelhead_entry_retries_total")),
       resumes_(metrics.counter("cornelhead_entry_resumes_total")),
       handBacks_(metrics.counter("cornelhead_entry_hand_backs_total")),
+      cancelledNestedCalls_(metrics.counter("cornelhead_entry_nested_cancelled_total")),
       duration_(metrics.summary("cornelhead_entry_duration_us"))
 {
     for (const std::string_view name : refusalNames) {
@@ -151,6 +152,17 @@
     calls_.erase(owned);
 }
 
+void OutboundProxy::cancelNestedCalls(const std::string &outerId)
+{
+    std::vector<std::shared_ptr<OutboundCall>> nested;
+    for (const auto &[key, call] : calls_) {
+        if (call->isMadeFor(outerId))
+            nested.push_back(call);
+    }
+    for (const auto &call : nested)
+        call->cancelWithOuterCall();
+}
+
 void OutboundProxy::sweep()
 {
     pool_.closeIdle(now(SteadyClock()) - maxIdleTime);
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -239,6 +239,8 @@
                 = [this](const std::vector<SuspectedDeath> &deaths) { broadcastDeaths(deaths); };
         handlers.onSuspicionCleared
                 = [this](Fingerprint request) { clearedRequests.insert(request); };
+        handlers.onCallCancelled
+                = [this](const std::string &id) { outboundProxy.cancelNestedCalls(id); };
         handlers.configurationRevision = [this] {
             return fleet.configuration() ? fleet.configuration()->revision() : Revision();
         };
@@ -263,6 +265,8 @@
         };
         handlers.isRunningHere
                 = [this](const std::string &id) { return inboundProxy.isRunning(id); };
+        handlers.isCancelledHere
+                = [this](const std::string &id) { return inboundProxy.wasCancelled(id); };
         return handlers;
     }
 
