Let refused callers return at booked places and go first

Retry-After was half of the shortest wait with little jitter, and returning calls queued behind first tries, so many were refused again. Other deployments keep the former values and order.

routing-test, sidecar-test, and sidecar_path, server_notices, poison, call_samples and cancelled_calls of adapter-test pass.

--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -72,6 +72,8 @@
     bool isRunning(const std::string &id) const;
     /// Returns whether the caller of this call left, and the call was cancelled.
     bool wasCancelled(const std::string &id) const { return records_.wasCancelled(id); }
+    /// From now on callers' retries go before first tries also if they have no customer.
+    void setReturningFirst() { isReturningFirst_ = true; }
     /// Number of calls that wait or run.
     std::size_t active() const;
     /// To be called a few times a second.
@@ -129,6 +131,9 @@
     std::array<Counter *, headFaultCount> invalidHeads_{};
     std::array<Counter *, receiveFaultCount> longResponses_{};
     Counter &serverCalls_;
+    // Callers' retries that could still be in time, and those of them that were refused.
+    Counter &returningCalls_;
+    Counter &refusedReturns_;
     Gauge &serverLimit_;
     UpstreamPool pool_;
     HttpClient healthClient_;
@@ -154,6 +159,7 @@
     std::uint64_t limitedCalls_ = 0;
     std::optional<TimePoint> limitedSince_;
     bool isStartScheduled_ = false;
+    bool isReturningFirst_ = false;
     bool isProbing_ = false;
     bool isStopping_ = false;
 };
--- a/include/cornelhead/sidecar/outbound-call.h
+++ b/include/cornelhead/sidecar/outbound-call.h
@@ -61,7 +61,10 @@
     void onCallerDisconnect();
     void refuse(OutboundRefusal refusal);
     void logEnd(std::string_view outcome, int status);
-    double retryAfterSeconds() const;
+    /// Returns the value of the header Retry-After, and books the return that it asks for.
+    double retryAfterSeconds(OutboundRefusal refusal);
+    Microseconds bookReturn();
+    Milliseconds elapsedSinceFirstTry() const;
     Milliseconds timeLeft() const;
 
     OutboundProxy &proxy_;
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -16,6 +16,7 @@
 #include "cornelhead/routing/hand-back.h"
 #include "cornelhead/routing/placement.h"
 #include "cornelhead/routing/poison-tracker.h"
+#include "cornelhead/routing/return-schedule.h"
 #include "cornelhead/routing/shared-retry-budget.h"
 #include "cornelhead/routing/weighted-split.h"
 #include "cornelhead/sidecar/dialect.h"
@@ -69,6 +70,8 @@
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
     std::uint64_t seed = 0;
+    /// Paces the returns of refused callers also where the configuration names no customers.
+    bool returningFirst = false;
 };
 
 /// The end of a process that is stopping.
@@ -130,6 +133,7 @@
     Placement placement_;
     HandBackPolicy handBack_;
     SharedRetryBudget budget_;
+    ReturnSchedule returns_;
     std::shared_ptr<const RouteTable> table_;
     std::map<RouteId, WeightedSplit> splits_;
     std::map<ServiceId, WeightedSplit> moveSplits_;
@@ -143,6 +147,8 @@
     Counter &retries_;
     Counter &resumes_;
     Counter &handBacks_;
+    Counter &bookedReturns_;
+    Counter &lateReturns_;
     Counter &cancelledNestedCalls_;
     Summary &duration_;
     // Set once the process is stopping.
--- a/include/cornelhead/sidecar/sidecar-settings.h
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -39,6 +39,8 @@
     /// The fleet's limit of retries: this share of the calls in each window.
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
+    /// Refused callers return at paced times and go before first tries, also without customers.
+    bool returningFirst = false;
     std::string logLevel;
     std::uint64_t seed = 0;
 };
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -10,6 +10,7 @@
 #include "cornelhead/proxy/request-head.h"
 #include "cornelhead/proxy/response.h"
 #include "cornelhead/routing/call-rank.h"
+#include "cornelhead/routing/return-schedule.h"
 #include "cornelhead/sidecar/inbound-call.h"
 
 namespace cornelhead::detail {
@@ -61,8 +62,16 @@
 {
     std::uint32_t rank = 0;
     TimePoint usefulBy{};
+    /// A retry of its caller that can still meet its objective.
+    bool isReturning = false;
 };
 
+// Time passes within one try as well, on the way and at hosts that hand the call back.
+bool isRetryOfCaller(const HopRequest &hop)
+{
+    return hop.objective - hop.objectiveLeft >= ReturnSchedule::minReturnTime;
+}
+
 QueuePosition queuePositionOf(const HopRequest &hop, Microseconds work, TimePoint time,
                               TimePoint deadline)
 {
@@ -72,7 +81,7 @@
     const auto usefulTime = Microseconds(static_cast<std::int64_t>(
             static_cast<double>(Microseconds(hop.objectiveLeft).count()) * objectiveShare));
     if (work < usefulTime)
-        return QueuePosition{hop.rank, std::min(deadline, time + usefulTime)};
+        return QueuePosition{hop.rank, std::min(deadline, time + usefulTime), isRetryOfCaller(hop)};
     // The call misses its objective anyway, so it runs only when no other call needs the slot.
     const Microseconds lateTime = hop.objective * lateWaitObjectives;
     return QueuePosition{hop.rank + lateRankOffset, std::min(deadline, time + lateTime)};
@@ -87,6 +96,8 @@
       log_(log), handlers_(std::move(handlers)),
       refusals_(metrics.counter("cornelhead_serving_refusals_total")),
       serverCalls_(metrics.counter("cornelhead_server_calls_total")),
+      returningCalls_(metrics.counter("cornelhead_serving_returning_total")),
+      refusedReturns_(metrics.counter("cornelhead_serving_returning_refused_total")),
       serverLimit_(metrics.gauge("cornelhead_server_limit_per_1000_s")),
       pool_(loop.base(), metrics.counter("cornelhead_server_connections_total")),
       healthClient_(loop), maxReuseAge_(defaultMaxReuseAge)
@@ -230,8 +241,16 @@
     const Microseconds work = work_.expected(hop.route, hop.objective);
     const QueuePosition position = queuePositionOf(hop, work, time, deadline);
     std::vector<GateTicket> tooLate;
-    const ServerGate::Verdict verdict = gate_.offer(
-            GateRequest{lastTicket_, position.rank, work, position.usefulBy}, time, tooLate);
+    const bool isReturning = position.isReturning && (isReturningFirst_ || !hop.customer.empty());
+    const ServerGate::Verdict verdict
+            = gate_.offer(GateRequest{lastTicket_, position.rank, work, position.usefulBy,
+                                      hop.customer, isReturning},
+                          time, tooLate);
+    if (isReturning) {
+        returningCalls_.add();
+        if (verdict == ServerGate::Verdict::Refuse)
+            refusedReturns_.add();
+    }
     refuseAll(tooLate, HopReason::Overload);
     if (verdict == ServerGate::Verdict::Start)
         call->run();
@@ -281,6 +300,8 @@
         log_.write(kind, inboundPart, "call-ended",
                    {{"id", call.id()},
                     {"route", call.hop().route.value()},
+                    {"customer", call.hop().customer.value()},
+                    {"objectiveLeftMs", call.hop().objectiveLeft.count()},
                     {"result", static_cast<int>(call.result())},
                     {"reason", hopReasonName(call.reason())},
                     {"sample", callSampleName(call.sample())},
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -41,6 +41,8 @@
 /// Lower bound of Retry-After, with jitter so that refused callers do not all return at once.
 constexpr double minRetryAfterSeconds = 0.05;
 constexpr double maxRetryAfterJitterSeconds = 0.1;
+/// A caller that returns needs this many times the mean service time to be answered in time.
+constexpr double reservedWork = 1.5;
 
 constexpr int statusNotFound = 404;
 constexpr int statusUnauthorized = 401;
@@ -257,9 +259,7 @@
     hop_.customer = customer_ ? customer_->id : CustomerId();
     hop_.isIdempotent = route_->isIdempotent;
     hop_.objective = route_->objective;
-    const auto elapsed
-            = elapsedBeforeArrival_ + std::chrono::duration_cast<Milliseconds>(time - arrivedAt_);
-    hop_.objectiveLeft = std::max(Milliseconds(0), route_->objective - elapsed);
+    hop_.objectiveLeft = std::max(Milliseconds(0), route_->objective - elapsedSinceFirstTry());
     hop_.route = route_->id;
     hop_.knownLimit = proxy_.placement_.knownLimit(*host_);
     const std::vector<Placement::Host> &busy = placementRequest_.busy;
@@ -436,6 +436,7 @@
     if (response->result == HopResult::Answered) {
         isDone_ = true;
         proxy_.responses_.add();
+        proxy_.returns_.recordAnswer(placementRequest_.service, now(SteadyClock()));
         const int status = evhttp_request_get_response_code(raw);
         proxy_.duration_.record(now(SteadyClock()) - arrivedAt_);
         logEnd("answered", status);
@@ -596,8 +597,31 @@
     refuse(OutboundRefusal::Unknown);
 }
 
-double OutboundCall::retryAfterSeconds() const
+Milliseconds OutboundCall::elapsedSinceFirstTry() const
 {
+    return elapsedBeforeArrival_
+            + std::chrono::duration_cast<Milliseconds>(now(SteadyClock()) - arrivedAt_);
+}
+
+Microseconds OutboundCall::bookReturn()
+{
+    const double relativeWork = host_ ? host_->report.relativeWork : 0.0;
+    const auto work = Microseconds(static_cast<std::int64_t>(
+            relativeWork * reservedWork
+            * static_cast<double>(Microseconds(route_->objective).count())));
+    const RefusedCall call{placementRequest_.service, minWait_,
+                           route_->objective - elapsedSinceFirstTry() - work, timeLeft()};
+    const ReturnTime time = proxy_.returns_.book(call, now(SteadyClock()), proxy_.random_);
+    (time.isBooked ? proxy_.bookedReturns_ : proxy_.lateReturns_).add();
+    return time.after;
+}
+
+double OutboundCall::retryAfterSeconds(OutboundRefusal refusal)
+{
+    // Calls of servers are not sent again by them.
+    if (refusal == OutboundRefusal::Overload && !isNestedCall_
+        && (proxy_.settings_.returningFirst || table_->customers()))
+        return std::chrono::duration<double>(bookReturn()).count();
     const double wait = static_cast<double>(minWait_.count()) / 1e6;
     return std::max(minRetryAfterSeconds, wait / 2)
             + maxRetryAfterJitterSeconds * proxy_.random_.unit();
@@ -614,7 +638,7 @@
         response.headers.emplace_back("WWW-Authenticate", proxy_.dialect_.headers.keyScheme);
     if (status == statusUnavailable && refusal != OutboundRefusal::Poison) {
         response.headers.emplace_back(proxy_.dialect_.headers.retryAfter,
-                                      std::to_string(retryAfterSeconds()));
+                                      std::to_string(retryAfterSeconds(refusal)));
     }
     exchange_.send(response);
     proxy_.onCallEnd(*this);
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -37,6 +37,8 @@
       retries_(metrics.counter("cornelhead_entry_retries_total")),
       resumes_(metrics.counter("cornelhead_entry_resumes_total")),
       handBacks_(metrics.counter("cornelhead_entry_hand_backs_total")),
+      bookedReturns_(metrics.counter("cornelhead_entry_returns_total", {{"place", "booked"}})),
+      lateReturns_(metrics.counter("cornelhead_entry_returns_total", {{"place", "none"}})),
       cancelledNestedCalls_(metrics.counter("cornelhead_entry_nested_cancelled_total")),
       duration_(metrics.summary("cornelhead_entry_duration_us"))
 {
--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -28,6 +28,8 @@
   --stop-timeout DURATION  Maximum duration of a graceful stop. [default: 6s]
   --retry-ratio RATIO      Retries allowed per call, over all nodes. [default: 0.2]
   --retry-window DURATION  The window to which --retry-ratio applies. [default: 10s]
+  --returning-first        Pace the returns of refused callers, and let them go before first tries,
+                           also where the configuration names no customers.
   --log-level LEVEL        debug, info, warning or error. [default: info]
   --seed N                 Seed of random choices; 0 for a random seed. [default: 0]
   --help                   Print this text.
@@ -54,6 +56,7 @@
     sidecar.retryRatio = settings.real("--retry-ratio", 0.0, 1.0);
     sidecar.retryWindow
             = settings.duration("--retry-window", Milliseconds(100), std::chrono::hours(1));
+    sidecar.returningFirst = settings.flag("--returning-first");
     sidecar.logLevel = settings.choice("--log-level", {"info", "debug", "warning", "error"});
     sidecar.seed = settings.integer("--seed", 0, UINT64_MAX);
     if (sidecar.seed == 0)
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -184,6 +184,8 @@
           readinessServer(loop, {}), controlServer(loop, {}), peers(loop)
     {
         limitBuffers();
+        if (this->settings.returningFirst)
+            inboundProxy.setReturningFirst();
         readinessServer.setHandler([this](const HttpRequest &request, const Responder &responder) {
             responder.send(respondToReadiness(request));
         });
@@ -249,8 +251,9 @@
 
     detail::OutboundSettings outboundSettings() const
     {
-        return detail::OutboundSettings{settings.dataCentre, settings.service, settings.retryRatio,
-                                        settings.retryWindow, settings.seed + 2};
+        return detail::OutboundSettings{settings.dataCentre, settings.service,
+                                        settings.retryRatio, settings.retryWindow,
+                                        settings.seed + 2,   settings.returningFirst};
     }
 
     detail::OutboundHandlers outboundHandlers()
