--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -40,6 +40,8 @@
     /// A request under which servers died got a response.
     std::function<void(Fingerprint)> onSuspicionCleared;
     std::function<Revision()> configurationRevision;
+    /// The caller of a call that the server was running left, and the call was cancelled.
+    std::function<void(const std::string &id)> onCallCancelled;
 };
 
 /// Forwards calls of all nodes to the host's server.
@@ -68,6 +70,10 @@
     void stop();
     /// Returns whether the server is running the call with this request id.
     bool isRunning(const std::string &id) const;
+    /// Returns whether the caller of this call left, and the call was cancelled.
+    bool wasCancelled(const std::string &id) const { return records_.wasCancelled(id); }
+    /// From now on callers' retries go before first tries also if they have no customer.
+    void setReturningFirst() { isReturningFirst_ = true; }
     /// Number of calls that wait or run.
     std::size_t active() const;
     /// To be called a few times a second.
@@ -125,6 +131,9 @@
     std::array<Counter *, headFaultCount> invalidHeads_{};
     std::array<Counter *, receiveFaultCount> longResponses_{};
     Counter &serverCalls_;
+    // Callers' retries that could still be in time, and those of them that were refused.
+    Counter &returningCalls_;
+    Counter &refusedReturns_;
     Gauge &serverLimit_;
     UpstreamPool pool_;
     HttpClient healthClient_;
@@ -150,6 +159,7 @@
     std::uint64_t limitedCalls_ = 0;
     std::optional<TimePoint> limitedSince_;
     bool isStartScheduled_ = false;
+    bool isReturningFirst_ = false;
     bool isProbing_ = false;
     bool isStopping_ = false;
 };
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -16,6 +16,7 @@
 #include "cornelhead/routing/hand-back.h"
 #include "cornelhead/routing/placement.h"
 #include "cornelhead/routing/poison-tracker.h"
+#include "cornelhead/routing/return-schedule.h"
 #include "cornelhead/routing/shared-retry-budget.h"
 #include "cornelhead/routing/weighted-split.h"
 #include "cornelhead/sidecar/departure-monitor.h"
@@ -56,6 +57,9 @@
     std::function<void(const Address &, Revision)> onPeerRevision;
     /// Returns whether this host's server is running the call with this request id.
     std::function<bool(const std::string &)> isRunningHere;
+    /// Returns whether the caller of the call with this request id left while this host's server
+    /// ran it, so that calls made for it are of no use.
+    std::function<bool(const std::string &)> isCancelledHere;
 };
 
 struct OutboundSettings
@@ -67,6 +71,8 @@
     Milliseconds retryWindow{};
     std::uint64_t seed = 0;
     DepartureRule departure = DepartureRule::WhenShort;
+    /// Paces the returns of refused callers also where the configuration names no customers.
+    bool returningFirst = false;
 };
 
 /// The end of a process that is stopping.
@@ -96,6 +102,8 @@
     /// From now on calls that might not end in time are refused, and the others end before the
     /// process does.
     void stop(const StopSchedule &schedule) { stop_ = schedule; }
+    /// Ends the calls that this host's server made while it ran the call with this request id.
+    void cancelNestedCalls(const std::string &outerId);
     std::size_t active() const { return calls_.size(); }
     /// To be called a few times a second.
     void sweep();
@@ -130,6 +138,7 @@
     Placement placement_;
     HandBackPolicy handBack_;
     SharedRetryBudget budget_;
+    ReturnSchedule returns_;
     std::shared_ptr<const RouteTable> table_;
     std::map<RouteId, WeightedSplit> splits_;
     std::map<ServiceId, WeightedSplit> moveSplits_;
@@ -146,6 +155,9 @@
     Counter &unanswered_;
     Counter &ownLinkSuspicions_;
     DepartureMonitor departureMonitor_;
+    Counter &bookedReturns_;
+    Counter &lateReturns_;
+    Counter &cancelledNestedCalls_;
     Summary &duration_;
     // Set once the process is stopping.
     std::optional<StopSchedule> stop_;
--- a/include/cornelhead/sidecar/sidecar-settings.h
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -44,6 +44,8 @@
     std::uint64_t requestsAhead = 1;
     /// When calls leave this data centre.
     DepartureRule departure = DepartureRule::WhenShort;
+    /// Refused callers return at paced times and go before first tries, also without customers.
+    bool returningFirst = false;
     std::string logLevel;
     std::uint64_t seed = 0;
 };
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -40,7 +40,11 @@
       handBacks_(metrics.counter("cornelhead_entry_hand_backs_total")),
       unanswered_(metrics.counter("cornelhead_entry_unanswered_total")),
       ownLinkSuspicions_(metrics.counter("cornelhead_entry_own_link_suspicions_total")),
-      departureMonitor_(metrics, log), duration_(metrics.summary("cornelhead_entry_duration_us"))
+      departureMonitor_(metrics, log),
+      bookedReturns_(metrics.counter("cornelhead_entry_returns_total", {{"place", "booked"}})),
+      lateReturns_(metrics.counter("cornelhead_entry_returns_total", {{"place", "none"}})),
+      cancelledNestedCalls_(metrics.counter("cornelhead_entry_nested_cancelled_total")),
+      duration_(metrics.summary("cornelhead_entry_duration_us"))
 {
     for (const std::string_view name : refusalNames) {
         refusals_.push_back(&metrics.counter("cornelhead_entry_refusals_total",
@@ -180,6 +184,17 @@
     calls_.erase(owned);
 }
 
+void OutboundProxy::cancelNestedCalls(const std::string &outerId)
+{
+    std::vector<std::shared_ptr<OutboundCall>> nested;
+    for (const auto &[key, call] : calls_) {
+        if (call->isMadeFor(outerId))
+            nested.push_back(call);
+    }
+    for (const auto &call : nested)
+        call->cancelWithOuterCall();
+}
+
 void OutboundProxy::sweep()
 {
     pool_.closeIdle(now(SteadyClock()) - maxIdleTime);
--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -34,6 +34,8 @@
                            When calls leave this data centre. when-short: also a share of them
                            while it is short of room. by-cost: only if the one host that is
                            compared there costs less. [default: when-short]
+  --returning-first        Pace the returns of refused callers, and let them go before first tries,
+                           also where the configuration names no customers.
   --log-level LEVEL        debug, info, warning or error. [default: info]
   --seed N                 Seed of random choices; 0 for a random seed. [default: 0]
   --help                   Print this text.
@@ -65,6 +67,7 @@
             = settings.choice("--leave-data-centre", {"when-short", "by-cost"}) == "by-cost"
             ? DepartureRule::ByCost
             : DepartureRule::WhenShort;
+    sidecar.returningFirst = settings.flag("--returning-first");
     sidecar.logLevel = settings.choice("--log-level", {"info", "debug", "warning", "error"});
     sidecar.seed = settings.integer("--seed", 0, UINT64_MAX);
     if (sidecar.seed == 0)
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -187,6 +187,8 @@
           readinessServer(loop, {}), controlServer(loop, {}), peers(loop)
     {
         limitBuffers();
+        if (this->settings.returningFirst)
+            inboundProxy.setReturningFirst();
         readinessServer.setHandler([this](const HttpRequest &request, const Responder &responder) {
             responder.send(respondToReadiness(request));
         });
@@ -242,6 +244,8 @@
                 = [this](const std::vector<SuspectedDeath> &deaths) { broadcastDeaths(deaths); };
         handlers.onSuspicionCleared
                 = [this](Fingerprint request) { clearedRequests.insert(request); };
+        handlers.onCallCancelled
+                = [this](const std::string &id) { outboundProxy.cancelNestedCalls(id); };
         handlers.configurationRevision = [this] {
             return fleet.configuration() ? fleet.configuration()->revision() : Revision();
         };
@@ -252,7 +256,8 @@
     {
         return detail::OutboundSettings{settings.dataCentre, settings.service,
                                         settings.retryRatio, settings.retryWindow,
-                                        settings.seed + 2,   settings.departure};
+                                        settings.seed + 2,   settings.departure,
+                                        settings.returningFirst};
     }
 
     detail::OutboundHandlers outboundHandlers()
@@ -267,6 +272,8 @@
         };
         handlers.isRunningHere
                 = [this](const std::string &id) { return inboundProxy.isRunning(id); };
+        handlers.isCancelledHere
+                = [this](const std::string &id) { return inboundProxy.wasCancelled(id); };
         return handlers;
     }
 
