Enforce the quotas of customers over all nodes together

Quotas that the configuration names were not enforced. Nodes now ask one home for each group of customers for tokens; a home earns only the part of each rate that belongs to the nodes which ask it, so that the sum is kept when links are cut or nodes disagree. Calls beyond the quota get 429 with Retry-After.

--- a/include/cornelhead/config/customer-keys.h
+++ b/include/cornelhead/config/customer-keys.h
@@ -59,6 +59,8 @@
     /// Returns null for a customer that is not declared.
     const HostCustomer *findCustomer(const CustomerId &id) const;
     const std::vector<HostCustomer> &customers() const { return customers_; }
+    /// Returns whether the quota of any customer is limited.
+    bool hasQuotas() const { return hasQuotas_; }
 
 private:
     CustomerKeys() = default;
@@ -68,6 +70,7 @@
     std::vector<HostCustomer> customers_;
     std::unordered_map<std::string_view, const HostCustomer *> byKey_;
     std::unordered_map<CustomerId, const HostCustomer *> byId_;
+    bool hasQuotas_ = false;
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/routing/limits.h
+++ b/include/cornelhead/routing/limits.h
@@ -14,11 +14,25 @@
 class TokenBucket
 {
 public:
+    /// A new bucket is full at its first use.
+    TokenBucket() = default;
+    /// Returns a bucket that has earned tokens since `time` only.
+    static TokenBucket emptyAt(TimePoint time);
+
     /// Adds the tokens earned since the last call, then takes one; false if there is none.
     bool take(TimePoint now, double ratePerSecond, double burst);
+    /// Adds the tokens earned since the last call, and drops those beyond the capacity, which is
+    /// `burst` but at least 1.
+    void refill(TimePoint now, double ratePerSecond, double burst);
+    /// Takes up to `count` whole tokens.  Returns how many were taken.
+    std::uint32_t takeUpTo(std::uint32_t count);
+    /// Puts unused tokens back.  The next `refill` drops those beyond the capacity.
+    void putBack(std::uint32_t count) { tokens_ += count; }
+    /// The tokens after the last `refill`.
+    double tokens() const { return tokens_; }
 
 private:
-    // Invariant: between 0 and the last burst, or 1 if that was less.
+    // Invariant: at least 0; after `refill` at most the last burst, or 1 if that was less.
     double tokens_ = 0.0;
     TimePoint updatedAt_{};
     bool isStarted_ = false;
--- a/include/cornelhead/sidecar/outbound-call.h
+++ b/include/cornelhead/sidecar/outbound-call.h
@@ -33,6 +33,9 @@
     /// Returns whether the call, of which the caller waits for `limit`, is refused as the process
     /// is stopping.
     bool isRefusedByStop(Milliseconds limit) const;
+    /// Continues with `onQuota` once the customer's quota is known to allow the call or not.
+    void checkQuota();
+    void onQuota(std::optional<Milliseconds> retryAfter);
     void selectHost();
     void send(bool isResumed);
     /// Sends the call again to the same host, unless its deadline has passed.
@@ -101,6 +104,10 @@
     // The call may go to the other version if the chosen one has no host.
     bool maySwitchVersion_ = false;
     bool reachedServer_ = false;
+    // The call was counted against the quota of its customer.
+    bool isInQuota_ = false;
+    // When a call beyond the quota may come back.
+    Milliseconds quotaWait_{};
     bool isDone_ = false;
 };
 
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -56,6 +56,12 @@
     std::function<void(const Address &, Revision)> onPeerRevision;
     /// Returns whether this host's server is running the call with this request id.
     std::function<bool(const std::string &)> isRunningHere;
+    /// Decides, now or later, whether the customer's quota allows a call; else tells when it may
+    /// come back.
+    std::function<void(const HostCustomer &, std::function<void(std::optional<Milliseconds>)>)>
+            admit;
+    /// A call that was admitted reached no server.
+    std::function<void(const CustomerId &)> returnQuota;
 };
 
 struct OutboundSettings
--- a/src/config/customer-keys.cc
+++ b/src/config/customer-keys.cc
@@ -45,6 +45,7 @@
             || !detail::isAmount(customer.quota.burst))
             return detail::invalidCustomer(customer, "has an invalid quota",
                                            "set rate and burst to numbers of at least 0");
+        hasQuotas_ = hasQuotas_ || customer.quota.isLimited();
         for (const CustomerKey &key : customer.keys) {
             if (key.empty())
                 return detail::invalidCustomer(customer, "has an empty key", "remove the key");
--- a/src/routing/limits.cc
+++ b/src/routing/limits.cc
@@ -19,7 +19,28 @@
 } // namespace
 } // namespace detail
 
+TokenBucket TokenBucket::emptyAt(TimePoint time)
+{
+    TokenBucket bucket;
+    bucket.isStarted_ = true;
+    bucket.updatedAt_ = time;
+    return bucket;
+}
+
 bool TokenBucket::take(TimePoint now, double ratePerSecond, double burst)
+{
+    refill(now, ratePerSecond, burst);
+    return takeUpTo(1) == 1;
+}
+
+std::uint32_t TokenBucket::takeUpTo(std::uint32_t count)
+{
+    const double taken = std::min(static_cast<double>(count), std::floor(tokens_));
+    tokens_ -= taken;
+    return static_cast<std::uint32_t>(taken);
+}
+
+void TokenBucket::refill(TimePoint now, double ratePerSecond, double burst)
 {
     const double capacity = std::max(1.0, burst);
     const double seconds
@@ -27,10 +48,6 @@
     tokens_ = isStarted_ ? std::min(capacity, tokens_ + seconds * ratePerSecond) : capacity;
     isStarted_ = true;
     updatedAt_ = now;
-    if (tokens_ < 1.0)
-        return false;
-    tokens_ -= 1.0;
-    return true;
 }
 
 LimitResult CustomerLimits::take(const CustomerId &customer, const Plan &plan, TimePoint now,
--- /dev/null
+++ b/src/routing/quota-home.cc
@@ -0,0 +1,105 @@
+// Implements the choice of homes.
+#include "cornelhead/routing/quota-home.h"
+
+#include <algorithm>
+
+#include "cornelhead/base/digest.h"
+#include "cornelhead/routing/quota-ledger.h"
+
+namespace cornelhead {
+namespace detail {
+namespace {
+
+constexpr std::uint32_t maxFailures = 2;
+constexpr Milliseconds avoidTime(4000);
+/// A home that has just started gets the directory and its first requests within this time.
+constexpr Milliseconds settleTime(3000);
+/// A request may reach the home this much later than it was sent; it is given up then.
+constexpr Milliseconds maxRequestAge(500);
+
+} // namespace
+} // namespace detail
+
+std::uint32_t quotaGroupOf(std::string_view customer)
+{
+    return static_cast<std::uint32_t>(rendezvousWeight("quota", customer) % quotaGroupCount);
+}
+
+QuotaHome::QuotaHome(std::uint32_t group, Address own)
+    : key_("quota " + std::to_string(group)), own_(std::move(own)), current_(own_), best_(own_)
+{ }
+
+void QuotaHome::update(const std::vector<QuotaNode> &nodes, TimePoint now)
+{
+    nodes_ = nodes;
+    std::erase_if(avoidedUntil_, [now](const auto &entry) { return entry.second <= now; });
+    best_ = own_;
+    std::uint64_t bestWeight = 0;
+    bool isCurrentListed = current_ == own_;
+    for (const QuotaNode &node : nodes) {
+        isCurrentListed = isCurrentListed || node.address == current_;
+        if (node.isSuspect || avoidedUntil_.contains(node.address))
+            continue;
+        const std::uint64_t weight = rendezvousWeight(key_, node.address.toString());
+        if (weight < bestWeight)
+            continue;
+        bestWeight = weight;
+        best_ = node.address;
+    }
+    // Before the first request no home counts this node.
+    const bool isLost = !isCurrentListed || avoidedUntil_.contains(current_);
+    if (!requestedAt_ || isLost) {
+        if (requestedAt_ && !avoidedUntil_.contains(current_))
+            formerRequestAt_ = requestedAt_;
+        current_ = best_;
+        failures_ = 0;
+    }
+    if (best_ == current_)
+        betterSince_.reset();
+    else if (!betterSince_)
+        betterSince_ = now;
+}
+
+bool QuotaHome::shouldMove(TimePoint now) const
+{
+    return betterSince_ && now - *betterSince_ >= detail::settleTime;
+}
+
+bool QuotaHome::isCounted(TimePoint now) const
+{
+    return !formerRequestAt_ || now - *formerRequestAt_ >= quotaContactLife + detail::maxRequestAge;
+}
+
+void QuotaHome::recordFailure(TimePoint now)
+{
+    if (current_ == own_ || ++failures_ < detail::maxFailures)
+        return;
+    formerRequestAt_ = requestedAt_;
+    avoid(current_, now);
+}
+
+void QuotaHome::recordEnd(TimePoint now)
+{
+    if (current_ != own_)
+        avoid(current_, now);
+}
+
+void QuotaHome::recordUnfit(const Address &node, TimePoint now)
+{
+    avoid(node, now);
+}
+
+void QuotaHome::recordMove(const Address &next)
+{
+    current_ = next;
+    betterSince_.reset();
+    failures_ = 0;
+}
+
+void QuotaHome::avoid(const Address &node, TimePoint now)
+{
+    avoidedUntil_[node] = now + detail::avoidTime;
+    update(std::vector<QuotaNode>(nodes_), now);
+}
+
+} // namespace cornelhead
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -134,6 +134,34 @@
     deadlineTimer_
             = proxy_.loop_.after(std::chrono::duration_cast<Milliseconds>(deadline_ - arrivedAt_),
                                  [this] { onDeadline(); });
+    checkQuota();
+}
+
+void OutboundCall::checkQuota()
+{
+    if (!customer_) {
+        onQuota({});
+        return;
+    }
+    const auto decide = [self = weak_from_this(), &proxy = proxy_,
+                         customer = customer_->id](std::optional<Milliseconds> retryAfter) {
+        const auto call = self.lock();
+        if (call && !call->isDone_)
+            call->onQuota(retryAfter);
+        else if (!retryAfter)
+            proxy.handlers_.returnQuota(customer);
+    };
+    proxy_.handlers_.admit(*customer_, decide);
+}
+
+void OutboundCall::onQuota(std::optional<Milliseconds> retryAfter)
+{
+    if (retryAfter) {
+        quotaWait_ = *retryAfter;
+        refuse(OutboundRefusal::Quota);
+        return;
+    }
+    isInQuota_ = customer_ && customer_->quota.isLimited();
     placementRequest_.service = proxy_.chooseService(*route_);
     placementRequest_.objective = route_->objective;
     placementRequest_.bytes = proxy_.meanCallBytes_[route_->id];
@@ -573,6 +601,9 @@
 
 double OutboundCall::retryAfterSeconds() const
 {
+    constexpr double millisecondsPerSecond = 1e3;
+    if (quotaWait_ > Milliseconds(0))
+        return static_cast<double>(quotaWait_.count()) / millisecondsPerSecond;
     const double wait = static_cast<double>(minWait_.count()) / 1e6;
     return std::max(minRetryAfterSeconds, wait / 2)
             + maxRetryAfterJitterSeconds * proxy_.random_.unit();
@@ -587,7 +618,10 @@
     LocalResponse response{status, {}, std::string(outboundRefusalName(refusal)) + "\n"};
     if (status == statusUnauthorized)
         response.headers.emplace_back("WWW-Authenticate", proxy_.dialect_.headers.keyScheme);
-    if (status == statusUnavailable && refusal != OutboundRefusal::Poison) {
+    if (isInQuota_ && status == statusUnavailable && serversReached_ == 0)
+        proxy_.handlers_.returnQuota(customer_->id);
+    if (status == statusTooManyRequests
+        || (status == statusUnavailable && refusal != OutboundRefusal::Poison)) {
         response.headers.emplace_back(proxy_.dialect_.headers.retryAfter,
                                       std::to_string(retryAfterSeconds()));
     }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -21,6 +21,7 @@
 #include "cornelhead/sidecar/fleet-sync.h"
 #include "cornelhead/sidecar/inbound-proxy.h"
 #include "cornelhead/sidecar/outbound-proxy.h"
+#include "cornelhead/sidecar/quota-sync.h"
 
 namespace cornelhead {
 namespace detail {
@@ -152,6 +153,8 @@
     detail::ProxyCounters listenerCounters;
     detail::Listener outboundListener;
     detail::Listener inboundListener;
+    // Declared before the proxies, whose calls use it.
+    QuotaSync quotas;
     detail::InboundProxy inboundProxy;
     detail::OutboundProxy outboundProxy;
     HttpServer readinessServer;
@@ -177,6 +180,7 @@
                            [this](evhttp_request *request) { outboundProxy.serve(request); }),
           inboundListener(loop, listenerCounters,
                           [this](evhttp_request *request) { servePeer(request); }),
+          quotas(loop, settings.inbound, settings.seed + 3, metrics, log, quotaHandlers()),
           inboundProxy(loop, dialect, run, settings.server, local, poison, metrics, log,
                        inboundHandlers()),
           outboundProxy(loop, dialect, outboundSettings(), poison, metrics, log,
@@ -263,6 +267,27 @@
         };
         handlers.isRunningHere
                 = [this](const std::string &id) { return inboundProxy.isRunning(id); };
+        handlers.admit = [this](const HostCustomer &customer, QuotaSync::Decision decide) {
+            quotas.admit(customer, std::move(decide));
+        };
+        handlers.returnQuota = [this](const CustomerId &customer) { quotas.putBack(customer); };
+        return handlers;
+    }
+
+    QuotaHandlers quotaHandlers()
+    {
+        QuotaHandlers handlers;
+        handlers.configuration = [this] { return fleet.configuration().get(); };
+        handlers.fleetSize = [this] { return fleet.directory().hosts().size(); };
+        handlers.nodes = [this] {
+            std::vector<QuotaNode> nodes;
+            for (const auto &[node, known] : fleet.directory().hosts()) {
+                const Placement::Host host = outboundProxy.placement().find(node);
+                if (!known.entry.isStopping)
+                    nodes.push_back(QuotaNode{node, host && host->consecutiveFailures > 0});
+            }
+            return nodes;
+        };
         return handlers;
     }
 
@@ -372,6 +397,8 @@
         else if (path == detail::peerReportPath)
             exchange.send(detail::LocalResponse{
                     detail::statusOk, {}, encodeHopResponse(inboundProxy.report())});
+        else if (path == quotaPath)
+            exchange.send(quotas.serve(detail::bodyOf(request)));
         else if (path == detail::peerDeathsPath)
             exchange.send(handleNotice([this, request] {
                 recordDeaths(detail::readDeaths(detail::bodyOf(request)));
@@ -621,6 +648,7 @@
                       {"seed", settings.seed}});
     impl_->fleet.start();
     impl_->startTimers();
+    impl_->quotas.start();
     return {};
 }
 
@@ -632,6 +660,7 @@
     impl_->onStopped = std::move(done);
     impl_->stoppingSince = now(SteadyClock());
     impl_->fleet.stop();
+    impl_->quotas.stop();
     impl_->outboundProxy.stop(
             {impl_->stoppingSince + detail::callerDrainTime,
              impl_->stoppingSince + impl_->settings.stopTimeout - detail::stopMargin});
