--- a/include/cornelhead/routing/quota-home.h
+++ b/include/cornelhead/routing/quota-home.h
@@ -2,7 +2,8 @@
 //
 // Load pattern: homes restart in herds, and links between data centres are cut.  Every node ranks
 // the others alike and asks the first one that answers, so that the nodes which reach each other
-// soon share one home; the last resort is the node itself.
+// soon share one home; the last resort is the node itself.  Links that uploads fill would delay the
+// calls that wait for a home, so the homes are nodes with wide links.
 #pragma once
 
 #include <cstdint>
@@ -28,6 +29,8 @@
     Address address;
     /// This node could not reach it lately.
     bool isSuspect = false;
+    /// How many nodes its link can serve.
+    std::uint32_t capacity = 0;
 };
 
 /// The home of one group, as one node chooses it.
@@ -60,6 +63,8 @@
     void recordMove(const Address &next);
 
 private:
+    Address bestOf(const std::vector<QuotaNode> &nodes) const;
+    bool isFit(const QuotaNode &node) const;
     void avoid(const Address &node, TimePoint now);
 
     std::string key_;
--- a/src/routing/quota-home.cc
+++ b/src/routing/quota-home.cc
@@ -12,6 +12,8 @@
 
 constexpr std::uint32_t maxFailures = 2;
 constexpr Milliseconds avoidTime(4000);
+/// Nodes with at least the greatest capacity over this may be homes.
+constexpr std::uint32_t capacityDivisor = 2;
 /// A home that has just started gets the directory and its first requests within this time.
 constexpr Milliseconds settleTime(3000);
 /// A request may reach the home this much later than it was sent; it is given up then.
@@ -33,19 +35,10 @@
 {
     nodes_ = nodes;
     std::erase_if(avoidedUntil_, [now](const auto &entry) { return entry.second <= now; });
-    best_ = own_;
-    std::uint64_t bestWeight = 0;
-    bool isCurrentListed = current_ == own_;
-    for (const QuotaNode &node : nodes) {
-        isCurrentListed = isCurrentListed || node.address == current_;
-        if (node.isSuspect || avoidedUntil_.contains(node.address))
-            continue;
-        const std::uint64_t weight = rendezvousWeight(key_, node.address.toString());
-        if (weight < bestWeight)
-            continue;
-        bestWeight = weight;
-        best_ = node.address;
-    }
+    best_ = bestOf(nodes);
+    const bool isCurrentListed = current_ == own_
+            || std::any_of(nodes.begin(), nodes.end(),
+                           [this](const QuotaNode &node) { return node.address == current_; });
     // Before the first request no home counts this node.
     const bool isLost = !isCurrentListed || avoidedUntil_.contains(current_);
     if (!requestedAt_ || isLost) {
@@ -60,6 +53,30 @@
         betterSince_ = now;
 }
 
+Address QuotaHome::bestOf(const std::vector<QuotaNode> &nodes) const
+{
+    std::uint32_t widest = 0;
+    for (const QuotaNode &node : nodes)
+        widest = std::max(widest, isFit(node) ? node.capacity : 0);
+    Address best = own_;
+    std::uint64_t bestWeight = 0;
+    for (const QuotaNode &node : nodes) {
+        if (!isFit(node) || node.capacity < widest / detail::capacityDivisor)
+            continue;
+        const std::uint64_t weight = rendezvousWeight(key_, node.address.toString());
+        if (weight < bestWeight)
+            continue;
+        bestWeight = weight;
+        best = node.address;
+    }
+    return best;
+}
+
+bool QuotaHome::isFit(const QuotaNode &node) const
+{
+    return !node.isSuspect && !avoidedUntil_.contains(node.address);
+}
+
 bool QuotaHome::shouldMove(TimePoint now) const
 {
     return betterSince_ && now - *betterSince_ >= detail::settleTime;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -284,7 +284,8 @@
             for (const auto &[node, known] : fleet.directory().hosts()) {
                 const Placement::Host host = outboundProxy.placement().find(node);
                 if (!known.entry.isStopping)
-                    nodes.push_back(QuotaNode{node, host && host->consecutiveFailures > 0});
+                    nodes.push_back(QuotaNode{node, host && host->consecutiveFailures > 0,
+                                              known.entry.followers});
             }
             return nodes;
         };
--- a/test/routing/quota-test.cc
+++ b/test/routing/quota-test.cc
@@ -332,6 +332,69 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(nodeCountsAtOneHomeAtATime)
+{
+    QuotaFleet fleet(5, CallQuota{10, 10}, testSeed(36));
+    QuotaHome home(0, QuotaFleet::addressOf(100));
+    TimePoint time = fleet.time;
+    home.update(fleet.listed(0), time);
+    BOOST_TEST(home.isCounted(time));
+    // One that cannot be reached may still count this node; one that has ended does not.
+    for (const bool hasEnded : {true, false}) {
+        const Address former = home.current();
+        BOOST_REQUIRE((former != QuotaFleet::addressOf(100)));
+        home.recordRequest(time);
+        time += Milliseconds(300);
+        if (hasEnded)
+            home.recordEnd(time);
+        for (int i = 0; i < 2 && !hasEnded; ++i)
+            home.recordFailure(time);
+        BOOST_TEST((home.current() != former));
+        BOOST_TEST(home.isCounted(time) == hasEnded);
+    }
+    BOOST_TEST(!home.isCounted(time + quotaContactLife));
+    BOOST_TEST(home.isCounted(time + Milliseconds(2000)));
+}
+
+BOOST_AUTO_TEST_CASE(homesAreNodesWithWideLinks)
+{
+    QuotaFleet fleet(20, CallQuota{10, 10}, testSeed(37));
+    std::vector<QuotaNode> nodes = fleet.listed(0);
+    nodes[11].capacity = 8;
+    nodes[12].capacity = 3;
+    QuotaHome home(0, QuotaFleet::addressOf(0));
+    home.update(nodes, fleet.time);
+    BOOST_TEST((home.current() == nodes[11].address));
+}
+
+BOOST_AUTO_TEST_CASE(decisionsAreShort)
+{
+    constexpr std::size_t keyCount = 10'000;
+    constexpr int rounds = 200'000;
+    std::vector<HostCustomer> customers(keyCount);
+    for (std::size_t i = 0; i < keyCount; ++i) {
+        customers[i].id = CustomerId("customer-" + std::to_string(i));
+        customers[i].keys.emplace_back("key-of-customer-" + std::to_string(i));
+        customers[i].quota = CallQuota{10, 10};
+    }
+    const auto keys = CustomerKeys::build(std::move(customers));
+    BOOST_REQUIRE(keys.has_value());
+    std::vector<std::string> shown;
+    for (std::size_t i = 0; i < keyCount; ++i)
+        shown.push_back("key-of-customer-" + std::to_string(i * 7919 % keyCount));
+    QuotaTokens tokens;
+    std::uint32_t found = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < rounds; ++i) {
+        const HostCustomer *customer = keys->find(shown[static_cast<std::size_t>(i) % keyCount]);
+        found += customer && quotaGroupOf(customer->id.value()) < quotaGroupCount ? 1 : 0;
+        tokens.arrive(customer->id, TimePoint(Microseconds(i)));
+    }
+    const std::chrono::duration<double, std::nano> took = std::chrono::steady_clock::now() - begin;
+    BOOST_TEST(found == static_cast<std::uint32_t>(rounds));
+    BOOST_TEST_MESSAGE("key look-up and quota decision: " << took.count() / rounds << " ns");
+}
+
 BOOST_AUTO_TEST_CASE(loweredQuotaBindsAtOnce)
 {
     QuotaFleet fleet(20, CallQuota{200, 100}, testSeed(35));
--- a/test/support/users-configuration.h
+++ b/test/support/users-configuration.h
@@ -16,11 +16,26 @@
             + "]";
 }
 
-/// Renders a configuration of the services `bookings` and `catalogue`.
-inline std::string usersConfiguration(const std::string &version, const std::string &rows)
+/// Renders one row of the customers, with the columns of `usersConfiguration`.
+inline std::string usersCustomer(const std::string &name, const std::string &key,
+                                 double ratePerSecond, double burst,
+                                 const std::string &priority = "null")
 {
-    return R"({"version":")" + version
-            + R"(","routes":{"columns":["name","host","prefix","kind","timeout","slo","priority",)"
+    return "[\"" + name + "\",[\"" + key + "\"]," + priority + "," + std::to_string(ratePerSecond)
+            + "," + std::to_string(burst) + "]";
+}
+
+/// Renders a configuration of the services `bookings` and `catalogue`, in which callers need keys
+/// if `customers` has rows.
+inline std::string usersConfiguration(const std::string &version, const std::string &rows,
+                                      const std::string &customers = {})
+{
+    const std::string tenants = customers.empty()
+            ? std::string()
+            : R"("tenants":{"columns":["name","api-keys","priority","rate-per-s","burst"],"rows":[)"
+                    + customers + "]},";
+    return R"({"version":")" + version + R"(",)" + tenants
+            + R"("routes":{"columns":["name","host","prefix","kind","timeout","slo","priority",)"
               R"("split","attempts","service"],"rows":[)"
             + rows
             + R"(]},"services":{"columns":["name","health-path","max-conns","protocol","tls"],)"
