Ask no home for tokens before the fleet is known

A node with only a part of the host directory would have taken its part for the whole fleet. A stopping node also leaves itself as the home. The model now delivers the messages of frozen nodes late; quotas tests of routing-test pass.

--- a/include/cornelhead/sidecar/quota-sync.h
+++ b/include/cornelhead/sidecar/quota-sync.h
@@ -28,7 +28,9 @@
 {
     /// Returns the configuration in force, or null.
     std::function<const RouteTable *()> configuration;
-    /// Returns the nodes that may take calls.
+    /// Returns whether all hosts are known, so that `nodes` and `fleetSize` are right.
+    std::function<bool()> isFleetKnown;
+    /// Returns the nodes that may be homes.
     std::function<std::vector<QuotaNode>()> nodes;
     /// Returns the number of hosts that this node knows.
     std::function<std::size_t()> fleetSize;
--- a/src/sidecar/quota-sync.cc
+++ b/src/sidecar/quota-sync.cc
@@ -52,12 +52,20 @@
     isStopping_ = true;
     for (const auto &group : groups_)
         group->ledger.close();
+    const TimePoint time = now(SteadyClock());
+    for (const auto &group : groups_) {
+        if (group->home.current() != own_)
+            continue;
+        group->home.update(handlers_.nodes(), time);
+        group->home.recordMove(group->home.best());
+    }
 }
 
 bool QuotaSync::isActive() const
 {
     const RouteTable *table = handlers_.configuration();
-    return table && table->customers() && table->customers()->hasQuotas();
+    return handlers_.isFleetKnown() && table && table->customers()
+            && table->customers()->hasQuotas();
 }
 
 CallQuota QuotaSync::quotaOf(const CustomerId &customer) const
@@ -106,15 +114,16 @@
 
 void QuotaSync::tick()
 {
+    const TimePoint time = now(SteadyClock());
+    for (const auto &group : groups_)
+        refuseLate(*group, time);
     if (!isActive())
         return;
-    const TimePoint time = now(SteadyClock());
     const bool isUpdateDue = time - updatedAt_ >= detail::updateInterval;
     if (isUpdateDue)
         updatedAt_ = time;
     std::size_t held = 0;
     for (const auto &group : groups_) {
-        refuseLate(*group, time);
         if (isUpdateDue)
             updateHome(*group, time);
         if (time - group->requestedAt >= detail::contactInterval)
@@ -166,7 +175,8 @@
 
 void QuotaSync::ask(Group &group)
 {
-    if (group.isAsking)
+    // A node that does not know the fleet yet would take its part for the whole.
+    if (group.isAsking || !isActive())
         return;
     const TimePoint time = now(SteadyClock());
     if (group.requestedAt == TimePoint())
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -278,14 +278,16 @@
     {
         QuotaHandlers handlers;
         handlers.configuration = [this] { return fleet.configuration().get(); };
+        handlers.isFleetKnown = [this] { return fleet.isComplete(); };
         handlers.fleetSize = [this] { return fleet.directory().hosts().size(); };
         handlers.nodes = [this] {
             std::vector<QuotaNode> nodes;
             for (const auto &[node, known] : fleet.directory().hosts()) {
                 const Placement::Host host = outboundProxy.placement().find(node);
+                const bool isSuspect = host && host->consecutiveFailures > 0;
+                const bool isOwnStop = isStopping && node == settings.inbound;
                 if (!known.entry.isStopping)
-                    nodes.push_back(QuotaNode{node, host && host->consecutiveFailures > 0,
-                                              known.entry.followers});
+                    nodes.push_back(QuotaNode{node, isSuspect || isOwnStop, known.entry.followers});
             }
             return nodes;
         };
--- a/test/routing/quota-test.cc
+++ b/test/routing/quota-test.cc
@@ -116,7 +116,11 @@
         });
         if (random.chance(lossRate))
             return;
-        deliver(target == index ? Milliseconds(0) : delay(), [=, this] {
+        // A frozen node reads its messages when it goes on.
+        const auto frozen
+                = std::max(Milliseconds(0),
+                           std::chrono::duration_cast<Milliseconds>(frozenUntil[target] - time));
+        deliver(target == index ? Milliseconds(0) : frozen + delay(), [=, this] {
             if (!reaches(index, target))
                 return;
             const auto grants
