Let homes take the largest fleet that any asking node knows

A restarted home may know fewer hosts than the nodes that ask it, and would count each for too large a part. routing-test, sidecar-test and the suite customer_quotas of adapter-test pass.

--- a/include/cornelhead/routing/quota-ledger.h
+++ b/include/cornelhead/routing/quota-ledger.h
@@ -45,6 +45,8 @@
     /// The node is about to ask another home, and gives all tokens back.
     bool isLeaving = false;
     std::vector<QuotaDemand> demands;
+    /// Number of hosts that the node knows.
+    std::uint32_t fleetSize = 0;
 
     friend bool operator==(const QuotaRequest &, const QuotaRequest &) = default;
 };
@@ -74,8 +76,8 @@
 public:
     using FindQuota = std::function<CallQuota(const CustomerId &)>;
 
-    /// Answers a request.  `fleetSize` is the number of hosts that this node knows; a customer
-    /// without a limited quota gets no tokens.
+    /// Answers a request.  `fleetSize` is the number of hosts that this node knows, which may be
+    /// fewer than others do after a restart.  A customer without a limited quota gets no tokens.
     std::vector<QuotaGrant> grant(const QuotaRequest &request, const FindQuota &findQuota,
                                   std::size_t fleetSize, TimePoint now);
     /// Forgets nodes that no longer ask, and customers without calls.  To be called every second.
--- a/src/routing/quota-ledger.cc
+++ b/src/routing/quota-ledger.cc
@@ -37,7 +37,7 @@
 std::vector<QuotaGrant> QuotaLedger::grant(const QuotaRequest &request, const FindQuota &findQuota,
                                            std::size_t fleetSize, TimePoint now)
 {
-    observeFleet(fleetSize, now);
+    observeFleet(std::max<std::size_t>(fleetSize, request.fleetSize), now);
     if (request.isLeaving)
         contacts_.erase(request.node);
     else if (request.isCounted)
--- a/src/sidecar/quota-messages.cc
+++ b/src/sidecar/quota-messages.cc
@@ -13,6 +13,7 @@
 constexpr JsonLimits messageLimits{std::size_t(1024) * 1024, 4};
 constexpr std::size_t maxNameBytes = 1024;
 constexpr std::uint32_t maxTokens = 1'000'000;
+constexpr std::uint32_t maxHosts = 100'000;
 constexpr std::int64_t maxWaitMs = 60'000;
 
 tl::unexpected<Error> invalid(const std::string &why)
@@ -67,11 +68,9 @@
         demands.push_back({demand.customer.value(), demand.needed, demand.spare, demand.held,
                            demand.returned});
     }
-    const nlohmann::json text{{"group", message.group},
-                              {"node", request.node.toString()},
-                              {"counted", request.isCounted},
-                              {"leaving", request.isLeaving},
-                              {"demands", std::move(demands)}};
+    const nlohmann::json text{{"group", message.group},       {"node", request.node.toString()},
+                              {"counted", request.isCounted}, {"leaving", request.isLeaving},
+                              {"hosts", request.fleetSize},   {"demands", std::move(demands)}};
     return text.dump();
 }
 
@@ -89,6 +88,8 @@
         message.request.node = std::move(*node);
         message.request.isCounted = parsed->at("counted").get<bool>();
         message.request.isLeaving = parsed->at("leaving").get<bool>();
+        message.request.fleetSize
+                = readInteger<std::uint32_t>(parsed->at("hosts"), 0, detail::maxHosts);
         const nlohmann::json &demands = parsed->at("demands");
         if (!demands.is_array())
             return detail::invalid("the demands are no list");
--- a/src/sidecar/quota-sync.cc
+++ b/src/sidecar/quota-sync.cc
@@ -184,7 +184,8 @@
     group.askTimer = Timer();
     group.isAsking = true;
     group.requestedAt = time;
-    const QuotaRequest request{own_, group.home.isCounted(time), false, group.tokens.demands(time)};
+    const QuotaRequest request{own_, group.home.isCounted(time), false, group.tokens.demands(time),
+                               static_cast<std::uint32_t>(handlers_.fleetSize())};
     group.home.recordRequest(time);
     const Address home = group.home.current();
     if (home == own_) {
@@ -298,7 +299,7 @@
         return;
     }
     group.isAsking = true;
-    const QuotaRequest probe{own_, false, false, {}};
+    const QuotaRequest probe{own_, false, false, {}, 0};
     send(group, next, probe, [this, &group, next](const Result<HttpResponse> &response) {
         group.isAsking = false;
         if (response && response->status == detail::statusOk)
@@ -312,7 +313,7 @@
 {
     const TimePoint time = now(SteadyClock());
     const Address before = group.home.current();
-    const QuotaRequest request{own_, false, true, group.tokens.surrender(time)};
+    const QuotaRequest request{own_, false, true, group.tokens.surrender(time), 0};
     if (before == own_) {
         grantHere(group, request);
         group.home.recordMove(next);
--- a/test/routing/quota-test.cc
+++ b/test/routing/quota-test.cc
@@ -97,7 +97,7 @@
         node->isAsking = true;
         node->requestedAt = time;
         const QuotaRequest request{addressOf(index), node->home.isCounted(time), false,
-                                   node->tokens.demands(time)};
+                                   node->tokens.demands(time), 0};
         node->home.recordRequest(time);
         const Address home = node->home.current();
         const std::size_t target = indexOf(home);
@@ -145,7 +145,7 @@
             node.home.recordUnfit(next, time);
         } else if (reaches(index, old)) {
             nodes[old]->ledger.grant(
-                    QuotaRequest{addressOf(index), false, true, node.tokens.surrender(time)},
+                    QuotaRequest{addressOf(index), false, true, node.tokens.surrender(time), 0},
                     findQuota(), nodes.size(), time);
             node.home.recordMove(next);
         }
