--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -60,6 +60,12 @@
     /// Returns whether the caller of the call with this request id left while this host's server
     /// ran it, so that calls made for it are of no use.
     std::function<bool(const std::string &)> isCancelledHere;
+    /// Decides, now or later, whether the customer's quota allows a call; else tells when it may
+    /// come back.
+    std::function<void(const HostCustomer &, std::function<void(std::optional<Milliseconds>)>)>
+            admit;
+    /// A call that was admitted reached no server.
+    std::function<void(const CustomerId &)> returnQuota;
 };
 
 struct OutboundSettings
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -22,6 +22,7 @@
 #include "cornelhead/sidecar/fleet-sync.h"
 #include "cornelhead/sidecar/inbound-proxy.h"
 #include "cornelhead/sidecar/outbound-proxy.h"
+#include "cornelhead/sidecar/quota-sync.h"
 
 namespace cornelhead {
 namespace detail {
@@ -153,6 +154,8 @@
     detail::ProxyCounters listenerCounters;
     detail::CallerListener outboundListener;
     detail::Listener inboundListener;
+    // Declared before the proxies, whose calls use it.
+    QuotaSync quotas;
     detail::InboundProxy inboundProxy;
     detail::OutboundProxy outboundProxy;
     HttpServer readinessServer;
@@ -180,6 +183,7 @@
                            }),
           inboundListener(loop, listenerCounters,
                           [this](evhttp_request *request) { servePeer(request); }),
+          quotas(loop, settings.inbound, settings.seed + 3, metrics, log, quotaHandlers()),
           inboundProxy(loop, dialect, run, settings.server, local, poison, metrics, log,
                        inboundHandlers()),
           outboundProxy(loop, dialect, outboundSettings(), poison, metrics, log,
@@ -274,6 +278,30 @@
                 = [this](const std::string &id) { return inboundProxy.isRunning(id); };
         handlers.isCancelledHere
                 = [this](const std::string &id) { return inboundProxy.wasCancelled(id); };
+        handlers.admit = [this](const HostCustomer &customer, QuotaSync::Decision decide) {
+            quotas.admit(customer, std::move(decide));
+        };
+        handlers.returnQuota = [this](const CustomerId &customer) { quotas.putBack(customer); };
+        return handlers;
+    }
+
+    QuotaHandlers quotaHandlers()
+    {
+        QuotaHandlers handlers;
+        handlers.configuration = [this] { return fleet.configuration().get(); };
+        handlers.isFleetKnown = [this] { return fleet.isComplete(); };
+        handlers.fleetSize = [this] { return fleet.directory().hosts().size(); };
+        handlers.nodes = [this] {
+            std::vector<QuotaNode> nodes;
+            for (const auto &[node, known] : fleet.directory().hosts()) {
+                const Placement::Host host = outboundProxy.placement().find(node);
+                const bool isSuspect = host && host->consecutiveFailures > 0;
+                const bool isOwnStop = isStopping && node == settings.inbound;
+                if (!known.entry.isStopping)
+                    nodes.push_back(QuotaNode{node, isSuspect || isOwnStop, known.entry.followers});
+            }
+            return nodes;
+        };
         return handlers;
     }
 
@@ -383,6 +411,8 @@
         else if (path == detail::peerReportPath)
             exchange.send(detail::LocalResponse{
                     detail::statusOk, {}, encodeHopResponse(inboundProxy.report())});
+        else if (path == quotaPath)
+            exchange.send(quotas.serve(detail::bodyOf(request)));
         else if (path == detail::peerDeathsPath)
             exchange.send(handleNotice([this, request] {
                 recordDeaths(detail::readDeaths(detail::bodyOf(request)));
@@ -632,6 +662,7 @@
                       {"seed", settings.seed}});
     impl_->fleet.start();
     impl_->startTimers();
+    impl_->quotas.start();
     return {};
 }
 
@@ -643,6 +674,7 @@
     impl_->onStopped = std::move(done);
     impl_->stoppingSince = now(SteadyClock());
     impl_->fleet.stop();
+    impl_->quotas.stop();
     impl_->outboundProxy.stop(
             {impl_->stoppingSince + detail::callerDrainTime,
              impl_->stoppingSince + impl_->settings.stopTimeout - detail::stopMargin});
