--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -618,7 +618,7 @@
         return;
     proxy_.cancelledNestedCalls_.add();
     // Before its host has heard of the cancellation, the call may start there.
-    cancelAttempts();
+    cancelAttempts(UnansweredEnd::CallerGone);
     refuse(OutboundRefusal::Unknown);
 }
 
