--- a/test/routing/fleet-load.h
+++ b/test/routing/fleet-load.h
@@ -66,6 +66,8 @@
     /// Calls between the first data centre and the others are lost from then until then.
     Milliseconds cutFrom{0};
     Milliseconds cutUntil{0};
+    /// So many servers, the first ones, answer no calls.
+    std::size_t silentServers = 0;
 };
 
 /// Calls of the callers of one data centre.
@@ -111,6 +113,7 @@
     std::map<DataCentreId, DataCentreCalls> byDataCentre;
     /// Choices of other data centres by the departure share.
     double byShare = 0;
+    double toSilentServers = 0;
 
     static constexpr Milliseconds limitWindow{4000};
     static constexpr Milliseconds limitSettleTime{3000};
@@ -347,6 +350,15 @@
         calls.sentAway[index] += call.host->entry.dataCentre != call.dataCentre ? 1 : 0;
     }
 
+    void onUnanswered(const Call &call)
+    {
+        Placement::end(*call.host);
+        call.entry->placement.recordUnanswered(*call.host, UnansweredEnd::Deadline,
+                                               settings_.objective, settings_.objective, time_);
+        result_.toSilentServers += isCounted(call) ? 1 : 0;
+        end(call, result_.late);
+    }
+
     bool isCut(const Call &call) const
     {
         const DataCentreId first = dataCentreOf(0);
@@ -367,7 +379,12 @@
 
     void offer(const CallHandle &call)
     {
-        Server &server = servers_[byNode_.at(call->host->entry.node)];
+        const std::size_t index = byNode_.at(call->host->entry.node);
+        if (index < settings_.silentServers) {
+            at(call->arrivedAt + settings_.objective, [this, call] { onUnanswered(*call); });
+            return;
+        }
+        Server &server = servers_[index];
         if (call->knownLimit && !server.hasHeardLimit)
             server.gate.setLimit(call->knownLimit, time_);
         server.gate.recordArrival(time_);
--- a/test/routing/silence-test.cc
+++ b/test/routing/silence-test.cc
@@ -2,6 +2,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cornelhead/routing/placement.h"
+#include "routing/fleet-load.h"
+#include "support/property.h"
 
 namespace cornelhead {
 
@@ -113,6 +115,19 @@
     }
 }
 
+// Each node is told nothing by a silent server, and calls it only to find out.
+BOOST_AUTO_TEST_CASE(silentServersGetAThirdOfTheirCallsAtMost)
+{
+    FleetLoadSettings settings;
+    settings.nodes = 13;
+    settings.servers = 20;
+    settings.silentServers = 2;
+    settings.load = 0.5;
+    settings.seed = testSeed(51);
+    const FleetLoadResult result = FleetLoad(settings).run();
+    BOOST_TEST(result.toSilentServers < result.calls * 0.1 / 3.0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace cornelhead
