--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -28,9 +28,8 @@
   --stop-timeout DURATION  Maximum duration of a graceful stop. [default: 6s]
   --retry-ratio RATIO      Retries allowed per call, over all nodes. [default: 0.2]
   --retry-window DURATION  The window to which --retry-ratio applies. [default: 10s]
-  --leave-data-centre RULE
-                           When calls leave this data centre. when-short: also a share of them
-                           while it is short of room. by-cost: only if the one host that is
+  --leave-data-centre RULE  When calls leave this data centre. when-short: also a share of them
+                           while it is short of room; by-cost: only if the one host that is
                            compared there costs less. [default: when-short]
   --log-level LEVEL        debug, info, warning or error. [default: info]
   --seed N                 Seed of random choices; 0 for a random seed. [default: 0]
