--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -30,9 +30,8 @@
   --retry-window DURATION  The window to which --retry-ratio applies. [default: 10s]
   --requests-ahead N       Requests that a caller may have in flight on one connection; those that it
                            sends ahead beyond that wait. [default: 1]
-  --leave-data-centre RULE
-                           When calls leave this data centre. when-short: also a share of them
-                           while it is short of room. by-cost: only if the one host that is
+  --leave-data-centre RULE  When calls leave this data centre. when-short: also a share of them
+                           while it is short of room; by-cost: only if the one host that is
                            compared there costs less. [default: when-short]
   --returning-first        Pace the returns of refused callers, and let them go before first tries,
                            also where the configuration names no customers.
