--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -35,7 +35,8 @@
   --help                   Print this text.
   --version                Print the version.
 
-Each flag may also be set by an environment variable: --data-centre by CORNELHEAD_DATA_CENTRE.
+Each flag that takes a value may also be set by an environment variable: --data-centre by
+CORNELHEAD_DATA_CENTRE.
 )";
 
 SidecarSettings readSidecarSettings(Settings &settings)
