Drop what waits behind a response that ends the connection

Cause: a request that waits for its turn would start behind a response that closes the connection, if the refusal came later than at once; no refusal does today. Tests for a body over the limit and for a connection over the budget are added.

--- a/include/cornelhead/sidecar/caller-connection.h
+++ b/include/cornelhead/sidecar/caller-connection.h
@@ -100,6 +100,8 @@
     void addRequest(std::unique_ptr<ReceivedRequest> received);
     void addFault(ReadFault fault);
     void startRequests();
+    /// Drops the requests that have not started, and reads no more.
+    void dropWaiting();
     void queueResponses();
     void queueContinue();
     void write();
--- a/src/sidecar/caller-connection.cc
+++ b/src/sidecar/caller-connection.cc
@@ -217,11 +217,22 @@
     request.onDisconnect = nullptr;
     request.response = std::move(response);
     order_.end();
-    isEnding_ |= request.closesConnection;
+    if (request.closesConnection)
+        dropWaiting();
     updateHeldBytes();
     scheduleTurn();
 }
 
+void CallerConnection::dropWaiting()
+{
+    isEnding_ = true;
+    std::size_t dropped = 0;
+    for (; requests_.size() > started_; requests_.pop_back())
+        dropped += requests_.back()->received ? 1 : 0;
+    if (dropped > 0)
+        owner_.onDropped(dropped);
+}
+
 void CallerConnection::scheduleTurn()
 {
     if (isOpen())
--- a/test/adapter/requests-ahead-test.cc
+++ b/test/adapter/requests-ahead-test.cc
@@ -216,6 +216,29 @@
     BOOST_TEST(caller.received.empty());
 }
 
+BOOST_AUTO_TEST_CASE(longRequestIsRefusedInItsTurn)
+{
+    const RawCaller caller(loop, host->settings.outbound);
+    caller.send(get(1, "/look/10") + get(2, "/look/1", "Content-Length: 9000000\r\n")
+                + std::string(100'000, 'x'));
+    expectAnswers(caller, {"200 n1", "413"});
+    waitUntil([&] { return caller.isClosed; });
+}
+
+// Memory: the part of a body that has arrived counts, and so do requests that wait.
+BOOST_AUTO_TEST_CASE(connectionThatHoldsMostIsClosedBeyondTheBudget)
+{
+    const RawCaller caller(loop, host->settings.outbound);
+    const RawCaller other(loop, host->settings.outbound);
+    loop.buffers().setLimit(1'000'000);
+    other.send(get(1, "/look/20"));
+    caller.send(get(2, "/look/20") + get(3, "/look/20", "Content-Length: 4000000\r\n")
+                + std::string(2'000'000, 'x'));
+    waitUntil([&] { return caller.isClosed; });
+    BOOST_TEST(caller.received.empty());
+    expectAnswers(other, {"200 n1"});
+}
+
 BOOST_AUTO_TEST_CASE(responseToHeadHasNoBody)
 {
     const RawCaller caller(loop, host->settings.outbound);
