--- a/test/sidecar/request-reader-test.cc
+++ b/test/sidecar/request-reader-test.cc
@@ -11,11 +11,12 @@
 
 namespace cornelhead::detail {
 
+const std::string chunkedBody
+        = "3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nX-Trailer: dropped\r\n\r\n";
 const std::vector<std::string> requestsInARow
         = {"GET /look/1?a=b HTTP/1.1\r\nHost: site.example\r\nX-Empty:\r\nX-Two: a  b \t\r\n\r\n",
            "POST /book/2 HTTP/1.1\r\nHost: site.example\r\nContent-Length: 6\r\n\r\nseat=4",
-           "\r\nPUT /book/3 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-           "3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\nX-Trailer: dropped\r\n\r\n",
+           "\r\nPUT /book/3 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkedBody,
            "HEAD http://site.example/look/4#part HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
            "DELETE /look/5 HTTP/1.1\r\nConnection: upgrade, close\r\nUpgrade: h2c\r\nX: 1\r\n\r\n"};
 const std::vector<std::string> requestsRead
@@ -90,7 +91,7 @@
 // UNASKED: what one reader takes for a body is a request to another one.
 BOOST_AUTO_TEST_CASE(nothingIsReadBehindAnAmbiguousOrMalformedRequest)
 {
-    const std::string first = requestsInARow[0];
+    const std::string &first = requestsInARow[0];
     const std::vector<std::pair<std::string, ReadFault>> faults = {
             {"POST / HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 5\r\n\r\n",
              ReadFault::Malformed},
@@ -114,8 +115,8 @@
     for (const auto &[bytes, fault] : faults) {
         BOOST_TEST_CONTEXT(bytes.substr(0, 100))
         {
+            const std::string all = joined({first, bytes, first});
             for (const std::size_t size : {1U, 7U, 100'000U}) {
-                const std::string all = first + bytes + first;
                 const ReadResult result
                         = read(all, std::vector<std::size_t>(all.size(), size), 100);
                 BOOST_TEST(result.requests.size() == 1U);
