Decide when large bodies are sent and which host has room

Cause: an upload takes up to 290 ms of a link of 10 Mbit/s, but neither node counted bytes on the way. New pure decisions: a queue of bodies before the link of the sending node (two at once, by deadline, refused when late), rooms held at a gate for calls whose bodies are still to come, and the time that a body takes, which placement adds.

--- a/include/cornelhead/routing/placement.h
+++ b/include/cornelhead/routing/placement.h
@@ -21,6 +21,7 @@
 #include "cornelhead/base/units.h"
 #include "cornelhead/membership/host-entry.h"
 #include "cornelhead/rollout/server-counters.h"
+#include "cornelhead/routing/link-load.h"
 #include "cornelhead/routing/server-notices.h"
 
 namespace cornelhead {
@@ -45,6 +46,8 @@
     /// The rate at which calls arrive at the node of a limited server; not reported without a
     /// limit.
     CallRate demand;
+    /// The large bodies on their way to the host.
+    InboundLoad link;
 };
 
 /// The state held of a host.  Lives while the host is listed or a call to it is in flight.
@@ -95,6 +98,8 @@
     Microseconds objective{};
     /// Expected size of the request and its response.
     double bytes = 0.0;
+    /// The request's body on its way to the host.
+    OutgoingBody body;
     /// Hosts that have refused or failed this call.
     std::set<Address> tried;
     /// Hosts that handed the call back as they were busy.  They are compared again, as their load
@@ -118,6 +123,9 @@
     Host choose(const PlacementRequest &request, TimePoint now, Random &random);
     /// Returns the expected time from now until a call sent to `host` now would end.
     Microseconds expectedTime(const HostState &host, Microseconds objective, TimePoint now) const;
+    /// The same with the time that the body of the call takes.
+    Microseconds expectedTime(const HostState &host, const PlacementRequest &request,
+                              TimePoint now) const;
 
     /// Count a call to `host` as in flight, and as ended.
     static void begin(HostState &host) { ++host.inFlight; }
--- a/include/cornelhead/routing/server-gate.h
+++ b/include/cornelhead/routing/server-gate.h
@@ -71,6 +71,16 @@
     /// Starts, queues or refuses a call.  Waiting calls that expire because of it are removed and
     /// appended to `expired`.
     Verdict offer(const GateRequest &offer, TimePoint now, std::vector<GateTicket> &expired);
+    /// Judges a call whose body needs `arrival` to come: `Start` if a place is free for it, `Wait`
+    /// if it would have to wait but end in time.  Changes nothing.
+    Verdict judgeRoom(const GateRequest &request, Microseconds arrival, TimePoint now) const;
+    /// Counts a call that is yet to come as waiting, for the wait of later calls and for the load;
+    /// calls that are there are not held up by it.
+    void hold(const GateRequest &place) { held_.emplace(place.ticket, place); }
+    void release(GateTicket ticket) { held_.erase(ticket); }
+    /// Starts or queues a call for which room was held: it goes before the calls of its rank that
+    /// came meanwhile.
+    Verdict admitHeld(const GateRequest &request, TimePoint now, std::vector<GateTicket> &expired);
     /// Ends a running call, or removes a waiting one.
     void remove(GateTicket ticket);
     /// Starts the next waiting call if there is room.  Expired calls before it are removed and
@@ -118,6 +128,8 @@
     std::map<GateTicket, Running> running_;
     // In start order: by rank, then by arrival.
     std::list<GateRequest> waiting_;
+    // Calls whose bodies are still to come.
+    std::map<GateTicket, GateRequest> held_;
 };
 
 } // namespace cornelhead
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -122,7 +122,7 @@
         return false;
     // After a refusal, retry only hosts that are not expected to refuse the call again.
     if (!request.tried.empty() && now - host.reportedAt < detail::maxFreshReportAge
-        && expectedTime(host, request.objective, now) > request.objective)
+        && expectedTime(host, request, now) > request.objective)
         return false;
     // After its backoff, an unreachable host gets one call at a time.
     return host.consecutiveFailures == 0 || (now >= host.backoffUntil && host.inFlight == 0);
@@ -154,13 +154,19 @@
     return Microseconds(static_cast<std::int64_t>(timeUs));
 }
 
+Microseconds Placement::expectedTime(const HostState &host, const PlacementRequest &request,
+                                     TimePoint now) const
+{
+    return expectedTime(host, request.objective, now)
+            + arrivalTime(request.body, host.report.link, now - host.reportedAt);
+}
+
 double Placement::costOf(const HostState &host, const PlacementRequest &request,
                          TimePoint now) const
 {
     const double objective
             = static_cast<double>(std::max<std::int64_t>(1, request.objective.count()));
-    const double time
-            = static_cast<double>(expectedTime(host, request.objective, now).count()) / objective;
+    const double time = static_cast<double>(expectedTime(host, request, now).count()) / objective;
     double cost = std::min(time, detail::safeFraction) * detail::safeTimeCost
             + std::max(0.0, time - detail::safeFraction) * detail::riskyTimeCost;
     cost += detail::failureCost * host.report.failureShare * detail::ageFactor(host, now);
--- a/src/routing/server-gate.cc
+++ b/src/routing/server-gate.cc
@@ -32,6 +32,32 @@
     return Verdict::Wait;
 }
 
+ServerGate::Verdict ServerGate::judgeRoom(const GateRequest &request, Microseconds arrival,
+                                          TimePoint now) const
+{
+    const Microseconds wait = waitBehind(queueAhead(request.rank), now);
+    if (now + std::max(wait, arrival) + request.work > request.finishBy)
+        return Verdict::Refuse;
+    const bool isFree = waiting_.empty() && running_.size() + held_.size() < slots_ + spareInFlight;
+    return isFree && wait == Microseconds(0) ? Verdict::Start : Verdict::Wait;
+}
+
+ServerGate::Verdict ServerGate::admitHeld(const GateRequest &request, TimePoint now,
+                                          std::vector<GateTicket> &expired)
+{
+    if (isOpen(now)) {
+        start(request, now);
+        return Verdict::Start;
+    }
+    const auto position
+            = std::find_if(waiting_.begin(), waiting_.end(), [&](const GateRequest &waiting) {
+                  return waiting.rank >= request.rank;
+              });
+    waiting_.insert(position, request);
+    removeExpired(now, expired);
+    return Verdict::Wait;
+}
+
 void ServerGate::remove(GateTicket ticket)
 {
     if (running_.erase(ticket) == 0)
@@ -71,7 +97,7 @@
 {
     GateLoad load;
     load.running = static_cast<std::uint32_t>(running_.size());
-    load.waiting = static_cast<std::uint32_t>(waiting_.size());
+    load.waiting = static_cast<std::uint32_t>(waiting_.size() + held_.size());
     load.slots = slots_;
     load.wait = waitBehind(queueAhead(detail::reportedRank), now);
     load.limit = pacer_.limit();
@@ -107,6 +133,12 @@
         ++ahead.calls;
         ahead.work += waiting.work;
     }
+    for (const auto &[ticket, held] : held_) {
+        if (held.rank <= rank) {
+            ++ahead.calls;
+            ahead.work += held.work;
+        }
+    }
     return ahead;
 }
 
