Ask for room before the large body of a call is sent

Cause: a host handed back or refused an upload after all of it had crossed both links. The caller's node now sends an offer first, which the server's node answers with a room that is held for the call, or with the refusal that the call would have got. Offers have a header of their own, so that a node of an earlier version cannot run one; it answers 404 and gets the call as before. Responses report the bytes on their way and the speed of the link.

hop-test counts two more fields at the end of responses; its checks are as strict as before.

--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -49,6 +49,9 @@
     std::function<bool(evhttp_request *)> onHead;
     std::function<void(evbuffer *)> onChunk;
     std::function<void(const AttemptOutcome &)> onEnd;
+    /// All bytes of the request have left the output buffer; runs inside the buffer's callback and
+    /// must not touch the attempt.  May be empty.
+    std::function<void()> onSent = {};
 };
 
 /// Sends one request and waits for its response.
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -18,8 +18,10 @@
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/rollout/server-samples.h"
 #include "cornelhead/routing/poison-tracker.h"
+#include "cornelhead/routing/room-reservations.h"
 #include "cornelhead/routing/server-gate.h"
 #include "cornelhead/routing/work-estimate.h"
+#include "cornelhead/sidecar/body-offer.h"
 #include "cornelhead/sidecar/call-records.h"
 #include "cornelhead/sidecar/dialect.h"
 #include "cornelhead/sidecar/hop.h"
@@ -58,6 +60,9 @@
 
     /// Handles a request that carries `hopRequestHeader`.
     void serve(evhttp_request *request);
+    /// Answers an offer of a call whose body is large: holds room for it or refuses it.
+    void serveOffer(evhttp_request *request);
+    void setLink(LinkSpeed link) { rooms_.setLink(link); }
     /// Applies a change of the server's state or slots.
     void refresh();
     /// Applies a heartbeat that is not stale.
@@ -86,7 +91,12 @@
     void admit(evhttp_request *request, const std::string &id, const HopRequest &hop);
     /// Returns why a new call is refused at once, or `None`.
     HopReason refusalFor(const HopRequest &hop, evhttp_request *request) const;
-    void start(evhttp_request *request, const std::string &id, const HopRequest &hop);
+    /// The part of it that does not depend on the request's content.
+    HopReason serverRefusalFor(const HopRequest &hop) const;
+    /// Judges an offered call and holds room for it unless it returns a reason to refuse it.
+    HopReason holdRoom(evhttp_request *request, const std::string &id, const OfferRequest &offer);
+    void expireRooms(TimePoint time);
+    void start(evhttp_request *request, const std::string &id, const HopRequest &hop, bool wasHeld);
     void scheduleWaitingCalls();
     void startWaitingCalls();
     void refuseAll(const std::vector<GateTicket> &tickets, HopReason reason);
@@ -126,9 +136,13 @@
     std::array<Counter *, receiveFaultCount> longResponses_{};
     Counter &serverCalls_;
     Gauge &serverLimit_;
+    Counter &roomsHeld_;
+    Counter &roomsExpired_;
+    Gauge &inboundBytes_;
     UpstreamPool pool_;
     HttpClient healthClient_;
     ServerGate gate_;
+    RoomReservations rooms_{gate_};
     WorkEstimate work_;
     std::map<GateTicket, std::shared_ptr<InboundCall>> calls_;
     CallRecords records_;
--- a/include/cornelhead/sidecar/outbound-call.h
+++ b/include/cornelhead/sidecar/outbound-call.h
@@ -34,6 +34,16 @@
     /// is stopping.
     bool isRefusedByStop(Milliseconds limit) const;
     void selectHost();
+    /// Returns whether the call may be sent: its body is small or has its turn on the link.  Else
+    /// the call waits for it, or was refused.
+    bool hasLink();
+    void releaseLink();
+    /// Asks the host for room if the body is large, else sends the call.
+    void offerOrSend();
+    void onOfferEnd(const OfferOutcome &outcome);
+    /// Applies the report in a response of the current host.
+    void recordResponse(const HopResponse &response);
+    Milliseconds bodyDelay() const;
     void send(bool isResumed);
     /// Sends the call again to the same host, unless its deadline has passed.
     void resume();
@@ -84,6 +94,10 @@
     // Names the run of the node and the server that the current attempt is meant for, as the host
     // entry may change meanwhile.
     HopRequest hop_;
+    // The question for room at the current host; null while none is asked.
+    std::unique_ptr<BodyOffer> offer_;
+    // The turn on the node's link that a large body has or waits for.
+    std::optional<UploadTicket> upload_;
     std::unique_ptr<Attempt> attempt_;
     // The previous attempt at the same host, which stalled.  Its connection stays open, as the host
     // would take a close for the caller's; the first response of either attempt counts.
@@ -98,6 +112,8 @@
     std::uint32_t resumes_ = 0;
     // Shortest queue wait reported by a host; 0 before the first report.
     Microseconds minWait_{};
+    // Expected wait for the node's link, if the call was refused for it.
+    Microseconds linkWait_{};
     // The call may go to the other version if the chosen one has no host.
     bool maySwitchVersion_ = false;
     bool reachedServer_ = false;
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -20,6 +20,7 @@
 #include "cornelhead/routing/weighted-split.h"
 #include "cornelhead/sidecar/dialect.h"
 #include "cornelhead/sidecar/hop.h"
+#include "cornelhead/sidecar/upload-sender.h"
 
 struct evhttp_request;
 
@@ -66,6 +67,8 @@
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
     std::uint64_t seed = 0;
+    /// The capacity of the node's link.
+    LinkSpeed link;
 };
 
 /// The end of a process that is stopping.
@@ -125,6 +128,7 @@
     Placement placement_;
     HandBackPolicy handBack_;
     SharedRetryBudget budget_;
+    UploadSender uploads_;
     std::shared_ptr<const RouteTable> table_;
     std::map<RouteId, WeightedSplit> splits_;
     std::map<ServiceId, WeightedSplit> moveSplits_;
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -138,10 +138,14 @@
     }
 }
 
-void Attempt::onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg)
+void Attempt::onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg)
 {
-    if (info->n_deleted > 0)
-        static_cast<Attempt *>(arg)->wasSent_ = true;
+    if (info->n_deleted == 0)
+        return;
+    auto *attempt = static_cast<Attempt *>(arg);
+    attempt->wasSent_ = true;
+    if (attempt->handlers_.onSent && evbuffer_get_length(buffer) == 0)
+        attempt->handlers_.onSent();
 }
 
 void Attempt::onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg)
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -163,6 +163,7 @@
     writer.number(static_cast<std::uint64_t>(report.serverStartedAtMs));
     writer.number(report.notice.isLeaving ? 1 : 0);
     writer.number(counters.cold).number(counters.cutOff).number(counters.refused);
+    writer.number(report.link.bytes).number(report.link.speed.bytesPerSecond());
     return writer.finish();
 }
 
@@ -199,6 +200,10 @@
         counters.cutOff = reader.number();
         counters.refused = reader.number();
     }
+    if (!reader.isAtEnd()) {
+        report.link.bytes = reader.number();
+        report.link.speed = LinkSpeed(reader.number());
+    }
     if (!reader.isValid() || result > static_cast<std::uint64_t>(HopResult::Unknown)
         || reason >= detail::reasonNames.size())
         return detail::invalidHopHeader();
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -88,6 +88,9 @@
       refusals_(metrics.counter("cornelhead_serving_refusals_total")),
       serverCalls_(metrics.counter("cornelhead_server_calls_total")),
       serverLimit_(metrics.gauge("cornelhead_server_limit_per_1000_s")),
+      roomsHeld_(metrics.counter("cornelhead_serving_rooms_held_total")),
+      roomsExpired_(metrics.counter("cornelhead_serving_rooms_expired_total")),
+      inboundBytes_(metrics.gauge("cornelhead_serving_inbound_bytes")),
       pool_(loop.base(), metrics.counter("cornelhead_server_connections_total")),
       healthClient_(loop), maxReuseAge_(defaultMaxReuseAge)
 {
@@ -120,6 +123,7 @@
     response.report.notice.limit = load.limit;
     response.report.demand = load.limit ? load.demand : CallRate();
     response.report.serverStartedAtMs = local_.startedAtMs();
+    response.report.link = rooms_.load();
     return response;
 }
 
@@ -165,6 +169,10 @@
 
 void InboundProxy::admit(evhttp_request *request, const std::string &id, const HopRequest &hop)
 {
+    const TimePoint time = now(SteadyClock());
+    expireRooms(time);
+    const bool wasHeld = rooms_.take(id);
+    inboundBytes_.set(static_cast<std::int64_t>(rooms_.load().bytes));
     const HopReason reason = refusalFor(hop, request);
     if (reason != HopReason::None) {
         refuse(request, HopResult::NotRun, reason);
@@ -173,15 +181,81 @@
     if (hop.knownLimit
         && local_.applyKnownLimit(*hop.knownLimit) == LocalServer::UpdateResult::Changed)
         onNoticeChanged();
-    const TimePoint time = now(SteadyClock());
-    gate_.recordArrival(time);
-    if (hop.mayHandBack && !gate_.isOpen(time))
+    if (!wasHeld)
+        gate_.recordArrival(time);
+    if (!wasHeld && hop.mayHandBack && !gate_.isOpen(time))
         refuse(request, HopResult::NotRun, HopReason::Busy);
     else
-        start(request, id, hop);
+        start(request, id, hop, wasHeld);
 }
 
-HopReason InboundProxy::refusalFor(const HopRequest &hop, evhttp_request *request) const
+void InboundProxy::serveOffer(evhttp_request *request)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    const Result<OfferRequest> offer = decodeOffer(findHeader(headers, offerHeader));
+    const std::string id(findHeader(headers, dialect_.headers.requestId.c_str()));
+    if (!offer || id.empty() || findRequestFault(headers, {dialect_.headers.requestId.c_str()})) {
+        refuse(request, HopResult::NotRun, HopReason::BadMessage);
+        return;
+    }
+    const HopReason reason = holdRoom(request, id, *offer);
+    if (reason != HopReason::None) {
+        refuse(request, HopResult::NotRun, reason);
+        return;
+    }
+    roomsHeld_.add();
+    Exchange exchange(loop_, request);
+    exchange.addHeader(hopResponseHeader,
+                       encodeHopResponse(hopResponse(HopResult::NotRun, HopReason::None)));
+    constexpr int statusOk = 200;
+    exchange.send(LocalResponse{statusOk, {}, {}});
+}
+
+HopReason InboundProxy::holdRoom(evhttp_request *request, const std::string &id,
+                                 const OfferRequest &offer)
+{
+    const HopRequest &hop = offer.hop;
+    if (const HopReason reason = serverRefusalFor(hop); reason != HopReason::None)
+        return reason;
+    const TimePoint time = now(SteadyClock());
+    pauses_.observe(time);
+    const CallArrival arrival{id, false, hop.run == run_, hop.isIdempotent};
+    // A call that came before gets its outcome, for which it needs no room.
+    if (!std::holds_alternative<StartCall>(records_.decide(arrival, time)))
+        return HopReason::None;
+    expireRooms(time);
+    gate_.recordArrival(time);
+    rooms_.take(id);
+    const Milliseconds timeout
+            = timeoutOf(evhttp_request_get_input_headers(request), dialect_.headers.deadline);
+    const Microseconds work = work_.expected(hop.route, hop.objective);
+    const Microseconds bodyTime = rooms_.arrivalTime(offer.bodyBytes);
+    const QueuePosition position = queuePositionOf(hop, work + bodyTime, time,
+                                                   time + timeout - pauses_.maxInputAge(time));
+    lastTicket_ = lastTicket_.next();
+    const GateRequest place{lastTicket_, position.rank, work, position.usefulBy};
+    const ServerGate::Verdict verdict = gate_.judgeRoom(place, bodyTime, time);
+    if (verdict != ServerGate::Verdict::Start && hop.mayHandBack)
+        return HopReason::Busy;
+    if (verdict == ServerGate::Verdict::Refuse)
+        return HopReason::Overload;
+    rooms_.hold(id, place, offer.bodyBytes, time);
+    inboundBytes_.set(static_cast<std::int64_t>(rooms_.load().bytes));
+    return HopReason::None;
+}
+
+void InboundProxy::expireRooms(TimePoint time)
+{
+    const std::size_t expired = rooms_.removeExpired(time);
+    inboundBytes_.set(static_cast<std::int64_t>(rooms_.load().bytes));
+    if (expired == 0)
+        return;
+    roomsExpired_.add(expired);
+    log_.write(EventKind::Failure, inboundPart, "rooms-expired",
+               {{"rooms", expired}, {"roomsLeft", rooms_.size()}});
+}
+
+HopReason InboundProxy::serverRefusalFor(const HopRequest &hop) const
 {
     if (isStopping_)
         return HopReason::Stopping;
@@ -190,6 +264,13 @@
         return HopReason::ServerGone;
     if (server->service != hop.service || server->id != hop.server)
         return HopReason::WrongServer;
+    return HopReason::None;
+}
+
+HopReason InboundProxy::refusalFor(const HopRequest &hop, evhttp_request *request) const
+{
+    if (const HopReason reason = serverRefusalFor(hop); reason != HopReason::None)
+        return reason;
     const bool isPoison = poison_.hasSuspects()
             && poison_.isRefused(hostRequestFingerprint(request), now(SteadyClock()));
     return isPoison ? HopReason::Poison : HopReason::None;
@@ -208,7 +289,8 @@
     exchange.forward(*outcome.response);
 }
 
-void InboundProxy::start(evhttp_request *request, const std::string &id, const HopRequest &hop)
+void InboundProxy::start(evhttp_request *request, const std::string &id, const HopRequest &hop,
+                         bool wasHeld)
 {
     const TimePoint time = now(SteadyClock());
     const Milliseconds timeout
@@ -230,8 +312,9 @@
     const Microseconds work = work_.expected(hop.route, hop.objective);
     const QueuePosition position = queuePositionOf(hop, work, time, deadline);
     std::vector<GateTicket> tooLate;
-    const ServerGate::Verdict verdict = gate_.offer(
-            GateRequest{lastTicket_, position.rank, work, position.usefulBy}, time, tooLate);
+    const GateRequest place{lastTicket_, position.rank, work, position.usefulBy};
+    const ServerGate::Verdict verdict
+            = wasHeld ? gate_.admitHeld(place, time, tooLate) : gate_.offer(place, time, tooLate);
     refuseAll(tooLate, HopReason::Overload);
     if (verdict == ServerGate::Verdict::Start)
         call->run();
@@ -463,6 +546,7 @@
 void InboundProxy::stop()
 {
     isStopping_ = true;
+    rooms_.clear();
     refuseAll(gate_.removeWaiting(), HopReason::Stopping);
 }
 
@@ -482,6 +566,7 @@
     const TimePoint time = now(SteadyClock());
     pauses_.observe(time);
     records_.sweep(time);
+    expireRooms(time);
     std::erase_if(brokenCalls_,
                   [&](const auto &entry) { return time - entry.second > deathWindow; });
     work_.decay(CallRecords::sweepPeriod);
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -22,6 +22,10 @@
 /// that the host is expected to take, but no sooner than `minResumeDelay`.
 constexpr int resumeDelayFactor = 3;
 constexpr Milliseconds minResumeDelay(200);
+/// A body may take this many times the expected time, as its links are shared.
+constexpr int bodyDelayFactor = 2;
+/// Share of the objective by which a large body must have been sent; the rest is for its server.
+constexpr double objectiveShare = 0.85;
 /// A host that became unreachable may hold the call's outcome; the resume is retried at this
 /// interval.
 constexpr Milliseconds unreachableResumeDelay(300);
@@ -89,7 +93,10 @@
         exchange_.closeAfterResponse();
 }
 
-OutboundCall::~OutboundCall() = default;
+OutboundCall::~OutboundCall()
+{
+    releaseLink();
+}
 
 void OutboundCall::start()
 {
@@ -137,6 +144,9 @@
     placementRequest_.service = proxy_.chooseService(*route_);
     placementRequest_.objective = route_->objective;
     placementRequest_.bytes = proxy_.meanCallBytes_[route_->id];
+    placementRequest_.body = OutgoingBody{
+            evbuffer_get_length(evhttp_request_get_input_buffer(exchange_.request())),
+            proxy_.settings_.link};
     maySwitchVersion_ = proxy_.chooseVersion(placementRequest_);
     selectHost();
 }
@@ -221,11 +231,14 @@
     if (stalled_)
         stalled_->cancel();
     destroyLater(stalled_);
+    destroyLater(attempt_);
     const TimePoint time = now(SteadyClock());
     if (timeLeft() < minTimeLeft) {
         refuse(OutboundRefusal::Overload);
         return;
     }
+    if (!hasLink())
+        return;
     host_ = proxy_.placement_.choose(placementRequest_, time, proxy_.random_);
     if (!host_ && std::exchange(maySwitchVersion_, false)) {
         placementRequest_.isVersionExcluded = !placementRequest_.isVersionExcluded;
@@ -256,7 +269,91 @@
     hop_.mayHandBack = std::find(busy.begin(), busy.end(), host_) == busy.end()
             && proxy_.handBack_.allows(hop_.service, handBacks_);
     resumes_ = 0;
-    send(false);
+    offerOrSend();
+}
+
+bool OutboundCall::hasLink()
+{
+    if (upload_ || !isLargeBody(placementRequest_.body, LinkSpeed()))
+        return true;
+    const TimePoint time = now(SteadyClock());
+    const auto objective = std::chrono::duration_cast<Microseconds>(
+            (route_->objective - elapsedBeforeArrival_) * objectiveShare);
+    const TimePoint usefulBy = isNestedCall_ ? deadline_ : arrivedAt_ + objective;
+    Upload upload{{}, placementRequest_.body.bytes, std::min(usefulBy, deadline_), deadline_};
+    const auto verdict = proxy_.uploads_.add(id_, upload, [this](UploadTurn turn) {
+        const auto self = shared_from_this();
+        if (turn == UploadTurn::Send) {
+            selectHost();
+            return;
+        }
+        linkWait_ = proxy_.uploads_.queue().backlog(now(SteadyClock()));
+        refuse(OutboundRefusal::Overload);
+    });
+    if (verdict == UploadQueue::Verdict::Refuse) {
+        linkWait_ = proxy_.uploads_.queue().backlog(time);
+        refuse(OutboundRefusal::Overload);
+        return false;
+    }
+    upload_ = upload.ticket;
+    return verdict == UploadQueue::Verdict::Start;
+}
+
+void OutboundCall::releaseLink()
+{
+    if (upload_)
+        proxy_.uploads_.release(*std::exchange(upload_, std::nullopt));
+}
+
+void OutboundCall::offerOrSend()
+{
+    if (!isLargeBody(placementRequest_.body, host_->report.link.speed)) {
+        send(false);
+        return;
+    }
+    Placement::begin(*host_);
+    proxy_.uploads_.countOffer();
+    hop_.isResumed = false;
+    // The offer may have to wait for another body that this node sends at the moment.
+    const UploadQueue &queue = proxy_.uploads_.queue();
+    const Microseconds otherTime = queue.sendingTime(now(SteadyClock()))
+            - queue.link().timeOf(placementRequest_.body.bytes);
+    const Milliseconds timeout = connectTimeout
+            + std::chrono::duration_cast<Milliseconds>(std::max(Microseconds(0), otherTime));
+    offer_ = std::make_unique<BodyOffer>(
+            proxy_.loop_, proxy_.pool_, proxy_.dialect_, host_->entry.node,
+            BodyOffer::Content{id_, OfferRequest{placementRequest_.body.bytes, hop_}, timeLeft()},
+            timeout, [this](const OfferOutcome &outcome) { onOfferEnd(outcome); });
+}
+
+void OutboundCall::onOfferEnd(const OfferOutcome &outcome)
+{
+    const auto self = shared_from_this();
+    offer_.reset();
+    releaseHost();
+    proxy_.uploads_.recordOfferEnd(id_, host_->entry.node, outcome);
+    struct Visitor
+    {
+        OutboundCall &call;
+        void operator()(const OfferUnanswered &) const { call.onHostUnreachable(); }
+        void operator()(const OfferUnknown &) const { call.send(false); }
+        void operator()(const HopResponse &response) const
+        {
+            call.recordResponse(response);
+            if (response.reason == HopReason::None)
+                call.send(false);
+            else
+                call.onHostRefused(response.reason);
+        }
+    };
+    std::visit(Visitor{*this}, outcome);
+}
+
+void OutboundCall::recordResponse(const HopResponse &response)
+{
+    proxy_.recordReport(*host_, response);
+    minWait_ = minWait_ == Microseconds(0) ? response.report.wait
+                                           : std::min(minWait_, response.report.wait);
 }
 
 void OutboundCall::send(bool isResumed)
@@ -272,6 +369,8 @@
         else if (*thisAttempt == stalled_.get())
             onStalledAttemptEnd(end);
     };
+    if (upload_)
+        handlers.onSent = [this] { releaseLink(); };
     ConnectionSpec need{host_->entry.node, {}, {}};
     if (isResumed)
         need.idleSince = TimePoint::max();
@@ -314,11 +413,20 @@
                 = proxy_.placement_.expectedTime(*host_, route_->objective, now(SteadyClock()));
         const Milliseconds delay
                 = std::max(minResumeDelay,
-                           std::chrono::duration_cast<Milliseconds>(expected) * resumeDelayFactor);
+                           std::chrono::duration_cast<Milliseconds>(expected) * resumeDelayFactor)
+                + bodyDelay();
         progressTimer_ = proxy_.loop_.after(delay, [this] { onStalled(); });
     });
 }
 
+// A body that is still on its way is no sign of a dead connection.
+Milliseconds OutboundCall::bodyDelay() const
+{
+    const Microseconds time = arrivalTime(placementRequest_.body, host_->report.link,
+                                          now(SteadyClock()) - host_->reportedAt);
+    return std::chrono::duration_cast<Milliseconds>(time * bodyDelayFactor);
+}
+
 // Resumes the call on a new connection, as the current one may be dead.
 void OutboundCall::onStalled()
 {
@@ -349,6 +457,9 @@
         stalled_->cancel();
     destroyLater(stalled_);
     progressTimer_ = Timer();
+    releaseLink();
+    if (std::exchange(offer_, nullptr))
+        releaseHost();
     if (!attempt_)
         return;
     attempt_->cancel();
@@ -412,9 +523,7 @@
         return;
     }
     releaseHost();
-    proxy_.recordReport(*host_, *response);
-    minWait_ = minWait_ == Microseconds(0) ? response->report.wait
-                                           : std::min(minWait_, response->report.wait);
+    recordResponse(*response);
     if (response->result == HopResult::NotRun) {
         onHostRefused(response->reason);
         return;
@@ -425,6 +534,7 @@
     ++serversReached_;
     if (response->result == HopResult::Answered) {
         isDone_ = true;
+        releaseLink();
         proxy_.responses_.add();
         const int status = evhttp_request_get_response_code(raw);
         proxy_.duration_.record(now(SteadyClock()) - arrivedAt_);
@@ -574,13 +684,15 @@
 double OutboundCall::retryAfterSeconds() const
 {
     const double wait = static_cast<double>(minWait_.count()) / 1e6;
-    return std::max(minRetryAfterSeconds, wait / 2)
+    const double linkWait = static_cast<double>(linkWait_.count()) / 1e6;
+    return std::max({minRetryAfterSeconds, wait / 2, linkWait})
             + maxRetryAfterJitterSeconds * proxy_.random_.unit();
 }
 
 void OutboundCall::refuse(OutboundRefusal refusal)
 {
     isDone_ = true;
+    releaseLink();
     const int status = statusOf(refusal);
     proxy_.refusals_[static_cast<std::size_t>(refusal)]->add();
     logEnd(outboundRefusalName(refusal), status);
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -33,6 +33,7 @@
       handlers_(std::move(handlers)), random_(settings_.seed),
       pool_(loop.base(), metrics.counter("cornelhead_node_connections_total")),
       placement_(settings_.dataCentre), budget_(settings_.retryRatio, settings_.retryWindow),
+      uploads_(loop, settings_.link, metrics, log),
       responses_(metrics.counter("cornelhead_entry_answers_total")),
       retries_(metrics.counter("cornelhead_entry_retries_total")),
       resumes_(metrics.counter("cornelhead_entry_resumes_total")),
@@ -154,6 +155,7 @@
 void OutboundProxy::sweep()
 {
     pool_.closeIdle(now(SteadyClock()) - maxIdleTime);
+    uploads_.sweep();
 }
 
 } // namespace cornelhead::detail
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -184,6 +184,7 @@
           readinessServer(loop, {}), controlServer(loop, {}), peers(loop)
     {
         limitBuffers();
+        inboundProxy.setLink(LinkSpeed::fromMbps(settings.linkMbps));
         readinessServer.setHandler([this](const HttpRequest &request, const Responder &responder) {
             responder.send(respondToReadiness(request));
         });
@@ -247,8 +248,9 @@
 
     detail::OutboundSettings outboundSettings() const
     {
-        return detail::OutboundSettings{settings.dataCentre, settings.service, settings.retryRatio,
-                                        settings.retryWindow, settings.seed + 2};
+        return detail::OutboundSettings{
+                settings.dataCentre,  settings.service,  settings.retryRatio,
+                settings.retryWindow, settings.seed + 2, LinkSpeed::fromMbps(settings.linkMbps)};
     }
 
     detail::OutboundHandlers outboundHandlers()
@@ -353,6 +355,10 @@
             inboundProxy.serve(request);
             return;
         }
+        if (!detail::findHeader(headers, offerHeader).empty()) {
+            inboundProxy.serveOffer(request);
+            return;
+        }
         if (detail::findRequestFault(headers, {})) {
             detail::Exchange malformed(loop, request);
             malformed.closeAfterResponse();
--- a/test/sidecar/hop-test.cc
+++ b/test/sidecar/hop-test.cc
@@ -1,6 +1,7 @@
 // Tests the headers between nodes.
 #include <boost/test/unit_test.hpp>
 
+#include "cornelhead/sidecar/body-offer.h"
 #include "cornelhead/sidecar/hop.h"
 
 namespace cornelhead {
@@ -17,6 +18,7 @@
     response.report.counters.cold = 3;
     response.report.counters.cutOff = 5;
     response.report.counters.refused = 7;
+    response.report.link = InboundLoad{360'000, LinkSpeed(1'250'000)};
     return response;
 }
 
@@ -61,14 +63,37 @@
     BOOST_TEST(response->report.counters.refused == 7U);
 }
 
+BOOST_AUTO_TEST_CASE(linkIsPassedOn)
+{
+    const std::string text = encodeHopResponse(limitedResponse());
+    BOOST_TEST(decodeHopResponse(text)->report.link.bytes == 360'000U);
+    BOOST_TEST((decodeHopResponse(text)->report.link.speed == LinkSpeed(1'250'000)));
+    const auto earlier = decodeHopResponse(withoutLastFields(text, 2));
+    BOOST_REQUIRE(earlier);
+    BOOST_TEST(!earlier->report.link.speed.isKnown());
+    BOOST_TEST(earlier->report.counters.refused == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(offerIsPassedOn)
+{
+    OfferRequest offer{360'000, {}};
+    offer.hop.route = RouteId("scan-upload");
+    const auto decoded = decodeOffer(encodeOffer(offer));
+    BOOST_REQUIRE(decoded);
+    BOOST_TEST(decoded->bodyBytes == 360'000U);
+    BOOST_TEST(decoded->hop.route.value() == "scan-upload");
+    for (const char *text : {"", "7", "x 1", "7 ", "7 2"})
+        BOOST_TEST(!decodeOffer(text));
+}
+
 BOOST_AUTO_TEST_CASE(headersOfEarlierVersionsHaveNoNotice)
 {
     const std::string response = encodeHopResponse(limitedResponse());
-    const auto withoutCounters = decodeHopResponse(withoutLastFields(response, 3));
+    const auto withoutCounters = decodeHopResponse(withoutLastFields(response, 5));
     BOOST_REQUIRE(withoutCounters);
     BOOST_TEST(withoutCounters->report.notice.isLeaving);
     BOOST_TEST(withoutCounters->report.counters.cold == 0U);
-    const auto earlier = decodeHopResponse(withoutLastFields(response, 8));
+    const auto earlier = decodeHopResponse(withoutLastFields(response, 10));
     BOOST_REQUIRE(earlier);
     BOOST_TEST((earlier->configuration == Revision(7)));
     BOOST_TEST(!earlier->report.notice.limit);
@@ -80,7 +105,7 @@
 BOOST_AUTO_TEST_CASE(truncatedHeadersAreRefused)
 {
     const std::string response = encodeHopResponse(limitedResponse());
-    for (int count : {1, 2, 4, 5, 6, 7, 9, 10})
+    for (int count : {1, 3, 4, 6, 7, 8, 9, 11, 12})
         BOOST_TEST(!decodeHopResponse(withoutLastFields(response, count)));
     BOOST_TEST(!decodeHopRequest(withoutLastFields(encodeHopRequest(HopRequest()), 2)));
 }
