--- a/test/adapter/large-body-test.cc
+++ b/test/adapter/large-body-test.cc
@@ -59,6 +59,46 @@
     }
 };
 
+/// The node of another host with a server of the bookings service.
+struct OtherNode
+{
+    HttpServer server;
+    Address address = SidecarFleet::freeAddress();
+    std::size_t offers = 0;
+    std::vector<HttpRequest> calls;
+    /// Offers without a response.
+    std::vector<Responder> unanswered;
+    bool answersOffers = true;
+
+    explicit OtherNode(LargeBodyFixture &fleet) : server(fleet.loop, {})
+    {
+        server.setHandler([this](const HttpRequest &request, const Responder &responder) {
+            serve(request, responder);
+        });
+        BOOST_REQUIRE(server.listen(address).has_value());
+        HostEntry entry{address, NodeId("other"), DataCentreId("akl-a"), {}, false, 0};
+        entry.server = HostedServer{ServerId("other"), ServiceId("bookings"), VersionId("v1"), 2};
+        fleet.store.write("cornelhead/hosts/" + address.toString(), encodeHostEntry(entry));
+        fleet.loop.runFor(Milliseconds(1700));
+    }
+    void serve(const HttpRequest &request, const Responder &responder)
+    {
+        if (request.headers.contains(hopRequestHeader)) {
+            calls.push_back(request);
+            const HopResponse response{
+                    HopResult::Answered, HopReason::None, NodeId("other"), {}, Revision(5)};
+            responder.send(
+                    HttpResponse{200, {{hopResponseHeader, encodeHopResponse(response)}}, "other"});
+            return;
+        }
+        offers += request.path == offerPath ? 1 : 0;
+        if (answersOffers)
+            responder.send(HttpResponse{404, {}, {}});
+        else
+            unanswered.push_back(responder);
+    }
+};
+
 BOOST_FIXTURE_TEST_SUITE(large_body, LargeBodyFixture)
 
 BOOST_AUTO_TEST_CASE(bodyIsSentOnceToAHostThatHoldsRoom)
@@ -125,6 +165,72 @@
     BOOST_TEST(metric(hosts[1], "cornelhead_serving_rooms_held_total") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(nodeOfAnEarlierVersionGetsTheCallWithoutAnOffer)
+{
+    for (SidecarHost &host : hosts)
+        announce(host, "v1", "draining");
+    OtherNode other(*this);
+    BOOST_TEST(upload().body == "other");
+    BOOST_TEST(other.offers == 1U);
+    BOOST_REQUIRE(other.calls.size() == 1U);
+    BOOST_TEST(other.calls.front().body == body);
+    BOOST_TEST(runs() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(anotherHostRunsTheCallIfAnOfferIsNotAnswered)
+{
+    OtherNode other(*this);
+    other.answersOffers = false;
+    std::size_t uploads = 0;
+    waitUntil([&] {
+        ++uploads;
+        const TimePoint begin = now(SteadyClock());
+        BOOST_TEST(upload().status == 200);
+        BOOST_TEST((now(SteadyClock()) - begin < Milliseconds(1000)));
+        return other.offers > 0;
+    });
+    BOOST_TEST(other.calls.empty());
+    BOOST_TEST(runs() == uploads);
+    BOOST_TEST(metric(*entry, "cornelhead_entry_offers_unanswered_total") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(uploadsWaitForTheLinkAndAllAreServed)
+{
+    constexpr std::size_t count = 6;
+    std::size_t served = 0;
+    for (std::size_t i = 0; i < count; ++i) {
+        client.send(entry->settings.outbound,
+                    requestTo("/book/1", HttpMethod::Post, std::string(50'000, 'x')),
+                    Milliseconds(8000), [&](const Result<HttpResponse> &response) {
+                        BOOST_TEST((response && response->status == 200));
+                        ++served;
+                    });
+    }
+    waitUntil([&] { return served == count; });
+    BOOST_TEST(runs() == count);
+    BOOST_TEST(metric(*entry, "cornelhead_entry_upload_bytes_waiting") == 0U);
+}
+
+// The body waits for room and the link; its caller leaves meanwhile.
+BOOST_AUTO_TEST_CASE(callerThatLeavesFreesTheLink)
+{
+    OtherNode other(*this);
+    other.answersOffers = false;
+    for (SidecarHost &host : hosts)
+        announce(host, "v1", "draining");
+    loop.runFor(Milliseconds(1700));
+    for (int i = 0; i < 3; ++i) {
+        HttpClient leaving(loop);
+        bool isEnded = false;
+        leaving.send(entry->settings.outbound, requestTo("/book/1", HttpMethod::Post, body),
+                     Milliseconds(100), [&](const Result<HttpResponse> &) { isEnded = true; });
+        waitUntil([&] { return isEnded; });
+    }
+    other.answersOffers = true;
+    loop.runFor(Milliseconds(1000));
+    BOOST_TEST(upload().body == "other");
+}
+
 BOOST_AUTO_TEST_CASE(bodyThatTheLinkCannotSendInTimeIsRefusedAtOnce)
 {
     const TimePoint begin = now(SteadyClock());
