Judge calls after the limit that they bring has been set

Cause: the node of a server read the clock before it applied a limit that a caller's node reported, so the gate took every such call for too early and handed it back (server_notices/limitReportedByACallersNodeHoldsUntilTheServer- Answers failed since offers were added). Offers apply the limit as well.

Tests: server_notices, large_body, sidecar-test and the placement, upload and room suites of routing-test pass.

--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -93,6 +93,8 @@
     HopReason refusalFor(const HopRequest &hop, evhttp_request *request) const;
     /// The part of it that does not depend on the request's content.
     HopReason serverRefusalFor(const HopRequest &hop) const;
+    /// Applies the limit that a caller's node has heard from the server.
+    void applyKnownLimit(const HopRequest &hop);
     /// Judges an offered call and holds room for it unless it returns a reason to refuse it.
     HopReason holdRoom(evhttp_request *request, const std::string &id, const OfferRequest &offer);
     void expireRooms(TimePoint time);
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -169,8 +169,7 @@
 
 void InboundProxy::admit(evhttp_request *request, const std::string &id, const HopRequest &hop)
 {
-    const TimePoint time = now(SteadyClock());
-    expireRooms(time);
+    expireRooms(now(SteadyClock()));
     const bool wasHeld = rooms_.take(id);
     inboundBytes_.set(static_cast<std::int64_t>(rooms_.load().bytes));
     const HopReason reason = refusalFor(hop, request);
@@ -178,9 +177,9 @@
         refuse(request, HopResult::NotRun, reason);
         return;
     }
-    if (hop.knownLimit
-        && local_.applyKnownLimit(*hop.knownLimit) == LocalServer::UpdateResult::Changed)
-        onNoticeChanged();
+    applyKnownLimit(hop);
+    // Not earlier than the limit that was just set.
+    const TimePoint time = now(SteadyClock());
     if (!wasHeld)
         gate_.recordArrival(time);
     if (!wasHeld && hop.mayHandBack && !gate_.isOpen(time))
@@ -189,6 +188,13 @@
         start(request, id, hop, wasHeld);
 }
 
+void InboundProxy::applyKnownLimit(const HopRequest &hop)
+{
+    if (hop.knownLimit
+        && local_.applyKnownLimit(*hop.knownLimit) == LocalServer::UpdateResult::Changed)
+        onNoticeChanged();
+}
+
 void InboundProxy::serveOffer(evhttp_request *request)
 {
     const evkeyvalq *headers = evhttp_request_get_input_headers(request);
@@ -217,6 +223,7 @@
     const HopRequest &hop = offer.hop;
     if (const HopReason reason = serverRefusalFor(hop); reason != HopReason::None)
         return reason;
+    applyKnownLimit(hop);
     const TimePoint time = now(SteadyClock());
     pauses_.observe(time);
     const CallArrival arrival{id, false, hop.run == run_, hop.isIdempotent};
@@ -236,7 +243,7 @@
     const GateRequest place{lastTicket_, position.rank, work, position.usefulBy};
     const ServerGate::Verdict verdict = gate_.judgeRoom(place, bodyTime, time);
     if (verdict != ServerGate::Verdict::Start && hop.mayHandBack)
-        return HopReason::Busy;
+        return HopReason::Busy; // Also if only the link is full.
     if (verdict == ServerGate::Verdict::Refuse)
         return HopReason::Overload;
     rooms_.hold(id, place, offer.bodyBytes, time);
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -352,8 +352,11 @@
 void OutboundCall::recordResponse(const HopResponse &response)
 {
     proxy_.recordReport(*host_, response);
-    minWait_ = minWait_ == Microseconds(0) ? response.report.wait
-                                           : std::min(minWait_, response.report.wait);
+    const HostReport &report = response.report;
+    const Microseconds wait = isLargeBody(placementRequest_.body, report.link.speed)
+            ? std::max(report.wait, report.link.speed.timeOf(report.link.bytes))
+            : report.wait;
+    minWait_ = minWait_ == Microseconds(0) ? wait : std::min(minWait_, wait);
 }
 
 void OutboundCall::send(bool isResumed)
--- a/test/routing/placement-test.cc
+++ b/test/routing/placement-test.cc
@@ -59,6 +59,23 @@
 
 BOOST_FIXTURE_TEST_SUITE(placement_suite, PlacementFixture)
 
+BOOST_AUTO_TEST_CASE(largeBodyGoesWhereFewBytesAreOnTheirWay)
+{
+    const LinkSpeed link = LinkSpeed::fromMbps(10.0);
+    HostReport full = reportOf(0.3);
+    full.link = InboundLoad{500'000, link};
+    HostReport slow = reportOf(0.6);
+    slow.link = InboundLoad{0, link};
+    const Address first = add(1);
+    const Address second = add(2);
+    report(first, full);
+    report(second, slow);
+    PlacementRequest request = makeRequest();
+    BOOST_TEST((choose(request) == first));
+    request.body = OutgoingBody{100'000, link};
+    BOOST_TEST((choose(request) == second));
+}
+
 BOOST_AUTO_TEST_CASE(fasterServerIsChosen)
 {
     const Address slow = add(1);
