Let large bodies share a link for 250 ms at most

Cause: bodies were accepted as long as they could come in time, so that up to half a second of them could stand before the small calls of a link, longer than a host may take to accept a connection before it counts as unreachable. A second body is sent, and room is held for a further one, only if all of them take up to 250 ms of the link; one longer body passes alone.

Two cases of the queue advance the clock as the link would.

--- a/include/cornelhead/routing/link-load.h
+++ b/include/cornelhead/routing/link-load.h
@@ -31,6 +31,11 @@
     std::uint64_t bytesPerSecond_ = 0;
 };
 
+/// Large bodies share a link only while they take no longer than this together.  Small calls wait
+/// behind them, and a host that does not accept a connection within this time is taken for
+/// unreachable.
+constexpr Milliseconds maxSharedTime = Milliseconds(250);
+
 /// What a host reports about its link.
 struct InboundLoad
 {
--- a/include/cornelhead/routing/room-reservations.h
+++ b/include/cornelhead/routing/room-reservations.h
@@ -27,6 +27,8 @@
     void setLink(LinkSpeed link) { link_ = link; }
     /// Returns the expected time until a further body of `bytes` has arrived.
     Microseconds arrivalTime(std::uint64_t bytes) const;
+    /// Returns whether a further body of `bytes` would delay the host's small calls too much.
+    bool isLinkFull(std::uint64_t bytes) const;
     /// Holds room for a call that the gate has judged.  A second offer of a call replaces the
     /// first.
     void hold(const std::string &id, const GateRequest &place, std::uint64_t bytes, TimePoint now);
--- a/include/cornelhead/routing/upload-queue.h
+++ b/include/cornelhead/routing/upload-queue.h
@@ -34,7 +34,8 @@
 
 /// Decides which large bodies are sent, wait or are refused.  Does no I/O and reads no clock.
 ///
-/// Invariant: at most `maxSending` bodies are sent at once and at most `maxWaiting` wait.
+/// Invariant: at most `maxSending` bodies are sent at once, and two only if the link needs at most
+/// `maxSharedTime` for them; at most `maxWaiting` wait.
 class UploadQueue
 {
 public:
@@ -74,6 +75,7 @@
         bool isLate = false;
     };
 
+    bool mayStart(const Upload &upload, TimePoint now) const;
     /// Returns the expected wait of an upload behind those that go before it.
     Microseconds waitBefore(const Waiting &next, TimePoint now) const;
     static bool goesBefore(const Waiting &left, const Waiting &right);
--- a/src/routing/room-reservations.cc
+++ b/src/routing/room-reservations.cc
@@ -16,6 +16,11 @@
     return link_.timeOf(bytes_ + bytes);
 }
 
+bool RoomReservations::isLinkFull(std::uint64_t bytes) const
+{
+    return !rooms_.empty() && arrivalTime(bytes) > maxSharedTime;
+}
+
 void RoomReservations::hold(const std::string &id, const GateRequest &place, std::uint64_t bytes,
                             TimePoint now)
 {
--- a/src/routing/upload-queue.cc
+++ b/src/routing/upload-queue.cc
@@ -26,7 +26,7 @@
     next.isLate = now + waitBefore(next, now) + time > upload.usefulBy;
     if (next.isLate && now + waitBefore(next, now) + time > upload.deadline)
         return Verdict::Refuse;
-    if (waiting_.empty() && sending_.size() < maxSending) {
+    if (waiting_.empty() && mayStart(upload, now)) {
         start(upload, now);
         return Verdict::Start;
     }
@@ -45,7 +45,7 @@
 std::optional<UploadTicket> UploadQueue::startNext(TimePoint now,
                                                    std::vector<UploadTicket> &expired)
 {
-    while (!waiting_.empty() && sending_.size() < maxSending) {
+    while (!waiting_.empty() && mayStart(waiting_.front().upload, now)) {
         Waiting next = waiting_.front();
         waiting_.pop_front();
         const TimePoint end = now + sendingTime(now) + link_.timeOf(next.upload.bytes);
@@ -89,6 +89,14 @@
     return bytes;
 }
 
+bool UploadQueue::mayStart(const Upload &upload, TimePoint now) const
+{
+    if (sending_.empty())
+        return true;
+    return sending_.size() < maxSending
+            && sendingTime(now) + link_.timeOf(upload.bytes) <= maxSharedTime;
+}
+
 Microseconds UploadQueue::waitBefore(const Waiting &next, TimePoint now) const
 {
     Microseconds wait = sendingTime(now);
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -242,9 +242,10 @@
     lastTicket_ = lastTicket_.next();
     const GateRequest place{lastTicket_, position.rank, work, position.usefulBy};
     const ServerGate::Verdict verdict = gate_.judgeRoom(place, bodyTime, time);
-    if (verdict != ServerGate::Verdict::Start && hop.mayHandBack)
-        return HopReason::Busy; // Also if only the link is full.
-    if (verdict == ServerGate::Verdict::Refuse)
+    const bool isLinkFull = rooms_.isLinkFull(offer.bodyBytes);
+    if (hop.mayHandBack && (isLinkFull || verdict != ServerGate::Verdict::Start))
+        return HopReason::Busy;
+    if (isLinkFull || verdict == ServerGate::Verdict::Refuse)
         return HopReason::Overload;
     rooms_.hold(id, place, offer.bodyBytes, time);
     inboundBytes_.set(static_cast<std::int64_t>(rooms_.load().bytes));
--- a/test/routing/upload-queue-test.cc
+++ b/test/routing/upload-queue-test.cc
@@ -64,10 +64,24 @@
     BOOST_TEST(queue.waitingBytes() == 2 * body);
     BOOST_TEST((queue.backlog(time) == Milliseconds(400)));
     BOOST_TEST(next() == 0U);
+    time += Milliseconds(100);
     queue.remove(UploadTicket(1));
     BOOST_TEST(next() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(bodiesThatTakeLongAreSentAlone)
+{
+    const auto addBytes = [&](std::uint64_t bytes) {
+        return queue.add(Upload{UploadTicket(++lastTicket), bytes, time + Milliseconds(800),
+                                TimePoint::max()},
+                         time);
+    };
+    BOOST_TEST((addBytes(3 * body) == UploadQueue::Verdict::Start));
+    BOOST_TEST((addBytes(body / 2) == UploadQueue::Verdict::Wait));
+    time += Milliseconds(100);
+    BOOST_TEST(next() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(bodyThatCannotBeSentInTimeIsRefusedAtOnce)
 {
     for (int i = 0; i < 7; ++i)
@@ -79,6 +93,7 @@
     BOOST_TEST((add(Milliseconds(850)) == UploadQueue::Verdict::Wait));
     std::vector<std::uint64_t> order;
     for (std::uint64_t sent : {1, 2, 3, 4, 5, 6, 7}) {
+        time += Milliseconds(100);
         queue.remove(UploadTicket(sent));
         order.push_back(next());
     }
@@ -163,6 +178,14 @@
     BOOST_TEST((offer("d", Milliseconds(510)) == ServerGate::Verdict::Wait));
 }
 
+BOOST_AUTO_TEST_CASE(linkIsFullWhenSmallCallsWouldWaitLong)
+{
+    BOOST_TEST(!rooms.isLinkFull(10 * body));
+    offer("a");
+    BOOST_TEST(!rooms.isLinkFull(body));
+    BOOST_TEST(rooms.isLinkFull(2 * body));
+}
+
 BOOST_AUTO_TEST_CASE(callThatComesStartsBeforeCallsThatCameMeanwhile)
 {
     offer("a");
