--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -22,6 +22,7 @@
 #include "cornelhead/sidecar/departure-monitor.h"
 #include "cornelhead/sidecar/dialect.h"
 #include "cornelhead/sidecar/hop.h"
+#include "cornelhead/sidecar/upload-sender.h"
 
 namespace cornelhead::detail {
 
@@ -79,6 +80,8 @@
     DepartureRule departure = DepartureRule::WhenShort;
     /// Paces the returns of refused callers also where the configuration names no customers.
     bool returningFirst = false;
+    /// The capacity of the node's link.
+    LinkSpeed link;
 };
 
 /// The end of a process that is stopping.
@@ -145,6 +148,7 @@
     HandBackPolicy handBack_;
     SharedRetryBudget budget_;
     ReturnSchedule returns_;
+    UploadSender uploads_;
     std::shared_ptr<const RouteTable> table_;
     std::map<RouteId, WeightedSplit> splits_;
     std::map<ServiceId, WeightedSplit> moveSplits_;
--- a/src/routing/server-gate.cc
+++ b/src/routing/server-gate.cc
@@ -28,7 +28,7 @@
         return Verdict::Start;
     }
     const auto position = insert(offer, now);
-    const Microseconds wait = waitBehind(queueAhead(position), now);
+    const Microseconds wait = waitBehind(queueAhead(position, offer.rank), now);
     if (now + wait + offer.work > offer.finishBy) {
         waiting_.erase(position);
         return Verdict::Refuse;
@@ -37,6 +37,31 @@
     return Verdict::Wait;
 }
 
+ServerGate::Verdict ServerGate::judgeRoom(const GateRequest &request, Microseconds arrival,
+                                          TimePoint now) const
+{
+    const Microseconds wait = waitBehind(queueAhead(request.rank), now);
+    if (now + std::max(wait, arrival) + request.work > request.finishBy)
+        return Verdict::Refuse;
+    const bool isFree = waiting_.empty() && running_.size() + held_.size() < slots_ + spareInFlight;
+    return isFree && wait == Microseconds(0) ? Verdict::Start : Verdict::Wait;
+}
+
+ServerGate::Verdict ServerGate::admitHeld(const GateRequest &request, TimePoint now,
+                                          std::vector<GateTicket> &expired)
+{
+    shares_.recordDemand(request.customer, request.work, now);
+    if (isOpen(now)) {
+        start(request, now);
+        return Verdict::Start;
+    }
+    GateRequest first = request;
+    first.isReturning = true;
+    insert(first, now);
+    removeExpired(now, expired);
+    return Verdict::Wait;
+}
+
 void ServerGate::remove(GateTicket ticket)
 {
     if (running_.erase(ticket) == 0)
@@ -77,7 +102,7 @@
 {
     GateLoad load;
     load.running = static_cast<std::uint32_t>(running_.size());
-    load.waiting = static_cast<std::uint32_t>(waiting_.size());
+    load.waiting = static_cast<std::uint32_t>(waiting_.size() + held_.size());
     load.slots = slots_;
     load.wait = waitBehind(queueAhead(detail::reportedRank), now);
     load.limit = pacer_.limit();
@@ -106,18 +131,26 @@
 
 ServerGate::Queue ServerGate::queueAhead(std::uint32_t rank) const
 {
-    return queueAhead(std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting &waiting) {
+    const auto behind = std::find_if(waiting_.begin(), waiting_.end(), [&](const Waiting &waiting) {
         return waiting.call.rank > rank;
-    }));
+    });
+    return queueAhead(behind, rank);
 }
 
-ServerGate::Queue ServerGate::queueAhead(WaitingCalls::const_iterator call) const
+ServerGate::Queue ServerGate::queueAhead(WaitingCalls::const_iterator call,
+                                         std::uint32_t rank) const
 {
     Queue ahead;
     for (auto waiting = waiting_.begin(); waiting != call; ++waiting) {
         ++ahead.calls;
         ahead.work += waiting->call.work;
     }
+    for (const auto &[ticket, held] : held_) {
+        if (held.rank <= rank) {
+            ++ahead.calls;
+            ahead.work += held.work;
+        }
+    }
     return ahead;
 }
 
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -34,6 +34,7 @@
       pool_(loop.base(), metrics.counter("cornelhead_node_connections_total")),
       placement_(settings_.dataCentre, PlacementPolicy{.departure = settings_.departure}),
       budget_(settings_.retryRatio, settings_.retryWindow),
+      uploads_(loop, settings_.link, metrics, log),
       responses_(metrics.counter("cornelhead_entry_answers_total")),
       retries_(metrics.counter("cornelhead_entry_retries_total")),
       resumes_(metrics.counter("cornelhead_entry_resumes_total")),
@@ -199,6 +200,7 @@
 {
     pool_.closeIdle(now(SteadyClock()) - maxIdleTime);
     departureMonitor_.update(placement_.departures(), placement_.departureShares());
+    uploads_.sweep();
 }
 
 } // namespace cornelhead::detail
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -193,6 +193,7 @@
         limitBuffers();
         if (this->settings.returningFirst)
             inboundProxy.setReturningFirst();
+        inboundProxy.setLink(LinkSpeed::fromMbps(settings.linkMbps));
         readinessServer.setHandler([this](const HttpRequest &request, const Responder &responder) {
             responder.send(respondToReadiness(request));
         });
@@ -258,10 +259,11 @@
 
     detail::OutboundSettings outboundSettings() const
     {
-        return detail::OutboundSettings{settings.dataCentre, settings.service,
-                                        settings.retryRatio, settings.retryWindow,
-                                        settings.seed + 2,   settings.departure,
-                                        settings.returningFirst};
+        return detail::OutboundSettings{
+                settings.dataCentre,     settings.service,
+                settings.retryRatio,     settings.retryWindow,
+                settings.seed + 2,       settings.departure,
+                settings.returningFirst, LinkSpeed::fromMbps(settings.linkMbps)};
     }
 
     detail::OutboundHandlers outboundHandlers()
@@ -392,6 +394,10 @@
             inboundProxy.serve(request);
             return;
         }
+        if (!detail::findHeader(headers, offerHeader).empty()) {
+            inboundProxy.serveOffer(request);
+            return;
+        }
         if (detail::findRequestFault(headers, {})) {
             detail::Exchange malformed(loop, request);
             malformed.closeAfterResponse();
