--- a/include/cornelhead/proxy/attempt.h
+++ b/include/cornelhead/proxy/attempt.h
@@ -10,8 +10,10 @@
 #include "cornelhead/base/address.h"
 #include "cornelhead/net/event-loop.h"
 #include "cornelhead/net/receive-limit.h"
+#include "cornelhead/net/status-line-check.h"
 #include "cornelhead/proxy/evhttp-handles.h"
 #include "cornelhead/proxy/message-head.h"
+#include "cornelhead/proxy/request-view.h"
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/routing/retry.h"
 
@@ -49,6 +51,9 @@
     std::function<bool(evhttp_request *)> onHead;
     std::function<void(evbuffer *)> onChunk;
     std::function<void(const AttemptOutcome &)> onEnd;
+    /// All bytes of the request have left the output buffer; runs inside the buffer's callback and
+    /// must not touch the attempt.  May be empty.
+    std::function<void()> onSent = {};
 };
 
 /// Sends one request and waits for its response.
@@ -96,6 +101,7 @@
     static void onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg);
     static void onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg);
 
+    void observeStatusLine();
     void startBody(evhttp_request *raw);
     /// Runs outside of evhttp's callbacks.
     void onDeferred();
@@ -122,6 +128,7 @@
     evbuffer_cb_entry *inputCallback_ = nullptr;
     std::unique_ptr<event, EventDeleter> deferredEvent_;
     std::optional<std::size_t> bodyLimit_;
+    StatusLineCheck statusLine_;
     std::optional<HeadFault> headFault_;
     ReceiveLimit received_;
     HeldBytes held_;
@@ -143,6 +150,6 @@
 bool isLongResponse(evhttp_request *response, std::size_t bytes);
 
 /// Copies the end-to-end headers of a caller's request and shares its body by reference.
-void copyRequest(evhttp_request *from, Attempt &to);
+void copyRequest(const RequestView &from, Attempt &to);
 
 } // namespace cornelhead::detail
--- a/include/cornelhead/sidecar/inbound-proxy.h
+++ b/include/cornelhead/sidecar/inbound-proxy.h
@@ -18,8 +18,10 @@
 #include "cornelhead/proxy/upstream-pool.h"
 #include "cornelhead/rollout/server-samples.h"
 #include "cornelhead/routing/poison-tracker.h"
+#include "cornelhead/routing/room-reservations.h"
 #include "cornelhead/routing/server-gate.h"
 #include "cornelhead/routing/work-estimate.h"
+#include "cornelhead/sidecar/body-offer.h"
 #include "cornelhead/sidecar/call-records.h"
 #include "cornelhead/sidecar/dialect.h"
 #include "cornelhead/sidecar/hop.h"
@@ -40,6 +42,8 @@
     /// A request under which servers died got a response.
     std::function<void(Fingerprint)> onSuspicionCleared;
     std::function<Revision()> configurationRevision;
+    /// The caller of a call that the server was running left, and the call was cancelled.
+    std::function<void(const std::string &id)> onCallCancelled;
 };
 
 /// Forwards calls of all nodes to the host's server.
@@ -58,6 +62,9 @@
 
     /// Handles a request that carries `hopRequestHeader`.
     void serve(evhttp_request *request);
+    /// Answers an offer of a call whose body is large: holds room for it or refuses it.
+    void serveOffer(evhttp_request *request);
+    void setLink(LinkSpeed link) { rooms_.setLink(link); }
     /// Applies a change of the server's state or slots.
     void refresh();
     /// Applies a heartbeat that is not stale.
@@ -68,6 +75,10 @@
     void stop();
     /// Returns whether the server is running the call with this request id.
     bool isRunning(const std::string &id) const;
+    /// Returns whether the caller of this call left, and the call was cancelled.
+    bool wasCancelled(const std::string &id) const { return records_.wasCancelled(id); }
+    /// From now on callers' retries go before first tries also if they have no customer.
+    void setReturningFirst() { isReturningFirst_ = true; }
     /// Number of calls that wait or run.
     std::size_t active() const;
     /// To be called a few times a second.
@@ -86,7 +97,14 @@
     void admit(evhttp_request *request, const std::string &id, const HopRequest &hop);
     /// Returns why a new call is refused at once, or `None`.
     HopReason refusalFor(const HopRequest &hop, evhttp_request *request) const;
-    void start(evhttp_request *request, const std::string &id, const HopRequest &hop);
+    /// The part of it that does not depend on the request's content.
+    HopReason serverRefusalFor(const HopRequest &hop) const;
+    /// Applies the limit that a caller's node has heard from the server.
+    void applyKnownLimit(const HopRequest &hop);
+    /// Judges an offered call and holds room for it unless it returns a reason to refuse it.
+    HopReason holdRoom(evhttp_request *request, const std::string &id, const OfferRequest &offer);
+    void expireRooms(TimePoint time);
+    void start(evhttp_request *request, const std::string &id, const HopRequest &hop, bool wasHeld);
     void scheduleWaitingCalls();
     void startWaitingCalls();
     void refuseAll(const std::vector<GateTicket> &tickets, HopReason reason);
@@ -125,10 +143,17 @@
     std::array<Counter *, headFaultCount> invalidHeads_{};
     std::array<Counter *, receiveFaultCount> longResponses_{};
     Counter &serverCalls_;
+    // Callers' retries that could still be in time, and those of them that were refused.
+    Counter &returningCalls_;
+    Counter &refusedReturns_;
     Gauge &serverLimit_;
+    Counter &roomsHeld_;
+    Counter &roomsExpired_;
+    Gauge &inboundBytes_;
     UpstreamPool pool_;
     HttpClient healthClient_;
     ServerGate gate_;
+    RoomReservations rooms_{gate_};
     WorkEstimate work_;
     std::map<GateTicket, std::shared_ptr<InboundCall>> calls_;
     CallRecords records_;
@@ -150,6 +175,7 @@
     std::uint64_t limitedCalls_ = 0;
     std::optional<TimePoint> limitedSince_;
     bool isStartScheduled_ = false;
+    bool isReturningFirst_ = false;
     bool isProbing_ = false;
     bool isStopping_ = false;
 };
--- a/include/cornelhead/sidecar/outbound-proxy.h
+++ b/include/cornelhead/sidecar/outbound-proxy.h
@@ -16,16 +16,18 @@
 #include "cornelhead/routing/hand-back.h"
 #include "cornelhead/routing/placement.h"
 #include "cornelhead/routing/poison-tracker.h"
+#include "cornelhead/routing/return-schedule.h"
 #include "cornelhead/routing/shared-retry-budget.h"
 #include "cornelhead/routing/weighted-split.h"
+#include "cornelhead/sidecar/departure-monitor.h"
 #include "cornelhead/sidecar/dialect.h"
 #include "cornelhead/sidecar/hop.h"
-
-struct evhttp_request;
+#include "cornelhead/sidecar/upload-sender.h"
 
 namespace cornelhead::detail {
 
 class OutboundCall;
+struct IncomingRequest;
 
 /// Why the outbound proxy answers a call itself.  The names are written to logs and metrics.
 enum class OutboundRefusal {
@@ -40,8 +42,11 @@
     Timeout,
     Poison, ///< Servers crashed while they ran this request.
     Stopping, ///< The process would end before the call.
+    UnknownKey, ///< The call shows no key that a customer holds.
+    UnknownParent, ///< A nested call whose outer call is not known here.
+    Quota, ///< The customer's quota is used up.
 };
-constexpr std::size_t outboundRefusalCount = 11;
+constexpr std::size_t outboundRefusalCount = static_cast<std::size_t>(OutboundRefusal::Quota) + 1;
 std::string_view outboundRefusalName(OutboundRefusal refusal);
 
 /// Callbacks into the node.
@@ -53,6 +58,15 @@
     std::function<void(const Address &, Revision)> onPeerRevision;
     /// Returns whether this host's server is running the call with this request id.
     std::function<bool(const std::string &)> isRunningHere;
+    /// Returns whether the caller of the call with this request id left while this host's server
+    /// ran it, so that calls made for it are of no use.
+    std::function<bool(const std::string &)> isCancelledHere;
+    /// Decides, now or later, whether the customer's quota allows a call; else tells when it may
+    /// come back.
+    std::function<void(const HostCustomer &, std::function<void(std::optional<Milliseconds>)>)>
+            admit;
+    /// A call that was admitted reached no server.
+    std::function<void(const CustomerId &)> returnQuota;
 };
 
 struct OutboundSettings
@@ -63,6 +77,11 @@
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
     std::uint64_t seed = 0;
+    DepartureRule departure = DepartureRule::WhenShort;
+    /// Paces the returns of refused callers also where the configuration names no customers.
+    bool returningFirst = false;
+    /// The capacity of the node's link.
+    LinkSpeed link;
 };
 
 /// The end of a process that is stopping.
@@ -84,14 +103,16 @@
     OutboundProxy(const OutboundProxy &) = delete;
     OutboundProxy &operator=(const OutboundProxy &) = delete;
 
-    void serve(evhttp_request *request);
+    void serve(IncomingRequest request);
     void setConfiguration(std::shared_ptr<const RouteTable> table) { table_ = std::move(table); }
     void setHosts(const std::map<Address, HostDirectory::Record> &hosts);
     /// Handles a report that was requested from `node` outside of any call.
     void onPeerReport(const Address &node, const HopResponse &response);
-    /// From now on responses ask callers to close their connections, calls that might not end in
-    /// time are refused, and the others end before the process does.
+    /// From now on calls that might not end in time are refused, and the others end before the
+    /// process does.
     void stop(const StopSchedule &schedule) { stop_ = schedule; }
+    /// Ends the calls that this host's server made while it ran the call with this request id.
+    void cancelNestedCalls(const std::string &outerId);
     std::size_t active() const { return calls_.size(); }
     /// To be called a few times a second.
     void sweep();
@@ -105,6 +126,10 @@
     /// if that version has no host.
     bool chooseVersion(PlacementRequest &request);
     void recordReport(HostState &host, const HopResponse &response);
+    void recordUnreachable(HostState &host, ConnectFailure failure);
+    void recordUnanswered(HostState &host, UnansweredEnd end, TimePoint sentAt,
+                          Microseconds objective);
+    void logOwnLink();
     /// Estimates how long ago the caller first tried a call that it waits for `timeLeft` longer.
     Milliseconds elapsedSinceFirstTry(const RouteId &route, Milliseconds timeLeft);
     /// Updates the route's mean call size.
@@ -122,6 +147,8 @@
     Placement placement_;
     HandBackPolicy handBack_;
     SharedRetryBudget budget_;
+    ReturnSchedule returns_;
+    UploadSender uploads_;
     std::shared_ptr<const RouteTable> table_;
     std::map<RouteId, WeightedSplit> splits_;
     std::map<ServiceId, WeightedSplit> moveSplits_;
@@ -135,6 +162,12 @@
     Counter &retries_;
     Counter &resumes_;
     Counter &handBacks_;
+    Counter &unanswered_;
+    Counter &ownLinkSuspicions_;
+    DepartureMonitor departureMonitor_;
+    Counter &bookedReturns_;
+    Counter &lateReturns_;
+    Counter &cancelledNestedCalls_;
     Summary &duration_;
     // Set once the process is stopping.
     std::optional<StopSchedule> stop_;
--- a/include/cornelhead/sidecar/sidecar-settings.h
+++ b/include/cornelhead/sidecar/sidecar-settings.h
@@ -8,6 +8,7 @@
 #include "cornelhead/base/clock.h"
 #include "cornelhead/base/ids.h"
 #include "cornelhead/base/settings.h"
+#include "cornelhead/routing/placement.h"
 
 namespace cornelhead {
 
@@ -39,6 +40,12 @@
     /// The fleet's limit of retries: this share of the calls in each window.
     double retryRatio = 0.0;
     Milliseconds retryWindow{};
+    /// Requests of one connection that callers may have in flight at once.
+    std::uint64_t requestsAhead = 1;
+    /// When calls leave this data centre.
+    DepartureRule departure = DepartureRule::WhenShort;
+    /// Refused callers return at paced times and go before first tries, also without customers.
+    bool returningFirst = false;
     std::string logLevel;
     std::uint64_t seed = 0;
 };
--- a/src/proxy/attempt.cc
+++ b/src/proxy/attempt.cc
@@ -138,20 +138,33 @@
     }
 }
 
-void Attempt::onOutput(evbuffer *, const evbuffer_cb_info *info, void *arg)
+void Attempt::onOutput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg)
 {
-    if (info->n_deleted > 0)
-        static_cast<Attempt *>(arg)->wasSent_ = true;
+    if (info->n_deleted == 0)
+        return;
+    auto *attempt = static_cast<Attempt *>(arg);
+    attempt->wasSent_ = true;
+    if (attempt->handlers_.onSent && evbuffer_get_length(buffer) == 0)
+        attempt->handlers_.onSent();
 }
 
 void Attempt::onInput(evbuffer *buffer, const evbuffer_cb_info *info, void *arg)
 {
     auto *attempt = static_cast<Attempt *>(arg);
     attempt->updateHeldBytes();
+    if (info->n_added > 0)
+        attempt->observeStatusLine();
     if (const auto fault = countInput(attempt->received_, buffer, *info))
         attempt->failLater(*fault);
 }
 
+void Attempt::observeStatusLine()
+{
+    statusLine_.observe(bufferevent_get_input(events()));
+    if (statusLine_.isInvalid())
+        headFault_ = HeadFault::StatusCode;
+}
+
 void Attempt::failLater(ReceiveFault fault)
 {
     if (receiveFault_ || isFinished_)
@@ -199,9 +212,13 @@
 int Attempt::onHeadRead(evhttp_request *raw, void *arg)
 {
     auto *attempt = static_cast<Attempt *>(arg);
-    if (dropInterimHead(raw))
+    if (dropInterimHead(raw)) {
+        attempt->statusLine_.expectNext(bufferevent_get_input(attempt->events()));
+        attempt->observeStatusLine();
         return 0;
-    attempt->headFault_ = findResponseFault(raw);
+    }
+    if (!attempt->headFault_)
+        attempt->headFault_ = findResponseFault(raw);
     if (attempt->headFault_)
         return -1;
     attempt->startBody(raw);
@@ -293,16 +310,15 @@
     return length && std::strtoull(length, nullptr, decimal) > bytes;
 }
 
-void copyRequest(evhttp_request *from, Attempt &to)
+void copyRequest(const RequestView &from, Attempt &to)
 {
-    copyEndToEndHeaders(evhttp_request_get_input_headers(from), to.headers());
-    evbuffer *body = evhttp_request_get_input_buffer(from);
-    const std::size_t size = evbuffer_get_length(body);
+    copyEndToEndHeaders(from.headers, to.headers());
+    const std::size_t size = evbuffer_get_length(from.body);
     if (size == 0)
         return;
     // evhttp adds no Content-Length to GET or DELETE requests with a body.
     evhttp_add_header(to.headers(), "Content-Length", std::to_string(size).c_str());
-    evbuffer_add_buffer_reference(to.body(), body);
+    evbuffer_add_buffer_reference(to.body(), from.body);
 }
 
 } // namespace cornelhead::detail
--- a/src/sidecar/hop.cc
+++ b/src/sidecar/hop.cc
@@ -111,7 +111,7 @@
     writer.number(static_cast<std::uint64_t>(request.objective.count()));
     writer.number(static_cast<std::uint64_t>(request.objectiveLeft.count()));
     writer.text(request.route.value()).number(request.mayHandBack ? 1 : 0);
-    writer.rate(request.knownLimit);
+    writer.rate(request.knownLimit).text(request.customer.value());
     return writer.finish();
 }
 
@@ -133,6 +133,8 @@
     request.mayHandBack = !reader.isAtEnd() && reader.number() != 0;
     if (!reader.isAtEnd())
         request.knownLimit = reader.rate();
+    if (!reader.isAtEnd())
+        request.customer = CustomerId(reader.text());
     if (!reader.isValid())
         return detail::invalidHopHeader();
     return request;
@@ -161,6 +163,7 @@
     writer.number(static_cast<std::uint64_t>(report.serverStartedAtMs));
     writer.number(report.notice.isLeaving ? 1 : 0);
     writer.number(counters.cold).number(counters.cutOff).number(counters.refused);
+    writer.number(report.link.bytes).number(report.link.speed.bytesPerSecond());
     return writer.finish();
 }
 
@@ -197,6 +200,10 @@
         counters.cutOff = reader.number();
         counters.refused = reader.number();
     }
+    if (!reader.isAtEnd()) {
+        report.link.bytes = reader.number();
+        report.link.speed = LinkSpeed(reader.number());
+    }
     if (!reader.isValid() || result > static_cast<std::uint64_t>(HopResult::Unknown)
         || reason >= detail::reasonNames.size())
         return detail::invalidHopHeader();
--- a/src/sidecar/inbound-call.cc
+++ b/src/sidecar/inbound-call.cc
@@ -78,6 +78,8 @@
               std::to_string(std::max<std::int64_t>(1, left.count())));
     setHeader(headers, names.expectedServer.c_str(), expectedServer_.value());
     setHeader(headers, names.callerService.c_str(), hop_.callerService.value());
+    if (!hop_.customer.empty())
+        setHeader(headers, names.customer.c_str(), hop_.customer.value());
     timer_ = proxy_.loop_.after(connectTimeout, [this] {
         if (!attempt_->wasSent()) {
             attempt_->cancel();
@@ -114,6 +116,7 @@
     attempt_->cancel();
     sample_ = proxy_.recordEnd(*this, CallEnd::CutOff);
     finish(HopResult::Unknown, HopReason::Cancelled);
+    proxy_.handlers_.onCallCancelled(id_);
 }
 
 void InboundCall::onTimeout()
--- a/src/sidecar/inbound-proxy.cc
+++ b/src/sidecar/inbound-proxy.cc
@@ -9,6 +9,8 @@
 
 #include "cornelhead/proxy/request-head.h"
 #include "cornelhead/proxy/response.h"
+#include "cornelhead/routing/call-rank.h"
+#include "cornelhead/routing/return-schedule.h"
 #include "cornelhead/sidecar/inbound-call.h"
 
 namespace cornelhead::detail {
@@ -31,7 +33,7 @@
 /// network and errors of the estimates.
 constexpr double objectiveShare = 0.85;
 /// Calls that will miss their objective queue behind all priorities.
-constexpr std::uint32_t lateRankOffset = 100;
+constexpr std::uint32_t lateRankOffset = maxCallRank;
 /// Such a call must end within this many objectives.
 constexpr int lateWaitObjectives = 1;
 
@@ -60,8 +62,16 @@
 {
     std::uint32_t rank = 0;
     TimePoint usefulBy{};
+    /// A retry of its caller that can still meet its objective.
+    bool isReturning = false;
 };
 
+// Time passes within one try as well, on the way and at hosts that hand the call back.
+bool isRetryOfCaller(const HopRequest &hop)
+{
+    return hop.objective - hop.objectiveLeft >= ReturnSchedule::minReturnTime;
+}
+
 QueuePosition queuePositionOf(const HopRequest &hop, Microseconds work, TimePoint time,
                               TimePoint deadline)
 {
@@ -71,7 +81,7 @@
     const auto usefulTime = Microseconds(static_cast<std::int64_t>(
             static_cast<double>(Microseconds(hop.objectiveLeft).count()) * objectiveShare));
     if (work < usefulTime)
-        return QueuePosition{hop.rank, std::min(deadline, time + usefulTime)};
+        return QueuePosition{hop.rank, std::min(deadline, time + usefulTime), isRetryOfCaller(hop)};
     // The call misses its objective anyway, so it runs only when no other call needs the slot.
     const Microseconds lateTime = hop.objective * lateWaitObjectives;
     return QueuePosition{hop.rank + lateRankOffset, std::min(deadline, time + lateTime)};
@@ -86,7 +96,12 @@
       log_(log), handlers_(std::move(handlers)),
       refusals_(metrics.counter("cornelhead_serving_refusals_total")),
       serverCalls_(metrics.counter("cornelhead_server_calls_total")),
+      returningCalls_(metrics.counter("cornelhead_serving_returning_total")),
+      refusedReturns_(metrics.counter("cornelhead_serving_returning_refused_total")),
       serverLimit_(metrics.gauge("cornelhead_server_limit_per_1000_s")),
+      roomsHeld_(metrics.counter("cornelhead_serving_rooms_held_total")),
+      roomsExpired_(metrics.counter("cornelhead_serving_rooms_expired_total")),
+      inboundBytes_(metrics.gauge("cornelhead_serving_inbound_bytes")),
       pool_(loop.base(), metrics.counter("cornelhead_server_connections_total")),
       healthClient_(loop), maxReuseAge_(defaultMaxReuseAge)
 {
@@ -119,6 +134,7 @@
     response.report.notice.limit = load.limit;
     response.report.demand = load.limit ? load.demand : CallRate();
     response.report.serverStartedAtMs = local_.startedAtMs();
+    response.report.link = rooms_.load();
     return response;
 }
 
@@ -164,23 +180,102 @@
 
 void InboundProxy::admit(evhttp_request *request, const std::string &id, const HopRequest &hop)
 {
+    expireRooms(now(SteadyClock()));
+    const bool wasHeld = rooms_.take(id);
+    inboundBytes_.set(static_cast<std::int64_t>(rooms_.load().bytes));
     const HopReason reason = refusalFor(hop, request);
     if (reason != HopReason::None) {
         refuse(request, HopResult::NotRun, reason);
         return;
     }
+    applyKnownLimit(hop);
+    // Not earlier than the limit that was just set.
+    const TimePoint time = now(SteadyClock());
+    if (!wasHeld)
+        gate_.recordArrival(time);
+    if (!wasHeld && hop.mayHandBack && !gate_.isOpen(time))
+        refuse(request, HopResult::NotRun, HopReason::Busy);
+    else
+        start(request, id, hop, wasHeld);
+}
+
+void InboundProxy::applyKnownLimit(const HopRequest &hop)
+{
     if (hop.knownLimit
         && local_.applyKnownLimit(*hop.knownLimit) == LocalServer::UpdateResult::Changed)
         onNoticeChanged();
+}
+
+void InboundProxy::serveOffer(evhttp_request *request)
+{
+    const evkeyvalq *headers = evhttp_request_get_input_headers(request);
+    const Result<OfferRequest> offer = decodeOffer(findHeader(headers, offerHeader));
+    const std::string id(findHeader(headers, dialect_.headers.requestId.c_str()));
+    if (!offer || id.empty() || findRequestFault(headers, {dialect_.headers.requestId.c_str()})) {
+        refuse(request, HopResult::NotRun, HopReason::BadMessage);
+        return;
+    }
+    const HopReason reason = holdRoom(request, id, *offer);
+    if (reason != HopReason::None) {
+        refuse(request, HopResult::NotRun, reason);
+        return;
+    }
+    roomsHeld_.add();
+    Exchange exchange(loop_, request);
+    exchange.addHeader(hopResponseHeader,
+                       encodeHopResponse(hopResponse(HopResult::NotRun, HopReason::None)));
+    constexpr int statusOk = 200;
+    exchange.send(LocalResponse{statusOk, {}, {}});
+}
+
+HopReason InboundProxy::holdRoom(evhttp_request *request, const std::string &id,
+                                 const OfferRequest &offer)
+{
+    const HopRequest &hop = offer.hop;
+    if (const HopReason reason = serverRefusalFor(hop); reason != HopReason::None)
+        return reason;
+    applyKnownLimit(hop);
     const TimePoint time = now(SteadyClock());
+    pauses_.observe(time);
+    const CallArrival arrival{id, false, hop.run == run_, hop.isIdempotent};
+    // A call that came before gets its outcome, for which it needs no room.
+    if (!std::holds_alternative<StartCall>(records_.decide(arrival, time)))
+        return HopReason::None;
+    expireRooms(time);
     gate_.recordArrival(time);
-    if (hop.mayHandBack && !gate_.isOpen(time))
-        refuse(request, HopResult::NotRun, HopReason::Busy);
-    else
-        start(request, id, hop);
+    rooms_.take(id);
+    const Milliseconds timeout
+            = timeoutOf(evhttp_request_get_input_headers(request), dialect_.headers.deadline);
+    const Microseconds work = work_.expected(hop.route, hop.objective);
+    const Microseconds bodyTime = rooms_.arrivalTime(offer.bodyBytes);
+    const QueuePosition position = queuePositionOf(hop, work + bodyTime, time,
+                                                   time + timeout - pauses_.maxInputAge(time));
+    lastTicket_ = lastTicket_.next();
+    const GateRequest place{lastTicket_,       position.rank, work,
+                            position.usefulBy, hop.customer,  false};
+    const ServerGate::Verdict verdict = gate_.judgeRoom(place, bodyTime, time);
+    const bool isLinkFull = rooms_.isLinkFull(offer.bodyBytes);
+    if (hop.mayHandBack && (isLinkFull || verdict != ServerGate::Verdict::Start))
+        return HopReason::Busy;
+    if (isLinkFull || verdict == ServerGate::Verdict::Refuse)
+        return HopReason::Overload;
+    rooms_.hold(id, place, offer.bodyBytes, time);
+    inboundBytes_.set(static_cast<std::int64_t>(rooms_.load().bytes));
+    return HopReason::None;
+}
+
+void InboundProxy::expireRooms(TimePoint time)
+{
+    const std::size_t expired = rooms_.removeExpired(time);
+    inboundBytes_.set(static_cast<std::int64_t>(rooms_.load().bytes));
+    if (expired == 0)
+        return;
+    roomsExpired_.add(expired);
+    log_.write(EventKind::Failure, inboundPart, "rooms-expired",
+               {{"rooms", expired}, {"roomsLeft", rooms_.size()}});
 }
 
-HopReason InboundProxy::refusalFor(const HopRequest &hop, evhttp_request *request) const
+HopReason InboundProxy::serverRefusalFor(const HopRequest &hop) const
 {
     if (isStopping_)
         return HopReason::Stopping;
@@ -189,6 +284,13 @@
         return HopReason::ServerGone;
     if (server->service != hop.service || server->id != hop.server)
         return HopReason::WrongServer;
+    return HopReason::None;
+}
+
+HopReason InboundProxy::refusalFor(const HopRequest &hop, evhttp_request *request) const
+{
+    if (const HopReason reason = serverRefusalFor(hop); reason != HopReason::None)
+        return reason;
     const bool isPoison = poison_.hasSuspects()
             && poison_.isRefused(hostRequestFingerprint(request), now(SteadyClock()));
     return isPoison ? HopReason::Poison : HopReason::None;
@@ -207,7 +309,8 @@
     exchange.forward(*outcome.response);
 }
 
-void InboundProxy::start(evhttp_request *request, const std::string &id, const HopRequest &hop)
+void InboundProxy::start(evhttp_request *request, const std::string &id, const HopRequest &hop,
+                         bool wasHeld)
 {
     const TimePoint time = now(SteadyClock());
     const Milliseconds timeout
@@ -229,8 +332,16 @@
     const Microseconds work = work_.expected(hop.route, hop.objective);
     const QueuePosition position = queuePositionOf(hop, work, time, deadline);
     std::vector<GateTicket> tooLate;
-    const ServerGate::Verdict verdict = gate_.offer(
-            GateRequest{lastTicket_, position.rank, work, position.usefulBy}, time, tooLate);
+    const bool isReturning = position.isReturning && (isReturningFirst_ || !hop.customer.empty());
+    const GateRequest place{lastTicket_,       position.rank, work,
+                            position.usefulBy, hop.customer,  isReturning};
+    const ServerGate::Verdict verdict
+            = wasHeld ? gate_.admitHeld(place, time, tooLate) : gate_.offer(place, time, tooLate);
+    if (isReturning) {
+        returningCalls_.add();
+        if (verdict == ServerGate::Verdict::Refuse)
+            refusedReturns_.add();
+    }
     refuseAll(tooLate, HopReason::Overload);
     if (verdict == ServerGate::Verdict::Start)
         call->run();
@@ -280,6 +391,8 @@
         log_.write(kind, inboundPart, "call-ended",
                    {{"id", call.id()},
                     {"route", call.hop().route.value()},
+                    {"customer", call.hop().customer.value()},
+                    {"objectiveLeftMs", call.hop().objectiveLeft.count()},
                     {"result", static_cast<int>(call.result())},
                     {"reason", hopReasonName(call.reason())},
                     {"sample", callSampleName(call.sample())},
@@ -462,6 +575,7 @@
 void InboundProxy::stop()
 {
     isStopping_ = true;
+    rooms_.clear();
     refuseAll(gate_.removeWaiting(), HopReason::Stopping);
 }
 
@@ -481,6 +595,7 @@
     const TimePoint time = now(SteadyClock());
     pauses_.observe(time);
     records_.sweep(time);
+    expireRooms(time);
     std::erase_if(brokenCalls_,
                   [&](const auto &entry) { return time - entry.second > deathWindow; });
     work_.decay(CallRecords::sweepPeriod);
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -8,6 +8,8 @@
 #include <event2/http.h>
 
 #include "cornelhead/proxy/request-head.h"
+#include "cornelhead/routing/call-rank.h"
+#include "cornelhead/sidecar/customer-identity.h"
 
 namespace cornelhead::detail {
 
@@ -20,6 +22,10 @@
 /// that the host is expected to take, but no sooner than `minResumeDelay`.
 constexpr int resumeDelayFactor = 3;
 constexpr Milliseconds minResumeDelay(200);
+/// A body may take this many times the expected time, as its links are shared.
+constexpr int bodyDelayFactor = 2;
+/// Share of the objective by which a large body must have been sent; the rest is for its server.
+constexpr double objectiveShare = 0.85;
 /// A host that became unreachable may hold the call's outcome; the resume is retried at this
 /// interval.
 constexpr Milliseconds unreachableResumeDelay(300);
@@ -39,8 +45,12 @@
 /// Lower bound of Retry-After, with jitter so that refused callers do not all return at once.
 constexpr double minRetryAfterSeconds = 0.05;
 constexpr double maxRetryAfterJitterSeconds = 0.1;
+/// A caller that returns needs this many times the mean service time to be answered in time.
+constexpr double reservedWork = 1.5;
 
 constexpr int statusNotFound = 404;
+constexpr int statusUnauthorized = 401;
+constexpr int statusTooManyRequests = 429;
 constexpr int statusBadRequest = 400;
 constexpr int statusUnavailable = 503;
 constexpr int statusBadGateway = 502;
@@ -59,11 +69,16 @@
         return statusBadGateway;
     case OutboundRefusal::Timeout:
         return statusGatewayTimeout;
+    case OutboundRefusal::UnknownKey:
+        return statusUnauthorized;
+    case OutboundRefusal::Quota:
+        return statusTooManyRequests;
     case OutboundRefusal::NotReady:
     case OutboundRefusal::NoServer:
     case OutboundRefusal::Overload:
     case OutboundRefusal::Poison:
     case OutboundRefusal::Stopping:
+    case OutboundRefusal::UnknownParent:
         return statusUnavailable;
     }
     return statusUnavailable;
@@ -71,16 +86,17 @@
 
 } // namespace
 
-OutboundCall::OutboundCall(OutboundProxy &proxy, evhttp_request *request)
-    : proxy_(proxy), exchange_(proxy.loop_, request), table_(proxy.table_),
+OutboundCall::OutboundCall(OutboundProxy &proxy, IncomingRequest request)
+    : proxy_(proxy), exchange_(std::move(request)), table_(proxy.table_),
       arrivedAt_(now(SteadyClock()))
 {
     exchange_.omitHeader(hopResponseHeader);
-    if (proxy_.stop_)
-        exchange_.closeAfterResponse();
 }
 
-OutboundCall::~OutboundCall() = default;
+OutboundCall::~OutboundCall()
+{
+    releaseLink();
+}
 
 void OutboundCall::start()
 {
@@ -100,8 +116,15 @@
         refuse(OutboundRefusal::NoRoute);
         return;
     }
+    if (isOuterCallCancelled()) {
+        refuse(OutboundRefusal::UnknownParent);
+        return;
+    }
+    if (!identify())
+        return;
     if (proxy_.poison_.hasSuspects()
-        && proxy_.poison_.isRefused(hostRequestFingerprint(exchange_.request()), arrivedAt_)) {
+        && proxy_.poison_.isRefused(hostRequestFingerprint(exchange_.request().view()),
+                                    arrivedAt_)) {
         refuse(OutboundRefusal::Poison);
         return;
     }
@@ -123,18 +146,52 @@
     deadlineTimer_
             = proxy_.loop_.after(std::chrono::duration_cast<Milliseconds>(deadline_ - arrivedAt_),
                                  [this] { onDeadline(); });
+    checkQuota();
+}
+
+void OutboundCall::checkQuota()
+{
+    if (!customer_) {
+        onQuota({});
+        return;
+    }
+    const auto decide = [self = weak_from_this(), &proxy = proxy_,
+                         customer = customer_->id](std::optional<Milliseconds> retryAfter) {
+        const auto call = self.lock();
+        if (call && !call->isDone_)
+            call->onQuota(retryAfter);
+        else if (!retryAfter)
+            proxy.handlers_.returnQuota(customer);
+    };
+    proxy_.handlers_.admit(*customer_, decide);
+}
+
+void OutboundCall::onQuota(std::optional<Milliseconds> retryAfter)
+{
+    if (retryAfter) {
+        quotaWait_ = *retryAfter;
+        refuse(OutboundRefusal::Quota);
+        return;
+    }
+    isInQuota_ = customer_ && customer_->quota.isLimited();
     placementRequest_.service = proxy_.chooseService(*route_);
     placementRequest_.objective = route_->objective;
     placementRequest_.bytes = proxy_.meanCallBytes_[route_->id];
+    placementRequest_.body = OutgoingBody{evbuffer_get_length(exchange_.request().body.get()),
+                                          proxy_.settings_.link};
     maySwitchVersion_ = proxy_.chooseVersion(placementRequest_);
     selectHost();
 }
 
 bool OutboundCall::readHead()
 {
-    const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
+    const evkeyvalq *headers = &exchange_.request().headers;
     const CallHeaderNames &names = proxy_.dialect_.headers;
-    if (findRequestFault(headers, {names.requestId.c_str()})) {
+    const char *requestId = names.requestId.c_str();
+    const auto fault = table_ && table_->customers()
+            ? findRequestFault(headers, {requestId, names.authorization.c_str()})
+            : findRequestFault(headers, {requestId});
+    if (fault) {
         // It is uncertain where the next request begins.
         exchange_.closeAfterResponse();
         return false;
@@ -149,10 +206,17 @@
     callerTimeout_ = Milliseconds(timeoutMs);
     // A server that makes a call while it runs another one appends a suffix to the other's id.
     const std::size_t dot = id_.rfind('.');
-    isNestedCall_ = dot != std::string::npos && proxy_.handlers_.isRunningHere(id_.substr(0, dot));
+    hasNestedId_ = dot != std::string::npos;
+    isNestedCall_ = hasNestedId_ && proxy_.handlers_.isRunningHere(id_.substr(0, dot));
     return !id_.empty();
 }
 
+bool OutboundCall::isOuterCallCancelled() const
+{
+    return hasNestedId_ && !isNestedCall_
+            && proxy_.handlers_.isCancelledHere(id_.substr(0, id_.rfind('.')));
+}
+
 bool OutboundCall::isRefusedByStop(Milliseconds limit) const
 {
     const StopSchedule &stop = *proxy_.stop_;
@@ -167,15 +231,28 @@
 
 bool OutboundCall::findRoute()
 {
-    const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
-    const evhttp_uri *uri = evhttp_request_get_evhttp_uri(exchange_.request());
-    const char *path = uri ? evhttp_uri_get_path(uri) : nullptr;
-    if (!path)
-        return false;
-    route_ = table_->match(findHeader(headers, "Host"), path);
+    const ReceivedRequest &request = exchange_.request();
+    route_ = table_->match(findHeader(&request.headers, "Host"), request.path());
     return route_ != nullptr;
 }
 
+bool OutboundCall::identify()
+{
+    const CallHeaderNames &names = proxy_.dialect_.headers;
+    const evkeyvalq *headers = &exchange_.request().headers;
+    const auto customer
+            = identifyCustomer(*table_, *route_,
+                               CallCredentials{findHeader(headers, names.authorization.c_str()),
+                                               names.keyScheme, isNestedCall_, hasNestedId_});
+    if (customer) {
+        customer_ = *customer;
+        return true;
+    }
+    refuse(customer.error() == IdentityFault::UnknownKey ? OutboundRefusal::UnknownKey
+                                                         : OutboundRefusal::UnknownParent);
+    return false;
+}
+
 Milliseconds OutboundCall::timeLeft() const
 {
     if (deadline_ == TimePoint())
@@ -188,11 +265,14 @@
     if (stalled_)
         stalled_->cancel();
     destroyLater(stalled_);
+    destroyLater(attempt_);
     const TimePoint time = now(SteadyClock());
     if (timeLeft() < minTimeLeft) {
         refuse(OutboundRefusal::Overload);
         return;
     }
+    if (!hasLink())
+        return;
     host_ = proxy_.placement_.choose(placementRequest_, time, proxy_.random_);
     if (!host_ && std::exchange(maySwitchVersion_, false)) {
         placementRequest_.isVersionExcluded = !placementRequest_.isVersionExcluded;
@@ -208,24 +288,117 @@
     hop_.server = server.id;
     hop_.service = placementRequest_.service;
     hop_.callerService = proxy_.settings_.callerService;
-    hop_.rank = isNestedCall_ ? 0 : 1 + route_->priority;
+    hop_.rank = isNestedCall_
+            ? nestedCallRank
+            : callRank(customer_ ? customer_->priority : std::nullopt, route_->priority);
+    hop_.customer = customer_ ? customer_->id : CustomerId();
     hop_.isIdempotent = route_->isIdempotent;
     hop_.objective = route_->objective;
-    const auto elapsed
-            = elapsedBeforeArrival_ + std::chrono::duration_cast<Milliseconds>(time - arrivedAt_);
-    hop_.objectiveLeft = std::max(Milliseconds(0), route_->objective - elapsed);
+    hop_.objectiveLeft = std::max(Milliseconds(0), route_->objective - elapsedSinceFirstTry());
     hop_.route = route_->id;
     hop_.knownLimit = proxy_.placement_.knownLimit(*host_);
     const std::vector<Placement::Host> &busy = placementRequest_.busy;
     hop_.mayHandBack = std::find(busy.begin(), busy.end(), host_) == busy.end()
             && proxy_.handBack_.allows(hop_.service, handBacks_);
     resumes_ = 0;
-    send(false);
+    offerOrSend();
+}
+
+bool OutboundCall::hasLink()
+{
+    if (upload_ || !isLargeBody(placementRequest_.body, LinkSpeed()))
+        return true;
+    const TimePoint time = now(SteadyClock());
+    const auto objective = std::chrono::duration_cast<Microseconds>(
+            (route_->objective - elapsedBeforeArrival_) * objectiveShare);
+    const TimePoint usefulBy = isNestedCall_ ? deadline_ : arrivedAt_ + objective;
+    Upload upload{{}, placementRequest_.body.bytes, std::min(usefulBy, deadline_), deadline_};
+    const auto verdict = proxy_.uploads_.add(id_, upload, [this](UploadTurn turn) {
+        const auto self = shared_from_this();
+        if (turn == UploadTurn::Send) {
+            selectHost();
+            return;
+        }
+        linkWait_ = proxy_.uploads_.queue().backlog(now(SteadyClock()));
+        refuse(OutboundRefusal::Overload);
+    });
+    if (verdict == UploadQueue::Verdict::Refuse) {
+        linkWait_ = proxy_.uploads_.queue().backlog(time);
+        refuse(OutboundRefusal::Overload);
+        return false;
+    }
+    upload_ = upload.ticket;
+    return verdict == UploadQueue::Verdict::Start;
+}
+
+void OutboundCall::releaseLink()
+{
+    if (upload_)
+        proxy_.uploads_.release(*std::exchange(upload_, std::nullopt));
+}
+
+void OutboundCall::offerOrSend()
+{
+    if (!isLargeBody(placementRequest_.body, host_->report.link.speed)) {
+        send(false);
+        return;
+    }
+    Placement::begin(*host_);
+    proxy_.uploads_.countOffer();
+    hop_.isResumed = false;
+    // The offer may have to wait for another body that this node sends at the moment.
+    const UploadQueue &queue = proxy_.uploads_.queue();
+    const Microseconds otherTime = queue.sendingTime(now(SteadyClock()))
+            - queue.link().timeOf(placementRequest_.body.bytes);
+    const Milliseconds timeout = connectTimeout
+            + std::chrono::duration_cast<Milliseconds>(std::max(Microseconds(0), otherTime));
+    offer_ = std::make_unique<BodyOffer>(
+            proxy_.loop_, proxy_.pool_, proxy_.dialect_, host_->entry.node,
+            BodyOffer::Content{id_, OfferRequest{placementRequest_.body.bytes, hop_}, timeLeft()},
+            timeout, [this](const OfferOutcome &outcome) { onOfferEnd(outcome); });
+}
+
+void OutboundCall::onOfferEnd(const OfferOutcome &outcome)
+{
+    const auto self = shared_from_this();
+    offer_.reset();
+    releaseHost();
+    proxy_.uploads_.recordOfferEnd(id_, host_->entry.node, outcome);
+    struct Visitor
+    {
+        OutboundCall &call;
+        void operator()(const OfferUnanswered &) const
+        {
+            call.onHostUnreachable(ConnectFailure::TimedOut);
+        }
+        void operator()(const OfferUnknown &) const { call.send(false); }
+        void operator()(const HopResponse &response) const
+        {
+            call.recordResponse(response);
+            if (response.reason == HopReason::None)
+                call.send(false);
+            else
+                call.onHostRefused(response.reason);
+        }
+    };
+    std::visit(Visitor{*this}, outcome);
+}
+
+void OutboundCall::recordResponse(const HopResponse &response)
+{
+    proxy_.recordReport(*host_, response);
+    const HostReport &report = response.report;
+    const Microseconds wait = isLargeBody(placementRequest_.body, report.link.speed)
+            ? std::max(report.wait, report.link.speed.timeOf(report.link.bytes))
+            : report.wait;
+    minWait_ = minWait_ == Microseconds(0) ? wait : std::min(minWait_, wait);
 }
 
 void OutboundCall::send(bool isResumed)
 {
     Placement::begin(*host_);
+    if (!isResumed)
+        sentAt_ = now(SteadyClock());
     AttemptHandlers handlers;
     handlers.onHead = [](evhttp_request *) { return false; };
     // An attempt that was replaced may still run its callback, which is then ignored.
@@ -236,17 +409,18 @@
         else if (*thisAttempt == stalled_.get())
             onStalledAttemptEnd(end);
     };
+    if (upload_)
+        handlers.onSent = [this] { releaseLink(); };
     ConnectionSpec need{host_->entry.node, {}, {}};
     if (isResumed)
         need.idleSince = TimePoint::max();
     destroyLater(attempt_);
     attempt_ = std::make_unique<Attempt>(proxy_.loop_, proxy_.pool_, need, std::move(handlers));
     *thisAttempt = attempt_.get();
-    copyRequest(exchange_.request(), *attempt_);
+    copyRequest(exchange_.request().view(), *attempt_);
     fillHeaders(isResumed);
     armProgressTimer();
-    attempt_->send(evhttp_request_get_command(exchange_.request()),
-                   evhttp_request_get_uri(exchange_.request()));
+    attempt_->send(exchange_.request().method, exchange_.request().uri.c_str());
 }
 
 void OutboundCall::fillHeaders(bool isResumed)
@@ -256,6 +430,10 @@
     hop_.isResumed = isResumed;
     // Replaces what a caller sent under these names, which may be forged.
     setHeader(headers, hopRequestHeader, encodeHopRequest(hop_));
+    if (table_->customers()) {
+        removeHeader(headers, names.authorization.c_str());
+        removeHeader(headers, names.customer.c_str());
+    }
     const auto serverTime
             = std::chrono::duration_cast<Milliseconds>(serverDeadline_ - now(SteadyClock()));
     setHeader(headers, names.deadline.c_str(),
@@ -267,18 +445,27 @@
     progressTimer_ = proxy_.loop_.after(connectTimeout, [this] {
         if (!attempt_->wasSent()) {
             attempt_->cancel();
-            onAttemptFailure(AttemptFailure::NotSent);
+            onAttemptFailure(AttemptFailure::NotSent, ConnectFailure::TimedOut);
             return;
         }
         const Microseconds expected
                 = proxy_.placement_.expectedTime(*host_, route_->objective, now(SteadyClock()));
         const Milliseconds delay
                 = std::max(minResumeDelay,
-                           std::chrono::duration_cast<Milliseconds>(expected) * resumeDelayFactor);
+                           std::chrono::duration_cast<Milliseconds>(expected) * resumeDelayFactor)
+                + bodyDelay();
         progressTimer_ = proxy_.loop_.after(delay, [this] { onStalled(); });
     });
 }
 
+// A body that is still on its way is no sign of a dead connection.
+Milliseconds OutboundCall::bodyDelay() const
+{
+    const Microseconds time = arrivalTime(placementRequest_.body, host_->report.link,
+                                          now(SteadyClock()) - host_->reportedAt);
+    return std::chrono::duration_cast<Milliseconds>(time * bodyDelayFactor);
+}
+
 // Resumes the call on a new connection, as the current one may be dead.
 void OutboundCall::onStalled()
 {
@@ -287,6 +474,7 @@
         return;
     ++resumes_;
     proxy_.resumes_.add();
+    proxy_.recordUnanswered(*host_, UnansweredEnd::Stalled, sentAt_, route_->objective);
     releaseHost();
     proxy_.pool_.dropIdle(host_->entry.node, now(SteadyClock()) - minResumeDelay);
     if (stalled_)
@@ -303,15 +491,19 @@
         proxy_.loop_.post([owned = std::shared_ptr<Attempt>(std::move(attempt))] {});
 }
 
-void OutboundCall::cancelAttempts()
+void OutboundCall::cancelAttempts(UnansweredEnd reason)
 {
     if (stalled_)
         stalled_->cancel();
     destroyLater(stalled_);
     progressTimer_ = Timer();
+    releaseLink();
+    if (std::exchange(offer_, nullptr))
+        releaseHost();
     if (!attempt_)
         return;
     attempt_->cancel();
+    proxy_.recordUnanswered(*host_, reason, sentAt_, route_->objective);
     releaseHost();
     destroyLater(attempt_);
 }
@@ -372,9 +564,7 @@
         return;
     }
     releaseHost();
-    proxy_.recordReport(*host_, *response);
-    minWait_ = minWait_ == Microseconds(0) ? response->report.wait
-                                           : std::min(minWait_, response->report.wait);
+    recordResponse(*response);
     if (response->result == HopResult::NotRun) {
         onHostRefused(response->reason);
         return;
@@ -385,14 +575,15 @@
     ++serversReached_;
     if (response->result == HopResult::Answered) {
         isDone_ = true;
+        releaseLink();
         proxy_.responses_.add();
+        proxy_.returns_.recordAnswer(placementRequest_.service, now(SteadyClock()));
         const int status = evhttp_request_get_response_code(raw);
         proxy_.duration_.record(now(SteadyClock()) - arrivedAt_);
         logEnd("answered", status);
         proxy_.recordCallBytes(route_->id,
                                evbuffer_get_length(evhttp_request_get_input_buffer(raw))
-                                       + evbuffer_get_length(evhttp_request_get_input_buffer(
-                                               exchange_.request())));
+                                       + evbuffer_get_length(exchange_.request().body.get()));
         exchange_.forward(raw);
         proxy_.onCallEnd(*this);
     } else if (response->result == HopResult::Shed) {
@@ -459,15 +650,15 @@
     selectHost();
 }
 
-void OutboundCall::onAttemptFailure(AttemptFailure failure)
+void OutboundCall::onAttemptFailure(AttemptFailure failure, ConnectFailure unsent)
 {
     releaseHost();
     if (provesNotRun(failure) && resumes_ == 0) {
-        onHostUnreachable();
+        onHostUnreachable(unsent);
         return;
     }
     if (provesNotRun(failure))
-        Placement::markUnreachable(*host_, now(SteadyClock()));
+        proxy_.recordUnreachable(*host_, unsent);
     // A host whose response was too long would send it again.
     if (failure == AttemptFailure::TooLong || resumes_ >= maxResumes || timeLeft() < minTimeLeft) {
         onUnknownOutcome(HopReason::InvalidResponse);
@@ -499,9 +690,9 @@
         send(true);
 }
 
-void OutboundCall::onHostUnreachable()
+void OutboundCall::onHostUnreachable(ConnectFailure failure)
 {
-    Placement::markUnreachable(*host_, now(SteadyClock()));
+    proxy_.recordUnreachable(*host_, failure);
     proxy_.pool_.dropIdle(host_->entry.node, TimePoint::max());
     proxy_.log_.write(EventKind::Failure, outboundPart, "host-unreachable",
                       {{"id", id_},
@@ -516,7 +707,7 @@
 {
     if (isDone_)
         return;
-    cancelAttempts();
+    cancelAttempts(UnansweredEnd::Deadline);
     refuse(OutboundRefusal::Timeout);
 }
 
@@ -525,29 +716,76 @@
     if (isDone_)
         return;
     isDone_ = true;
-    cancelAttempts();
+    cancelAttempts(UnansweredEnd::CallerGone);
     logEnd("caller-gone", 0);
     exchange_.abandon();
     proxy_.onCallEnd(*this);
 }
 
-double OutboundCall::retryAfterSeconds() const
+bool OutboundCall::isMadeFor(const std::string &outerId) const
+{
+    return isNestedCall_ && id_.rfind('.') == outerId.size() && id_.starts_with(outerId);
+}
+
+void OutboundCall::cancelWithOuterCall()
+{
+    if (isDone_)
+        return;
+    proxy_.cancelledNestedCalls_.add();
+    // Before its host has heard of the cancellation, the call may start there.
+    cancelAttempts(UnansweredEnd::CallerGone);
+    refuse(OutboundRefusal::Unknown);
+}
+
+Milliseconds OutboundCall::elapsedSinceFirstTry() const
+{
+    return elapsedBeforeArrival_
+            + std::chrono::duration_cast<Milliseconds>(now(SteadyClock()) - arrivedAt_);
+}
+
+Microseconds OutboundCall::bookReturn()
+{
+    const double relativeWork = host_ ? host_->report.relativeWork : 0.0;
+    const auto work = Microseconds(static_cast<std::int64_t>(
+            relativeWork * reservedWork
+            * static_cast<double>(Microseconds(route_->objective).count())));
+    const RefusedCall call{placementRequest_.service, minWait_,
+                           route_->objective - elapsedSinceFirstTry() - work, timeLeft()};
+    const ReturnTime time = proxy_.returns_.book(call, now(SteadyClock()), proxy_.random_);
+    (time.isBooked ? proxy_.bookedReturns_ : proxy_.lateReturns_).add();
+    return time.after;
+}
+
+double OutboundCall::retryAfterSeconds(OutboundRefusal refusal)
 {
+    // Calls of servers are not sent again by them.
+    if (refusal == OutboundRefusal::Overload && !isNestedCall_
+        && (proxy_.settings_.returningFirst || table_->customers()))
+        return std::chrono::duration<double>(bookReturn()).count();
+    if (quotaWait_ > Milliseconds(0))
+        return std::chrono::duration<double>(quotaWait_).count();
     const double wait = static_cast<double>(minWait_.count()) / 1e6;
-    return std::max(minRetryAfterSeconds, wait / 2)
+    const double linkWait = static_cast<double>(linkWait_.count()) / 1e6;
+    return std::max({minRetryAfterSeconds, wait / 2, linkWait})
             + maxRetryAfterJitterSeconds * proxy_.random_.unit();
 }
 
 void OutboundCall::refuse(OutboundRefusal refusal)
 {
     isDone_ = true;
+    releaseLink();
     const int status = statusOf(refusal);
     proxy_.refusals_[static_cast<std::size_t>(refusal)]->add();
     logEnd(outboundRefusalName(refusal), status);
     LocalResponse response{status, {}, std::string(outboundRefusalName(refusal)) + "\n"};
-    if (status == statusUnavailable && refusal != OutboundRefusal::Poison) {
+    if (status == statusUnauthorized)
+        response.headers.emplace_back("WWW-Authenticate", proxy_.dialect_.headers.keyScheme);
+    if (isInQuota_ && status == statusUnavailable && serversReached_ == 0)
+        proxy_.handlers_.returnQuota(customer_->id);
+    if (status == statusTooManyRequests
+        || (status == statusUnavailable && refusal != OutboundRefusal::Poison)) {
         response.headers.emplace_back(proxy_.dialect_.headers.retryAfter,
-                                      std::to_string(retryAfterSeconds()));
+                                      std::to_string(retryAfterSeconds(refusal)));
     }
     exchange_.send(response);
     proxy_.onCallEnd(*this);
@@ -561,14 +799,14 @@
         return;
     const TimePoint time = now(SteadyClock());
     if (!route_) {
-        const evkeyvalq *headers = evhttp_request_get_input_headers(exchange_.request());
+        const ReceivedRequest &request = exchange_.request();
         proxy_.log_.write(kind, outboundPart, "call-unrouted",
                           {{"id", id_},
                            {"revision", table_ ? table_->revision().value() : 0},
                            {"outcome", outcome},
                            {"status", status},
-                           {"host", findHeader(headers, "Host")},
-                           {"uri", evhttp_request_get_uri(exchange_.request())}});
+                           {"host", findHeader(&request.headers, "Host")},
+                           {"uri", request.uri}});
         return;
     }
     proxy_.log_.write(kind, outboundPart, "call-ended",
@@ -578,6 +816,7 @@
                        {"outcome", outcome},
                        {"status", status},
                        {"service", placementRequest_.service.value()},
+                       {"customer", customer_ ? customer_->id.value() : ""},
                        {"node", host_ ? host_->entry.node.toString() : ""},
                        {"reportAgeMs", host_ ? (time - host_->reportedAt).count() / 1000 : -1},
                        {"serversReached", serversReached_},
--- a/src/sidecar/outbound-proxy.cc
+++ b/src/sidecar/outbound-proxy.cc
@@ -15,8 +15,9 @@
 constexpr std::uint32_t perMilleTotal = 1000;
 
 constexpr std::array<std::string_view, outboundRefusalCount> refusalNames
-        = {"not-ready", "no-route", "bad-request", "no-server", "overload", "budget",
-           "attempts",  "unknown",  "timeout",     "poison",    "stopping"};
+        = {"not-ready", "no-route",    "bad-request",    "no-server", "overload",
+           "budget",    "attempts",    "unknown",        "timeout",   "poison",
+           "stopping",  "unknown-key", "unknown-parent", "quota"};
 
 } // namespace
 
@@ -31,11 +32,19 @@
     : loop_(loop), dialect_(dialect), settings_(std::move(settings)), poison_(poison), log_(log),
       handlers_(std::move(handlers)), random_(settings_.seed),
       pool_(loop.base(), metrics.counter("cornelhead_node_connections_total")),
-      placement_(settings_.dataCentre), budget_(settings_.retryRatio, settings_.retryWindow),
+      placement_(settings_.dataCentre, PlacementPolicy{.departure = settings_.departure}),
+      budget_(settings_.retryRatio, settings_.retryWindow),
+      uploads_(loop, settings_.link, metrics, log),
       responses_(metrics.counter("cornelhead_entry_answers_total")),
       retries_(metrics.counter("cornelhead_entry_retries_total")),
       resumes_(metrics.counter("cornelhead_entry_resumes_total")),
       handBacks_(metrics.counter("cornelhead_entry_hand_backs_total")),
+      unanswered_(metrics.counter("cornelhead_entry_unanswered_total")),
+      ownLinkSuspicions_(metrics.counter("cornelhead_entry_own_link_suspicions_total")),
+      departureMonitor_(metrics, log),
+      bookedReturns_(metrics.counter("cornelhead_entry_returns_total", {{"place", "booked"}})),
+      lateReturns_(metrics.counter("cornelhead_entry_returns_total", {{"place", "none"}})),
+      cancelledNestedCalls_(metrics.counter("cornelhead_entry_nested_cancelled_total")),
       duration_(metrics.summary("cornelhead_entry_duration_us"))
 {
     for (const std::string_view name : refusalNames) {
@@ -44,11 +53,15 @@
     }
 }
 
-OutboundProxy::~OutboundProxy() = default;
+OutboundProxy::~OutboundProxy()
+{
+    // The end of a call closes its connection and so ends others, which then find no entry here.
+    const auto ending = std::exchange(calls_, {});
+}
 
-void OutboundProxy::serve(evhttp_request *request)
+void OutboundProxy::serve(IncomingRequest request)
 {
-    const auto call = std::make_shared<OutboundCall>(*this, request);
+    const auto call = std::make_shared<OutboundCall>(*this, std::move(request));
     calls_.emplace(call.get(), call);
     call->start();
 }
@@ -127,6 +140,28 @@
         recordReport(*host, response);
 }
 
+void OutboundProxy::recordUnreachable(HostState &host, ConnectFailure failure)
+{
+    if (placement_.recordUnreachable(host, failure, now(SteadyClock())))
+        logOwnLink();
+}
+
+void OutboundProxy::recordUnanswered(HostState &host, UnansweredEnd end, TimePoint sentAt,
+                                     Microseconds objective)
+{
+    const TimePoint time = now(SteadyClock());
+    unanswered_.add();
+    if (placement_.recordUnanswered(host, end, time - sentAt, objective, time))
+        logOwnLink();
+}
+
+void OutboundProxy::logOwnLink()
+{
+    ownLinkSuspicions_.add();
+    log_.write(EventKind::StateChange, "entry", "own-link-suspected",
+               {{"failedHosts", placement_.ownLink().failedHosts().size()}});
+}
+
 Milliseconds OutboundProxy::elapsedSinceFirstTry(const RouteId &route, Milliseconds timeLeft)
 {
     return deadlineEstimates_[route].elapsed(timeLeft);
@@ -150,9 +185,22 @@
     calls_.erase(owned);
 }
 
+void OutboundProxy::cancelNestedCalls(const std::string &outerId)
+{
+    std::vector<std::shared_ptr<OutboundCall>> nested;
+    for (const auto &[key, call] : calls_) {
+        if (call->isMadeFor(outerId))
+            nested.push_back(call);
+    }
+    for (const auto &call : nested)
+        call->cancelWithOuterCall();
+}
+
 void OutboundProxy::sweep()
 {
     pool_.closeIdle(now(SteadyClock()) - maxIdleTime);
+    departureMonitor_.update(placement_.departures(), placement_.departureShares());
+    uploads_.sweep();
 }
 
 } // namespace cornelhead::detail
--- a/src/sidecar/sidecar-settings.cc
+++ b/src/sidecar/sidecar-settings.cc
@@ -28,12 +28,20 @@
   --stop-timeout DURATION  Maximum duration of a graceful stop. [default: 6s]
   --retry-ratio RATIO      Retries allowed per call, over all nodes. [default: 0.2]
   --retry-window DURATION  The window to which --retry-ratio applies. [default: 10s]
+  --requests-ahead N       Requests that a caller may have in flight on one connection; those that it
+                           sends ahead beyond that wait. [default: 1]
+  --leave-data-centre RULE  When calls leave this data centre. when-short: also a share of them
+                           while it is short of room; by-cost: only if the one host that is
+                           compared there costs less. [default: when-short]
+  --returning-first        Pace the returns of refused callers, and let them go before first tries,
+                           also where the configuration names no customers.
   --log-level LEVEL        debug, info, warning or error. [default: info]
   --seed N                 Seed of random choices; 0 for a random seed. [default: 0]
   --help                   Print this text.
   --version                Print the version.
 
-Each flag may also be set by an environment variable: --data-centre by CORNELHEAD_DATA_CENTRE.
+Each flag that takes a value may also be set by an environment variable: --data-centre by
+CORNELHEAD_DATA_CENTRE.
 )";
 
 SidecarSettings readSidecarSettings(Settings &settings)
@@ -54,6 +62,12 @@
     sidecar.retryRatio = settings.real("--retry-ratio", 0.0, 1.0);
     sidecar.retryWindow
             = settings.duration("--retry-window", Milliseconds(100), std::chrono::hours(1));
+    sidecar.requestsAhead = settings.integer("--requests-ahead", 1, 1024);
+    sidecar.departure
+            = settings.choice("--leave-data-centre", {"when-short", "by-cost"}) == "by-cost"
+            ? DepartureRule::ByCost
+            : DepartureRule::WhenShort;
+    sidecar.returningFirst = settings.flag("--returning-first");
     sidecar.logLevel = settings.choice("--log-level", {"info", "debug", "warning", "error"});
     sidecar.seed = settings.integer("--seed", 0, UINT64_MAX);
     if (sidecar.seed == 0)
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -16,11 +16,13 @@
 #include "cornelhead/proxy/counters.h"
 #include "cornelhead/proxy/listener.h"
 #include "cornelhead/proxy/request-head.h"
+#include "cornelhead/sidecar/caller-listener.h"
 #include "cornelhead/sidecar/change-feed.h"
 #include "cornelhead/sidecar/exchange.h"
 #include "cornelhead/sidecar/fleet-sync.h"
 #include "cornelhead/sidecar/inbound-proxy.h"
 #include "cornelhead/sidecar/outbound-proxy.h"
+#include "cornelhead/sidecar/quota-sync.h"
 
 namespace cornelhead {
 namespace detail {
@@ -150,8 +152,10 @@
     // Declared before the proxies, which still answer requests while they are destroyed: the
     // listeners own these requests.
     detail::ProxyCounters listenerCounters;
-    detail::Listener outboundListener;
+    detail::CallerListener outboundListener;
     detail::Listener inboundListener;
+    // Declared before the proxies, whose calls use it.
+    QuotaSync quotas;
     detail::InboundProxy inboundProxy;
     detail::OutboundProxy outboundProxy;
     HttpServer readinessServer;
@@ -173,10 +177,13 @@
           fleet(loop, dialect, settings.platform, settings.inbound, settings.dataCentre, metrics,
                 log, settings.seed + 1, fleetHandlers()),
           listenerCounters(metrics),
-          outboundListener(loop, listenerCounters,
-                           [this](evhttp_request *request) { outboundProxy.serve(request); }),
+          outboundListener(loop, listenerCounters, metrics, settings.requestsAhead,
+                           [this](detail::IncomingRequest request) {
+                               outboundProxy.serve(std::move(request));
+                           }),
           inboundListener(loop, listenerCounters,
                           [this](evhttp_request *request) { servePeer(request); }),
+          quotas(loop, settings.inbound, settings.seed + 3, metrics, log, quotaHandlers()),
           inboundProxy(loop, dialect, run, settings.server, local, poison, metrics, log,
                        inboundHandlers()),
           outboundProxy(loop, dialect, outboundSettings(), poison, metrics, log,
@@ -184,6 +191,9 @@
           readinessServer(loop, {}), controlServer(loop, {}), peers(loop)
     {
         limitBuffers();
+        if (this->settings.returningFirst)
+            inboundProxy.setReturningFirst();
+        inboundProxy.setLink(LinkSpeed::fromMbps(settings.linkMbps));
         readinessServer.setHandler([this](const HttpRequest &request, const Responder &responder) {
             responder.send(respondToReadiness(request));
         });
@@ -239,6 +249,8 @@
                 = [this](const std::vector<SuspectedDeath> &deaths) { broadcastDeaths(deaths); };
         handlers.onSuspicionCleared
                 = [this](Fingerprint request) { clearedRequests.insert(request); };
+        handlers.onCallCancelled
+                = [this](const std::string &id) { outboundProxy.cancelNestedCalls(id); };
         handlers.configurationRevision = [this] {
             return fleet.configuration() ? fleet.configuration()->revision() : Revision();
         };
@@ -247,8 +259,11 @@
 
     detail::OutboundSettings outboundSettings() const
     {
-        return detail::OutboundSettings{settings.dataCentre, settings.service, settings.retryRatio,
-                                        settings.retryWindow, settings.seed + 2};
+        return detail::OutboundSettings{
+                settings.dataCentre,     settings.service,
+                settings.retryRatio,     settings.retryWindow,
+                settings.seed + 2,       settings.departure,
+                settings.returningFirst, LinkSpeed::fromMbps(settings.linkMbps)};
     }
 
     detail::OutboundHandlers outboundHandlers()
@@ -263,6 +278,32 @@
         };
         handlers.isRunningHere
                 = [this](const std::string &id) { return inboundProxy.isRunning(id); };
+        handlers.isCancelledHere
+                = [this](const std::string &id) { return inboundProxy.wasCancelled(id); };
+        handlers.admit = [this](const HostCustomer &customer, QuotaSync::Decision decide) {
+            quotas.admit(customer, std::move(decide));
+        };
+        handlers.returnQuota = [this](const CustomerId &customer) { quotas.putBack(customer); };
+        return handlers;
+    }
+
+    QuotaHandlers quotaHandlers()
+    {
+        QuotaHandlers handlers;
+        handlers.configuration = [this] { return fleet.configuration().get(); };
+        handlers.isFleetKnown = [this] { return fleet.isComplete(); };
+        handlers.fleetSize = [this] { return fleet.directory().hosts().size(); };
+        handlers.nodes = [this] {
+            std::vector<QuotaNode> nodes;
+            for (const auto &[node, known] : fleet.directory().hosts()) {
+                const Placement::Host host = outboundProxy.placement().find(node);
+                const bool isSuspect = host && host->consecutiveFailures > 0;
+                const bool isOwnStop = isStopping && node == settings.inbound;
+                if (!known.entry.isStopping)
+                    nodes.push_back(QuotaNode{node, isSuspect || isOwnStop, known.entry.followers});
+            }
+            return nodes;
+        };
         return handlers;
     }
 
@@ -353,6 +394,10 @@
             inboundProxy.serve(request);
             return;
         }
+        if (!detail::findHeader(headers, offerHeader).empty()) {
+            inboundProxy.serveOffer(request);
+            return;
+        }
         if (detail::findRequestFault(headers, {})) {
             detail::Exchange malformed(loop, request);
             malformed.closeAfterResponse();
@@ -372,6 +417,8 @@
         else if (path == detail::peerReportPath)
             exchange.send(detail::LocalResponse{
                     detail::statusOk, {}, encodeHopResponse(inboundProxy.report())});
+        else if (path == quotaPath)
+            exchange.send(quotas.serve(detail::bodyOf(request)));
         else if (path == detail::peerDeathsPath)
             exchange.send(handleNotice([this, request] {
                 recordDeaths(detail::readDeaths(detail::bodyOf(request)));
@@ -605,7 +652,7 @@
 Result<void> Sidecar::start()
 {
     const SidecarSettings &settings = impl_->settings;
-    Result<void> started = impl_->outboundListener.listen(settings.outbound, false);
+    Result<void> started = impl_->outboundListener.listen(settings.outbound);
     if (started)
         started = impl_->inboundListener.listen(settings.inbound, false);
     if (started)
@@ -621,6 +668,7 @@
                       {"seed", settings.seed}});
     impl_->fleet.start();
     impl_->startTimers();
+    impl_->quotas.start();
     return {};
 }
 
@@ -632,10 +680,12 @@
     impl_->onStopped = std::move(done);
     impl_->stoppingSince = now(SteadyClock());
     impl_->fleet.stop();
+    impl_->quotas.stop();
     impl_->outboundProxy.stop(
             {impl_->stoppingSince + detail::callerDrainTime,
              impl_->stoppingSince + impl_->settings.stopTimeout - detail::stopMargin});
     constexpr Milliseconds pollInterval(50);
+    impl_->outboundListener.closeConnectionsWhenIdle();
     impl_->stopTimer = impl_->loop.every(pollInterval, [this] { impl_->pollStop(); });
 }
 
