Mend what the reviews of the parts found

A place on the link is freed when the link has sent the body, not when the kernel has it. An upload is judged in its customer's place. A refused connection to a home of quotas may be a cut, so the next home counts the node later. A suspicion of the own link ends though hosts stay away. A reset of a connection that is not read is noticed; a target that the next node cannot read is refused; no 100 Continue follows the last response. Tokens of calls that were never sent go back. Tests for the reset, the target, the refused home and the suspicion.

--- a/include/cornelhead/config/customer-keys.h
+++ b/include/cornelhead/config/customer-keys.h
@@ -44,9 +44,9 @@
 class CustomerKeys
 {
 public:
-    /// Fails with `InvalidDeclaration` for a customer without a name, a name or key that is
-    /// declared twice, an empty key, and a quota that is not a finite number of at least 0.  The
-    /// errors name customers, never keys.
+    /// Fails with `InvalidDeclaration` for a name that no header can carry, a name that is declared
+    /// twice, a key of two customers, an empty key, and a quota that is not a finite number of at
+    /// least 0.  The errors name customers, never keys.
     static Result<CustomerKeys> build(std::vector<HostCustomer> customers);
 
     CustomerKeys(CustomerKeys &&) = default;
--- a/include/cornelhead/routing/own-link.h
+++ b/include/cornelhead/routing/own-link.h
@@ -42,6 +42,8 @@
 
     void record(const Address &node, const DataCentreId &dataCentre, bool hasFailed, TimePoint now);
     bool isLikely() const;
+    /// Forgets the hosts that were not tried within the window.
+    void sweep(TimePoint now);
 
     DataCentreId localDataCentre_;
     // The hosts tried within the window, with their latest outcomes.
@@ -50,7 +52,11 @@
     double failures_ = 0.0;
     double answers_ = 0.0;
     TimePoint countedAt_{};
+    TimePoint sweptAt_{};
     TimePoint suspectedUntil_{};
+    // Bounds of a suspicion that hosts that are gone would renew for ever.
+    TimePoint latestEnd_{};
+    TimePoint mayBeginAt_{};
 };
 
 } // namespace cornelhead
--- a/include/cornelhead/routing/quota-home.h
+++ b/include/cornelhead/routing/quota-home.h
@@ -57,6 +57,8 @@
     void recordFailure(TimePoint now);
     /// The current home grants no tokens any more: it has ended, is stopping, or has been left.
     void recordEnd(TimePoint now);
+    /// The connection was refused: the home has ended, or a cut link resets connections.
+    void recordRefused(TimePoint now);
     /// `node` did not answer before this node moved to it.
     void recordUnfit(const Address &node, TimePoint now);
     /// The current home has confirmed that it counts this node no longer, which moves to `next`.
--- a/include/cornelhead/routing/server-gate.h
+++ b/include/cornelhead/routing/server-gate.h
@@ -6,9 +6,8 @@
 // refused at once, so that slots are spent only on responses that are still useful.  Within a rank
 // the customers share the server: one that sends many times its usual calls waits behind the
 // others, and gives way first.  A caller that was told to come back goes before first tries.  A
-// server may
-// also limit the rate of its calls; as all calls to it pass through this gate, the limit holds for
-// all hosts together.
+// server may also limit the rate of its calls; as all calls to it pass through this gate, the limit
+// holds for all hosts together.
 #pragma once
 
 #include <cstdint>
@@ -31,8 +30,8 @@
 struct GateRequest
 {
     GateTicket ticket;
-    /// Lower ranks start first: 0 for a nested call from another server, else 1 + the route's
-    /// priority.
+    /// Lower ranks start first: `nestedCallRank` for a nested call from another server, else
+    /// `callRank`.
     std::uint32_t rank = 1;
     /// Expected service time.
     Microseconds work{};
@@ -82,8 +81,8 @@
     /// appended to `expired`.
     Verdict offer(const GateRequest &offer, TimePoint now, std::vector<GateTicket> &expired);
     /// Judges a call whose body needs `arrival` to come: `Start` if a place is free for it, `Wait`
-    /// if it would have to wait but end in time.  Changes nothing.
-    Verdict judgeRoom(const GateRequest &request, Microseconds arrival, TimePoint now) const;
+    /// if it would have to wait but end in time.  Adds nothing to the queue.
+    Verdict judgeRoom(const GateRequest &request, Microseconds arrival, TimePoint now);
     /// Counts a call that is yet to come as waiting, for the wait of later calls and for the load;
     /// calls that are there are not held up by it.
     void hold(const GateRequest &place) { held_.emplace(place.ticket, place); }
--- a/include/cornelhead/routing/upload-queue.h
+++ b/include/cornelhead/routing/upload-queue.h
@@ -62,6 +62,8 @@
 
     /// Returns the expected time until the bodies that are being sent have left.
     Microseconds sendingTime(TimePoint now) const;
+    /// Returns the time until the link has sent this body; 0 if it is not being sent.
+    Microseconds sendingTime(UploadTicket ticket, TimePoint now) const;
     /// Returns the expected time until all bodies have left.
     Microseconds backlog(TimePoint now) const;
     std::uint64_t waitingBytes() const;
--- a/include/cornelhead/sidecar/caller-connection.h
+++ b/include/cornelhead/sidecar/caller-connection.h
@@ -93,6 +93,7 @@
     void onWritable();
     /// Runs after the callbacks of requests and buffers.
     void onTurn();
+    bool isReset() const;
     void scheduleTurn();
     /// Reads requests from bytes until no further one may be taken; returns the unread rest.
     std::string_view readRequests(std::string_view bytes);
--- a/include/cornelhead/sidecar/quota-sync.h
+++ b/include/cornelhead/sidecar/quota-sync.h
@@ -82,6 +82,8 @@
         TimePoint requestedAt{};
         // Invariant: at most one request to a home is under way.
         bool isAsking = false;
+        // A better home is asked for a sign of life.
+        bool isProbing = false;
         Timer askTimer;
         double loggedPart = 0.0;
     };
@@ -96,10 +98,12 @@
     std::vector<QuotaGrant> grantHere(Group &group, const QuotaRequest &request);
     void send(Group &group, const Address &to, const QuotaRequest &request,
               std::function<void(const Result<HttpResponse> &)> onResponse);
-    void onResponse(Group &group, TimePoint sentAt, const Result<HttpResponse> &response);
+    void onResponse(Group &group, const Address &asked, TimePoint sentAt,
+                    const Result<HttpResponse> &response);
     void onGrants(Group &group, TimePoint sentAt, const std::vector<QuotaGrant> &grants);
     /// Returns whether the home answered; notes if not.
-    bool noteOutcome(Group &group, TimePoint sentAt, const Result<HttpResponse> &response);
+    bool noteOutcome(Group &group, const Address &asked, TimePoint sentAt,
+                     const Result<HttpResponse> &response);
     /// Asks the best home for a sign of life, then moves to it.
     void move(Group &group);
     void leave(Group &group, const Address &next);
--- a/include/cornelhead/sidecar/received-request.h
+++ b/include/cornelhead/sidecar/received-request.h
@@ -24,6 +24,8 @@
     RequestView view() const { return {method, uri.c_str(), &headers, body.get()}; }
     /// The path of the target, without the query; empty if the target has none.
     std::string_view path() const;
+    /// Returns whether the next node, which reads requests by evhttp, can parse the target.
+    bool isTargetValid() const;
 
     evhttp_cmd_type method = EVHTTP_REQ_GET;
     /// The target as the caller sent it.
--- a/include/cornelhead/sidecar/upload-sender.h
+++ b/include/cornelhead/sidecar/upload-sender.h
@@ -26,6 +26,8 @@
     /// function, once, if the verdict is `Wait` and the place is not released before.
     UploadQueue::Verdict add(const std::string &id, Upload &upload,
                              std::function<void(UploadTurn)> onTurn);
+    /// The kernel has taken the whole body; its place is freed once the link has sent it.
+    void recordSent(UploadTicket ticket);
     /// Frees the place of a body that was sent or is given up; may run in any callback.
     void release(UploadTicket ticket);
     /// To be called a few times a second.
@@ -46,6 +48,8 @@
     UploadQueue queue_;
     UploadTicket lastTicket_;
     std::map<UploadTicket, std::function<void(UploadTurn)>> waiting_;
+    // Bodies that the kernel still holds.
+    std::map<UploadTicket, Timer> leaving_;
     Timer nextTimer_;
     bool isNextScheduled_ = false;
     Counter &offers_;
--- a/src/config/customer-keys.cc
+++ b/src/config/customer-keys.cc
@@ -1,6 +1,7 @@
 // Validates and indexes customers and their keys.
 #include "cornelhead/config/customer-keys.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -16,6 +17,17 @@
                 remedy);
 }
 
+// The name travels in headers, in which "-" stands for no name.
+bool isName(const std::string &name)
+{
+    constexpr std::size_t maxNameBytes = 1024;
+    constexpr unsigned char firstPrintable = 0x20;
+    constexpr unsigned char deleteByte = 0x7f;
+    return !name.empty() && name.size() <= maxNameBytes && name != "-"
+            && std::all_of(name.begin(), name.end(),
+                           [](unsigned char c) { return c >= firstPrintable && c != deleteByte; });
+}
+
 bool isAmount(double value)
 {
     return std::isfinite(value) && value >= 0.0;
@@ -37,8 +49,9 @@
 Result<void> CustomerKeys::index()
 {
     for (const HostCustomer &customer : customers_) {
-        if (customer.id.empty())
-            return detail::invalidCustomer(customer, "has no name", "give each customer a name");
+        if (!detail::isName(customer.id.value()))
+            return detail::invalidCustomer(customer, "has a name that no header can carry",
+                                           "give it a printable name of 1 to 1024 bytes");
         if (!byId_.emplace(customer.id, &customer).second)
             return detail::invalidCustomer(customer, "is declared twice", "remove one of the two");
         if (!detail::isAmount(customer.quota.ratePerSecond)
@@ -50,7 +63,7 @@
             if (key.empty())
                 return detail::invalidCustomer(customer, "has an empty key", "remove the key");
             const auto [known, isNew] = byKey_.emplace(key.value(), &customer);
-            if (!isNew) {
+            if (!isNew && known->second != &customer) {
                 return detail::invalidCustomer(customer,
                                                "has a key that is declared twice, also for "
                                                        + known->second->id.value(),
--- a/src/routing/own-link.cc
+++ b/src/routing/own-link.cc
@@ -9,6 +9,10 @@
 
 constexpr Milliseconds ownLinkWindow(1000);
 constexpr double countHalfLifeUs = 500'000.0;
+// Where the hosts themselves are gone, the suspicion ends after this time and does not return for a
+// while, so that the node backs off from them.
+constexpr Milliseconds maxSuspicion(2000);
+constexpr Milliseconds suspicionPause(8000);
 // Fewer hosts may well have failed for reasons of their own.
 constexpr std::size_t minFailedHosts = 6;
 
@@ -23,6 +27,16 @@
     answers_ = answers_ * decay + (hasFailed ? 0.0 : 1.0);
     countedAt_ = now;
     tried_[node] = Tried{dataCentre == localDataCentre_, hasFailed, now};
+    if (now - sweptAt_ > detail::ownLinkWindow)
+        sweep(now);
+}
+
+void OwnLink::sweep(TimePoint now)
+{
+    sweptAt_ = now;
+    std::erase_if(tried_, [now](const auto &tried) {
+        return now - tried.second.at > detail::ownLinkWindow;
+    });
 }
 
 void OwnLink::recordAnswer(const Address &node, const DataCentreId &dataCentre, TimePoint now)
@@ -33,13 +47,15 @@
 bool OwnLink::recordFailure(const Address &node, const DataCentreId &dataCentre, TimePoint now)
 {
     record(node, dataCentre, true, now);
-    std::erase_if(tried_, [now](const auto &tried) {
-        return now - tried.second.at > detail::ownLinkWindow;
-    });
-    if (!isLikely())
-        return false;
+    sweep(now);
     const bool isNew = !isSuspected(now);
-    suspectedUntil_ = now + detail::ownLinkWindow;
+    if (!isLikely() || (isNew && now < mayBeginAt_))
+        return false;
+    if (isNew) {
+        latestEnd_ = now + detail::maxSuspicion;
+        mayBeginAt_ = latestEnd_ + detail::suspicionPause;
+    }
+    suspectedUntil_ = std::min(now + detail::ownLinkWindow, latestEnd_);
     return isNew;
 }
 
--- a/src/routing/placement.cc
+++ b/src/routing/placement.cc
@@ -267,7 +267,8 @@
 bool Placement::drawAway(ServiceHosts &service, const PlacementRequest &request, TimePoint now,
                          Random &random, Candidates &candidates)
 {
-    if (policy_.departure == DepartureRule::ByCost || service.local.empty())
+    if (policy_.departure == DepartureRule::ByCost || service.local.empty()
+        || service.remote.empty())
         return false;
     if (service.departure.isDue(now))
         observe(service, now);
--- a/src/routing/quota-home.cc
+++ b/src/routing/quota-home.cc
@@ -16,7 +16,8 @@
 constexpr std::uint32_t capacityDivisor = 2;
 /// A home that has just started gets the directory and its first requests within this time.
 constexpr Milliseconds settleTime(3000);
-/// A request may reach the home this much later than it was sent; it is given up then.
+/// A request usually reaches the home within this time.  One that a cut or a frozen home holds up
+/// counts its node once more for `quotaContactLife`, which the allowed excess covers.
 constexpr Milliseconds maxRequestAge(500);
 
 } // namespace
@@ -42,7 +43,8 @@
     // Before the first request no home counts this node.
     const bool isLost = !isCurrentListed || avoidedUntil_.contains(current_);
     if (!requestedAt_ || isLost) {
-        if (requestedAt_ && !avoidedUntil_.contains(current_))
+        // A home that was asked without being allowed to count this node does not count it.
+        if (requestedAt_ && !avoidedUntil_.contains(current_) && isCounted(now))
             formerRequestAt_ = requestedAt_;
         current_ = best_;
         failures_ = 0;
@@ -91,7 +93,17 @@
 {
     if (current_ == own_ || ++failures_ < detail::maxFailures)
         return;
-    formerRequestAt_ = requestedAt_;
+    if (isCounted(now))
+        formerRequestAt_ = requestedAt_;
+    avoid(current_, now);
+}
+
+void QuotaHome::recordRefused(TimePoint now)
+{
+    if (current_ == own_)
+        return;
+    if (isCounted(now))
+        formerRequestAt_ = requestedAt_;
     avoid(current_, now);
 }
 
--- a/src/routing/server-gate.cc
+++ b/src/routing/server-gate.cc
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "cornelhead/routing/call-rank.h"
+
 namespace cornelhead {
 namespace detail {
 
@@ -38,9 +40,12 @@
 }
 
 ServerGate::Verdict ServerGate::judgeRoom(const GateRequest &request, Microseconds arrival,
-                                          TimePoint now) const
+                                          TimePoint now)
 {
-    const Microseconds wait = waitBehind(queueAhead(request.rank), now);
+    // In the place that it would have now.
+    const auto position = insert(request, now);
+    const Microseconds wait = waitBehind(queueAhead(position, request.rank), now);
+    waiting_.erase(position);
     if (now + std::max(wait, arrival) + request.work > request.finishBy)
         return Verdict::Refuse;
     const bool isFree = waiting_.empty() && running_.size() + held_.size() < slots_ + spareInFlight;
@@ -55,6 +60,7 @@
         start(request, now);
         return Verdict::Start;
     }
+    // Goes before first tries of its rank, as a returning call does.
     GateRequest first = request;
     first.isReturning = true;
     insert(first, now);
@@ -104,7 +110,9 @@
     load.running = static_cast<std::uint32_t>(running_.size());
     load.waiting = static_cast<std::uint32_t>(waiting_.size() + held_.size());
     load.slots = slots_;
-    load.wait = waitBehind(queueAhead(detail::reportedRank), now);
+    // The priorities of customers spread calls over more ranks.
+    load.wait = waitBehind(queueAhead(shares_.isEmpty() ? detail::reportedRank : maxCallRank - 1),
+                           now);
     load.limit = pacer_.limit();
     load.demand = pacer_.demand(now);
     return load;
--- a/src/routing/upload-queue.cc
+++ b/src/routing/upload-queue.cc
@@ -76,6 +76,13 @@
     return time;
 }
 
+Microseconds UploadQueue::sendingTime(UploadTicket ticket, TimePoint now) const
+{
+    const auto found = sending_.find(ticket);
+    return found == sending_.end() ? Microseconds(0)
+                                   : std::max(Microseconds(0), found->second - now);
+}
+
 Microseconds UploadQueue::backlog(TimePoint now) const
 {
     return sendingTime(now) + link_.timeOf(waitingBytes());
--- a/src/sidecar/caller-connection.cc
+++ b/src/sidecar/caller-connection.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/sidecar/caller-connection.h"
 
 #include <sys/socket.h>
+#include <sys/time.h>
 
 #include <algorithm>
 #include <array>
@@ -21,6 +22,8 @@
 constexpr Milliseconds idleTimeout(60'000);
 // A closed socket with unread input would reset the connection and so destroy the last response.
 constexpr Milliseconds discardTime(1000);
+// A reset is not reported as a close; while nothing is read it would go unnoticed.
+constexpr timeval pausedCheckInterval{0, 50'000};
 constexpr std::string_view continueHead = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view closeField = "Connection: close\r\n";
 constexpr std::string_view keepAliveField = "Connection: keep-alive\r\n";
@@ -239,10 +242,17 @@
         event_active(turnEvent_.get(), EV_TIMEOUT, 0);
 }
 
+bool CallerConnection::isReset() const
+{
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(socket_, SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
+}
+
 void CallerConnection::onTurn()
 {
     const auto self = shared_from_this();
-    if (isEvicted_) {
+    if (isEvicted_ || (!isReading_ && isReset())) {
         close();
         return;
     }
@@ -285,7 +295,8 @@
 
 void CallerConnection::queueContinue()
 {
-    if (isContinueDue_ && requests_.empty() && reader_.isInRequest()) {
+    // Behind the last response it would say that the request is still read.
+    if (isContinueDue_ && !isFinished_ && requests_.empty() && reader_.isInRequest()) {
         isContinueDue_ = false;
         add(output_.get(), continueHead);
     }
@@ -319,8 +330,10 @@
 {
     std::size_t dropped = 0;
     started_ = 0;
-    for (const auto &request : std::exchange(requests_, {})) {
+    const auto detached = std::exchange(requests_, {});
+    for (const auto &request : detached)
         request->isDetached = true;
+    for (const auto &request : detached) {
         dropped += request->isStarted || !request->received ? 0 : 1;
         if (const auto onDisconnect = std::exchange(request->onDisconnect, nullptr))
             onDisconnect();
@@ -350,6 +363,8 @@
     const bool mayRead = isDiscarding_
             || (evbuffer_get_length(input_.get()) < readBytes
                 && evbuffer_get_length(output_.get()) <= maxUnsentBytes);
+    if (isOpen() && !mayRead)
+        event_add(turnEvent_.get(), &pausedCheckInterval);
     if (!isOpen() || isReading_ == mayRead)
         return;
     isReading_ = mayRead;
--- a/src/sidecar/outbound-call.cc
+++ b/src/sidecar/outbound-call.cc
@@ -196,6 +196,8 @@
         exchange_.closeAfterResponse();
         return false;
     }
+    if (!exchange_.request().isTargetValid())
+        return false;
     id_ = findHeader(headers, names.requestId.c_str());
     const std::string_view text = findHeader(headers, names.deadline.c_str());
     std::int64_t timeoutMs = 0;
@@ -350,8 +352,13 @@
     const UploadQueue &queue = proxy_.uploads_.queue();
     const Microseconds otherTime = queue.sendingTime(now(SteadyClock()))
             - queue.link().timeOf(placementRequest_.body.bytes);
+    // So may its answer, for bodies on their way to the host.
+    const InboundLoad &inbound = host_->report.link;
+    const Microseconds hostTime = inbound.speed.timeOf(inbound.bytes)
+            - Microseconds(now(SteadyClock()) - host_->reportedAt);
     const Milliseconds timeout = connectTimeout
-            + std::chrono::duration_cast<Milliseconds>(std::max(Microseconds(0), otherTime));
+            + std::chrono::duration_cast<Milliseconds>(
+                                         std::max({Microseconds(0), otherTime, hostTime}));
     offer_ = std::make_unique<BodyOffer>(
             proxy_.loop_, proxy_.pool_, proxy_.dialect_, host_->entry.node,
             BodyOffer::Content{id_, OfferRequest{placementRequest_.body.bytes, hop_}, timeLeft()},
@@ -375,10 +382,13 @@
         void operator()(const HopResponse &response) const
         {
             call.recordResponse(response);
-            if (response.reason == HopReason::None)
-                call.send(false);
-            else
+            if (response.reason != HopReason::None) {
                 call.onHostRefused(response.reason);
+                return;
+            }
+            // A body that was sent at the host's word is not handed back.
+            call.hop_.mayHandBack = false;
+            call.send(false);
         }
     };
     std::visit(Visitor{*this}, outcome);
@@ -410,7 +420,10 @@
             onStalledAttemptEnd(end);
     };
     if (upload_)
-        handlers.onSent = [this] { releaseLink(); };
+        handlers.onSent = [this] {
+            if (upload_)
+                proxy_.uploads_.recordSent(*std::exchange(upload_, std::nullopt));
+        };
     ConnectionSpec need{host_->entry.node, {}, {}};
     if (isResumed)
         need.idleSince = TimePoint::max();
@@ -717,6 +730,8 @@
         return;
     isDone_ = true;
     cancelAttempts(UnansweredEnd::CallerGone);
+    if (isInQuota_ && sentAt_ == TimePoint())
+        proxy_.handlers_.returnQuota(customer_->id);
     logEnd("caller-gone", 0);
     exchange_.abandon();
     proxy_.onCallEnd(*this);
@@ -749,7 +764,8 @@
     const auto work = Microseconds(static_cast<std::int64_t>(
             relativeWork * reservedWork
             * static_cast<double>(Microseconds(route_->objective).count())));
-    const RefusedCall call{placementRequest_.service, minWait_,
+    // The schedule counts on half of a host's wait, but the link needs its whole time.
+    const RefusedCall call{placementRequest_.service, std::max(minWait_, linkWait_ * 2),
                            route_->objective - elapsedSinceFirstTry() - work, timeLeft()};
     const ReturnTime time = proxy_.returns_.book(call, now(SteadyClock()), proxy_.random_);
     (time.isBooked ? proxy_.bookedReturns_ : proxy_.lateReturns_).add();
@@ -780,7 +796,9 @@
     LocalResponse response{status, {}, std::string(outboundRefusalName(refusal)) + "\n"};
     if (status == statusUnauthorized)
         response.headers.emplace_back("WWW-Authenticate", proxy_.dialect_.headers.keyScheme);
-    if (isInQuota_ && status == statusUnavailable && serversReached_ == 0)
+    const bool reachedNoServer
+            = sentAt_ == TimePoint() || (status == statusUnavailable && serversReached_ == 0);
+    if (isInQuota_ && reachedNoServer)
         proxy_.handlers_.returnQuota(customer_->id);
     if (status == statusTooManyRequests
         || (status == statusUnavailable && refusal != OutboundRefusal::Poison)) {
--- a/src/sidecar/quota-sync.cc
+++ b/src/sidecar/quota-sync.cc
@@ -196,8 +196,8 @@
                                      });
         return;
     }
-    send(group, home, request, [this, &group, time](const Result<HttpResponse> &response) {
-        onResponse(group, time, response);
+    send(group, home, request, [this, &group, home, time](const Result<HttpResponse> &response) {
+        onResponse(group, home, time, response);
     });
 }
 
@@ -217,8 +217,12 @@
     client_.send(to, message, detail::requestTimeout, std::move(onResponse));
 }
 
-bool QuotaSync::noteOutcome(Group &group, TimePoint sentAt, const Result<HttpResponse> &response)
+bool QuotaSync::noteOutcome(Group &group, const Address &asked, TimePoint sentAt,
+                            const Result<HttpResponse> &response)
 {
+    // Since then this node may have left the home.
+    if (group.home.current() != asked)
+        return response && response->status == detail::statusOk;
     if (response && response->status == detail::statusOk) {
         group.home.recordAnswer();
         return true;
@@ -226,24 +230,27 @@
     failures_.add();
     const TimePoint time = now(SteadyClock());
     const Address before = group.home.current();
-    const bool hasEnded = response ? response->status == detail::statusUnavailable
-                                   : response.error().kind == ErrorKind::Unavailable
-                    && time - sentAt < detail::quickFailure;
+    const bool hasEnded = response && response->status == detail::statusUnavailable;
+    const bool isRefused = !response && response.error().kind == ErrorKind::Unavailable
+            && time - sentAt < detail::quickFailure;
     log_.write(EventKind::Failure, detail::quotaPart, "quota-request-failed",
                {{"group", group.number},
                 {"home", before.toString()},
                 {"why", response ? std::to_string(response->status) : response.error().message}});
     if (hasEnded)
         group.home.recordEnd(time);
+    else if (isRefused)
+        group.home.recordRefused(time);
     else
         group.home.recordFailure(time);
     logChanges(group, before);
     return false;
 }
 
-void QuotaSync::onResponse(Group &group, TimePoint sentAt, const Result<HttpResponse> &response)
+void QuotaSync::onResponse(Group &group, const Address &asked, TimePoint sentAt,
+                           const Result<HttpResponse> &response)
 {
-    if (!noteOutcome(group, sentAt, response)) {
+    if (!noteOutcome(group, asked, sentAt, response)) {
         onGrants(group, sentAt, {});
         return;
     }
@@ -291,20 +298,22 @@
 
 void QuotaSync::move(Group &group)
 {
-    if (group.isAsking)
+    if (group.isAsking || group.isProbing)
         return;
     const Address next = group.home.best();
     if (next == own_) {
         leave(group, next);
         return;
     }
-    group.isAsking = true;
+    group.isProbing = true;
     const QuotaRequest probe{own_, false, false, {}, 0};
     send(group, next, probe, [this, &group, next](const Result<HttpResponse> &response) {
-        group.isAsking = false;
-        if (response && response->status == detail::statusOk)
+        group.isProbing = false;
+        const bool isAlive = response && response->status == detail::statusOk;
+        // While a request is under way, the next update probes again.
+        if (isAlive && !group.isAsking)
             leave(group, next);
-        else
+        else if (!isAlive)
             group.home.recordUnfit(next, now(SteadyClock()));
     });
 }
@@ -325,7 +334,7 @@
     send(group, before, request,
          [this, &group, next, before, time](const Result<HttpResponse> &response) {
              group.isAsking = false;
-             if (noteOutcome(group, time, response))
+             if (noteOutcome(group, before, time, response))
                  group.home.recordMove(next);
              logChanges(group, before);
              ask(group);
--- a/src/sidecar/received-request.cc
+++ b/src/sidecar/received-request.cc
@@ -2,6 +2,7 @@
 #include "cornelhead/sidecar/received-request.h"
 
 #include <event2/buffer.h>
+#include <event2/http.h>
 #include <http_parser.h>
 
 namespace cornelhead::detail {
@@ -29,4 +30,15 @@
     return target.substr(parts.field_data[UF_PATH].off, parts.field_data[UF_PATH].len);
 }
 
+bool ReceivedRequest::isTargetValid() const
+{
+    // Two slashes begin an authority there.
+    if (uri.starts_with('/') && !uri.starts_with("//"))
+        return true;
+    evhttp_uri *parsed = evhttp_uri_parse_with_flags(uri.c_str(), EVHTTP_URI_NONCONFORMANT);
+    if (parsed)
+        evhttp_uri_free(parsed);
+    return parsed != nullptr;
+}
+
 } // namespace cornelhead::detail
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -55,6 +55,8 @@
 constexpr Milliseconds peerTimeout(500);
 /// A host that answered within this time is alive, even if the store does not list it.
 constexpr Milliseconds recentAnswerTime(2000);
+/// A host whose backoff has ended is no home of quotas for this much longer.
+constexpr Milliseconds suspectTime(3000);
 /// Callers check readiness once a second and leave after two failed checks.
 constexpr Milliseconds callerDrainTime(2600);
 /// A stopping node still forwards calls of other nodes to its server for this long, so that they
@@ -295,9 +297,12 @@
         handlers.fleetSize = [this] { return fleet.directory().hosts().size(); };
         handlers.nodes = [this] {
             std::vector<QuotaNode> nodes;
+            const TimePoint time = now(SteadyClock());
             for (const auto &[node, known] : fleet.directory().hosts()) {
                 const Placement::Host host = outboundProxy.placement().find(node);
-                const bool isSuspect = host && host->consecutiveFailures > 0;
+                // A host that gets no calls would stay suspect for ever.
+                const bool isSuspect = host && host->consecutiveFailures > 0
+                        && time < host->backoffUntil + detail::suspectTime;
                 const bool isOwnStop = isStopping && node == settings.inbound;
                 if (!known.entry.isStopping)
                     nodes.push_back(QuotaNode{node, isSuspect || isOwnStop, known.entry.followers});
--- a/src/sidecar/upload-sender.cc
+++ b/src/sidecar/upload-sender.cc
@@ -39,8 +39,20 @@
     return verdict;
 }
 
+void UploadSender::recordSent(UploadTicket ticket)
+{
+    const Microseconds left = queue_.sendingTime(ticket, now(SteadyClock()));
+    if (left == Microseconds(0)) {
+        release(ticket);
+        return;
+    }
+    leaving_[ticket] = loop_.after(std::chrono::ceil<Milliseconds>(left),
+                                   [this, ticket] { release(ticket); });
+}
+
 void UploadSender::release(UploadTicket ticket)
 {
+    leaving_.erase(ticket);
     queue_.remove(ticket);
     waiting_.erase(ticket);
     scheduleNext();
--- a/test/adapter/raw-caller.h
+++ b/test/adapter/raw-caller.h
@@ -1,6 +1,8 @@
 // A caller on the event loop of the test that sends arbitrary bytes.
 #pragma once
 
+#include <sys/socket.h>
+
 #include <string>
 
 #include <event2/buffer.h>
@@ -39,6 +41,13 @@
         bufferevent_write(connection_, bytes.data(), bytes.size());
     }
 
+    /// Makes the destructor reset the connection.
+    void resetAtEnd() const
+    {
+        const linger reset{1, 0};
+        setsockopt(bufferevent_getfd(connection_), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+
     /// What has been received.
     std::string received;
     bool isClosed = false;
--- a/test/adapter/requests-ahead-test.cc
+++ b/test/adapter/requests-ahead-test.cc
@@ -139,6 +139,38 @@
     BOOST_TEST(mostRunning == 1U);
 }
 
+// The node of the server would have taken what follows the slashes for an authority, refused it,
+// and been asked again on new connections.
+BOOST_AUTO_TEST_CASE(targetThatTheNextNodeCannotReadIsRefused)
+{
+    for (const char *target : {"//a:b", "//x{y}/z", "http://[:::]/look/1"}) {
+        const RawCaller caller(loop, host->settings.outbound);
+        caller.send(get(1, target));
+        waitUntil([&] { return caller.received.size() > 12; });
+        BOOST_TEST(caller.received.substr(0, 12) == "HTTP/1.1 400");
+    }
+    BOOST_TEST(startedPaths.empty());
+}
+
+// A reset is no close for the poll of a connection that is not read.
+BOOST_AUTO_TEST_CASE(resetWithMuchUnreadEndsTheCallsAndNoLoopSpins)
+{
+    {
+        const RawCaller caller(loop, host->settings.outbound);
+        std::string bytes = get(1, "/look/100");
+        for (int i = 2; i < 600; ++i)
+            bytes += get(i, "/look/100");
+        caller.send(bytes);
+        waitUntil([&] { return running >= 4; });
+        loop.runFor(Milliseconds(250));
+        caller.resetAtEnd();
+    }
+    loop.runFor(Milliseconds(300));
+    BOOST_TEST(startedPaths.size() == 4U);
+    // The calls would run for a second; they ended as calls whose caller left.
+    BOOST_TEST(metricsOf(*host).find("cornelhead_entry_unanswered_total 4") != std::string::npos);
+}
+
 // UNASKED: what stands behind a malformed request may be a part of it.
 BOOST_AUTO_TEST_CASE(requestBehindAMalformedOneIsNotRun)
 {
--- a/test/config/customer-keys-test.cc
+++ b/test/config/customer-keys-test.cc
@@ -26,6 +26,7 @@
     BOOST_TEST(keys->find("a1")->id.value() == "ash");
     BOOST_TEST(keys->find("a2")->id.value() == "ash");
     BOOST_TEST(keys->find("e1")->id.value() == "elm");
+    BOOST_TEST(CustomerKeys::build({customerOf("ash", {"a1", "a1"})}).has_value());
     BOOST_TEST(!keys->find("a"));
     BOOST_TEST(!keys->find(""));
     BOOST_TEST(keys->findCustomer(CustomerId("elm"))->id.value() == "elm");
@@ -42,7 +43,9 @@
             = {{customerOf("", {"secret1"})},
                {customerOf("ash", {"secret1"}), customerOf("ash", {"secret2"})},
                {customerOf("ash", {"secret1"}), customerOf("elm", {"secret1"})},
-               {customerOf("ash", {"secret1", "secret1"})},
+               {customerOf("-", {"secret1"})},
+               {customerOf("a\nb", {"secret1"})},
+               {customerOf(std::string(1025, 'a'), {"secret1"})},
                {customerOf("ash", {""})},
                {negative},
                {infinite}};
--- a/test/routing/quota-test.cc
+++ b/test/routing/quota-test.cc
@@ -358,6 +358,17 @@
     }
     BOOST_TEST(!home.isCounted(time + quotaContactLife));
     BOOST_TEST(home.isCounted(time + Milliseconds(2000)));
+    // A cut link may refuse connections too.
+    time += Milliseconds(6000);
+    home.recordRequest(time);
+    const Address refusing = home.current();
+    home.recordRefused(time);
+    BOOST_TEST((home.current() != refusing));
+    BOOST_TEST(!home.isCounted(time));
+    // The next one never counted this node, so it does not put off the time.
+    home.recordRequest(time + Milliseconds(600));
+    home.recordRefused(time + Milliseconds(600));
+    BOOST_TEST(home.isCounted(time + Milliseconds(2000)));
 }
 
 BOOST_AUTO_TEST_CASE(homesAreNodesWithWideLinks)
--- a/test/routing/silence-test.cc
+++ b/test/routing/silence-test.cc
@@ -93,6 +93,23 @@
 }
 
 // A cut between data centres leaves the own link as it was.
+// Hosts that lost power would have renewed the suspicion for as long as they were listed.
+BOOST_AUTO_TEST_CASE(suspicionEndsThoughHostsStayAway)
+{
+    const DataCentreId home("akl-a");
+    OwnLink link(home);
+    TimePoint time = TimePoint() + Milliseconds(100'000);
+    Milliseconds suspected(0);
+    constexpr Milliseconds step(20);
+    for (Milliseconds at(0); at < Milliseconds(8000); at += step, time += step) {
+        const auto number = static_cast<std::uint16_t>(1 + at.count() / step.count() % 12);
+        link.recordFailure(Address{"10.0.0.1", number}, home, time);
+        suspected += link.isSuspected(time) ? step : Milliseconds(0);
+    }
+    BOOST_TEST(suspected.count() > 500);
+    BOOST_TEST(suspected.count() <= 2000);
+}
+
 BOOST_AUTO_TEST_CASE(cutDataCentreIsNotTakenForTheOwnLink)
 {
     for (std::uint16_t i = 0; i < 3; ++i)
