--- a/include/cornelhead/config/route-table.h
+++ b/include/cornelhead/config/route-table.h
@@ -89,6 +89,8 @@
     Revision revision() const { return revision_; }
     const CallerLimits &limits() const { return declarations_.limits; }
     std::size_t size() const { return declarations_.routes.size(); }
+    const std::vector<HostRoute> &routes() const { return declarations_.routes; }
+    const std::vector<HostService> &services() const { return declarations_.services; }
     /// Returns the route of `host` with the longest prefix that matches `path`, or null.  A port in
     /// `host` is ignored.
     const HostRoute *match(std::string_view host, std::string_view path) const;
