--- a/support/parts.cmake
+++ b/support/parts.cmake
@@ -19,7 +19,13 @@
     cornelhead_part_tests(${name})
 endfunction()
 
+# Builds the tests below test/NAME as a program that is linked with the part of that name, or with
+# the part given after it.
 function(cornelhead_part_tests name)
+    set(part ${name})
+    if(ARGC GREATER 1)
+        set(part ${ARGV1})
+    endif()
     file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${name}/*.cc)
     if(NOT tests)
         return()
@@ -29,7 +35,7 @@
     target_compile_definitions(${name}-test PRIVATE
         BOOST_TEST_DYN_LINK CORNELHEAD_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(${name}-test PRIVATE
-        part-${name} Boost::unit_test_framework rapidcheck)
+        part-${part} Boost::unit_test_framework rapidcheck)
     add_test(NAME ${name} COMMAND ${name}-test)
 endfunction()
 
@@ -71,8 +77,14 @@
     ${CMAKE_SOURCE_DIR}/platform/bin/cornelhead-check-configuration.cc)
 target_link_libraries(cornelhead-check-configuration PRIVATE part-adapter)
 cornelhead_part_tests(adapter)
+# The tests of whole sidecars take minutes, so they are two programs that run at the same time, on
+# ports of their own.
+cornelhead_part_tests(load adapter)
 if(TARGET adapter-test)
     target_link_libraries(adapter-test PRIVATE part-standin)
+    target_compile_definitions(adapter-test PRIVATE CORNELHEAD_FIRST_TEST_PORT=10000)
+    target_link_libraries(load-test PRIVATE part-standin)
+    target_compile_definitions(load-test PRIVATE CORNELHEAD_FIRST_TEST_PORT=14500)
 endif()
 
 cornelhead_program(cornelhead-node node)
--- a/test/adapter/sidecar-fleet.h
+++ b/test/adapter/sidecar-fleet.h
@@ -141,9 +141,10 @@
     /// Returns an unused address whose port is below the system's ephemeral port range.
     static Address freeAddress()
     {
-        constexpr int firstPort = 10'000;
-        constexpr int portCount = 9'000;
-        static int next = static_cast<int>(::getpid() % 45) * 200;
+        // Each test program has a range of its own, as they may run at the same time.
+        constexpr int firstPort = CORNELHEAD_FIRST_TEST_PORT;
+        constexpr int portCount = 4'500;
+        static int next = static_cast<int>(::getpid() % 45) * 100;
         for (int tries = 0; tries < portCount; ++tries) {
             const Address address{"127.0.0.1",
                                   static_cast<std::uint16_t>(firstPort + next++ % portCount)};
