--- a/review/standins-2/fleet.sh
+++ b/review/standins-2/fleet.sh
@@ -53,7 +53,7 @@
     pids[$name]=$!
 }
 
-# Ends with the name's process; a signal other than TERM, KILL, STOP or CONT is not used.
+# Sends a signal to a process of this case.
 signal() { # SIGNAL NAME
     note "signal $1 to $2"
     kill "-$1" "${pids[$2]}" || cannot_run "$2 is not running"
