--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds every stand-in that the scripts of review/6 to review/10 start, into target/review-2/.
+# Builds every stand-in that the scripts of review/6 to review/9 start, into target/review-2/.
 # Needs only the packages of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
