--- a/review/standins-2/fleet.sh
+++ b/review/standins-2/fleet.sh
@@ -1,12 +1,12 @@
 # Starts and stops a small deployment of real sidecars with stand-ins around them; sourced by the
 # scripts of the cases.
 #
-# Each host gets a loopback address of its own.  A case sets `case_dir` before it sources this file.
+# Each host gets a loopback address of its own.  A case sets `case_dir` and
+# `trouble` before it sources this file.
 # The exit codes of a case are 1 for a broken rule, 0 for a kept one, and 2 if it could not run.
 
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 standins=target/review-2
-trouble=${TROUBLE:-1}
 net=127.$((20 + RANDOM % 200)).$((1 + RANDOM % 250))
 port=$((20000 + RANDOM % 1000 * 10))
 work=$(mktemp -d) || exit 2
